--- /dev/null
+++ b/include/jayrelay/http.h
@@ -0,0 +1,138 @@
+/**
+ * DOC: http - HTTP towards callers, upstreams, workers and operators
+ *
+ * A server (libmicrohttpd) and a client (libcurl's multi interface) on the
+ * libev loop.
+ */
+#ifndef JAYRELAY_HTTP_H
+#define JAYRELAY_HTTP_H
+
+#include <ev.h>
+
+#include "jayrelay/ctx.h"
+
+enum {
+    JR_HTTP_BODY_MAX_BYTES = 1024 * 1024,
+    JR_HTTP_HEADERS_MAX = 16,
+};
+
+/** struct jr_header_t - a header of a request or an answer; borrowed */
+typedef struct {
+    const char *name;
+    const char *value;
+} jr_header_t;
+
+typedef struct jr_http jr_http_t;
+typedef struct jr_exchange jr_exchange_t;
+
+/**
+ * jr_http_handler_t - a whole request arrived
+ *
+ * The handler answers it with jr_http_answer(), now or later, once.
+ */
+typedef void jr_http_handler_t(void *user, jr_exchange_t *exchange);
+
+/**
+ * jr_new_http - listen on @address ("host:port")
+ *
+ * Return: the server, or NULL with JR_NETWORK in the context.
+ */
+jr_http_t *jr_new_http(jr_ctx_t *ctx, struct ev_loop *loop,
+                       const char *address, jr_http_handler_t *handler,
+                       void *user);
+
+/** jr_drop_http - stop; connections are cut. NULL is accepted. */
+void jr_drop_http(jr_http_t *http);
+
+/** jr_http_close_connections - close each connection after its answer */
+void jr_http_close_connections(jr_http_t *http);
+
+/** jr_http_quiesce - take no new connections */
+void jr_http_quiesce(jr_http_t *http);
+
+/** jr_http_open - requests that are not answered in full yet */
+unsigned jr_http_open(const jr_http_t *http);
+
+/** jr_exchange_method - "GET" and so on */
+const char *jr_exchange_method(const jr_exchange_t *exchange);
+/** jr_exchange_path - the path, without the query */
+const char *jr_exchange_path(const jr_exchange_t *exchange);
+/** jr_exchange_header - value of a header, or NULL */
+const char *jr_exchange_header(const jr_exchange_t *exchange,
+                               const char *name);
+/** jr_exchange_body - the body, NUL-terminated */
+const char *jr_exchange_body(const jr_exchange_t *exchange, size_t *len);
+
+/**
+ * jr_http_answer - answer a request; the exchange is gone afterwards
+ * @headers: @n of them; copied
+ * @body: @len bytes; copied
+ */
+void jr_http_answer(jr_exchange_t *exchange, unsigned status,
+                    const jr_header_t *headers, size_t n, const void *body,
+                    size_t len);
+
+typedef struct jr_client jr_client_t;
+
+/** enum jr_fetch_outcome_t - what is known of a request that was sent */
+typedef enum {
+    JR_FETCH_ANSWERED,      /* a whole answer */
+    JR_FETCH_NOT_CONNECTED, /* no byte of the request left */
+    JR_FETCH_BROKEN,        /* no whole answer */
+    JR_FETCH_TIMEOUT,       /* no whole answer in time */
+} jr_fetch_outcome_t;
+
+/**
+ * struct jr_fetched_t - outcome of a request; borrowed
+ * @status: HTTP status of a whole answer
+ * @body: NUL-terminated
+ */
+typedef struct {
+    jr_fetch_outcome_t outcome;
+    unsigned status;
+    const char *body;
+    size_t len;
+    const char *error;
+    jr_header_t headers[JR_HTTP_HEADERS_MAX];
+    size_t n_headers;
+} jr_fetched_t;
+
+typedef void jr_fetch_handler_t(void *user, const jr_fetched_t *fetched);
+
+/**
+ * struct jr_fetch_t - a request
+ * @timeout_ms: until the whole answer is there
+ * @once: never send it twice. The library repeats a request that fails on
+ *        a reused connection, so one that must not be repeated gets a new
+ *        connection.
+ */
+typedef struct {
+    const char *method;
+    const char *url;
+    const jr_header_t *headers;
+    size_t n_headers;
+    const void *body;
+    size_t len;
+    int64_t timeout_ms;
+    bool once;
+    jr_fetch_handler_t *handler;
+    void *user;
+} jr_fetch_t;
+
+/** jr_new_client - a client; NULL with JR_NETWORK in the context */
+jr_client_t *jr_new_client(jr_ctx_t *ctx, struct ev_loop *loop);
+
+/** jr_drop_client - cancel all requests; NULL is accepted */
+void jr_drop_client(jr_client_t *client);
+
+/**
+ * jr_client_fetch - start a request; copies it
+ *
+ * The handler is called once, from the loop, never from this call.
+ */
+jr_result_t jr_client_fetch(jr_client_t *client, const jr_fetch_t *fetch);
+
+/** jr_fetched_header - value of a header of the answer, or NULL */
+const char *jr_fetched_header(const jr_fetched_t *fetched, const char *name);
+
+#endif
--- /dev/null
+++ b/scripts/local-set.sh
@@ -0,0 +1,126 @@
+# A local set of processes: three zones with an entry, a control, two
+# executors and two workers each. To be sourced; needs $bin and $dir.
+# Ends whatever it started when the shell that sourced it exits.
+
+zones="a b c"
+declare -A pids
+
+free_ports() { # N ports that are free now
+    python3 -c '
+import socket, sys
+sockets = [socket.socket() for _ in range(int(sys.argv[1]))]
+for s in sockets:
+    s.bind(("127.0.0.1", 0))
+print(*[s.getsockname()[1] for s in sockets])' "$1"
+}
+
+start() { # NAME COMMAND...
+    local name=$1
+    shift
+    "$@" >> "$dir/$name.out" 2>> "$dir/$name.log" &
+    pids[$name]=$!
+    disown "${pids[$name]}"
+}
+
+stop_all() {
+    local name
+    for name in "${!pids[@]}"; do
+        kill -KILL "${pids[$name]}" 2>/dev/null
+    done
+    return 0
+}
+trap stop_all EXIT
+
+write_settings() {
+    local ports zone controls="" entries="" i=0
+    read -r -a ports <<< "$(free_ports 24)"
+    entry_list=""
+    for zone in $zones; do
+        eval "bus_$zone=127.0.0.1:${ports[i]} http_$zone=127.0.0.1:${ports[i + 1]}"
+        eval "cbus_$zone=127.0.0.1:${ports[i + 2]} chttp_$zone=127.0.0.1:${ports[i + 3]}"
+        eval "exec_$zone='127.0.0.1:${ports[i + 4]} 127.0.0.1:${ports[i + 5]}'"
+        i=$((i + 6))
+        local b="bus_$zone" h="http_$zone" cb="cbus_$zone" ch="chttp_$zone"
+        controls+="  - {name: control-$zone, zone: $zone, bus: ${!cb}, http: ${!ch}}"$'\n'
+        entries+="  - {name: entry-$zone, zone: $zone, bus: ${!b}, http: ${!h}}"$'\n'
+        entry_list+="${entry_list:+,}${!h}"
+    done
+    for zone in $zones; do
+        local b="bus_$zone" h="http_$zone" cb="cbus_$zone" ch="chttp_$zone"
+        cat > "$dir/control-$zone.yaml" <<Y
+name: control-$zone
+zone: $zone
+bus: ${!cb}
+http: ${!ch}
+data: $dir/data-$zone
+lease_ms: 2000
+election_ms: 600
+heartbeat_ms: 60
+controls:
+$controls
+Y
+        cat > "$dir/entry-$zone.yaml" <<Y
+name: entry-$zone
+zone: $zone
+bus: ${!b}
+http: ${!h}
+drain_ms: 500
+controls:
+$controls
+entries:
+$entries
+Y
+    done
+    echo "rules_file: $dir/rules" >> "$dir/control-a.yaml"
+}
+
+start_control() { # ZONE
+    start "control-$1" "$bin/jayrelay-control" --settings "$dir/control-$1.yaml"
+}
+
+start_entry() { # ZONE
+    start "entry-$1" "$bin/jayrelay-entry" --settings "$dir/entry-$1.yaml"
+}
+
+start_fakes() { # ZONE
+    local zone=$1 address n=0 list="exec_$1"
+    for address in ${!list}; do
+        n=$((n + 1))
+        start "executor-$zone$n" "$bin/fake-executor" --name "executor-$zone$n" \
+            --zone "$zone" --rack "r$n" --listen "$address" --delay-ms 20 \
+            --entries "$entry_list" --log "$dir/executor-$zone$n.runs"
+        start "worker-$zone$n" "$bin/fake-worker" --name "worker-$zone$n" \
+            --zone "$zone" --rack "r$n" --entries "$entry_list" \
+            --log "$dir/worker-$zone$n.runs"
+    done
+}
+
+start_set() {
+    local zone
+    for zone in $zones; do
+        "$bin/jayrelay-control" --settings "$dir/control-$zone.yaml" --init \
+            2>> "$dir/control-$zone.log"
+        start_control "$zone"
+    done
+    for zone in $zones; do
+        start_entry "$zone"
+        start_fakes "$zone"
+    done
+}
+
+wait_until() { # SECONDS COMMAND...: until the command succeeds
+    local end=$(($(date +%s%N) + $1 * 1000000000))
+    shift
+    until "$@" > /dev/null 2>&1; do
+        [ "$(date +%s%N)" -lt "$end" ] || return 1
+        sleep 0.02
+    done
+}
+
+ready() { # all entry processes have rules and every group a leader
+    local zone h
+    for zone in $zones; do
+        h="http_$zone"
+        curl -sf --noproxy '*' "http://${!h}/readyz" || return 1
+    done
+}
--- /dev/null
+++ b/src/base/settings.c
@@ -0,0 +1,413 @@
+/*
+ * Settings by libyaml's documents, whose nodes know their lines. (libcyaml
+ * stops at the first error; all of them are wanted at once.)
+ */
+#include "jayrelay/settings.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+#include <yaml.h>
+
+typedef enum { TEXT, ADDRESS, PATH, NUMBER, PROCESSES } value_kind_t;
+
+enum { FOR_ENTRY = 1, FOR_CONTROL = 2, FOR_BOTH = 3, REQUIRED = 4 };
+
+/* One key: what it holds, where it goes, and for which program. */
+typedef struct {
+    const char *key;
+    value_kind_t kind;
+    size_t offset;
+    int flags;
+    int64_t min;
+    int64_t max;
+    int64_t standard;
+    size_t count_offset; /* of PROCESSES: number of elements */
+} key_spec_t;
+
+#define AT(field) offsetof(jr_settings_t, field)
+
+static const key_spec_t specs[] = {
+    {.key = "name", .kind = TEXT, .offset = AT(name),
+     .flags = FOR_BOTH | REQUIRED},
+    {.key = "zone", .kind = TEXT, .offset = AT(zone),
+     .flags = FOR_BOTH | REQUIRED},
+    {.key = "bus", .kind = ADDRESS, .offset = AT(bus),
+     .flags = FOR_BOTH | REQUIRED},
+    {.key = "http", .kind = ADDRESS, .offset = AT(http),
+     .flags = FOR_BOTH | REQUIRED},
+    {.key = "data", .kind = PATH, .offset = AT(data),
+     .flags = FOR_CONTROL | REQUIRED},
+    {.key = "rules_file", .kind = PATH, .offset = AT(rules_file),
+     .flags = FOR_CONTROL},
+    {.key = "groups", .kind = NUMBER, .offset = AT(groups),
+     .flags = FOR_BOTH, .min = 1, .max = 1024, .standard = 3},
+    {.key = "lease_ms", .kind = NUMBER, .offset = AT(lease_ms),
+     .flags = FOR_CONTROL, .min = 500, .max = 600000, .standard = 6000},
+    {.key = "drift_permille", .kind = NUMBER, .offset = AT(drift_permille),
+     .flags = FOR_CONTROL, .min = 0, .max = 100, .standard = 10},
+    {.key = "election_ms", .kind = NUMBER, .offset = AT(election_ms),
+     .flags = FOR_CONTROL, .min = 50, .max = 60000, .standard = 1000},
+    {.key = "heartbeat_ms", .kind = NUMBER, .offset = AT(heartbeat_ms),
+     .flags = FOR_CONTROL, .min = 10, .max = 10000, .standard = 100},
+    {.key = "snapshot_every", .kind = NUMBER, .offset = AT(snapshot_every),
+     .flags = FOR_CONTROL, .min = 16, .max = 10000000, .standard = 10000},
+    {.key = "drain_ms", .kind = NUMBER, .offset = AT(drain_ms),
+     .flags = FOR_ENTRY, .min = 0, .max = 600000, .standard = 2000},
+    {.key = "crossing_ms", .kind = NUMBER, .offset = AT(crossing_ms),
+     .flags = FOR_ENTRY, .min = 0, .max = 10000, .standard = 10},
+    {.key = "retry_percent", .kind = NUMBER, .offset = AT(retry_percent),
+     .flags = FOR_ENTRY, .min = 0, .max = 100, .standard = 10},
+    {.key = "controls", .kind = PROCESSES, .offset = AT(controls),
+     .flags = FOR_BOTH | REQUIRED, .max = JR_CONTROLS_MAX,
+     .count_offset = AT(n_controls)},
+    {.key = "entries", .kind = PROCESSES, .offset = AT(entries),
+     .flags = FOR_BOTH, .max = JR_ENTRIES_MAX,
+     .count_offset = AT(n_entries)},
+};
+
+typedef struct {
+    jr_ctx_t *ctx;
+    yaml_document_t document;
+    jr_settings_kind_t kind;
+    jr_settings_t *settings;
+    jr_setting_errors_t *errors;
+} reader_t;
+
+static void __attribute__((format(printf, 3, 4)))
+complain(reader_t *r, const yaml_node_t *node, const char *format, ...)
+{
+    char text[160];
+    size_t line = node != NULL ? node->start_mark.line + 1 : 1;
+    va_list args;
+
+    va_start(args, format);
+    vsnprintf(text, sizeof text, format, args);
+    va_end(args);
+    if (r->errors->n == 0) {
+        jr_fail(r->ctx, JR_SETTINGS, "line %zu: %s", line, text);
+    }
+    if (r->errors->n < JR_SETTING_ERRORS_MAX) {
+        snprintf(r->errors->texts[r->errors->n++],
+                 sizeof r->errors->texts[0], "line %zu: %.140s", line, text);
+    }
+}
+
+static const char *
+scalar(const yaml_node_t *node)
+{
+    return node->type == YAML_SCALAR_NODE
+               ? (const char *)node->data.scalar.value
+               : NULL;
+}
+
+static bool
+is_address(const char *text)
+{
+    const char *colon = strrchr(text, ':');
+    struct in_addr address;
+    char host[JR_SETTING_BYTES];
+    char *end;
+    unsigned long port;
+
+    if (colon == NULL || (size_t)(colon - text) >= sizeof host) {
+        return false;
+    }
+    memcpy(host, text, (size_t)(colon - text));
+    host[colon - text] = '\0';
+    port = strtoul(colon + 1, &end, 10);
+    return inet_pton(AF_INET, host, &address) == 1 && end != colon + 1 &&
+           *end == '\0' && port > 0 && port <= 65535;
+}
+
+static void
+read_text(reader_t *r, const char *key, const yaml_node_t *node,
+          value_kind_t kind, char *to)
+{
+    const char *text = scalar(node);
+    size_t size = kind == PATH ? JR_PATH_BYTES : JR_SETTING_BYTES;
+
+    if (text == NULL || *text == '\0' || strlen(text) >= size) {
+        complain(r, node, "'%s' must be a text of 1 to %zu characters", key,
+                 size - 1);
+        return;
+    }
+    if (kind == ADDRESS && !is_address(text)) {
+        complain(r, node, "'%s' must be an IP number and a port, such as "
+                 "10.0.0.1:7000", key);
+        return;
+    }
+    strcpy(to, text);
+}
+
+static void
+read_number(reader_t *r, const key_spec_t *spec, const yaml_node_t *node)
+{
+    int64_t *to = (int64_t *)((char *)r->settings + spec->offset);
+    const char *text = scalar(node);
+    char *end = NULL;
+    long long value;
+
+    errno = 0;
+    value = text != NULL ? strtoll(text, &end, 10) : 0;
+    if (text == NULL || end == text || *end != '\0' || errno != 0 ||
+        value < spec->min || value > spec->max) {
+        complain(r, node, "'%s' must be a whole number from %lld to %lld",
+                 spec->key, (long long)spec->min, (long long)spec->max);
+        return;
+    }
+    *to = value;
+}
+
+static void
+read_process(reader_t *r, const yaml_node_t *node, jr_process_t *to)
+{
+    static const struct {
+        const char *key;
+        value_kind_t kind;
+        size_t offset;
+    } fields[] = {
+        {"name", TEXT, offsetof(jr_process_t, name)},
+        {"zone", TEXT, offsetof(jr_process_t, zone)},
+        {"bus", ADDRESS, offsetof(jr_process_t, bus)},
+        {"http", ADDRESS, offsetof(jr_process_t, http)},
+    };
+    yaml_node_pair_t *pair;
+
+    if (node->type != YAML_MAPPING_NODE) {
+        complain(r, node, "a process is written "
+                 "{name: N, zone: Z, bus: IP:PORT, http: IP:PORT}");
+        return;
+    }
+    for (pair = node->data.mapping.pairs.start;
+         pair < node->data.mapping.pairs.top; pair++) {
+        yaml_node_t *key = yaml_document_get_node(&r->document, pair->key);
+        yaml_node_t *value =
+            yaml_document_get_node(&r->document, pair->value);
+        const char *name = scalar(key);
+        size_t i = 0;
+
+        while (i < G_N_ELEMENTS(fields) &&
+               g_strcmp0(name, fields[i].key) != 0) {
+            i++;
+        }
+        if (i == G_N_ELEMENTS(fields)) {
+            complain(r, key, "a process has no '%s'",
+                     name != NULL ? name : "?");
+            continue;
+        }
+        read_text(r, fields[i].key, value, fields[i].kind,
+                  (char *)to + fields[i].offset);
+    }
+    if (*to->name == '\0' || *to->zone == '\0' || *to->bus == '\0') {
+        complain(r, node, "a process needs a name, a zone and a bus");
+    }
+}
+
+static void
+read_processes(reader_t *r, const key_spec_t *spec, const yaml_node_t *node)
+{
+    jr_process_t *to =
+        (jr_process_t *)((char *)r->settings + spec->offset);
+    int64_t *n = (int64_t *)((char *)r->settings + spec->count_offset);
+    yaml_node_item_t *item;
+
+    if (node->type != YAML_SEQUENCE_NODE) {
+        complain(r, node, "'%s' must be a list", spec->key);
+        return;
+    }
+    for (item = node->data.sequence.items.start;
+         item < node->data.sequence.items.top; item++) {
+        yaml_node_t *element = yaml_document_get_node(&r->document, *item);
+
+        if (*n == spec->max) {
+            complain(r, element, "'%s' has more than %lld elements",
+                     spec->key, (long long)spec->max);
+            return;
+        }
+        read_process(r, element, &to[(*n)++]);
+    }
+    for (int64_t i = 0; i < *n; i++) {
+        for (int64_t k = 0; k < i; k++) {
+            if (strcmp(to[i].name, to[k].name) == 0) {
+                complain(r, node, "'%s' names '%s' twice", spec->key,
+                         to[i].name);
+            }
+        }
+    }
+}
+
+static const key_spec_t *
+find_spec(const reader_t *r, const char *key)
+{
+    int wanted = r->kind == JR_SETTINGS_ENTRY ? FOR_ENTRY : FOR_CONTROL;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
+        if (g_strcmp0(key, specs[i].key) == 0 &&
+            (specs[i].flags & wanted) != 0) {
+            return &specs[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+read_value(reader_t *r, const key_spec_t *spec, const yaml_node_t *node)
+{
+    switch (spec->kind) {
+    case TEXT:
+    case ADDRESS:
+    case PATH:
+        read_text(r, spec->key, node, spec->kind,
+                  (char *)r->settings + spec->offset);
+        break;
+    case NUMBER:
+        read_number(r, spec, node);
+        break;
+    case PROCESSES:
+        read_processes(r, spec, node);
+        break;
+    }
+}
+
+static void
+read_root(reader_t *r, const yaml_node_t *root)
+{
+    bool seen[G_N_ELEMENTS(specs)] = {false};
+    int wanted = r->kind == JR_SETTINGS_ENTRY ? FOR_ENTRY : FOR_CONTROL;
+    yaml_node_pair_t *pair;
+
+    for (pair = root->data.mapping.pairs.start;
+         pair < root->data.mapping.pairs.top; pair++) {
+        yaml_node_t *key = yaml_document_get_node(&r->document, pair->key);
+        yaml_node_t *value =
+            yaml_document_get_node(&r->document, pair->value);
+        const char *name = scalar(key);
+        const key_spec_t *spec = find_spec(r, name);
+
+        if (spec == NULL) {
+            complain(r, key, "'%.40s' is not a setting of this program",
+                     name != NULL ? name : "?");
+        }
+        else if (seen[spec - specs]) {
+            complain(r, key, "'%s' is given twice", name);
+        }
+        else {
+            seen[spec - specs] = true;
+            read_value(r, spec, value);
+        }
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
+        if ((specs[i].flags & wanted) && (specs[i].flags & REQUIRED) &&
+            !seen[i]) {
+            complain(r, root, "'%s' is missing", specs[i].key);
+        }
+    }
+}
+
+static const jr_process_t *
+find_process(const jr_process_t *processes, int64_t n, const char *name)
+{
+    for (int64_t i = 0; i < n; i++) {
+        if (strcmp(processes[i].name, name) == 0) {
+            return &processes[i];
+        }
+    }
+    return NULL;
+}
+
+/* What only the whole file can show. */
+static void
+check_whole(reader_t *r)
+{
+    const jr_settings_t *s = r->settings;
+
+    if (r->errors->n > 0) {
+        return;
+    }
+    if (r->kind == JR_SETTINGS_ENTRY &&
+        find_process(s->entries, s->n_entries, s->name) == NULL) {
+        complain(r, NULL, "'entries' must name this process, '%s'", s->name);
+    }
+    if (r->kind == JR_SETTINGS_CONTROL && s->n_controls % 2 == 0) {
+        complain(r, NULL, "'controls' must be an odd number of processes");
+    }
+    if (r->kind == JR_SETTINGS_CONTROL &&
+        s->election_ms < 3 * s->heartbeat_ms) {
+        complain(r, NULL,
+                 "'election_ms' must be at least 3 times 'heartbeat_ms'");
+    }
+}
+
+static void
+set_standards(jr_settings_t *settings)
+{
+    memset(settings, 0, sizeof *settings);
+    for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
+        if (specs[i].kind == NUMBER) {
+            int64_t *to = (int64_t *)((char *)settings + specs[i].offset);
+
+            *to = specs[i].standard;
+        }
+    }
+}
+
+jr_result_t
+jr_settings_parse(jr_ctx_t *ctx, const char *text, size_t len,
+                  jr_settings_kind_t kind, jr_settings_t *settings,
+                  jr_setting_errors_t *errors)
+{
+    reader_t r = {
+        .ctx = ctx, .kind = kind, .settings = settings, .errors = errors};
+    yaml_parser_t parser;
+    yaml_node_t *root;
+
+    set_standards(settings);
+    errors->n = 0;
+    yaml_parser_initialize(&parser);
+    yaml_parser_set_input_string(&parser, (const unsigned char *)text, len);
+    if (!yaml_parser_load(&parser, &r.document)) {
+        yaml_node_t at = {.start_mark = parser.problem_mark};
+
+        complain(&r, &at, "%s",
+                 parser.problem != NULL ? parser.problem : "not YAML");
+        yaml_parser_delete(&parser);
+        return JR_SETTINGS;
+    }
+    root = yaml_document_get_root_node(&r.document);
+    if (root == NULL || root->type != YAML_MAPPING_NODE) {
+        complain(&r, root, "settings are written 'key: value', one a line");
+    }
+    else {
+        read_root(&r, root);
+        check_whole(&r);
+    }
+    yaml_document_delete(&r.document);
+    yaml_parser_delete(&parser);
+    return errors->n == 0 ? JR_OK : JR_SETTINGS;
+}
+
+jr_result_t
+jr_settings_read(jr_ctx_t *ctx, const char *path, jr_settings_kind_t kind,
+                 jr_settings_t *settings, jr_setting_errors_t *errors)
+{
+    GError *error = NULL;
+    char *text;
+    gsize len;
+    jr_result_t result;
+
+    if (!g_file_get_contents(path, &text, &len, &error)) {
+        errors->n = 1;
+        snprintf(errors->texts[0], sizeof errors->texts[0], "%.150s",
+                 error->message);
+        jr_fail(ctx, JR_SETTINGS, "%s", error->message);
+        g_error_free(error);
+        return JR_SETTINGS;
+    }
+    result = jr_settings_parse(ctx, text, len, kind, settings, errors);
+    g_free(text);
+    return result;
+}
--- /dev/null
+++ b/src/control/control.h
@@ -0,0 +1,60 @@
+/* Private to jayrelay-control. */
+#ifndef JR_CONTROL_CONTROL_H
+#define JR_CONTROL_CONTROL_H
+
+#include <ev.h>
+
+#include "jayrelay/ask.h"
+#include "jayrelay/bus.h"
+#include "jayrelay/group.h"
+#include "jayrelay/http.h"
+#include "jayrelay/program.h"
+
+enum { REPLICAS_KNOWN_MAX = 64 };
+
+/* Which process a replica id was last heard from. */
+typedef struct {
+    uint64_t id;
+    char name[JR_NAME_BYTES];
+} jr_known_replica_t;
+
+typedef struct {
+    jr_ctx_t *ctx;
+    struct ev_loop *loop;
+    jr_settings_t settings;
+    uint64_t replica_id;
+    bool is_new_replica; /* must ask to join */
+    jr_bus_t *bus;
+    jr_asker_t *asker;
+    jr_http_t *http;
+    jr_group_t **groups; /* 0 holds the rules, the others hold tasks */
+    jr_store_t **stores;
+    size_t n_groups;
+    jr_known_replica_t known[REPLICAS_KNOWN_MAX];
+    size_t n_known;
+    jr_rules_t *rules;
+    bool is_draining;
+    int exit_status;
+    ev_timer tick;
+    ev_timer join;
+    ev_timer drain;
+    ev_timer rules_retry;
+    ev_prepare prepare;
+    ev_stat rules_stat;
+    ev_signal sigterm;
+    ev_signal sigint;
+} jr_control_t;
+
+/* Read or make the replica id; JR_IO when that fails. */
+jr_result_t jr_control_identify(jr_control_t *control);
+/* Make the data folder of a first member. */
+jr_result_t jr_control_init(jr_control_t *control);
+jr_store_t *jr_control_open_store(jr_control_t *control, size_t group);
+
+void jr_control_watch_rules(jr_control_t *control);
+void jr_control_on_http(void *user, jr_exchange_t *exchange);
+void jr_control_status(jr_control_t *control, const jr_ticket_t *ticket);
+void jr_control_reply(jr_control_t *control, const jr_ticket_t *ticket,
+                      Jr__Reply *reply);
+
+#endif
--- /dev/null
+++ b/src/control/identity.c
@@ -0,0 +1,145 @@
+/* The replica id and the data folder. */
+#include "control.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+enum { ID_TEXT_BYTES = 32 };
+
+static char *
+id_path(const jr_control_t *control)
+{
+    return g_build_filename(control->settings.data, "replica", NULL);
+}
+
+/* g_file_set_contents_full() syncs the file and its name. */
+static jr_result_t
+write_id(jr_control_t *control, uint64_t id)
+{
+    char *path = id_path(control);
+    char text[ID_TEXT_BYTES];
+    GError *error = NULL;
+    jr_result_t result = JR_OK;
+
+    snprintf(text, sizeof text, "%016llx\n", (unsigned long long)id);
+    if (g_mkdir_with_parents(control->settings.data, 0750) != 0) {
+        result = jr_fail(control->ctx, JR_IO, "make folder %s: %s",
+                         control->settings.data, strerror(errno));
+    }
+    else if (!g_file_set_contents_full(path, text, -1,
+                                       G_FILE_SET_CONTENTS_CONSISTENT |
+                                           G_FILE_SET_CONTENTS_DURABLE,
+                                       0640, &error)) {
+        result = jr_fail(control->ctx, JR_IO, "%s", error->message);
+        g_error_free(error);
+    }
+    control->replica_id = id;
+    g_free(path);
+    return result;
+}
+
+static uint64_t
+first_id(const char *name)
+{
+    return XXH64(name, strlen(name), 0);
+}
+
+jr_result_t
+jr_control_identify(jr_control_t *control)
+{
+    char *path = id_path(control);
+    char *text = NULL;
+    uint64_t id = 0;
+    jr_result_t result = JR_OK;
+
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        control->replica_id = strtoull(text, NULL, 16);
+        if (control->replica_id == 0) {
+            result = jr_fail(control->ctx, JR_DAMAGED, "%s: no replica id",
+                             path);
+        }
+    }
+    else {
+        /* The disk is new or was lost: come back as somebody else. */
+        control->is_new_replica = true;
+        if (getrandom(&id, sizeof id, 0) != sizeof id) {
+            result = jr_fail(control->ctx, JR_IO, "no random number");
+        }
+        else {
+            result = write_id(control, id | 1);
+        }
+    }
+    g_free(text);
+    g_free(path);
+    return result;
+}
+
+jr_store_t *
+jr_control_open_store(jr_control_t *control, size_t group)
+{
+    char *folder = g_strdup_printf("%s/group-%zu", control->settings.data,
+                                   group);
+    jr_store_t *store = jr_new_file_store(control->ctx, folder);
+
+    g_free(folder);
+    return store;
+}
+
+static void
+first_members(const jr_settings_t *settings, jr_config_t *config)
+{
+    memset(config, 0, sizeof *config);
+    for (int64_t i = 0; i < settings->n_controls; i++) {
+        jr_member_t *member = &config->members[config->n++];
+
+        member->id = first_id(settings->controls[i].name);
+        member->voter = true;
+        strcpy(member->name, settings->controls[i].name);
+        strcpy(member->address, settings->controls[i].bus);
+    }
+}
+
+static jr_result_t
+init_group(jr_control_t *control, size_t group, const jr_config_t *members)
+{
+    jr_store_t *store = jr_control_open_store(control, group);
+    jr_loaded_t none = {0};
+    jr_result_t result;
+
+    if (store == NULL) {
+        return control->ctx->error.code;
+    }
+    if (!jr_store_is_empty(store)) {
+        result = jr_fail(control->ctx, JR_WRONG_STATE,
+                         "%s holds data already", control->settings.data);
+    }
+    else {
+        result = jr_store_load(store, &none);
+    }
+    if (result == JR_OK) {
+        result = jr_group_init(control->ctx, store, members);
+    }
+    jr_drop_store(store);
+    return result;
+}
+
+jr_result_t
+jr_control_init(jr_control_t *control)
+{
+    jr_config_t members;
+    jr_result_t result = JR_OK;
+
+    first_members(&control->settings, &members);
+    for (size_t g = 0; g < control->n_groups && result == JR_OK; g++) {
+        result = init_group(control, g, &members);
+    }
+    return result == JR_OK
+               ? write_id(control, first_id(control->settings.name))
+               : result;
+}
--- /dev/null
+++ b/src/control/main.c
@@ -0,0 +1,482 @@
+/* jayrelay-control: replicas of the consensus groups on one host. */
+#include "control.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+enum {
+    TICK_MS = 10,
+    JOIN_ASK_MS = 2000,
+    MAX_GRANTS = 256,
+    CANDIDATES = 16,
+};
+
+static const double JOIN_EVERY_S = 1.0;
+static const double DRAIN_S = 0.4;
+
+static void
+stop(jr_control_t *control, int status)
+{
+    control->exit_status = status;
+    ev_break(control->loop, EVBREAK_ALL);
+}
+
+/* A replica whose disk failed must not go on: its promises are void. */
+static void
+pump(jr_control_t *control)
+{
+    int64_t now = jr_clock_ms();
+
+    for (size_t g = 0; g < control->n_groups; g++) {
+        jr_result_t result = jr_group_pump(control->groups[g], now);
+
+        if (result != JR_OK) {
+            jr_log(control->ctx, JR_EV_FATAL, "%s",
+                   control->ctx->error.text);
+            stop(control, jr_result_exit(result));
+            return;
+        }
+    }
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    jr_control_t *control = timer->data;
+    int64_t now = jr_clock_ms();
+
+    (void)loop;
+    (void)events;
+    for (size_t g = 0; g < control->n_groups; g++) {
+        jr_group_tick(control->groups[g], now);
+    }
+}
+
+static void
+on_prepare(struct ev_loop *loop, ev_prepare *prepare, int events)
+{
+    (void)loop;
+    (void)events;
+    pump(prepare->data);
+}
+
+static void
+remember(jr_control_t *control, uint64_t id, const char *name)
+{
+    size_t i = 0;
+
+    while (i < control->n_known && control->known[i].id != id) {
+        i++;
+    }
+    if (i == REPLICAS_KNOWN_MAX || strlen(name) >= JR_NAME_BYTES) {
+        return;
+    }
+    if (i == control->n_known) {
+        control->n_known++;
+    }
+    control->known[i].id = id;
+    strcpy(control->known[i].name, name);
+}
+
+static int
+peer_of(jr_control_t *control, const jr_member_t *to)
+{
+    if (to->address[0] != '\0') {
+        return jr_bus_connect(control->bus, to->name, to->address);
+    }
+    for (size_t i = 0; i < control->n_known; i++) {
+        if (control->known[i].id == to->id) {
+            return jr_bus_find(control->bus, control->known[i].name);
+        }
+    }
+    return -1;
+}
+
+static void
+on_send(void *user, const jr_member_t *to, const uint8_t *bytes, size_t len)
+{
+    jr_control_t *control = user;
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+    Jr__QuorumMsg *message = jr__quorum_msg__unpack(NULL, len, bytes);
+
+    envelope.body_case = JR__ENVELOPE__BODY_QUORUM;
+    envelope.quorum = message;
+    jr_bus_send(control->bus, peer_of(control, to), &envelope);
+    jr__quorum_msg__free_unpacked(message, NULL);
+}
+
+void
+jr_control_reply(jr_control_t *control, const jr_ticket_t *ticket,
+                 Jr__Reply *reply)
+{
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+    jr_route_t route = {.len = ticket->route_len};
+
+    memcpy(route.bytes, ticket->route, ticket->route_len);
+    envelope.body_case = JR__ENVELOPE__BODY_REPLY;
+    envelope.reply = reply;
+    jr_bus_reply(control->bus, &route, &envelope);
+}
+
+static void
+on_reply(void *user, const jr_ticket_t *ticket, Jr__Reply *reply)
+{
+    jr_control_reply(user, ticket, reply);
+}
+
+static void
+on_rules(void *user, uint64_t version, const char *text)
+{
+    jr_control_t *control = user;
+    jr_rules_t *rules = jr_new_rules(control->ctx, text, NULL);
+
+    if (rules == NULL) {
+        return;
+    }
+    jr_drop_rules(control->rules);
+    control->rules = rules;
+    jr_log(control->ctx, JR_EV_RULES_IN_FORCE, "version %llu",
+           (unsigned long long)version);
+    for (size_t g = 1; g < control->n_groups; g++) {
+        if (control->groups[g] != NULL) {
+            jr_group_set_rules(control->groups[g], rules);
+        }
+    }
+}
+
+static void
+on_quorum(jr_control_t *control, const Jr__Envelope *envelope)
+{
+    Jr__QuorumMsg *message = envelope->quorum;
+    size_t len = jr__quorum_msg__get_packed_size(message);
+    uint8_t *bytes;
+
+    if (message->group >= control->n_groups) {
+        jr_count(control->ctx, JR_C_BUS_BAD);
+        return;
+    }
+    remember(control, message->from, envelope->from);
+    bytes = jr_alloc(control->ctx, len);
+    jr__quorum_msg__pack(message, bytes);
+    jr_group_receive(control->groups[message->group], bytes, len,
+                     jr_clock_ms());
+    jr_free(control->ctx, bytes);
+}
+
+static void
+on_request(jr_control_t *control, const jr_route_t *route,
+           const Jr__Request *request)
+{
+    jr_ticket_t ticket = {.route_len = route->len, .id = request->id};
+    Jr__Reply reply = JR__REPLY__INIT;
+
+    memcpy(ticket.route, route->bytes, route->len);
+    if (request->body_case == JR__REQUEST__BODY_STATUS_GET) {
+        jr_control_status(control, &ticket);
+    }
+    else if (request->group < control->n_groups) {
+        jr_group_request(control->groups[request->group], &ticket, request,
+                         jr_clock_ms());
+    }
+    else {
+        jr_count(control->ctx, JR_C_BUS_BAD);
+        reply.id = request->id;
+        reply.code = JR_BAD_REQUEST;
+        jr_control_reply(control, &ticket, &reply);
+    }
+}
+
+static void
+on_envelope(void *user, const jr_route_t *route, const Jr__Envelope *envelope)
+{
+    jr_control_t *control = user;
+
+    if (envelope->body_case == JR__ENVELOPE__BODY_QUORUM) {
+        on_quorum(control, envelope);
+    }
+    else if (envelope->body_case == JR__ENVELOPE__BODY_REQUEST &&
+             route != NULL) {
+        on_request(control, route, envelope->request);
+    }
+    else if (envelope->body_case == JR__ENVELOPE__BODY_REPLY) {
+        jr_asker_reply(control->asker, envelope->reply);
+    }
+    else {
+        jr_count(control->ctx, JR_C_BUS_BAD);
+    }
+}
+
+static void
+on_joined(void *user, jr_result_t code, const Jr__Reply *reply)
+{
+    (void)user;
+    (void)code;
+    (void)reply;
+}
+
+static bool
+is_member(const jr_control_t *control, size_t g)
+{
+    const jr_config_t *config =
+        jr_quorum_config(jr_group_quorum(control->groups[g]));
+
+    return jr_config_find(config, control->replica_id) != NULL;
+}
+
+/* A new replica asks each group to take it in, until they all have. */
+static void
+on_join_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    jr_control_t *control = timer->data;
+    bool is_done = true;
+
+    (void)events;
+    for (size_t g = 0; g < control->n_groups; g++) {
+        Jr__Member member = JR__MEMBER__INIT;
+        Jr__Join join = JR__JOIN__INIT;
+        Jr__Request request = JR__REQUEST__INIT;
+
+        if (is_member(control, g)) {
+            continue;
+        }
+        is_done = false;
+        member.id = control->replica_id;
+        member.name = control->settings.name;
+        member.address = control->settings.bus;
+        join.member = &member;
+        request.group = (uint32_t)g;
+        request.body_case = JR__REQUEST__BODY_JOIN;
+        request.join = &join;
+        jr_ask(control->asker, &request, JOIN_ASK_MS, on_joined, control);
+    }
+    if (is_done) {
+        ev_timer_stop(loop, timer);
+    }
+}
+
+static void
+on_drained(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    stop(timer->data, 0);
+}
+
+/* Others lead before this process goes; then what is under way ends. */
+static void
+on_signal(struct ev_loop *loop, ev_signal *signal, int events)
+{
+    jr_control_t *control = signal->data;
+
+    (void)events;
+    if (control->is_draining) {
+        return;
+    }
+    control->is_draining = true;
+    jr_log(control->ctx, JR_EV_DRAINING, "signal %d", signal->signum);
+    pump(control);
+    for (size_t g = 0; g < control->n_groups; g++) {
+        jr_group_step_down(control->groups[g], jr_clock_ms());
+    }
+    ev_timer_init(&control->drain, on_drained, DRAIN_S, 0.0);
+    control->drain.data = control;
+    ev_timer_start(loop, &control->drain);
+}
+
+static jr_group_options_t
+group_options(jr_control_t *control, size_t g)
+{
+    const jr_settings_t *s = &control->settings;
+    int64_t own = 0;
+
+    while (own < s->n_controls &&
+           strcmp(s->controls[own].name, s->name) != 0) {
+        own++;
+    }
+    return (jr_group_options_t){
+        .kind = g == 0 ? JR_GROUP_RULES : JR_GROUP_LEDGER,
+        .quorum = {.group = (uint32_t)g,
+                   .self = control->replica_id,
+                   .seed = g_random_int(),
+                   .election_ms = s->election_ms,
+                   .heartbeat_ms = s->heartbeat_ms,
+                   .prefers_lead = (int64_t)g % s->n_controls == own},
+        .coord = {.n_groups = (uint32_t)s->groups,
+                  .seed = g_random_int(),
+                  .max_grants = MAX_GRANTS,
+                  .lease = {.lease_ms = s->lease_ms,
+                            .drift_permille = s->drift_permille},
+                  .policy = {.kind = JR_PLACE_SCORED,
+                             .as.scored.candidates = CANDIDATES},
+                  .evict = JR_EVICT_CHEAPEST},
+        .snapshot_every = (uint64_t)s->snapshot_every,
+        .wall_offset = jr_wall_ms() - jr_clock_ms(),
+        .hooks = {.send = on_send,
+                  .reply = on_reply,
+                  .rules = on_rules,
+                  .user = control},
+    };
+}
+
+/* The rules group comes last, so that its rules reach the others. */
+static jr_result_t
+open_groups(jr_control_t *control)
+{
+    for (size_t k = 0; k < control->n_groups; k++) {
+        size_t g = (k + 1) % control->n_groups;
+        jr_group_options_t options = group_options(control, g);
+
+        control->stores[g] = jr_control_open_store(control, g);
+        if (control->stores[g] == NULL) {
+            return control->ctx->error.code;
+        }
+        control->groups[g] = jr_new_group(control->ctx, &options,
+                                          control->stores[g], jr_clock_ms());
+        if (control->groups[g] == NULL) {
+            return control->ctx->error.code;
+        }
+    }
+    return JR_OK;
+}
+
+static jr_result_t
+connect_controls(jr_control_t *control)
+{
+    const jr_settings_t *s = &control->settings;
+    int peers[JR_CONTROLS_MAX];
+    size_t n = 0;
+
+    for (int64_t i = 0; i < s->n_controls; i++) {
+        int peer = jr_bus_connect(control->bus, s->controls[i].name,
+                                  s->controls[i].bus);
+
+        if (peer < 0) {
+            return JR_NETWORK;
+        }
+        peers[n++] = peer;
+    }
+    control->asker =
+        jr_new_asker(control->ctx, control->loop, control->bus, peers, n);
+    return JR_OK;
+}
+
+static jr_result_t
+open_control(jr_control_t *control)
+{
+    const jr_settings_t *s = &control->settings;
+    jr_result_t result = jr_control_identify(control);
+
+    if (result == JR_OK) {
+        result = open_groups(control);
+    }
+    if (result != JR_OK) {
+        return result;
+    }
+    control->bus = jr_new_bus(control->ctx, control->loop, s->name, s->bus,
+                              on_envelope, control);
+    if (control->bus == NULL) {
+        return JR_NETWORK;
+    }
+    result = connect_controls(control);
+    if (result != JR_OK) {
+        return result;
+    }
+    control->http = jr_new_http(control->ctx, control->loop, s->http,
+                                jr_control_on_http, control);
+    return control->http != NULL ? JR_OK : JR_NETWORK;
+}
+
+static void
+start_watchers(jr_control_t *control)
+{
+    struct ev_loop *loop = control->loop;
+
+    ev_timer_init(&control->tick, on_tick, 0.0, TICK_MS / 1000.0);
+    control->tick.data = control;
+    ev_timer_start(loop, &control->tick);
+    ev_prepare_init(&control->prepare, on_prepare);
+    control->prepare.data = control;
+    ev_prepare_start(loop, &control->prepare);
+    ev_signal_init(&control->sigterm, on_signal, SIGTERM);
+    control->sigterm.data = control;
+    ev_signal_start(loop, &control->sigterm);
+    ev_signal_init(&control->sigint, on_signal, SIGINT);
+    control->sigint.data = control;
+    ev_signal_start(loop, &control->sigint);
+    jr_control_watch_rules(control);
+    if (control->is_new_replica || !is_member(control, 0)) {
+        jr_log(control->ctx, JR_EV_JOINING, "replica %016llx",
+               (unsigned long long)control->replica_id);
+        ev_timer_init(&control->join, on_join_timer, 0.0, JOIN_EVERY_S);
+        control->join.data = control;
+        ev_timer_start(loop, &control->join);
+    }
+}
+
+static void
+close_control(jr_control_t *control)
+{
+    jr_drop_http(control->http);
+    jr_drop_asker(control->asker);
+    for (size_t g = 0; g < control->n_groups; g++) {
+        jr_drop_group(control->groups[g]);
+        jr_drop_store(control->stores[g]);
+    }
+    jr_drop_bus(control->bus);
+    jr_drop_rules(control->rules);
+    jr_free(control->ctx, control->groups);
+    jr_free(control->ctx, control->stores);
+}
+
+static int
+run(jr_control_t *control, bool init)
+{
+    jr_result_t result;
+
+    control->n_groups = (size_t)control->settings.groups + 1;
+    control->groups =
+        jr_alloc(control->ctx, control->n_groups * sizeof(jr_group_t *));
+    control->stores =
+        jr_alloc(control->ctx, control->n_groups * sizeof(jr_store_t *));
+    result = init ? jr_control_init(control) : open_control(control);
+    if (result != JR_OK) {
+        jr_log(control->ctx, JR_EV_FATAL, "%s", control->ctx->error.text);
+        control->exit_status = jr_result_exit(result);
+    }
+    else if (!init) {
+        start_watchers(control);
+        jr_log(control->ctx, JR_EV_STARTED, "%s in zone %s",
+               control->settings.name, control->settings.zone);
+        ev_run(control->loop, 0);
+        jr_log(control->ctx, JR_EV_STOPPED, "%s", control->settings.name);
+    }
+    close_control(control);
+    return control->exit_status;
+}
+
+int
+main(int argc, char **argv)
+{
+    jr_program_t program = {
+        .name = "jayrelay-control",
+        .summary = "Replicas of jayrelay's consensus groups: rules, tasks "
+                   "and leases.",
+        .kind = JR_SETTINGS_CONTROL,
+        .has_init = true,
+    };
+    jr_ctx_t *ctx = jr_new_ctx(program.name, stderr);
+    jr_control_t *control = jr_alloc(ctx, sizeof *control);
+    int status;
+
+    control->ctx = ctx;
+    signal(SIGPIPE, SIG_IGN);
+    status = jr_program_start(ctx, &program, argc, argv, &control->settings);
+    if (status < 0) {
+        control->loop = ev_default_loop(EVFLAG_AUTO);
+        status = run(control, program.init);
+    }
+    jr_free(ctx, control);
+    jr_drop_ctx(ctx);
+    return status;
+}
--- /dev/null
+++ b/src/control/rules_file.c
@@ -0,0 +1,116 @@
+/* The operators' rules file: an edit is taken up and offered. */
+#include "control.h"
+
+#include <glib.h>
+#include <string.h>
+
+enum { ASK_MS = 5000 };
+
+static const double LOOK_EVERY_S = 0.5;
+static const double RETRY_S = 1.0;
+
+static void offer(jr_control_t *control);
+
+static void
+on_outcome(void *user, jr_result_t code, const Jr__Reply *reply)
+{
+    jr_control_t *control = user;
+    unsigned long long version =
+        reply != NULL && reply->body_case == JR__REPLY__BODY_RULES
+            ? (unsigned long long)reply->rules->version
+            : 0;
+
+    switch (code) {
+    case JR_OK:
+        jr_count(control->ctx, JR_C_RULES_ACCEPTED);
+        jr_log(control->ctx, JR_EV_RULES_ACCEPTED, "%s: version %llu",
+               control->settings.rules_file, version);
+        break;
+    case JR_NO_QUORUM:
+    case JR_UNKNOWN:
+        ev_timer_again(control->loop, &control->rules_retry);
+        break;
+    default:
+        jr_count(control->ctx, code == JR_RULES_CONFLICT
+                                   ? JR_C_RULES_CONFLICT
+                                   : JR_C_RULES_REFUSED);
+        jr_log(control->ctx, JR_EV_RULES_REFUSED,
+               "%s: %s; in force is version %llu",
+               control->settings.rules_file, jr_result_text(code), version);
+        break;
+    }
+}
+
+static void
+log_problems(jr_control_t *control, const jr_rule_problems_t *problems)
+{
+    jr_count(control->ctx, JR_C_RULES_REFUSED);
+    for (size_t i = 0; i < problems->n; i++) {
+        const jr_rule_problem_t *p = &problems->problems[i];
+
+        jr_log(control->ctx, JR_EV_RULES_REFUSED, "%s:%d:%d: %s",
+               control->settings.rules_file, p->line, p->column, p->text);
+    }
+}
+
+static void
+offer(jr_control_t *control)
+{
+    jr_rule_problems_t problems;
+    Jr__RulesApply apply = JR__RULES_APPLY__INIT;
+    Jr__Request request = JR__REQUEST__INIT;
+    jr_rules_t *rules;
+    char *text;
+
+    if (!g_file_get_contents(control->settings.rules_file, &text, NULL,
+                             NULL)) {
+        return;
+    }
+    rules = jr_new_rules(control->ctx, text, &problems);
+    if (rules == NULL) {
+        log_problems(control, &problems);
+    }
+    else {
+        apply.version = rules->version;
+        apply.text = text;
+        request.body_case = JR__REQUEST__BODY_RULES_APPLY;
+        request.rules_apply = &apply;
+        jr_ask(control->asker, &request, ASK_MS, on_outcome, control);
+        jr_drop_rules(rules);
+    }
+    g_free(text);
+}
+
+static void
+on_edit(struct ev_loop *loop, ev_stat *stat, int events)
+{
+    (void)loop;
+    (void)events;
+    if (stat->attr.st_nlink > 0) {
+        offer(stat->data);
+    }
+}
+
+static void
+on_retry(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)events;
+    ev_timer_stop(loop, timer);
+    offer(timer->data);
+}
+
+void
+jr_control_watch_rules(jr_control_t *control)
+{
+    if (control->settings.rules_file[0] == '\0') {
+        return;
+    }
+    ev_stat_init(&control->rules_stat, on_edit, control->settings.rules_file,
+                 LOOK_EVERY_S);
+    control->rules_stat.data = control;
+    ev_stat_start(control->loop, &control->rules_stat);
+    ev_timer_init(&control->rules_retry, on_retry, 0.0, RETRY_S);
+    control->rules_retry.data = control;
+    /* What was edited while this process was down counts as well. */
+    ev_timer_again(control->loop, &control->rules_retry);
+}
--- /dev/null
+++ b/src/control/status.c
@@ -0,0 +1,168 @@
+/* What a control process shows of itself. */
+#include "control.h"
+
+#include <string.h>
+
+#include "jayrelay/metrics.h"
+
+enum { OK = 200, NOT_FOUND = 404, UNAVAILABLE = 503 };
+
+static const char *const role_names[] = {
+    [JR_FOLLOWER] = "follower",
+    [JR_CANDIDATE] = "candidate",
+    [JR_LEADER] = "leader",
+};
+
+static bool
+knows_leaders(const jr_control_t *control)
+{
+    for (size_t g = 0; g < control->n_groups; g++) {
+        if (jr_quorum_leader(jr_group_quorum(control->groups[g])) == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+answer_text(jr_exchange_t *exchange, unsigned status, const char *text)
+{
+    jr_http_answer(exchange, status, NULL, 0, text, strlen(text));
+}
+
+static void
+answer_metrics(jr_control_t *control, jr_exchange_t *exchange)
+{
+    jr_gauge_t gauges[] = {
+        {"rules_version", "rules version in force",
+         control->rules != NULL ? (double)control->rules->version : 0.0},
+        {"groups_led", "groups that this process leads", 0.0},
+        {"tasks_queued", "queued tasks of all groups", 0.0},
+        {"tasks_leased", "leased tasks of all groups", 0.0},
+    };
+    char *text;
+
+    for (size_t g = 0; g < control->n_groups; g++) {
+        jr_ledger_t *ledger = jr_group_ledger(control->groups[g]);
+
+        gauges[1].value +=
+            jr_quorum_role(jr_group_quorum(control->groups[g])) == JR_LEADER;
+        if (ledger != NULL) {
+            gauges[2].value +=
+                (double)jr_ledger_count(ledger, JR_TASK_QUEUED);
+            gauges[3].value +=
+                (double)jr_ledger_count(ledger, JR_TASK_LEASED);
+        }
+    }
+    text = jr_metrics_text(control->ctx, gauges,
+                           sizeof gauges / sizeof gauges[0]);
+    answer_text(exchange, OK, text);
+    jr_free(control->ctx, text);
+}
+
+void
+jr_control_on_http(void *user, jr_exchange_t *exchange)
+{
+    jr_control_t *control = user;
+    const char *path = jr_exchange_path(exchange);
+
+    if (strcmp(path, "/healthz") == 0) {
+        answer_text(exchange, OK, "ok\n");
+    }
+    else if (strcmp(path, "/readyz") == 0) {
+        bool ready = knows_leaders(control) && !control->is_draining;
+
+        answer_text(exchange, ready ? OK : UNAVAILABLE,
+                    ready ? "ready\n" : "no leader or draining\n");
+    }
+    else if (strcmp(path, "/metrics") == 0) {
+        answer_metrics(control, exchange);
+    }
+    else {
+        answer_text(exchange, NOT_FOUND, "not found\n");
+    }
+}
+
+typedef struct {
+    Jr__GroupStatus status;
+    jr_config_t config;
+    Jr__Config members;
+    Jr__Member slots[JR_MEMBERS_MAX];
+    Jr__Member *pointers[JR_MEMBERS_MAX];
+} group_space_t;
+
+static void
+fill_members(group_space_t *space, const jr_quorum_t *quorum)
+{
+    space->config = *jr_quorum_config(quorum);
+    jr__config__init(&space->members);
+    for (size_t i = 0; i < space->config.n; i++) {
+        jr__member__init(&space->slots[i]);
+        space->slots[i].id = space->config.members[i].id;
+        space->slots[i].name = space->config.members[i].name;
+        space->slots[i].address = space->config.members[i].address;
+        space->slots[i].voter = space->config.members[i].voter;
+        space->pointers[i] = &space->slots[i];
+    }
+    space->members.n_members = space->config.n;
+    space->members.members = space->pointers;
+    space->status.config = &space->members;
+}
+
+static void
+fill_group(jr_control_t *control, size_t g, group_space_t *space)
+{
+    static char none[] = "";
+    jr_group_t *group = control->groups[g];
+    const jr_quorum_t *quorum = jr_group_quorum(group);
+    jr_ledger_t *ledger = jr_group_ledger(group);
+    Jr__GroupStatus *status = &space->status;
+    const jr_member_t *leader;
+
+    jr__group_status__init(status);
+    fill_members(space, quorum);
+    leader = jr_config_find(&space->config, jr_quorum_leader(quorum));
+    status->group = (uint32_t)g;
+    status->role = (char *)role_names[jr_quorum_role(quorum)];
+    status->term = jr_quorum_term(quorum);
+    status->commit = jr_quorum_commit(quorum);
+    status->applied = jr_quorum_applied(quorum);
+    status->leader = leader != NULL ? (char *)leader->name : none;
+    if (ledger != NULL) {
+        status->queued = jr_ledger_count(ledger, JR_TASK_QUEUED);
+        status->leased = jr_ledger_count(ledger, JR_TASK_LEASED);
+        for (int s = JR_TASK_FINISHED; s < JR_TASK_STATES; s++) {
+            status->ended += jr_ledger_count(ledger, (jr_task_state_t)s);
+        }
+        status->workers =
+            HASH_COUNT(jr_coord_table(jr_group_coord(group))->by_name);
+    }
+}
+
+void
+jr_control_status(jr_control_t *control, const jr_ticket_t *ticket)
+{
+    size_t n = control->n_groups;
+    group_space_t *spaces = jr_alloc(control->ctx, n * sizeof *spaces);
+    Jr__GroupStatus **pointers =
+        jr_alloc(control->ctx, n * sizeof(Jr__GroupStatus *));
+    Jr__StatusReply status = JR__STATUS_REPLY__INIT;
+    Jr__Reply reply = JR__REPLY__INIT;
+
+    for (size_t g = 0; g < n; g++) {
+        fill_group(control, g, &spaces[g]);
+        pointers[g] = &spaces[g].status;
+    }
+    status.name = control->settings.name;
+    status.zone = control->settings.zone;
+    status.rules_version =
+        control->rules != NULL ? control->rules->version : 0;
+    status.n_groups = n;
+    status.groups = pointers;
+    reply.id = ticket->id;
+    reply.body_case = JR__REPLY__BODY_STATUS;
+    reply.status = &status;
+    jr_control_reply(control, ticket, &reply);
+    jr_free(control->ctx, pointers);
+    jr_free(control->ctx, spaces);
+}
--- /dev/null
+++ b/src/coord/coord.c
@@ -0,0 +1,451 @@
+/* The coordinator's state and its steps in time. */
+#include "coord.h"
+
+#include <string.h>
+
+enum {
+    /* A task for which no live worker is large enough is ended after. */
+    IMPOSSIBLE_AFTER_MS = 30000,
+    /* How often queued tasks are looked over for impossible ones. */
+    IMPOSSIBLE_CHECK_MS = 1000,
+    /* Queued tasks of a class that are looked at for one that fits. */
+    LOOK_AHEAD = 32,
+};
+
+void
+jr_coord_propose(jr_coord_t *coord, jr_proposal_t *proposal)
+{
+    jr_proposal_t *copy = jr_memdup(coord->ctx, proposal, sizeof *proposal);
+
+    STAILQ_INSERT_TAIL(&coord->proposals, copy, link);
+}
+
+static void
+free_proposal(jr_coord_t *coord, jr_proposal_t *proposal)
+{
+    if (proposal != NULL) {
+        jr_free(coord->ctx, proposal->text);
+        jr_free(coord->ctx, proposal->checkpoint);
+        jr_free(coord->ctx, proposal);
+    }
+}
+
+static void
+clear_proposals(jr_coord_t *coord)
+{
+    jr_proposal_t *proposal;
+
+    while ((proposal = STAILQ_FIRST(&coord->proposals)) != NULL) {
+        STAILQ_REMOVE_HEAD(&coord->proposals, link);
+        free_proposal(coord, proposal);
+    }
+    free_proposal(coord, coord->taken);
+    coord->taken = NULL;
+}
+
+jr_coord_t *
+jr_new_coord(jr_ctx_t *ctx, const jr_coord_options_t *options,
+             jr_ledger_t *ledger)
+{
+    jr_coord_t *coord = jr_alloc(ctx, sizeof *coord);
+
+    coord->ctx = ctx;
+    coord->options = *options;
+    coord->ledger = ledger;
+    coord->table = jr_new_lease_table(ctx, &options->lease);
+    coord->rng = g_rand_new_with_seed(options->seed);
+    STAILQ_INIT(&coord->proposals);
+    return coord;
+}
+
+void
+jr_drop_coord(jr_coord_t *coord)
+{
+    if (coord == NULL) {
+        return;
+    }
+    clear_proposals(coord);
+    jr_drop_lease_table(coord->table);
+    jr_drop_rules(coord->rules);
+    g_rand_free(coord->rng);
+    jr_free(coord->ctx, coord);
+}
+
+void
+jr_coord_lead(jr_coord_t *coord, int64_t elected_at)
+{
+    jr_holding_t *holding, *next;
+
+    coord->is_leading = true;
+    coord->generation++;
+    coord->elected_at = elected_at;
+    jr_lease_reset(coord->table);
+    HASH_ITER(hh, jr_ledger_holdings(coord->ledger), holding, next) {
+        jr_lease_renew(coord->table, holding->worker, elected_at);
+    }
+}
+
+void
+jr_coord_resign(jr_coord_t *coord)
+{
+    coord->is_leading = false;
+    clear_proposals(coord);
+    jr_lease_reset(coord->table);
+}
+
+void
+jr_coord_set_rules(jr_coord_t *coord, jr_rules_t *rules)
+{
+    jr_drop_rules(coord->rules);
+    coord->rules = jr_keep_rules(rules);
+}
+
+/* A team's quota in this group. */
+static int64_t
+group_share(const jr_coord_t *coord, int64_t quota)
+{
+    int64_t n = MAX(coord->options.n_groups, 1);
+
+    return (quota + n - 1) / n;
+}
+
+jr_result_t
+jr_coord_check_submit(jr_coord_t *coord, const Jr__TaskSpec *spec)
+{
+    const jr_team_rule_t *team;
+    const jr_team_use_t *use;
+
+    if (coord->rules == NULL) {
+        return JR_OK;
+    }
+    if (jr_rules_class(coord->rules, spec->class_name) == NULL) {
+        return jr_fail(coord->ctx, JR_BAD_REQUEST,
+                       "the rules have no class '%.40s'", spec->class_name);
+    }
+    team = jr_rules_team(coord->rules, spec->team);
+    use = jr_ledger_team(coord->ledger, spec->team);
+    if (team != NULL && team->tasks > 0 && use != NULL &&
+        (int64_t)use->n_open >= group_share(coord, team->tasks)) {
+        return jr_fail(coord->ctx, JR_QUOTA,
+                       "team '%.40s' has %lld open tasks in this group",
+                       spec->team, (long long)use->n_open);
+    }
+    return JR_OK;
+}
+
+/* Would a start take the team over its quota of running work? */
+static bool
+is_over_quota(const jr_coord_t *coord, const jr_task_t *task)
+{
+    const jr_team_rule_t *team;
+    const jr_team_use_t *use;
+
+    if (coord->rules == NULL) {
+        return false;
+    }
+    team = jr_rules_team(coord->rules, task->spec.team);
+    use = jr_ledger_team(coord->ledger, task->spec.team);
+    if (team == NULL || use == NULL) {
+        return false;
+    }
+    if (team->cpu_milli > 0 &&
+        use->leased.cpu_milli + task->spec.need.cpu_milli >
+            group_share(coord, team->cpu_milli)) {
+        return true;
+    }
+    return team->memory_mb > 0 &&
+           use->leased.memory_mb + task->spec.need.memory_mb >
+               group_share(coord, team->memory_mb);
+}
+
+jr_task_soft_t *
+jr_coord_soft(const jr_coord_t *coord, jr_task_t *task)
+{
+    if (task->soft.generation != coord->generation) {
+        task->soft = (jr_task_soft_t){.generation = coord->generation};
+    }
+    return &task->soft;
+}
+
+static void
+expire_tasks(jr_coord_t *coord, const jr_worker_t *worker)
+{
+    jr_holding_t *holding = jr_ledger_holding(coord->ledger, worker->name);
+    jr_task_t *task;
+
+    if (holding == NULL) {
+        return;
+    }
+    TAILQ_FOREACH(task, &holding->tasks, on_worker) {
+        jr_task_soft_t *soft = jr_coord_soft(coord, task);
+        jr_proposal_t expire = {
+            .kind = JR_PROPOSE_EXPIRE,
+            .task = task->id,
+            .epoch = task->epoch,
+        };
+
+        if (!soft->is_expiring) {
+            soft->is_expiring = true;
+            jr_coord_propose(coord, &expire);
+        }
+    }
+}
+
+bool
+jr_coord_is_idle(const jr_coord_t *coord, const jr_worker_t *worker)
+{
+    return worker->n_granting == 0 &&
+           jr_ledger_holding(coord->ledger, worker->name) == NULL;
+}
+
+/* A grant can still arrive for a lapsed worker, so it is kept for a while. */
+static void
+check_lapsed(jr_coord_t *coord, int64_t now)
+{
+    jr_worker_t *worker, *next;
+
+    while ((worker = jr_lease_next_lapsed(coord->table, now)) != NULL) {
+        jr_log(coord->ctx, JR_EV_WORKER_LAPSED, "%s", worker->name);
+    }
+    for (worker = TAILQ_FIRST(&coord->table->lapsed); worker != NULL;
+         worker = next) {
+        next = TAILQ_NEXT(worker, by_renewal);
+        expire_tasks(coord, worker);
+        if (jr_coord_is_idle(coord, worker)) {
+            jr_lease_forget(coord->table, worker);
+        }
+    }
+}
+
+static bool
+start_task(jr_coord_t *coord, jr_task_t *task, int64_t now)
+{
+    jr_worker_t *worker =
+        jr_place_worker(coord->table, &coord->options.policy,
+                        &task->spec.need, coord->rules, coord->rng, now);
+    jr_proposal_t grant = {.kind = JR_PROPOSE_GRANT, .task = task->id};
+
+    if (worker == NULL) {
+        return false;
+    }
+    grant.epoch = task->epoch + 1;
+    grant.text = jr_strdup(coord->ctx, worker->name);
+    jr_coord_propose(coord, &grant);
+    jr_coord_soft(coord, task)->granting_to = worker;
+    jr_resources_add(&worker->reserved, &task->spec.need, 1);
+    worker->n_granting++;
+    jr_lease_update_room(coord->table, worker);
+    return true;
+}
+
+static void
+start_round(jr_coord_t *coord)
+{
+    jr_class_queue_t *queue, *next;
+
+    HASH_ITER(hh, jr_ledger_classes(coord->ledger), queue, next) {
+        if (queue->generation != coord->generation) {
+            queue->generation = coord->generation;
+            queue->granting = (jr_resources_t){0};
+        }
+        queue->cursor = TAILQ_FIRST(&queue->tasks);
+        queue->is_skipped = false;
+    }
+}
+
+/* Start one task of the class; false when none of the next ones can. */
+static bool
+start_from_class(jr_coord_t *coord, jr_class_queue_t *queue, int64_t now)
+{
+    int looked_at = 0;
+
+    while (queue->cursor != NULL && looked_at < LOOK_AHEAD) {
+        jr_task_t *task = queue->cursor;
+
+        queue->cursor = TAILQ_NEXT(task, link);
+        if (jr_coord_soft(coord, task)->granting_to != NULL) {
+            continue;
+        }
+        looked_at++;
+        if (!is_over_quota(coord, task) && start_task(coord, task, now)) {
+            jr_resources_add(&queue->granting, &task->spec.need, 1);
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+place_tasks(jr_coord_t *coord, int64_t now)
+{
+    uint32_t granted = 0;
+
+    start_round(coord);
+    while (granted < coord->options.max_grants) {
+        jr_class_queue_t *queue = jr_place_class(
+            coord->ledger, coord->rules, &coord->table->total);
+
+        if (queue == NULL) {
+            break;
+        }
+        if (start_from_class(coord, queue, now)) {
+            granted++;
+        }
+        else {
+            queue->is_skipped = true;
+        }
+    }
+}
+
+static void
+end_impossible(jr_coord_t *coord, jr_class_queue_t *queue)
+{
+    jr_task_t *task;
+    int looked_at = 0;
+
+    TAILQ_FOREACH(task, &queue->tasks, link) {
+        jr_proposal_t proposal = {
+            .kind = JR_PROPOSE_IMPOSSIBLE,
+            .task = task->id,
+        };
+
+        if (looked_at++ >= LOOK_AHEAD) {
+            break;
+        }
+        if (jr_coord_soft(coord, task)->granting_to != NULL ||
+            jr_place_is_possible(coord->table, &task->spec.need)) {
+            continue;
+        }
+        proposal.text = jr_strdup(
+            coord->ctx, "no worker of this group is large enough");
+        jr_coord_propose(coord, &proposal);
+        jr_count(coord->ctx, JR_C_IMPOSSIBLE);
+        jr_log(coord->ctx, JR_EV_TASK_IMPOSSIBLE, "task %llu",
+               (unsigned long long)task->id);
+    }
+}
+
+static void
+check_impossible(jr_coord_t *coord, int64_t now)
+{
+    jr_class_queue_t *queue, *next;
+
+    if (now < coord->elected_at + IMPOSSIBLE_AFTER_MS ||
+        now < coord->impossible_check_at ||
+        HASH_COUNT(coord->table->by_name) == 0) {
+        return;
+    }
+    coord->impossible_check_at = now + IMPOSSIBLE_CHECK_MS;
+    HASH_ITER(hh, jr_ledger_classes(coord->ledger), queue, next) {
+        end_impossible(coord, queue);
+    }
+}
+
+void
+jr_coord_tick(jr_coord_t *coord, int64_t now)
+{
+    if (!coord->is_leading) {
+        return;
+    }
+    check_lapsed(coord, now);
+    check_impossible(coord, now);
+    if (coord->rules != NULL) {
+        place_tasks(coord, now);
+    }
+}
+
+bool
+jr_coord_take_command(jr_coord_t *coord, Jr__LedgerCommand **command)
+{
+    static char empty[] = "";
+    jr_proposal_t *p = STAILQ_FIRST(&coord->proposals);
+    jr_command_space_t *space = &coord->space;
+
+    free_proposal(coord, coord->taken);
+    coord->taken = p;
+    if (p == NULL) {
+        return false;
+    }
+    STAILQ_REMOVE_HEAD(&coord->proposals, link);
+    jr__ledger_command__init(&space->command);
+    switch (p->kind) {
+    case JR_PROPOSE_GRANT:
+        jr__grant__init(&space->as.grant);
+        space->as.grant.task = p->task;
+        space->as.grant.epoch = p->epoch;
+        space->as.grant.worker = p->text;
+        space->command.body_case = JR__LEDGER_COMMAND__BODY_GRANT;
+        space->command.grant = &space->as.grant;
+        break;
+    case JR_PROPOSE_EXPIRE:
+        jr__expire__init(&space->as.expire);
+        space->as.expire.task = p->task;
+        space->as.expire.epoch = p->epoch;
+        space->command.body_case = JR__LEDGER_COMMAND__BODY_EXPIRE;
+        space->command.expire = &space->as.expire;
+        break;
+    case JR_PROPOSE_REPORT:
+        jr__report__init(&space->as.report);
+        space->as.report.task = p->task;
+        space->as.report.epoch = p->epoch;
+        space->as.report.kind = (Jr__Report__Kind)p->report;
+        space->as.report.checkpoint =
+            p->checkpoint != NULL ? p->checkpoint : empty;
+        space->as.report.result = p->text != NULL ? p->text : empty;
+        space->command.body_case = JR__LEDGER_COMMAND__BODY_REPORT;
+        space->command.report = &space->as.report;
+        break;
+    case JR_PROPOSE_IMPOSSIBLE:
+        jr__impossible__init(&space->as.impossible);
+        space->as.impossible.task = p->task;
+        space->as.impossible.reason = p->text;
+        space->command.body_case = JR__LEDGER_COMMAND__BODY_IMPOSSIBLE;
+        space->command.impossible = &space->as.impossible;
+        break;
+    }
+    *command = &space->command;
+    return true;
+}
+
+void
+jr_coord_applied(jr_coord_t *coord, const jr_ledger_result_t *result)
+{
+    jr_task_t *task = (jr_task_t *)result->task;
+    jr_task_soft_t *soft;
+    jr_worker_t *worker;
+    jr_class_queue_t *queue;
+
+    if (!coord->is_leading || task == NULL) {
+        return;
+    }
+    soft = jr_coord_soft(coord, task);
+    worker = soft->granting_to;
+    if (task->state == JR_TASK_QUEUED) {
+        /* What was known of the last run is void; a grant may be next. */
+        *soft = (jr_task_soft_t){.generation = coord->generation,
+                                 .granting_to = worker};
+        return;
+    }
+    if (worker == NULL) {
+        return;
+    }
+    /* The grant was applied, or the end of the task overtook it. */
+    soft->granting_to = NULL;
+    worker->n_granting--;
+    jr_resources_add(&worker->reserved, &task->spec.need, -1);
+    if (task->state == JR_TASK_LEASED) {
+        jr_resources_add(&worker->load, &task->spec.need, 1);
+    }
+    HASH_FIND_STR(jr_ledger_classes(coord->ledger), task->spec.class_name,
+                  queue);
+    if (queue != NULL && queue->generation == coord->generation) {
+        jr_resources_add(&queue->granting, &task->spec.need, -1);
+    }
+    jr_lease_update_room(coord->table, worker);
+}
+
+jr_lease_table_t *
+jr_coord_table(jr_coord_t *coord)
+{
+    return coord->table;
+}
--- /dev/null
+++ b/src/coord/coord.h
@@ -0,0 +1,60 @@
+/* Private to the coord slice. */
+#ifndef JR_COORD_COORD_H
+#define JR_COORD_COORD_H
+
+#include "jayrelay/coord.h"
+
+typedef enum {
+    JR_PROPOSE_GRANT,
+    JR_PROPOSE_EXPIRE,
+    JR_PROPOSE_REPORT,
+    JR_PROPOSE_IMPOSSIBLE,
+} jr_propose_kind_t;
+
+/* A command that waits to be proposed; it owns its strings. */
+typedef struct jr_proposal {
+    STAILQ_ENTRY(jr_proposal) link;
+    jr_propose_kind_t kind;
+    uint64_t task;
+    uint64_t epoch;
+    jr_report_kind_t report;
+    char *text; /* worker, result or reason */
+    char *checkpoint;
+} jr_proposal_t;
+
+/* Where the command that was taken last stands. */
+typedef struct {
+    Jr__LedgerCommand command;
+    union {
+        Jr__Grant grant;
+        Jr__Expire expire;
+        Jr__Report report;
+        Jr__Impossible impossible;
+    } as;
+} jr_command_space_t;
+
+struct jr_coord {
+    jr_ctx_t *ctx;
+    jr_coord_options_t options;
+    jr_ledger_t *ledger;
+    jr_lease_table_t *table;
+    jr_rules_t *rules;
+    GRand *rng;
+    bool is_leading;
+    uint64_t generation;
+    uint64_t round; /* of heartbeats */
+    int64_t elected_at;
+    int64_t impossible_check_at;
+    STAILQ_HEAD(, jr_proposal) proposals;
+    jr_proposal_t *taken;
+    jr_command_space_t space;
+};
+
+/* Queue a command; takes over its strings. */
+void jr_coord_propose(jr_coord_t *coord, jr_proposal_t *proposal);
+/* The soft state of a task, void if it was another leadership's. */
+jr_task_soft_t *jr_coord_soft(const jr_coord_t *coord, jr_task_t *task);
+/* Nothing is leased to the worker and nothing is about to be. */
+bool jr_coord_is_idle(const jr_coord_t *coord, const jr_worker_t *worker);
+
+#endif
--- /dev/null
+++ b/src/coord/heartbeat.c
@@ -0,0 +1,337 @@
+/* Heartbeats: what workers report and what they are told. */
+#include "coord.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "ledger/convert.h"
+
+enum {
+    /* A report that is not applied yet is proposed again after. */
+    REPORT_AGAIN_MS = 1000,
+    CHECKPOINT_EVERY_MS = 1000,
+    FAILURES_TO_QUARANTINE = 3,
+    QUARANTINE_FIRST_MS = 30 * 1000,
+    QUARANTINE_MAX_MS = 30 * 60 * 1000,
+    OVERLOADS_TO_EVICT = 2,
+    WORKER_NAME_MAX = 128,
+    TASKS_MAX = 4096,
+};
+
+/* A reply under construction, in memory of the message library. */
+typedef struct {
+    Jr__HeartbeatReply *message;
+    size_t cap;
+} reply_t;
+
+/* The message library frees replies with free(3), so they use malloc(3). */
+static void *
+checked(void *p)
+{
+    if (p == NULL) {
+        abort();
+    }
+    return p;
+}
+
+static char *
+copy_string(const char *s)
+{
+    return checked(strdup(s != NULL ? s : ""));
+}
+
+static void
+assign(reply_t *reply, uint64_t task, uint64_t epoch,
+       Jr__Assignment__Action action, const jr_task_t *start)
+{
+    Jr__HeartbeatReply *message = reply->message;
+    Jr__Assignment *a = checked(malloc(sizeof *a));
+
+    jr__assignment__init(a);
+    a->task = task;
+    a->epoch = epoch;
+    a->action = action;
+    if (start != NULL) {
+        Jr__TaskSpec *spec = checked(malloc(sizeof *spec));
+        Jr__Resources *need = checked(malloc(sizeof *need));
+
+        jr_spec_to_message(&start->spec, spec, need);
+        spec->team = copy_string(spec->team);
+        spec->class_name = copy_string(spec->class_name);
+        spec->key = copy_string(spec->key);
+        spec->payload = copy_string(spec->payload);
+        a->spec = spec;
+        a->checkpoint = copy_string(start->checkpoint);
+    }
+    if (message->n_tasks == reply->cap) {
+        reply->cap = reply->cap > 0 ? 2 * reply->cap : 8;
+        message->tasks =
+            checked(realloc(message->tasks, reply->cap * sizeof(void *)));
+    }
+    message->tasks[message->n_tasks++] = a;
+}
+
+static bool
+is_valid(const Jr__Heartbeat *heartbeat)
+{
+    size_t len = strlen(heartbeat->worker);
+
+    return len > 0 && len <= WORKER_NAME_MAX && heartbeat->worker[0] != '/' &&
+           heartbeat->capacity != NULL && heartbeat->n_tasks <= TASKS_MAX;
+}
+
+static void
+set_text(jr_ctx_t *ctx, char **to, const char *from)
+{
+    if (*to == NULL || strcmp(*to, from) != 0) {
+        jr_free(ctx, *to);
+        *to = jr_strdup(ctx, from);
+    }
+}
+
+static jr_worker_t *
+renew(jr_coord_t *coord, const Jr__Heartbeat *heartbeat, int64_t arrived)
+{
+    jr_lease_table_t *table = coord->table;
+    jr_worker_t *worker = jr_lease_find(table, heartbeat->worker);
+    jr_resources_t capacity = jr_resources_from_message(heartbeat->capacity);
+
+    if (worker != NULL && worker->is_lapsed &&
+        jr_coord_is_idle(coord, worker)) {
+        jr_lease_forget(table, worker);
+        worker = NULL;
+    }
+    if (worker == NULL) {
+        jr_log(coord->ctx, JR_EV_WORKER_NEW, "%s", heartbeat->worker);
+    }
+    worker = jr_lease_renew(table, heartbeat->worker, arrived);
+    set_text(coord->ctx, &worker->zone, heartbeat->zone);
+    set_text(coord->ctx, &worker->rack, heartbeat->rack);
+    jr_lease_set_capacity(table, worker, &capacity);
+    worker->services = jr_resources_from_message(heartbeat->services);
+    worker->is_leaving = heartbeat->leaving;
+    if (worker->predecessor != NULL &&
+        jr_ledger_holding(coord->ledger, worker->predecessor) == NULL) {
+        jr_free(coord->ctx, worker->predecessor);
+        worker->predecessor = NULL;
+    }
+    return worker;
+}
+
+static void
+note_run_ended(jr_coord_t *coord, jr_worker_t *worker, bool ok, int64_t now)
+{
+    if (ok) {
+        worker->failures_in_row = 0;
+        worker->quarantine_ms = 0;
+        return;
+    }
+    if (++worker->failures_in_row < FAILURES_TO_QUARANTINE) {
+        return;
+    }
+    worker->quarantine_ms =
+        worker->quarantine_ms == 0
+            ? QUARANTINE_FIRST_MS
+            : MIN(2 * worker->quarantine_ms, QUARANTINE_MAX_MS);
+    worker->quarantined_until = now + worker->quarantine_ms;
+    /* After the quarantine one failure is enough. */
+    worker->failures_in_row = FAILURES_TO_QUARANTINE - 1;
+    jr_count(coord->ctx, JR_C_QUARANTINES);
+    jr_log(coord->ctx, JR_EV_WORKER_QUARANTINED, "%s for %lld ms",
+           worker->name, (long long)worker->quarantine_ms);
+}
+
+static void
+propose_report(jr_coord_t *coord, jr_task_t *task,
+               const Jr__WorkerTask *from, jr_report_kind_t kind, int64_t now)
+{
+    jr_proposal_t report = {
+        .kind = JR_PROPOSE_REPORT,
+        .task = from->task,
+        .epoch = from->epoch,
+        .report = kind,
+        .text = jr_strdup(coord->ctx, from->result),
+        .checkpoint = jr_strdup(coord->ctx, from->checkpoint),
+    };
+
+    jr_coord_soft(coord, task)->reported_at = now;
+    jr_coord_propose(coord, &report);
+}
+
+static void
+on_running(jr_coord_t *coord, jr_worker_t *worker, jr_task_t *task,
+           const Jr__WorkerTask *from, int64_t now, reply_t *reply)
+{
+    jr_task_soft_t *soft = jr_coord_soft(coord, task);
+    const char *known = task->checkpoint != NULL ? task->checkpoint : "";
+
+    soft->used = jr_resources_from_message(from->used);
+    if (soft->checkpoint_at == 0) {
+        soft->checkpoint_at = now;
+    }
+    if (strcmp(known, from->checkpoint) != 0 &&
+        now - soft->reported_at >= CHECKPOINT_EVERY_MS) {
+        soft->checkpoint_at = now;
+        propose_report(coord, task, from, JR_REPORT_CHECKPOINT, now);
+    }
+    if (worker->is_lapsed || soft->is_expiring) {
+        return;
+    }
+    assign(reply, from->task, from->epoch,
+           task->cancel_asked || soft->is_evicting
+               ? JR__ASSIGNMENT__ACTION__STOP
+               : JR__ASSIGNMENT__ACTION__RUN,
+           NULL);
+}
+
+static void
+on_ended(jr_coord_t *coord, jr_worker_t *worker, jr_task_t *task,
+         const Jr__WorkerTask *from, int64_t now)
+{
+    jr_report_kind_t kind = JR_REPORT_STOPPED;
+
+    if (jr_coord_soft(coord, task)->reported_at != 0 &&
+        now - task->soft.reported_at < REPORT_AGAIN_MS &&
+        task->soft.is_ending) {
+        return;
+    }
+    if (from->state == JR__WORKER_TASK__STATE__DONE) {
+        kind = JR_REPORT_FINISHED;
+    }
+    else if (from->state == JR__WORKER_TASK__STATE__BROKEN) {
+        kind = JR_REPORT_FAILED;
+    }
+    if (kind != JR_REPORT_STOPPED && !task->soft.is_ending) {
+        note_run_ended(coord, worker, kind == JR_REPORT_FINISHED, now);
+    }
+    task->soft.is_ending = true;
+    propose_report(coord, task, from, kind, now);
+}
+
+static void
+on_reported(jr_coord_t *coord, jr_worker_t *worker,
+            const Jr__WorkerTask *from, int64_t now, reply_t *reply)
+{
+    jr_task_t *task = jr_ledger_task(coord->ledger, from->task);
+
+    if (task == NULL || task->state != JR_TASK_LEASED ||
+        task->epoch != from->epoch ||
+        strcmp(task->worker, worker->name) != 0) {
+        jr_count(coord->ctx, JR_C_REPORT_STALE);
+        assign(reply, from->task, from->epoch,
+               JR__ASSIGNMENT__ACTION__FORGET, NULL);
+        return;
+    }
+    jr_coord_soft(coord, task)->seen_round = coord->round;
+    if (from->state == JR__WORKER_TASK__STATE__RUNNING) {
+        on_running(coord, worker, task, from, now, reply);
+    }
+    else {
+        on_ended(coord, worker, task, from, now);
+    }
+}
+
+/* Tasks that the worker does not know of: the grant is news to it. */
+static void
+assign_new(jr_coord_t *coord, const jr_worker_t *worker,
+           const jr_holding_t *holding, int64_t now, reply_t *reply)
+{
+    jr_task_t *task;
+
+    TAILQ_FOREACH(task, &holding->tasks, on_worker) {
+        jr_task_soft_t *soft = jr_coord_soft(coord, task);
+
+        if (soft->seen_round == coord->round || soft->is_expiring ||
+            worker->is_lapsed) {
+            continue;
+        }
+        if (soft->checkpoint_at == 0) {
+            soft->checkpoint_at = now;
+        }
+        if (task->cancel_asked || soft->is_evicting) {
+            assign(reply, task->id, task->epoch,
+                   JR__ASSIGNMENT__ACTION__STOP, NULL);
+        }
+        else {
+            assign(reply, task->id, task->epoch, JR__ASSIGNMENT__ACTION__RUN,
+                   task);
+        }
+    }
+}
+
+static void
+refresh_load(jr_coord_t *coord, jr_worker_t *worker,
+             const jr_holding_t *holding)
+{
+    jr_task_t *task;
+
+    worker->load = (jr_resources_t){0};
+    if (holding != NULL) {
+        TAILQ_FOREACH(task, &holding->tasks, on_worker) {
+            jr_resources_t size = jr_resources_max(
+                &task->spec.need, &jr_coord_soft(coord, task)->used);
+
+            jr_resources_add(&worker->load, &size, 1);
+        }
+    }
+    jr_lease_update_room(coord->table, worker);
+}
+
+/* Measured use beyond the capacity, seen twice, evicts one task. */
+static void
+check_overload(jr_coord_t *coord, jr_worker_t *worker,
+               const jr_holding_t *holding, int64_t now)
+{
+    jr_resources_t room = jr_worker_room(worker);
+    jr_task_t *task;
+
+    if (room.cpu_milli >= 0 && room.memory_mb >= 0 &&
+        room.accelerators >= 0) {
+        worker->overloads = 0;
+        return;
+    }
+    if (++worker->overloads < OVERLOADS_TO_EVICT || holding == NULL) {
+        return;
+    }
+    worker->overloads = 0;
+    task = jr_evict_choose(coord->options.evict, holding, coord->rules, now);
+    if (task != NULL) {
+        jr_coord_soft(coord, task)->is_evicting = true;
+        jr_count(coord->ctx, JR_C_EVICTIONS);
+        jr_log(coord->ctx, JR_EV_TASK_EVICTED, "task %llu from %s",
+               (unsigned long long)task->id, worker->name);
+    }
+}
+
+Jr__HeartbeatReply *
+jr_coord_heartbeat(jr_coord_t *coord, const Jr__Heartbeat *heartbeat,
+                   int64_t arrived)
+{
+    reply_t reply = {0};
+    jr_worker_t *worker;
+    const jr_holding_t *holding;
+
+    if (!is_valid(heartbeat)) {
+        jr_count(coord->ctx, JR_C_HEARTBEAT_BAD);
+        jr_fail(coord->ctx, JR_BAD_REQUEST,
+                "a heartbeat needs a worker's name and its capacity");
+        return NULL;
+    }
+    jr_count(coord->ctx, JR_C_HEARTBEATS);
+    coord->round++;
+    reply.message = checked(malloc(sizeof *reply.message));
+    jr__heartbeat_reply__init(reply.message);
+    worker = renew(coord, heartbeat, arrived);
+    for (size_t i = 0; i < heartbeat->n_tasks; i++) {
+        on_reported(coord, worker, heartbeat->tasks[i], arrived, &reply);
+    }
+    holding = jr_ledger_holding(coord->ledger, worker->name);
+    refresh_load(coord, worker, holding);
+    check_overload(coord, worker, holding, arrived);
+    if (holding != NULL) {
+        assign_new(coord, worker, holding, arrived, &reply);
+    }
+    reply.message->lease_ms =
+        worker->is_lapsed ? 0 : coord->options.lease.lease_ms;
+    return reply.message;
+}
--- /dev/null
+++ b/src/entry/admin.c
@@ -0,0 +1,261 @@
+/* Paths of the HTTP interface, status, metrics and health. */
+#include "admin.h"
+
+#include <string.h>
+
+#include "jayrelay/metrics.h"
+
+enum { STATUS_WAIT_MS = 400 };
+
+/* Ids of status requests; those of the asker stay below. */
+static const uint64_t STATUS_ID = (uint64_t)1 << 63;
+
+struct jr_status_wait {
+    TAILQ_ENTRY(jr_status_wait) link;
+    jr_entry_t *entry;
+    jr_exchange_t *exchange;
+    uint64_t id;
+    size_t missing;
+    json_t *controls;
+    ev_timer timer;
+};
+
+static json_t *
+group_to_json(const Jr__GroupStatus *group)
+{
+    json_t *members = json_array();
+
+    for (size_t i = 0; group->config != NULL && i < group->config->n_members;
+         i++) {
+        const Jr__Member *m = group->config->members[i];
+
+        json_array_append_new(members,
+                              json_pack("{s:s, s:b}", "name", m->name,
+                                        "voter", (int)m->voter));
+    }
+    return json_pack(
+        "{s:i, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o}", "group",
+        (int)group->group, "role", group->role, "leader", group->leader,
+        "term", (json_int_t)group->term, "commit", (json_int_t)group->commit,
+        "applied", (json_int_t)group->applied, "queued",
+        (json_int_t)group->queued, "leased", (json_int_t)group->leased,
+        "ended", (json_int_t)group->ended, "workers",
+        (json_int_t)group->workers, "members", members);
+}
+
+static json_t *
+control_to_json(const Jr__StatusReply *status)
+{
+    json_t *groups = json_array();
+
+    for (size_t i = 0; i < status->n_groups; i++) {
+        json_array_append_new(groups, group_to_json(status->groups[i]));
+    }
+    return json_pack("{s:s, s:s, s:I, s:o}", "name", status->name, "zone",
+                     status->zone, "rules_version",
+                     (json_int_t)status->rules_version, "groups", groups);
+}
+
+static json_t *
+upstreams_to_json(jr_entry_t *entry)
+{
+    json_t *list = json_array();
+    int64_t now = jr_clock_us();
+    jr_upstream_t *u, *next;
+
+    HASH_ITER(hh, entry->upstreams->by_name, u, next) {
+        json_array_append_new(
+            list,
+            json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:i, s:b, s:f}",
+                      "name", u->name, "address", u->address, "zone", u->zone,
+                      "slots", u->slots, "share", u->share, "in_use",
+                      u->in_use, "lent", u->lent, "borrowed", u->borrowed,
+                      "open", (int)jr_upstream_is_open(u, now), "latency_ms",
+                      u->latency_us / 1000.0));
+    }
+    return list;
+}
+
+static void
+answer_status(jr_status_wait_t *wait)
+{
+    jr_entry_t *entry = wait->entry;
+
+    ev_timer_stop(entry->loop, &wait->timer);
+    jr_answer_json(
+        wait->exchange, HTTP_OK,
+        json_pack("{s:s, s:s, s:I, s:b, s:o, s:o}", "name",
+                  entry->settings.name, "zone", entry->settings.zone,
+                  "rules_version",
+                  (json_int_t)(entry->rules != NULL ? entry->rules->version
+                                                    : 0),
+                  "draining", (int)entry->is_draining, "controls",
+                  wait->controls, "upstreams", upstreams_to_json(entry)),
+        0);
+    TAILQ_REMOVE(&entry->status_waits, wait, link);
+    entry->n_busy--;
+    jr_free(entry->ctx, wait);
+}
+
+static void
+on_status_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    answer_status(timer->data);
+}
+
+bool
+jr_entry_on_status_reply(jr_entry_t *entry, const Jr__Reply *reply)
+{
+    jr_status_wait_t *wait;
+
+    if (reply->body_case != JR__REPLY__BODY_STATUS) {
+        return false;
+    }
+    TAILQ_FOREACH(wait, &entry->status_waits, link) {
+        if (wait->id == reply->id) {
+            json_array_append_new(wait->controls,
+                                  control_to_json(reply->status));
+            if (--wait->missing == 0) {
+                answer_status(wait);
+            }
+            break;
+        }
+    }
+    return true;
+}
+
+static void
+ask_status(jr_entry_t *entry, jr_exchange_t *exchange)
+{
+    Jr__StatusGet get = JR__STATUS_GET__INIT;
+    Jr__Request request = JR__REQUEST__INIT;
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+    jr_status_wait_t *wait = jr_alloc(entry->ctx, sizeof *wait);
+
+    wait->entry = entry;
+    wait->exchange = exchange;
+    wait->id = STATUS_ID | ++entry->next_request;
+    wait->controls = json_array();
+    request.id = wait->id;
+    request.body_case = JR__REQUEST__BODY_STATUS_GET;
+    request.status_get = &get;
+    envelope.body_case = JR__ENVELOPE__BODY_REQUEST;
+    envelope.request = &request;
+    for (size_t i = 0; i < entry->n_controls; i++) {
+        wait->missing += jr_bus_send(entry->bus, entry->controls[i],
+                                     &envelope);
+    }
+    entry->n_busy++;
+    TAILQ_INSERT_TAIL(&entry->status_waits, wait, link);
+    ev_timer_init(&wait->timer, on_status_timer,
+                  wait->missing > 0 ? STATUS_WAIT_MS / 1000.0 : 0.0, 0.0);
+    wait->timer.data = wait;
+    ev_timer_start(entry->loop, &wait->timer);
+}
+
+static void
+answer_text(jr_exchange_t *exchange, unsigned status, const char *text)
+{
+    jr_http_answer(exchange, status, NULL, 0, text, strlen(text));
+}
+
+static void
+answer_metrics(jr_entry_t *entry, jr_exchange_t *exchange)
+{
+    jr_gauge_t gauges[] = {
+        {"rules_version", "rules version in force",
+         entry->rules != NULL ? (double)entry->rules->version : 0.0},
+        {"calls_open", "calls without a verdict",
+         (double)jr_relay_open(entry->relay)},
+        {"upstreams", "upstreams known",
+         (double)HASH_COUNT(entry->upstreams->by_name)},
+    };
+    char *text = jr_metrics_text(entry->ctx, gauges,
+                                 sizeof gauges / sizeof gauges[0]);
+
+    answer_text(exchange, HTTP_OK, text);
+    jr_free(entry->ctx, text);
+}
+
+static void
+on_post_only(jr_entry_t *entry, jr_exchange_t *exchange,
+             void (*handler)(jr_entry_t *entry, jr_exchange_t *exchange))
+{
+    if (strcmp(jr_exchange_method(exchange), "POST") == 0) {
+        handler(entry, exchange);
+    }
+    else {
+        jr_answer_error(exchange, HTTP_METHOD_NOT_ALLOWED, "not-run",
+                        "method", JR_BAD_REQUEST, "POST only", 0);
+    }
+}
+
+static bool
+skip_prefix(const char *path, const char *prefix, const char **rest)
+{
+    size_t len = strlen(prefix);
+
+    *rest = path + len;
+    return strncmp(path, prefix, len) == 0;
+}
+
+static void
+on_call_path(jr_entry_t *entry, jr_exchange_t *exchange, const char *service)
+{
+    if (strcmp(jr_exchange_method(exchange), "POST") != 0) {
+        jr_answer_error(exchange, HTTP_METHOD_NOT_ALLOWED, "not-run",
+                        "method", JR_BAD_REQUEST, "POST only", 0);
+    }
+    else if (*service == '\0' || strchr(service, '/') != NULL ||
+             strlen(service) >= JR_UPSTREAM_NAME_BYTES) {
+        jr_answer_code(entry, exchange, JR_NOT_FOUND, "no such service");
+    }
+    else {
+        jr_entry_on_call(entry, exchange, service);
+    }
+}
+
+void
+jr_entry_on_http(void *user, jr_exchange_t *exchange)
+{
+    jr_entry_t *entry = user;
+    const char *path = jr_exchange_path(exchange);
+    const char *rest;
+
+    if (skip_prefix(path, "/v1/call/", &rest)) {
+        on_call_path(entry, exchange, rest);
+    }
+    else if (strcmp(path, "/v1/upstreams") == 0) {
+        on_post_only(entry, exchange, jr_entry_on_announce);
+    }
+    else if (strcmp(path, "/v1/workers/heartbeat") == 0) {
+        on_post_only(entry, exchange, jr_entry_on_heartbeat);
+    }
+    else if (skip_prefix(path, "/v1/tasks", &rest) &&
+             (*rest == '\0' || *rest == '/')) {
+        jr_entry_on_tasks(entry, exchange, rest);
+    }
+    else if (strcmp(path, "/v1/rules") == 0) {
+        jr_entry_on_rules(entry, exchange);
+    }
+    else if (strcmp(path, "/v1/status") == 0) {
+        ask_status(entry, exchange);
+    }
+    else if (strcmp(path, "/metrics") == 0) {
+        answer_metrics(entry, exchange);
+    }
+    else if (strcmp(path, "/healthz") == 0) {
+        answer_text(exchange, HTTP_OK, "ok\n");
+    }
+    else if (strcmp(path, "/readyz") == 0) {
+        bool ready = !entry->is_draining && entry->rules != NULL;
+
+        answer_text(exchange, ready ? HTTP_OK : HTTP_UNAVAILABLE,
+                    ready ? "ready\n" : "draining, or no rules yet\n");
+    }
+    else {
+        jr_answer_code(entry, exchange, JR_NOT_FOUND, "no such path");
+    }
+}
--- /dev/null
+++ b/src/entry/entry.h
@@ -0,0 +1,128 @@
+/* Private to jayrelay-entry. */
+#ifndef JR_ENTRY_ENTRY_H
+#define JR_ENTRY_ENTRY_H
+
+#include <ev.h>
+#include <jansson.h>
+
+#include "jayrelay/ask.h"
+#include "jayrelay/bus.h"
+#include "jayrelay/http.h"
+#include "jayrelay/program.h"
+#include "jayrelay/relay.h"
+#include "jayrelay/rules.h"
+
+enum {
+    HTTP_OK = 200,
+    HTTP_ACCEPTED = 202,
+    HTTP_BAD_REQUEST = 400,
+    HTTP_NOT_FOUND = 404,
+    HTTP_METHOD_NOT_ALLOWED = 405,
+    HTTP_CONFLICT = 409,
+    HTTP_UNPROCESSABLE = 422,
+    HTTP_TOO_MANY = 429,
+    HTTP_BAD_GATEWAY = 502,
+    HTTP_UNAVAILABLE = 503,
+    HTTP_GATEWAY_TIMEOUT = 504,
+};
+
+enum {
+    DEADLINE_MAX_MS = 30 * 1000,
+    DEADLINE_DEFAULT_MS = 1000,
+    ASK_TIMEOUT_MS = 4000,
+    RETRY_AFTER_QUORUM_MS = 1000,
+};
+
+/* Another entry process, for forwarding and loans. */
+typedef struct {
+    const jr_process_t *process;
+    int bus_peer;
+} jr_entry_peer_t;
+
+typedef struct jr_status_wait jr_status_wait_t;
+
+typedef struct {
+    jr_ctx_t *ctx;
+    struct ev_loop *loop;
+    jr_settings_t settings;
+    jr_bus_t *bus;
+    jr_asker_t *asker;
+    jr_http_t *http;
+    jr_client_t *client;
+    jr_upstreams_t *upstreams;
+    jr_relay_t *relay;
+    jr_rules_t *rules;
+    char *rules_text;
+    /* Peers of other zones first, then those of the own zone. */
+    jr_entry_peer_t peers[JR_ENTRIES_MAX];
+    int n_other_zones;
+    int n_own_zone;
+    const char *zone_names[JR_ENTRIES_MAX];
+    int controls[JR_CONTROLS_MAX]; /* nearest first */
+    size_t n_controls;
+    size_t next_control;
+    uint64_t instance; /* makes request ids unique across restarts */
+    uint64_t next_request;
+    unsigned n_busy; /* asks and calls whose exchange is open */
+    TAILQ_HEAD(, jr_status_wait) status_waits;
+    bool is_draining;
+    ev_timer tick;
+    ev_timer poll;
+    ev_timer drain;
+    ev_signal sigterm;
+    ev_signal sigint;
+} jr_entry_t;
+
+/* calls.c */
+void jr_entry_on_call(jr_entry_t *entry, jr_exchange_t *exchange,
+                      const char *service);
+void jr_entry_start_attempt(void *user, jr_call_t *call, int64_t timeout_us);
+void jr_entry_finish_call(void *user, jr_call_t *call,
+                          const jr_verdict_t *verdict);
+/* A call of a client, or one step of a keyed call. */
+typedef struct jr_entry_call jr_entry_call_t;
+void jr_entry_run_call(jr_entry_call_t *c);
+void jr_entry_answer_call(jr_entry_call_t *c, unsigned status,
+                          const char *extra_header, const void *body,
+                          size_t len);
+
+/* tasks.c */
+void jr_entry_on_tasks(jr_entry_t *entry, jr_exchange_t *exchange,
+                       const char *rest);
+void jr_entry_on_heartbeat(jr_entry_t *entry, jr_exchange_t *exchange);
+
+/* upstreams.c */
+void jr_entry_on_announce(jr_entry_t *entry, jr_exchange_t *exchange);
+void jr_entry_hear(jr_entry_t *entry, const Jr__Announce *announce);
+void jr_entry_ask_loan(void *user, int peer, const char *service, int slots);
+void jr_entry_on_loan_ask(jr_entry_t *entry, const jr_route_t *route,
+                          const Jr__LoanAsk *ask);
+void jr_entry_on_loan_give(jr_entry_t *entry, const Jr__LoanGive *give);
+
+/* rules.c */
+void jr_entry_poll_rules(jr_entry_t *entry);
+void jr_entry_take_rules(jr_entry_t *entry, uint64_t version,
+                         const char *text);
+void jr_entry_on_rules(jr_entry_t *entry, jr_exchange_t *exchange);
+
+/* admin.c */
+void jr_entry_on_http(void *user, jr_exchange_t *exchange);
+
+/* answer.c */
+/* A JSON answer; takes the object over. retry_after_ms 0: no header. */
+void jr_answer_json(jr_exchange_t *exchange, unsigned status, json_t *object,
+                    int64_t retry_after_ms);
+/* An error: outcome is "not-run", "unknown" or "error". */
+void jr_answer_error(jr_exchange_t *exchange, unsigned status,
+                     const char *outcome, const char *reason,
+                     jr_result_t code, const char *message,
+                     int64_t retry_after_ms);
+/* An error from the code of a reply. */
+void jr_answer_code(jr_entry_t *entry, jr_exchange_t *exchange,
+                    jr_result_t code, const char *message);
+/* The body as a JSON object; answers 400 and returns NULL when it is not. */
+json_t *jr_read_json(jr_entry_t *entry, jr_exchange_t *exchange);
+/* A string member, or "" when it is missing; NULL when it is no string. */
+const char *jr_json_text(const json_t *object, const char *key);
+
+#endif
--- /dev/null
+++ b/src/entry/main.c
@@ -0,0 +1,299 @@
+/* jayrelay-entry: calls, announcements, heartbeats; no durable state. */
+#include <signal.h>
+#include <string.h>
+
+#include "admin.h"
+
+enum {
+    TICK_MS = 10,
+    POLL_RULES_MS = 500,
+    POLL_FIRST_RULES_MS = 50,
+    DRAIN_LOOK_MS = 20,
+};
+enum { CANDIDATES = 4 };
+
+static void
+on_envelope(void *user, const jr_route_t *route, const Jr__Envelope *envelope)
+{
+    jr_entry_t *entry = user;
+
+    switch (envelope->body_case) {
+    case JR__ENVELOPE__BODY_REPLY:
+        if (envelope->reply->body_case == JR__REPLY__BODY_RULES &&
+            *envelope->reply->rules->text != '\0') {
+            jr_entry_take_rules(entry, envelope->reply->rules->version,
+                                envelope->reply->rules->text);
+        }
+        if (!jr_entry_on_status_reply(entry, envelope->reply)) {
+            jr_asker_reply(entry->asker, envelope->reply);
+        }
+        break;
+    case JR__ENVELOPE__BODY_ANNOUNCE:
+        jr_entry_hear(entry, envelope->announce);
+        break;
+    case JR__ENVELOPE__BODY_LOAN_ASK:
+        if (route != NULL) {
+            jr_entry_on_loan_ask(entry, route, envelope->loan_ask);
+        }
+        break;
+    case JR__ENVELOPE__BODY_LOAN_GIVE:
+        jr_entry_on_loan_give(entry, envelope->loan_give);
+        break;
+    case JR__ENVELOPE__BODY_RULES:
+        jr_entry_take_rules(entry, envelope->rules->version,
+                            envelope->rules->text);
+        break;
+    default:
+        jr_count(entry->ctx, JR_C_BUS_BAD);
+        break;
+    }
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    jr_entry_t *entry = timer->data;
+
+    (void)loop;
+    (void)events;
+    jr_relay_tick(entry->relay, jr_clock_us());
+}
+
+static void
+on_poll(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    jr_entry_t *entry = timer->data;
+
+    (void)events;
+    jr_entry_poll_rules(entry);
+    timer->repeat = entry->rules == NULL ? POLL_FIRST_RULES_MS / 1000.0
+                                         : POLL_RULES_MS / 1000.0;
+    ev_timer_again(loop, timer);
+}
+
+static void
+on_drain_look(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    jr_entry_t *entry = timer->data;
+
+    (void)events;
+    jr_http_quiesce(entry->http);
+    if (jr_http_open(entry->http) == 0 && entry->n_busy == 0 &&
+        jr_asker_open(entry->asker) == 0) {
+        ev_break(loop, EVBREAK_ALL);
+    }
+}
+
+/*
+ * First the balancer is given time to see that this process is not ready,
+ * while all is served; then no new connections; then the rest ends.
+ */
+static void
+on_signal(struct ev_loop *loop, ev_signal *signal, int events)
+{
+    jr_entry_t *entry = signal->data;
+
+    (void)events;
+    if (entry->is_draining) {
+        return;
+    }
+    entry->is_draining = true;
+    jr_log(entry->ctx, JR_EV_DRAINING, "signal %d", signal->signum);
+    jr_http_close_connections(entry->http);
+    ev_timer_init(&entry->drain, on_drain_look,
+                  (double)entry->settings.drain_ms / 1000.0,
+                  DRAIN_LOOK_MS / 1000.0);
+    entry->drain.data = entry;
+    ev_timer_start(loop, &entry->drain);
+}
+
+/* Controls of the own zone come first. */
+static jr_result_t
+connect_controls(jr_entry_t *entry)
+{
+    const jr_settings_t *s = &entry->settings;
+
+    for (int is_other = 0; is_other <= 1; is_other++) {
+        for (int64_t i = 0; i < s->n_controls; i++) {
+            const jr_process_t *control = &s->controls[i];
+            int peer;
+
+            if ((strcmp(control->zone, s->zone) != 0) != is_other) {
+                continue;
+            }
+            peer = jr_bus_connect(entry->bus, control->name, control->bus);
+            if (peer < 0) {
+                return JR_NETWORK;
+            }
+            entry->controls[entry->n_controls++] = peer;
+        }
+    }
+    entry->asker = jr_new_asker(entry->ctx, entry->loop, entry->bus,
+                                entry->controls, entry->n_controls);
+    return JR_OK;
+}
+
+static jr_result_t
+connect_peers(jr_entry_t *entry)
+{
+    const jr_settings_t *s = &entry->settings;
+
+    for (int is_own = 0; is_own <= 1; is_own++) {
+        for (int64_t i = 0; i < s->n_entries; i++) {
+            const jr_process_t *process = &s->entries[i];
+            int n = entry->n_other_zones + entry->n_own_zone;
+
+            if ((strcmp(process->zone, s->zone) == 0) != is_own ||
+                strcmp(process->name, s->name) == 0) {
+                continue;
+            }
+            entry->peers[n].process = process;
+            entry->peers[n].bus_peer =
+                jr_bus_connect(entry->bus, process->name, process->bus);
+            if (entry->peers[n].bus_peer < 0) {
+                return JR_NETWORK;
+            }
+            *(is_own ? &entry->n_own_zone : &entry->n_other_zones) += 1;
+        }
+    }
+    return JR_OK;
+}
+
+static void
+make_relay(jr_entry_t *entry)
+{
+    const jr_settings_t *s = &entry->settings;
+    jr_relay_options_t options = {
+        .route = {.kind = JR_ROUTE_SCORED,
+                  .as.scored.candidates = CANDIDATES},
+        .admit = JR_ADMIT_DEADLINE,
+        .retry = JR_RETRY_BUDGET,
+        .retry_percent = (int)s->retry_percent,
+        .processes = entry->zone_names,
+        .n_other_zones = entry->n_other_zones,
+        .n_own_zone = entry->n_own_zone,
+        .crossing_us = s->crossing_ms * 1000,
+        .seed = g_random_int(),
+        .hooks = {.start = jr_entry_start_attempt,
+                  .finish = jr_entry_finish_call,
+                  .ask_loan = jr_entry_ask_loan,
+                  .user = entry},
+    };
+
+    for (int64_t i = 0; i < s->n_entries; i++) {
+        if (strcmp(s->entries[i].zone, s->zone) != 0) {
+            continue;
+        }
+        if (strcmp(s->entries[i].name, s->name) == 0) {
+            options.self = options.n_processes;
+        }
+        entry->zone_names[options.n_processes++] = s->entries[i].name;
+    }
+    entry->relay = jr_new_relay(entry->ctx, &options, entry->upstreams);
+}
+
+static jr_result_t
+open_entry(jr_entry_t *entry)
+{
+    const jr_settings_t *s = &entry->settings;
+    jr_result_t result;
+
+    entry->instance = (uint64_t)jr_wall_ms() << 16 | (g_random_int() & 0xffff);
+    entry->upstreams = jr_new_upstreams(entry->ctx, s->zone);
+    entry->client = jr_new_client(entry->ctx, entry->loop);
+    entry->bus = jr_new_bus(entry->ctx, entry->loop, s->name, s->bus,
+                            on_envelope, entry);
+    if (entry->client == NULL || entry->bus == NULL) {
+        return JR_NETWORK;
+    }
+    result = connect_controls(entry);
+    if (result == JR_OK) {
+        result = connect_peers(entry);
+    }
+    if (result != JR_OK) {
+        return result;
+    }
+    make_relay(entry);
+    entry->http = jr_new_http(entry->ctx, entry->loop, s->http,
+                              jr_entry_on_http, entry);
+    return entry->http != NULL ? JR_OK : JR_NETWORK;
+}
+
+static void
+start_timer(jr_entry_t *entry, ev_timer *timer,
+            void (*on)(struct ev_loop *, ev_timer *, int), int every_ms)
+{
+    ev_timer_init(timer, on, 0.0, every_ms / 1000.0);
+    timer->data = entry;
+    ev_timer_start(entry->loop, timer);
+}
+
+static void
+start_signal(jr_entry_t *entry, ev_signal *watcher, int number)
+{
+    ev_signal_init(watcher, on_signal, number);
+    watcher->data = entry;
+    ev_signal_start(entry->loop, watcher);
+}
+
+static void
+close_entry(jr_entry_t *entry)
+{
+    jr_drop_client(entry->client);
+    jr_drop_asker(entry->asker);
+    jr_drop_relay(entry->relay);
+    jr_drop_http(entry->http);
+    jr_drop_bus(entry->bus);
+    jr_drop_upstreams(entry->upstreams);
+    jr_drop_rules(entry->rules);
+    jr_free(entry->ctx, entry->rules_text);
+}
+
+static int
+run(jr_entry_t *entry)
+{
+    jr_result_t result;
+
+    TAILQ_INIT(&entry->status_waits);
+    result = open_entry(entry);
+    if (result != JR_OK) {
+        jr_log(entry->ctx, JR_EV_FATAL, "%s", entry->ctx->error.text);
+        close_entry(entry);
+        return jr_result_exit(result);
+    }
+    start_timer(entry, &entry->tick, on_tick, TICK_MS);
+    start_timer(entry, &entry->poll, on_poll, POLL_RULES_MS);
+    start_signal(entry, &entry->sigterm, SIGTERM);
+    start_signal(entry, &entry->sigint, SIGINT);
+    jr_log(entry->ctx, JR_EV_STARTED, "%s in zone %s", entry->settings.name,
+           entry->settings.zone);
+    ev_run(entry->loop, 0);
+    jr_log(entry->ctx, JR_EV_STOPPED, "%s", entry->settings.name);
+    close_entry(entry);
+    return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+    jr_program_t program = {
+        .name = "jayrelay-entry",
+        .summary = "Takes calls, announcements, heartbeats and tasks over "
+                   "HTTP.",
+        .kind = JR_SETTINGS_ENTRY,
+    };
+    jr_ctx_t *ctx = jr_new_ctx(program.name, stderr);
+    jr_entry_t *entry = jr_alloc(ctx, sizeof *entry);
+    int status;
+
+    entry->ctx = ctx;
+    signal(SIGPIPE, SIG_IGN);
+    status = jr_program_start(ctx, &program, argc, argv, &entry->settings);
+    if (status < 0) {
+        entry->loop = ev_default_loop(EVFLAG_AUTO);
+        status = run(entry);
+    }
+    jr_free(ctx, entry);
+    jr_drop_ctx(ctx);
+    return status;
+}
--- /dev/null
+++ b/src/entry/rules.c
@@ -0,0 +1,164 @@
+/* The rules in force in this process, and operators' new ones. */
+#include "entry.h"
+
+#include <string.h>
+
+typedef struct {
+    jr_entry_t *entry;
+    jr_exchange_t *exchange;
+} pending_t;
+
+/* The version that this process acts on never goes back. */
+void
+jr_entry_take_rules(jr_entry_t *entry, uint64_t version, const char *text)
+{
+    Jr__RulesText message = JR__RULES_TEXT__INIT;
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+    jr_rules_t *rules;
+    int n = entry->n_other_zones + entry->n_own_zone;
+
+    if (entry->rules != NULL && version <= entry->rules->version) {
+        return;
+    }
+    rules = jr_new_rules(entry->ctx, text, NULL);
+    if (rules == NULL || rules->version != version) {
+        jr_drop_rules(rules);
+        return;
+    }
+    jr_drop_rules(entry->rules);
+    jr_free(entry->ctx, entry->rules_text);
+    entry->rules = rules;
+    entry->rules_text = jr_strdup(entry->ctx, text);
+    jr_log(entry->ctx, JR_EV_RULES_IN_FORCE, "version %llu",
+           (unsigned long long)version);
+    /* Peers that no control process reaches learn of it from here. */
+    message.version = version;
+    message.text = entry->rules_text;
+    envelope.body_case = JR__ENVELOPE__BODY_RULES;
+    envelope.rules = &message;
+    for (int i = 0; i < n; i++) {
+        jr_bus_send(entry->bus, entry->peers[i].bus_peer, &envelope);
+    }
+}
+
+void
+jr_entry_poll_rules(jr_entry_t *entry)
+{
+    Jr__RulesGet get = JR__RULES_GET__INIT;
+    Jr__Request request = JR__REQUEST__INIT;
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+    int control = entry->controls[entry->next_control % entry->n_controls];
+
+    get.have = entry->rules != NULL ? entry->rules->version : 0;
+    request.body_case = JR__REQUEST__BODY_RULES_GET;
+    request.rules_get = &get;
+    envelope.body_case = JR__ENVELOPE__BODY_REQUEST;
+    envelope.request = &request;
+    jr_bus_send(entry->bus, control, &envelope);
+    entry->next_control++;
+}
+
+static void
+on_applied(void *user, jr_result_t code, const Jr__Reply *reply)
+{
+    pending_t *pending = user;
+    jr_entry_t *entry = pending->entry;
+    const Jr__RulesText *rules =
+        reply != NULL && reply->body_case == JR__REPLY__BODY_RULES
+            ? reply->rules
+            : NULL;
+
+    if (rules == NULL) {
+        jr_answer_code(entry, pending->exchange, code,
+                       reply != NULL ? reply->message : NULL);
+    }
+    else {
+        /* A conflict shows what won. */
+        jr_answer_json(
+            pending->exchange, code == JR_OK ? HTTP_OK : HTTP_CONFLICT,
+            json_pack("{s:s, s:i, s:s, s:I, s:s}", "outcome",
+                      code == JR_OK ? "accepted" : "conflict", "code",
+                      (int)code, "message", jr_result_text(code), "version",
+                      (json_int_t)rules->version, "in_force", rules->text),
+            0);
+        jr_entry_take_rules(entry, rules->version, rules->text);
+    }
+    entry->n_busy--;
+    jr_free(entry->ctx, pending);
+}
+
+static void
+answer_problems(jr_exchange_t *exchange, const jr_rule_problems_t *problems)
+{
+    json_t *list = json_array();
+
+    for (size_t i = 0; i < problems->n; i++) {
+        const jr_rule_problem_t *p = &problems->problems[i];
+
+        json_array_append_new(
+            list, json_pack("{s:i, s:i, s:s}", "line", p->line, "column",
+                            p->column, "message", p->text));
+    }
+    jr_answer_json(exchange, HTTP_BAD_REQUEST,
+                   json_pack("{s:s, s:i, s:s, s:o}", "outcome", "not-run",
+                             "code", (int)JR_RULES, "message",
+                             jr_result_text(JR_RULES), "problems", list),
+                   0);
+}
+
+static void
+apply(jr_entry_t *entry, jr_exchange_t *exchange)
+{
+    size_t len;
+    const char *text = jr_exchange_body(exchange, &len);
+    jr_rule_problems_t problems;
+    jr_rules_t *rules = jr_new_rules(entry->ctx, text, &problems);
+    Jr__RulesApply body = JR__RULES_APPLY__INIT;
+    Jr__Request request = JR__REQUEST__INIT;
+    pending_t *pending;
+
+    if (rules == NULL) {
+        jr_count(entry->ctx, JR_C_RULES_REFUSED);
+        answer_problems(exchange, &problems);
+        return;
+    }
+    body.version = rules->version;
+    body.text = (char *)text;
+    request.body_case = JR__REQUEST__BODY_RULES_APPLY;
+    request.rules_apply = &body;
+    pending = jr_alloc(entry->ctx, sizeof *pending);
+    pending->entry = entry;
+    pending->exchange = exchange;
+    entry->n_busy++;
+    jr_ask(entry->asker, &request, ASK_TIMEOUT_MS, on_applied, pending);
+    jr_drop_rules(rules);
+}
+
+static void
+show(jr_entry_t *entry, jr_exchange_t *exchange)
+{
+    jr_answer_json(
+        exchange, HTTP_OK,
+        json_pack("{s:I, s:s}", "version",
+                  (json_int_t)(entry->rules != NULL ? entry->rules->version
+                                                    : 0),
+                  "text", entry->rules_text != NULL ? entry->rules_text : ""),
+        0);
+}
+
+void
+jr_entry_on_rules(jr_entry_t *entry, jr_exchange_t *exchange)
+{
+    const char *method = jr_exchange_method(exchange);
+
+    if (strcmp(method, "GET") == 0) {
+        show(entry, exchange);
+    }
+    else if (strcmp(method, "POST") == 0) {
+        apply(entry, exchange);
+    }
+    else {
+        jr_answer_error(exchange, HTTP_METHOD_NOT_ALLOWED, "not-run",
+                        "method", JR_BAD_REQUEST, "GET or POST", 0);
+    }
+}
--- /dev/null
+++ b/src/entry/upstreams.c
@@ -0,0 +1,186 @@
+/* Announcements of upstreams, and loans of their slots between peers. */
+#include "entry.h"
+
+#include <string.h>
+
+enum { US_PER_MS = 1000, MS_PER_S = 1000 };
+
+static void
+to_announcement(const Jr__Announce *from, jr_announcement_t *to)
+{
+    *to = (jr_announcement_t){
+        .name = from->name,
+        .address = from->address,
+        .zone = from->zone,
+        .rack = from->rack,
+        .service = from->service,
+        .slots = (int)MIN(from->slots, (uint32_t)JR_SLOTS_MAX + 1),
+        .connections = (int)MIN(from->connections, (uint32_t)INT32_MAX),
+        .incarnation = from->incarnation,
+        .sequence = from->sequence,
+        .is_leaving = from->leaving,
+        .age_us = (int64_t)from->age_ms * US_PER_MS,
+    };
+}
+
+/* Take it; true when it was valid. */
+static bool
+take(jr_entry_t *entry, const Jr__Announce *announce, bool *is_news)
+{
+    jr_announcement_t announcement;
+    jr_upstream_t *upstream;
+    int64_t now = jr_clock_us();
+
+    to_announcement(announce, &announcement);
+    upstream =
+        jr_upstreams_hear(entry->upstreams, &announcement, now, is_news);
+    if (upstream != NULL) {
+        jr_relay_announced(entry->relay, upstream, now);
+    }
+    return upstream != NULL;
+}
+
+void
+jr_entry_hear(jr_entry_t *entry, const Jr__Announce *announce)
+{
+    bool is_news;
+
+    take(entry, announce, &is_news);
+}
+
+/* Only the entry processes of the upstream's zone use it. */
+static void
+tell_zone(jr_entry_t *entry, Jr__Announce *announce)
+{
+    int n = entry->n_other_zones + entry->n_own_zone;
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+
+    envelope.body_case = JR__ENVELOPE__BODY_ANNOUNCE;
+    envelope.announce = announce;
+    for (int i = 0; i < n; i++) {
+        if (strcmp(entry->peers[i].process->zone, announce->zone) == 0) {
+            jr_bus_send(entry->bus, entry->peers[i].bus_peer, &envelope);
+        }
+    }
+}
+
+static bool
+read_count(const json_t *object, const char *key, uint64_t max, uint64_t *to)
+{
+    const json_t *value = json_object_get(object, key);
+    json_int_t number = json_integer_value(value);
+
+    if (!json_is_integer(value) || number < 0 || (uint64_t)number > max) {
+        return false;
+    }
+    *to = (uint64_t)number;
+    return true;
+}
+
+static bool
+read_announce(const json_t *object, Jr__Announce *to)
+{
+    struct {
+        const char *key;
+        char **to;
+    } texts[] = {
+        {"name", &to->name},     {"address", &to->address},
+        {"zone", &to->zone},     {"rack", &to->rack},
+        {"service", &to->service},
+    };
+    uint64_t slots, connections;
+
+    for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++) {
+        const char *text = jr_json_text(object, texts[i].key);
+
+        if (text == NULL) {
+            return false;
+        }
+        *texts[i].to = (char *)text;
+    }
+    if (!read_count(object, "slots", JR_SLOTS_MAX, &slots) ||
+        !read_count(object, "connections", JR_SLOTS_MAX, &connections) ||
+        !read_count(object, "incarnation", INT64_MAX, &to->incarnation) ||
+        !read_count(object, "sequence", INT64_MAX, &to->sequence)) {
+        return false;
+    }
+    to->slots = (uint32_t)slots;
+    to->connections = (uint32_t)connections;
+    to->leaving = json_is_true(json_object_get(object, "leaving"));
+    return true;
+}
+
+void
+jr_entry_on_announce(jr_entry_t *entry, jr_exchange_t *exchange)
+{
+    json_t *object = jr_read_json(entry, exchange);
+    Jr__Announce announce = JR__ANNOUNCE__INIT;
+    bool is_news = false;
+
+    if (object == NULL) {
+        jr_count(entry->ctx, JR_C_ANNOUNCE_BAD);
+        return;
+    }
+    if (!read_announce(object, &announce)) {
+        jr_count(entry->ctx, JR_C_ANNOUNCE_BAD);
+        jr_answer_code(entry, exchange, JR_BAD_REQUEST,
+                       "an announcement needs name, address, zone, rack, "
+                       "service, slots, connections, incarnation, sequence");
+    }
+    else if (!take(entry, &announce, &is_news)) {
+        jr_answer_code(entry, exchange, JR_BAD_REQUEST,
+                       entry->ctx->error.text);
+    }
+    else {
+        if (is_news) {
+            tell_zone(entry, &announce);
+        }
+        jr_answer_json(exchange, HTTP_OK,
+                       json_pack("{s:i}", "announce_again_ms", MS_PER_S), 0);
+    }
+    json_decref(object);
+}
+
+void
+jr_entry_ask_loan(void *user, int peer, const char *service, int slots)
+{
+    jr_entry_t *entry = user;
+    Jr__LoanAsk ask = JR__LOAN_ASK__INIT;
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+
+    ask.service = (char *)service;
+    ask.asked_at_us = jr_clock_us();
+    ask.slots = (uint32_t)slots;
+    envelope.body_case = JR__ENVELOPE__BODY_LOAN_ASK;
+    envelope.loan_ask = &ask;
+    jr_bus_send(entry->bus, entry->peers[peer].bus_peer, &envelope);
+}
+
+void
+jr_entry_on_loan_ask(jr_entry_t *entry, const jr_route_t *route,
+                     const Jr__LoanAsk *ask)
+{
+    Jr__LoanGive give = JR__LOAN_GIVE__INIT;
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+    jr_upstream_t *upstream;
+    int lent = jr_relay_asked(entry->relay, ask->service,
+                              (int)MIN(ask->slots, (uint32_t)JR_SLOTS_MAX),
+                              &upstream, jr_clock_us());
+
+    if (lent <= 0) {
+        return;
+    }
+    give.upstream = upstream->name;
+    give.asked_at_us = ask->asked_at_us;
+    give.slots = (uint32_t)lent;
+    envelope.body_case = JR__ENVELOPE__BODY_LOAN_GIVE;
+    envelope.loan_give = &give;
+    jr_bus_reply(entry->bus, route, &envelope);
+}
+
+void
+jr_entry_on_loan_give(jr_entry_t *entry, const Jr__LoanGive *give)
+{
+    jr_relay_lent(entry->relay, give->upstream, (int)give->slots,
+                  give->asked_at_us, jr_clock_us());
+}
--- /dev/null
+++ b/src/group/group.c
@@ -0,0 +1,352 @@
+/* A replica: store, consensus core and state machine in step. */
+#include "group.h"
+
+#include <string.h>
+
+#include "ledger/convert.h"
+
+enum { PUMP_ROUNDS = 4 };
+
+jr_result_t
+jr_group_init(jr_ctx_t *ctx, jr_store_t *store, const jr_config_t *members)
+{
+    jr_entry_t entry = {.index = 1, .term = 1, .kind = JR_ENTRY_CONFIG};
+    jr_result_t result;
+
+    entry.len = jr_config_pack(ctx, members, &entry.data);
+    result = jr_store_hard(store, entry.term, 0);
+    if (result == JR_OK) {
+        result = jr_store_entry(store, &entry);
+    }
+    if (result == JR_OK) {
+        result = jr_store_sync(store);
+    }
+    jr_free(ctx, entry.data);
+    return result;
+}
+
+static void
+on_loaded_snapshot(void *user, const jr_snapshot_t *snapshot)
+{
+    jr_group_t *group = user;
+
+    jr_quorum_restore_snapshot(group->quorum, snapshot);
+}
+
+static void
+on_loaded_hard(void *user, uint64_t term, uint64_t voted_for)
+{
+    jr_group_t *group = user;
+
+    jr_quorum_restore_hard(group->quorum, term, voted_for);
+}
+
+static void
+on_loaded_entry(void *user, const jr_entry_t *entry)
+{
+    jr_group_t *group = user;
+
+    jr_quorum_restore_entry(group->quorum, entry);
+}
+
+static jr_result_t
+load(jr_group_t *group)
+{
+    jr_loaded_t loaded = {
+        .snapshot = on_loaded_snapshot,
+        .hard = on_loaded_hard,
+        .entry = on_loaded_entry,
+        .user = group,
+    };
+    jr_result_t result = jr_store_load(group->store, &loaded);
+    const jr_snapshot_t *snapshot = jr_quorum_snapshot(group->quorum);
+
+    if (result == JR_OK && snapshot->index > 0) {
+        result = jr_group_restore(group, snapshot->data, snapshot->len);
+    }
+    return result;
+}
+
+static void
+make_machine(jr_group_t *group)
+{
+    uint32_t number = group->options.quorum.group;
+
+    switch (group->options.kind) {
+    case JR_GROUP_RULES:
+        group->as.reg = jr_new_register(group->ctx);
+        break;
+    case JR_GROUP_LEDGER:
+        group->as.ledger.ledger = jr_new_ledger(group->ctx, number);
+        group->as.ledger.coord =
+            jr_new_coord(group->ctx, &group->options.coord,
+                         group->as.ledger.ledger);
+        break;
+    }
+}
+
+jr_group_t *
+jr_new_group(jr_ctx_t *ctx, const jr_group_options_t *options,
+             jr_store_t *store, int64_t now)
+{
+    jr_group_t *group = jr_alloc(ctx, sizeof *group);
+
+    group->ctx = ctx;
+    group->options = *options;
+    group->store = store;
+    group->now = now;
+    TAILQ_INIT(&group->waiters);
+    TAILQ_INIT(&group->reads);
+    group->quorum = jr_new_quorum(ctx, &options->quorum, now);
+    make_machine(group);
+    if (load(group) != JR_OK) {
+        jr_drop_group(group);
+        return NULL;
+    }
+    return group;
+}
+
+void
+jr_drop_group(jr_group_t *group)
+{
+    if (group == NULL) {
+        return;
+    }
+    jr_group_fail_waiting(group);
+    switch (group->options.kind) {
+    case JR_GROUP_RULES:
+        jr_drop_register(group->as.reg);
+        break;
+    case JR_GROUP_LEDGER:
+        jr_drop_coord(group->as.ledger.coord);
+        jr_drop_ledger(group->as.ledger.ledger);
+        break;
+    }
+    jr_drop_quorum(group->quorum);
+    jr_free(group->ctx, group);
+}
+
+static jr_result_t
+persist(jr_group_t *group, const jr_ready_t *ready)
+{
+    jr_result_t result = JR_OK;
+
+    if (ready->install != NULL) {
+        jr_log(group->ctx, JR_EV_SNAPSHOT_INSTALLED, "group %u index %llu",
+               group->options.quorum.group,
+               (unsigned long long)ready->install->index);
+        result = jr_group_restore(group, ready->install->data,
+                                  ready->install->len);
+        return result != JR_OK
+                   ? result
+                   : jr_store_snapshot(group->store, ready->install,
+                                       ready->term, ready->voted_for,
+                                       ready->entries, ready->n_entries);
+    }
+    if (ready->hard_changed) {
+        result = jr_store_hard(group->store, ready->term, ready->voted_for);
+    }
+    for (size_t i = 0; i < ready->n_entries && result == JR_OK; i++) {
+        result = jr_store_entry(group->store, &ready->entries[i]);
+    }
+    return result == JR_OK ? jr_store_sync(group->store) : result;
+}
+
+static void
+send_messages(jr_group_t *group)
+{
+    const jr_group_hooks_t *hooks = &group->options.hooks;
+    jr_member_t to;
+    uint8_t *bytes;
+    size_t len;
+
+    while (jr_quorum_take_message(group->quorum, &to, &bytes, &len)) {
+        hooks->send(hooks->user, &to, bytes, len);
+        jr_free(group->ctx, bytes);
+    }
+}
+
+static bool
+apply_committed(jr_group_t *group)
+{
+    const jr_entry_t *entry;
+    bool did = false;
+
+    while ((entry = jr_quorum_next_committed(group->quorum)) != NULL) {
+        jr_group_apply(group, entry);
+        did = true;
+    }
+    return did;
+}
+
+/* Leadership begins when all earlier terms are applied. */
+static void
+follow_leadership(jr_group_t *group)
+{
+    bool leads = jr_quorum_is_caught_up(group->quorum);
+    uint64_t term = jr_quorum_term(group->quorum);
+
+    if (group->is_leading && (!leads || term != group->leading_term)) {
+        group->is_leading = false;
+        jr_group_fail_waiting(group);
+        if (group->options.kind == JR_GROUP_LEDGER) {
+            jr_coord_resign(group->as.ledger.coord);
+        }
+    }
+    if (!group->is_leading && leads) {
+        group->is_leading = true;
+        group->leading_term = term;
+        if (group->options.kind == JR_GROUP_LEDGER) {
+            jr_coord_lead(group->as.ledger.coord,
+                          jr_quorum_elected_at(group->quorum));
+        }
+    }
+}
+
+static bool
+propose_decisions(jr_group_t *group)
+{
+    Jr__LedgerCommand *command;
+    bool did = false;
+
+    if (!group->is_leading || group->options.kind != JR_GROUP_LEDGER) {
+        return false;
+    }
+    while (jr_coord_take_command(group->as.ledger.coord, &command)) {
+        uint64_t index;
+        size_t len;
+        uint8_t *bytes = jr_command_pack(
+            group->ctx, command, group->now + group->options.wall_offset,
+            &len);
+
+        jr_quorum_propose(group->quorum, bytes, len, &index);
+        jr_free(group->ctx, bytes);
+        did = true;
+    }
+    return did;
+}
+
+static jr_result_t
+compact(jr_group_t *group)
+{
+    jr_quorum_t *q = group->quorum;
+    const jr_entry_t *entries;
+    jr_ready_t unused;
+    uint8_t *state;
+    size_t len, n;
+
+    if (jr_quorum_applied(q) <
+        jr_quorum_snapshot(q)->index + group->options.snapshot_every) {
+        return JR_OK;
+    }
+    state = jr_group_save(group, &len);
+    jr_quorum_compact(q, state, len);
+    jr_free(group->ctx, state);
+    jr_log(group->ctx, JR_EV_SNAPSHOT_TAKEN, "group %u index %llu, %zu bytes",
+           group->options.quorum.group,
+           (unsigned long long)jr_quorum_snapshot(q)->index, len);
+    entries = jr_quorum_entries(q, &n);
+    jr_quorum_ready(q, &unused);
+    return jr_store_snapshot(group->store, jr_quorum_snapshot(q), unused.term,
+                             unused.voted_for, entries,
+                             n - unused.n_entries);
+}
+
+jr_result_t
+jr_group_pump(jr_group_t *group, int64_t now)
+{
+    group->now = MAX(group->now, now);
+    for (int round = 0; round < PUMP_ROUNDS; round++) {
+        jr_ready_t ready;
+        bool did = false;
+
+        if (jr_quorum_ready(group->quorum, &ready)) {
+            jr_result_t result = persist(group, &ready);
+
+            if (result != JR_OK) {
+                return result;
+            }
+            jr_quorum_persisted(group->quorum, group->now);
+            did = true;
+        }
+        send_messages(group);
+        did |= apply_committed(group);
+        follow_leadership(group);
+        jr_group_serve_reads(group);
+        did |= propose_decisions(group);
+        if (!did) {
+            break;
+        }
+    }
+    return compact(group);
+}
+
+jr_result_t
+jr_group_receive(jr_group_t *group, const uint8_t *bytes, size_t len,
+                 int64_t now)
+{
+    group->now = MAX(group->now, now);
+    return jr_quorum_receive(group->quorum, bytes, len, now);
+}
+
+void
+jr_group_tick(jr_group_t *group, int64_t now)
+{
+    jr_config_t next;
+
+    group->now = MAX(group->now, now);
+    jr_quorum_tick(group->quorum, now);
+    follow_leadership(group);
+    if (!group->is_leading) {
+        return;
+    }
+    if (jr_quorum_next_config(group->quorum, &next) &&
+        jr_quorum_propose_config(group->quorum, &next) == JR_OK) {
+        jr_log(group->ctx, JR_EV_MEMBERSHIP, "group %u: %zu members",
+               group->options.quorum.group, next.n);
+    }
+    if (group->options.kind == JR_GROUP_LEDGER) {
+        jr_coord_tick(group->as.ledger.coord, now);
+    }
+}
+
+void
+jr_group_set_rules(jr_group_t *group, jr_rules_t *rules)
+{
+    if (group->options.kind == JR_GROUP_LEDGER) {
+        jr_coord_set_rules(group->as.ledger.coord, rules);
+    }
+}
+
+void
+jr_group_step_down(jr_group_t *group, int64_t now)
+{
+    jr_quorum_step_down(group->quorum, now);
+    follow_leadership(group);
+}
+
+jr_quorum_t *
+jr_group_quorum(jr_group_t *group)
+{
+    return group->quorum;
+}
+
+jr_register_t *
+jr_group_register(jr_group_t *group)
+{
+    return group->options.kind == JR_GROUP_RULES ? group->as.reg : NULL;
+}
+
+jr_ledger_t *
+jr_group_ledger(jr_group_t *group)
+{
+    return group->options.kind == JR_GROUP_LEDGER ? group->as.ledger.ledger
+                                                  : NULL;
+}
+
+jr_coord_t *
+jr_group_coord(jr_group_t *group)
+{
+    return group->options.kind == JR_GROUP_LEDGER ? group->as.ledger.coord
+                                                  : NULL;
+}
--- /dev/null
+++ b/src/group/machine.c
@@ -0,0 +1,165 @@
+/* The replicated state machine: apply, save, restore. */
+#include "group.h"
+
+#include <string.h>
+
+#include "ledger/convert.h"
+
+typedef struct {
+    Jr__LedgerResult result;
+    Jr__Task task;
+    Jr__TaskSpec spec;
+    Jr__Resources need;
+    Jr__CallRecord call;
+} ledger_reply_t;
+
+static void
+fill_ledger_reply(ledger_reply_t *space, const jr_ledger_result_t *from,
+                  Jr__Reply *reply)
+{
+    jr__ledger_result__init(&space->result);
+    space->result.code = (uint32_t)from->code;
+    if (from->task != NULL) {
+        jr_task_to_message(from->task, &space->task, &space->spec,
+                           &space->need);
+        space->result.task = &space->task;
+    }
+    if (from->claim != NULL) {
+        jr_claim_to_message(from->claim, &space->call);
+        space->result.call = &space->call;
+    }
+    reply->code = (uint32_t)from->code;
+    reply->message = (char *)jr_result_text(from->code);
+    reply->body_case = JR__REPLY__BODY_LEDGER;
+    reply->ledger = &space->result;
+}
+
+/* The waiter of an entry, taken off the list; others before it are void. */
+static jr_waiter_t *
+take_waiter(jr_group_t *group, const jr_entry_t *entry)
+{
+    jr_waiter_t *waiter;
+
+    while ((waiter = TAILQ_FIRST(&group->waiters)) != NULL &&
+           waiter->index <= entry->index) {
+        TAILQ_REMOVE(&group->waiters, waiter, link);
+        if (waiter->index == entry->index && waiter->term == entry->term) {
+            return waiter;
+        }
+        jr_group_reply_code(group, &waiter->ticket, JR_UNKNOWN,
+                            "another leader took over");
+        jr_free(group->ctx, waiter);
+    }
+    return NULL;
+}
+
+static void
+answer(jr_group_t *group, const jr_entry_t *entry, Jr__Reply *reply)
+{
+    jr_waiter_t *waiter = take_waiter(group, entry);
+
+    if (waiter != NULL) {
+        reply->id = waiter->ticket.id;
+        group->options.hooks.reply(group->options.hooks.user, &waiter->ticket,
+                                   reply);
+        jr_free(group->ctx, waiter);
+    }
+}
+
+static void
+apply_rules(jr_group_t *group, const jr_entry_t *entry)
+{
+    Jr__RulesApply *command =
+        jr__rules_apply__unpack(NULL, entry->len, entry->data);
+    uint64_t before = jr_register_version(group->as.reg);
+    jr_register_result_t result = {.code = JR_BAD_REQUEST, .text = ""};
+    Jr__RulesText text = JR__RULES_TEXT__INIT;
+    Jr__Reply reply = JR__REPLY__INIT;
+
+    if (command != NULL) {
+        result = jr_register_apply(group->as.reg, command->version,
+                                   command->text);
+        jr__rules_apply__free_unpacked(command, NULL);
+    }
+    text.version = result.version;
+    text.text = (char *)result.text;
+    reply.code = (uint32_t)result.code;
+    reply.message = (char *)jr_result_text(result.code);
+    reply.body_case = JR__REPLY__BODY_RULES;
+    reply.rules = &text;
+    answer(group, entry, &reply);
+    if (result.version > before) {
+        group->options.hooks.rules(group->options.hooks.user, result.version,
+                                   result.text);
+    }
+}
+
+static void
+apply_ledger(jr_group_t *group, const jr_entry_t *entry)
+{
+    jr_ledger_result_t result =
+        jr_ledger_apply(group->as.ledger.ledger, entry->data, entry->len);
+    Jr__Reply reply = JR__REPLY__INIT;
+    ledger_reply_t space;
+
+    jr_coord_applied(group->as.ledger.coord, &result);
+    fill_ledger_reply(&space, &result, &reply);
+    answer(group, entry, &reply);
+}
+
+void
+jr_group_apply(jr_group_t *group, const jr_entry_t *entry)
+{
+    Jr__Reply empty = JR__REPLY__INIT;
+
+    if (entry->kind != JR_ENTRY_COMMAND) {
+        answer(group, entry, &empty);
+        return;
+    }
+    switch (group->options.kind) {
+    case JR_GROUP_RULES:
+        apply_rules(group, entry);
+        break;
+    case JR_GROUP_LEDGER:
+        apply_ledger(group, entry);
+        break;
+    }
+}
+
+uint8_t *
+jr_group_save(jr_group_t *group, size_t *len)
+{
+    switch (group->options.kind) {
+    case JR_GROUP_RULES:
+        return jr_register_save(group->as.reg, len);
+    case JR_GROUP_LEDGER:
+        return jr_ledger_save(group->as.ledger.ledger, len);
+    }
+    return NULL;
+}
+
+jr_result_t
+jr_group_restore(jr_group_t *group, const uint8_t *bytes, size_t len)
+{
+    bool ok = false;
+
+    switch (group->options.kind) {
+    case JR_GROUP_RULES:
+        ok = jr_register_load(group->as.reg, bytes, len);
+        if (ok) {
+            group->options.hooks.rules(group->options.hooks.user,
+                                       jr_register_version(group->as.reg),
+                                       jr_register_text(group->as.reg));
+        }
+        break;
+    case JR_GROUP_LEDGER:
+        ok = jr_ledger_load(group->as.ledger.ledger, bytes, len);
+        break;
+    }
+    if (!ok) {
+        return jr_fail(group->ctx, JR_DAMAGED,
+                       "group %u: the snapshot holds no valid state",
+                       group->options.quorum.group);
+    }
+    return JR_OK;
+}
--- /dev/null
+++ b/src/net/http_client.c
@@ -0,0 +1,353 @@
+/* The client: curl's multi interface with its sockets on the loop. */
+#include "jayrelay/http.h"
+
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/queue.h>
+
+enum {
+    CONNECT_TIMEOUT_MS = 500,
+    CACHED_CONNECTIONS = 1024,
+    HEADER_TEXT_BYTES = 256,
+};
+
+typedef struct fetch {
+    TAILQ_ENTRY(fetch) link;
+    jr_client_t *client;
+    CURL *easy;
+    struct curl_slist *headers;
+    char *request_body;
+    char *body;
+    size_t len;
+    size_t cap;
+    bool is_too_large;
+    bool is_once;
+    char texts[JR_HTTP_HEADERS_MAX][HEADER_TEXT_BYTES];
+    jr_fetched_t fetched;
+    jr_fetch_handler_t *handler;
+    void *user;
+} fetch_t;
+
+struct jr_client {
+    jr_ctx_t *ctx;
+    struct ev_loop *loop;
+    CURLM *multi;
+    ev_timer timer;
+    TAILQ_HEAD(, fetch) fetches;
+};
+
+typedef struct {
+    ev_io io;
+    jr_client_t *client;
+} watch_t;
+
+static void
+free_fetch(fetch_t *fetch)
+{
+    jr_ctx_t *ctx = fetch->client->ctx;
+
+    TAILQ_REMOVE(&fetch->client->fetches, fetch, link);
+    curl_multi_remove_handle(fetch->client->multi, fetch->easy);
+    curl_easy_cleanup(fetch->easy);
+    curl_slist_free_all(fetch->headers);
+    jr_free(ctx, fetch->request_body);
+    jr_free(ctx, fetch->body);
+    jr_free(ctx, fetch);
+}
+
+/* Was any byte of the request given to the network? */
+static jr_fetch_outcome_t
+outcome_of(const fetch_t *fetch, CURLcode code)
+{
+    long sent = 0;
+    curl_off_t connected_at = 0;
+
+    if (code == CURLE_OK && !fetch->is_too_large) {
+        return JR_FETCH_ANSWERED;
+    }
+    curl_easy_getinfo(fetch->easy, CURLINFO_REQUEST_SIZE, &sent);
+    curl_easy_getinfo(fetch->easy, CURLINFO_PRETRANSFER_TIME_T,
+                      &connected_at);
+    if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
+        (sent == 0 && connected_at == 0)) {
+        return JR_FETCH_NOT_CONNECTED;
+    }
+    return code == CURLE_OPERATION_TIMEDOUT ? JR_FETCH_TIMEOUT
+                                            : JR_FETCH_BROKEN;
+}
+
+static void
+complete(fetch_t *fetch, CURLcode code)
+{
+    long status = 0;
+
+    curl_easy_getinfo(fetch->easy, CURLINFO_RESPONSE_CODE, &status);
+    fetch->fetched.outcome = outcome_of(fetch, code);
+    fetch->fetched.status = (unsigned)status;
+    fetch->fetched.body = fetch->body != NULL ? fetch->body : "";
+    fetch->fetched.len = fetch->len;
+    fetch->fetched.error =
+        fetch->is_too_large ? "answer too large" : curl_easy_strerror(code);
+    fetch->handler(fetch->user, &fetch->fetched);
+    free_fetch(fetch);
+}
+
+static void
+check_completed(jr_client_t *client)
+{
+    CURLMsg *message;
+    int left;
+
+    while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+        fetch_t *fetch;
+
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &fetch);
+        complete(fetch, message->data.result);
+    }
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    jr_client_t *client = timer->data;
+    int running;
+
+    (void)loop;
+    (void)events;
+    curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    check_completed(client);
+}
+
+static void
+on_io(struct ev_loop *loop, ev_io *io, int events)
+{
+    watch_t *watch = (watch_t *)io;
+    jr_client_t *client = watch->client;
+    int action = 0;
+    int running;
+
+    (void)loop;
+    if (events & EV_READ) {
+        action |= CURL_CSELECT_IN;
+    }
+    if (events & EV_WRITE) {
+        action |= CURL_CSELECT_OUT;
+    }
+    /* The watch may be gone after this call. */
+    curl_multi_socket_action(client->multi, io->fd, action, &running);
+    check_completed(client);
+}
+
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *user, void *socket)
+{
+    jr_client_t *client = user;
+    watch_t *watch = socket;
+    int events = 0;
+
+    (void)easy;
+    if (watch != NULL) {
+        ev_io_stop(client->loop, &watch->io);
+    }
+    if (what == CURL_POLL_REMOVE) {
+        curl_multi_assign(client->multi, fd, NULL);
+        jr_free(client->ctx, watch);
+        return 0;
+    }
+    if (watch == NULL) {
+        watch = jr_alloc(client->ctx, sizeof *watch);
+        watch->client = client;
+        curl_multi_assign(client->multi, fd, watch);
+    }
+    if (what & CURL_POLL_IN) {
+        events |= EV_READ;
+    }
+    if (what & CURL_POLL_OUT) {
+        events |= EV_WRITE;
+    }
+    ev_io_init(&watch->io, on_io, fd, events);
+    ev_io_start(client->loop, &watch->io);
+    return 0;
+}
+
+static int
+on_timeout(CURLM *multi, long timeout_ms, void *user)
+{
+    jr_client_t *client = user;
+
+    (void)multi;
+    ev_timer_stop(client->loop, &client->timer);
+    if (timeout_ms >= 0) {
+        ev_timer_set(&client->timer, (double)timeout_ms / 1000.0, 0.0);
+        ev_timer_start(client->loop, &client->timer);
+    }
+    return 0;
+}
+
+static size_t
+on_data(char *data, size_t size, size_t n, void *user)
+{
+    fetch_t *fetch = user;
+    size_t len = size * n;
+
+    if (fetch->len + len > JR_HTTP_BODY_MAX_BYTES) {
+        fetch->is_too_large = true;
+        return 0;
+    }
+    if (fetch->len + len + 1 > fetch->cap) {
+        fetch->cap = 2 * (fetch->len + len + 1);
+        fetch->body =
+            jr_resize(fetch->client->ctx, fetch->body, fetch->cap);
+    }
+    memcpy(fetch->body + fetch->len, data, len);
+    fetch->len += len;
+    fetch->body[fetch->len] = '\0';
+    return len;
+}
+
+static size_t
+on_header(char *data, size_t size, size_t n, void *user)
+{
+    fetch_t *fetch = user;
+    size_t len = size * n;
+    size_t i = fetch->fetched.n_headers;
+    char *text;
+    char *colon;
+
+    if (i == JR_HTTP_HEADERS_MAX || len >= HEADER_TEXT_BYTES) {
+        return len;
+    }
+    text = fetch->texts[i];
+    memcpy(text, data, len);
+    text[len] = '\0';
+    text[strcspn(text, "\r\n")] = '\0';
+    colon = strchr(text, ':');
+    if (colon != NULL) {
+        *colon++ = '\0';
+        fetch->fetched.headers[i].name = text;
+        fetch->fetched.headers[i].value = colon + strspn(colon, " ");
+        fetch->fetched.n_headers++;
+    }
+    return len;
+}
+
+jr_client_t *
+jr_new_client(jr_ctx_t *ctx, struct ev_loop *loop)
+{
+    jr_client_t *client = jr_alloc(ctx, sizeof *client);
+
+    client->ctx = ctx;
+    client->loop = loop;
+    TAILQ_INIT(&client->fetches);
+    client->multi = curl_multi_init();
+    if (client->multi == NULL) {
+        jr_fail(ctx, JR_NETWORK, "no HTTP client");
+        jr_free(ctx, client);
+        return NULL;
+    }
+    ev_timer_init(&client->timer, on_timer, 0.0, 0.0);
+    client->timer.data = client;
+    curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+    curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+    curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timeout);
+    curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+                      (long)CACHED_CONNECTIONS);
+    return client;
+}
+
+void
+jr_drop_client(jr_client_t *client)
+{
+    fetch_t *fetch;
+
+    if (client == NULL) {
+        return;
+    }
+    while ((fetch = TAILQ_FIRST(&client->fetches)) != NULL) {
+        free_fetch(fetch);
+    }
+    ev_timer_stop(client->loop, &client->timer);
+    curl_multi_cleanup(client->multi);
+    jr_free(client->ctx, client);
+}
+
+static void
+add_headers(fetch_t *fetch, const jr_fetch_t *from)
+{
+    for (size_t i = 0; i < from->n_headers; i++) {
+        char text[2 * HEADER_TEXT_BYTES];
+
+        snprintf(text, sizeof text, "%s: %s", from->headers[i].name,
+                 from->headers[i].value);
+        fetch->headers = curl_slist_append(fetch->headers, text);
+    }
+    /* Without this curl waits a second for a "100 Continue". */
+    fetch->headers = curl_slist_append(fetch->headers, "Expect:");
+}
+
+static void
+set_options(fetch_t *fetch, const jr_fetch_t *from)
+{
+    CURL *easy = fetch->easy;
+
+    curl_easy_setopt(easy, CURLOPT_URL, from->url);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, fetch);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, fetch->headers);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, fetch);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, fetch);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)from->timeout_ms);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, from->once ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, from->method);
+    if (strcmp(from->method, "GET") != 0) {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)from->len);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+                         fetch->request_body != NULL ? fetch->request_body
+                                                     : "");
+    }
+}
+
+jr_result_t
+jr_client_fetch(jr_client_t *client, const jr_fetch_t *from)
+{
+    fetch_t *fetch = jr_alloc(client->ctx, sizeof *fetch);
+
+    fetch->client = client;
+    fetch->handler = from->handler;
+    fetch->user = from->user;
+    fetch->easy = curl_easy_init();
+    if (fetch->easy == NULL) {
+        jr_free(client->ctx, fetch);
+        return jr_fail(client->ctx, JR_NETWORK, "no HTTP request");
+    }
+    fetch->request_body = jr_memdup(client->ctx, from->body, from->len);
+    TAILQ_INSERT_TAIL(&client->fetches, fetch, link);
+    add_headers(fetch, from);
+    set_options(fetch, from);
+    curl_multi_add_handle(client->multi, fetch->easy);
+    return JR_OK;
+}
+
+const char *
+jr_fetched_header(const jr_fetched_t *fetched, const char *name)
+{
+    for (size_t i = 0; i < fetched->n_headers; i++) {
+        if (strcasecmp(fetched->headers[i].name, name) == 0) {
+            return fetched->headers[i].value;
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/net/http_server.c
@@ -0,0 +1,365 @@
+/*
+ * The server. libmicrohttpd runs on an epoll descriptor of its own, which
+ * the loop watches; an exchange that waits for its answer is suspended.
+ */
+#include "jayrelay/http.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <microhttpd.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum {
+    CONNECTION_MEMORY_BYTES = 32 * 1024,
+    CONNECTIONS_MAX = 8192,
+    IDLE_TIMEOUT_S = 60,
+    BACKLOG = 1024,
+};
+
+struct jr_http {
+    jr_ctx_t *ctx;
+    struct ev_loop *loop;
+    struct MHD_Daemon *daemon;
+    jr_http_handler_t *handler;
+    void *user;
+    ev_io io;
+    ev_timer timer;
+    ev_prepare prepare;
+    bool is_closing;
+    bool is_due;
+    int listen_fd;
+    unsigned n_open;
+};
+
+struct jr_exchange {
+    jr_http_t *http;
+    struct MHD_Connection *connection;
+    char *method;
+    char *path;
+    char *body;
+    size_t len;
+    size_t cap;
+    bool is_too_large;
+    bool is_handled;
+    bool is_suspended;
+    struct MHD_Response *response;
+    unsigned status;
+};
+
+static const char TOO_LARGE[] =
+    "{\"outcome\":\"not-run\",\"reason\":\"too-large\"}\n";
+
+static jr_exchange_t *
+new_exchange(jr_http_t *http, struct MHD_Connection *connection,
+             const char *method, const char *path)
+{
+    jr_exchange_t *exchange = jr_alloc(http->ctx, sizeof *exchange);
+
+    exchange->http = http;
+    exchange->connection = connection;
+    exchange->method = jr_strdup(http->ctx, method);
+    exchange->path = jr_strdup(http->ctx, path);
+    http->n_open++;
+    return exchange;
+}
+
+static void
+take_body(jr_exchange_t *exchange, const char *data, size_t len)
+{
+    if (exchange->len + len > JR_HTTP_BODY_MAX_BYTES) {
+        exchange->is_too_large = true;
+    }
+    if (exchange->is_too_large) {
+        return;
+    }
+    if (exchange->len + len + 1 > exchange->cap) {
+        exchange->cap = 2 * (exchange->len + len + 1);
+        exchange->body =
+            jr_resize(exchange->http->ctx, exchange->body, exchange->cap);
+    }
+    memcpy(exchange->body + exchange->len, data, len);
+    exchange->len += len;
+    exchange->body[exchange->len] = '\0';
+}
+
+static enum MHD_Result
+queue_response(jr_exchange_t *exchange)
+{
+    enum MHD_Result result = MHD_queue_response(
+        exchange->connection, exchange->status, exchange->response);
+
+    MHD_destroy_response(exchange->response);
+    exchange->response = NULL;
+    return result;
+}
+
+static void
+refuse_too_large(jr_exchange_t *exchange)
+{
+    jr_count(exchange->http->ctx, JR_C_REFUSED_TOO_LARGE);
+    exchange->is_handled = true;
+    jr_http_answer(exchange, MHD_HTTP_CONTENT_TOO_LARGE, NULL, 0, TOO_LARGE,
+                   strlen(TOO_LARGE));
+}
+
+static enum MHD_Result
+on_access(void *cls, struct MHD_Connection *connection, const char *url,
+          const char *method, const char *version, const char *data,
+          size_t *len, void **state)
+{
+    jr_http_t *http = cls;
+    jr_exchange_t *exchange = *state;
+
+    (void)version;
+    if (exchange == NULL) {
+        *state = new_exchange(http, connection, method, url);
+        return MHD_YES;
+    }
+    if (*len > 0) {
+        take_body(exchange, data, *len);
+        *len = 0;
+        return MHD_YES;
+    }
+    if (exchange->is_too_large && !exchange->is_handled) {
+        refuse_too_large(exchange);
+    }
+    if (!exchange->is_handled) {
+        exchange->is_handled = true;
+        http->handler(http->user, exchange);
+    }
+    if (exchange->response != NULL) {
+        return queue_response(exchange);
+    }
+    if (!exchange->is_suspended) {
+        exchange->is_suspended = true;
+        MHD_suspend_connection(connection);
+    }
+    return MHD_YES;
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *connection, void **state,
+             enum MHD_RequestTerminationCode why)
+{
+    jr_http_t *http = cls;
+    jr_exchange_t *exchange = *state;
+
+    (void)connection;
+    (void)why;
+    if (exchange == NULL) {
+        return;
+    }
+    if (exchange->response != NULL) {
+        MHD_destroy_response(exchange->response);
+    }
+    jr_free(http->ctx, exchange->method);
+    jr_free(http->ctx, exchange->path);
+    jr_free(http->ctx, exchange->body);
+    jr_free(http->ctx, exchange);
+    *state = NULL;
+    http->n_open--;
+}
+
+static void
+run(jr_http_t *http)
+{
+    MHD_UNSIGNED_LONG_LONG timeout;
+
+    http->is_due = false;
+    MHD_run(http->daemon);
+    ev_timer_stop(http->loop, &http->timer);
+    if (MHD_get_timeout(http->daemon, &timeout) == MHD_YES) {
+        ev_timer_set(&http->timer, (double)timeout / 1000.0, 0.0);
+        ev_timer_start(http->loop, &http->timer);
+    }
+}
+
+static void
+on_io(struct ev_loop *loop, ev_io *io, int events)
+{
+    (void)loop;
+    (void)events;
+    run(io->data);
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    run(timer->data);
+}
+
+/* Answers given since the last turn of the loop are written in one go. */
+static void
+on_prepare(struct ev_loop *loop, ev_prepare *prepare, int events)
+{
+    jr_http_t *http = prepare->data;
+
+    (void)loop;
+    (void)events;
+    if (http->is_due) {
+        run(http);
+    }
+}
+
+static bool
+parse_address(const char *address, struct sockaddr_in *to)
+{
+    const char *colon = strrchr(address, ':');
+    char host[64];
+
+    if (colon == NULL || (size_t)(colon - address) >= sizeof host) {
+        return false;
+    }
+    memcpy(host, address, (size_t)(colon - address));
+    host[colon - address] = '\0';
+    memset(to, 0, sizeof *to);
+    to->sin_family = AF_INET;
+    to->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+    return inet_pton(AF_INET, host, &to->sin_addr) == 1;
+}
+
+static bool
+start(jr_http_t *http, const char *address)
+{
+    const union MHD_DaemonInfo *info;
+    struct sockaddr_in bind_to;
+
+    if (!parse_address(address, &bind_to)) {
+        return false;
+    }
+    http->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, NULL, NULL,
+        on_access, http, MHD_OPTION_SOCK_ADDR, &bind_to,
+        MHD_OPTION_NOTIFY_COMPLETED, on_completed, http,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+        MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX,
+        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
+        MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)BACKLOG,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+    if (http->daemon == NULL) {
+        return false;
+    }
+    info = MHD_get_daemon_info(http->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    ev_io_init(&http->io, on_io, info->epoll_fd, EV_READ);
+    return true;
+}
+
+jr_http_t *
+jr_new_http(jr_ctx_t *ctx, struct ev_loop *loop, const char *address,
+            jr_http_handler_t *handler, void *user)
+{
+    jr_http_t *http = jr_alloc(ctx, sizeof *http);
+
+    http->ctx = ctx;
+    http->loop = loop;
+    http->handler = handler;
+    http->user = user;
+    http->listen_fd = -1;
+    if (!start(http, address)) {
+        jr_fail(ctx, JR_NETWORK, "listen on %s: %s", address,
+                strerror(errno));
+        jr_free(ctx, http);
+        return NULL;
+    }
+    http->io.data = http;
+    ev_io_start(loop, &http->io);
+    ev_timer_init(&http->timer, on_timer, 0.0, 0.0);
+    http->timer.data = http;
+    ev_prepare_init(&http->prepare, on_prepare);
+    http->prepare.data = http;
+    ev_prepare_start(loop, &http->prepare);
+    return http;
+}
+
+void
+jr_drop_http(jr_http_t *http)
+{
+    if (http == NULL) {
+        return;
+    }
+    ev_io_stop(http->loop, &http->io);
+    ev_timer_stop(http->loop, &http->timer);
+    ev_prepare_stop(http->loop, &http->prepare);
+    MHD_stop_daemon(http->daemon);
+    if (http->listen_fd >= 0) {
+        close(http->listen_fd);
+    }
+    jr_free(http->ctx, http);
+}
+
+void
+jr_http_close_connections(jr_http_t *http)
+{
+    http->is_closing = true;
+}
+
+void
+jr_http_quiesce(jr_http_t *http)
+{
+    if (http->listen_fd >= 0) {
+        return;
+    }
+    /* Whoever is in the backlog already is still served. */
+    run(http);
+    http->is_closing = true;
+    http->listen_fd = MHD_quiesce_daemon(http->daemon);
+}
+
+unsigned
+jr_http_open(const jr_http_t *http)
+{
+    return http->n_open;
+}
+
+const char *
+jr_exchange_method(const jr_exchange_t *exchange)
+{
+    return exchange->method;
+}
+
+const char *
+jr_exchange_path(const jr_exchange_t *exchange)
+{
+    return exchange->path;
+}
+
+const char *
+jr_exchange_header(const jr_exchange_t *exchange, const char *name)
+{
+    return MHD_lookup_connection_value(exchange->connection, MHD_HEADER_KIND,
+                                       name);
+}
+
+const char *
+jr_exchange_body(const jr_exchange_t *exchange, size_t *len)
+{
+    *len = exchange->len;
+    return exchange->body != NULL ? exchange->body : "";
+}
+
+void
+jr_http_answer(jr_exchange_t *exchange, unsigned status,
+               const jr_header_t *headers, size_t n, const void *body,
+               size_t len)
+{
+    exchange->status = status;
+    exchange->response = MHD_create_response_from_buffer(
+        len, (void *)body, MHD_RESPMEM_MUST_COPY);
+    for (size_t i = 0; i < n; i++) {
+        MHD_add_response_header(exchange->response, headers[i].name,
+                                headers[i].value);
+    }
+    if (exchange->http->is_closing) {
+        MHD_add_response_header(exchange->response,
+                                MHD_HTTP_HEADER_CONNECTION, "close");
+    }
+    if (exchange->is_suspended) {
+        exchange->is_suspended = false;
+        MHD_resume_connection(exchange->connection);
+        exchange->http->is_due = true;
+    }
+}
--- /dev/null
+++ b/src/place/evict.c
@@ -0,0 +1,56 @@
+/* The choice of the task that makes room. */
+#include "jayrelay/place.h"
+
+static int
+priority_of(const jr_rules_t *rules, const jr_task_t *task)
+{
+    const jr_class_rule_t *rule =
+        rules != NULL ? jr_rules_class(rules, task->spec.class_name) : NULL;
+
+    return rule != NULL ? rule->priority : 0;
+}
+
+/* Work that would be done again, in processor milliseconds. */
+static int64_t
+lost_work(const jr_task_t *task, int64_t now)
+{
+    return (now - task->soft.checkpoint_at) * task->spec.need.cpu_milli;
+}
+
+static bool
+goes_before(jr_evict_kind_t kind, const jr_task_t *a, const jr_task_t *b,
+            const jr_rules_t *rules, int64_t now)
+{
+    int priority_a = priority_of(rules, a);
+    int priority_b = priority_of(rules, b);
+
+    if (priority_a != priority_b) {
+        return priority_a < priority_b;
+    }
+    switch (kind) {
+    case JR_EVICT_NEWEST:
+        return a->id > b->id;
+    case JR_EVICT_CHEAPEST:
+        return lost_work(a, now) < lost_work(b, now);
+    }
+    return false;
+}
+
+jr_task_t *
+jr_evict_choose(jr_evict_kind_t kind, const jr_holding_t *holding,
+                const jr_rules_t *rules, int64_t now)
+{
+    jr_task_t *task;
+    jr_task_t *best = NULL;
+
+    TAILQ_FOREACH(task, &holding->tasks, on_worker) {
+        if (task->soft.is_evicting || task->soft.is_expiring ||
+            task->cancel_asked) {
+            continue;
+        }
+        if (best == NULL || goes_before(kind, task, best, rules, now)) {
+            best = task;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/src/quorum/core.h
@@ -0,0 +1,111 @@
+/* Private to the quorum slice. */
+#ifndef JR_QUORUM_CORE_H
+#define JR_QUORUM_CORE_H
+
+#include <glib.h>
+#include <sys/queue.h>
+
+#include "jayrelay/quorum.h"
+#include "quorum/quorum.pb-c.h"
+
+/* The log after a snapshot: entry i stands at index base + 1 + i. */
+typedef struct {
+    jr_snapshot_t base;
+    jr_entry_t *entries;
+    size_t n;
+    size_t cap;
+} jr_log_t;
+
+void jr_log_init(jr_log_t *log);
+void jr_log_clear(jr_ctx_t *ctx, jr_log_t *log);
+uint64_t jr_log_last(const jr_log_t *log);
+/* The term of the entry at index; 0 when it is not known. */
+uint64_t jr_log_term(const jr_log_t *log, uint64_t index);
+/* NULL when the log does not hold the index. */
+jr_entry_t *jr_log_get(const jr_log_t *log, uint64_t index);
+/* Append a copy. */
+jr_entry_t *jr_log_append(jr_ctx_t *ctx, jr_log_t *log,
+                          const jr_entry_t *entry);
+/* Drop the entries at and after index. */
+void jr_log_truncate(jr_ctx_t *ctx, jr_log_t *log, uint64_t index);
+/* Make a snapshot the base and drop the entries that it covers. */
+void jr_log_rebase(jr_ctx_t *ctx, jr_log_t *log, const jr_snapshot_t *base,
+                   bool keep_rest);
+void jr_snapshot_copy(jr_ctx_t *ctx, jr_snapshot_t *to,
+                      const jr_snapshot_t *from);
+void jr_snapshot_clear(jr_ctx_t *ctx, jr_snapshot_t *snapshot);
+
+bool jr_config_unpack(const uint8_t *bytes, size_t len, jr_config_t *config);
+bool jr_config_from_message(const Jr__Config *message, jr_config_t *config);
+/* Fill message and slots, which borrow from config. */
+void jr_config_to_message(jr_config_t *config, Jr__Config *message,
+                          Jr__Member *slots, Jr__Member **pointers);
+
+/* What a leader knows of another replica. */
+typedef struct {
+    uint64_t id;
+    uint64_t match;
+    uint64_t next;
+    int64_t acked_sent_at; /* when the newest acknowledged probe was sent */
+    int64_t busy_until;    /* entries are under way until then */
+    bool granted;          /* its vote, for a candidate */
+} jr_progress_t;
+
+typedef struct jr_out {
+    STAILQ_ENTRY(jr_out) link;
+    jr_member_t to;
+    uint8_t *bytes;
+    size_t len;
+} jr_out_t;
+
+struct jr_quorum {
+    jr_ctx_t *ctx;
+    jr_quorum_options_t options;
+    GRand *rng;
+
+    jr_role_t role;
+    uint64_t term;
+    uint64_t voted_for;
+    uint64_t leader;
+    bool is_hard_dirty;
+    bool is_pre_vote;
+
+    jr_log_t log;
+    uint64_t stable;  /* last durable index */
+    uint64_t commit;
+    uint64_t applied;
+    uint64_t term_start; /* index of the leader's first entry */
+    bool has_install;
+
+    jr_config_t config;
+    uint64_t config_index;
+    jr_progress_t progress[JR_MEMBERS_MAX]; /* as config.members */
+
+    int64_t now;
+    int64_t election_at;
+    int64_t heartbeat_at;
+    int64_t heard_leader_at;
+    int64_t campaign_at;
+    int64_t elected_at;
+    STAILQ_HEAD(, jr_out) out;
+};
+
+/* Pack message for its receiver and queue it. */
+void jr_quorum_send(jr_quorum_t *q, const jr_member_t *to,
+                    Jr__QuorumMsg *message);
+/* Send entries, a snapshot or an empty probe to one member. */
+void jr_quorum_replicate(jr_quorum_t *q, size_t i, bool is_probe);
+/* Advance the commit index of a leader. */
+void jr_quorum_advance_commit(jr_quorum_t *q);
+/* Work out the members from the log again, after it changed. */
+void jr_quorum_reload_config(jr_quorum_t *q);
+void jr_quorum_become_follower(jr_quorum_t *q, uint64_t term, uint64_t leader);
+void jr_quorum_on_append(jr_quorum_t *q, const Jr__QuorumMsg *m);
+void jr_quorum_on_append_reply(jr_quorum_t *q, const Jr__QuorumMsg *m);
+void jr_quorum_on_install(jr_quorum_t *q, const Jr__QuorumMsg *m);
+void jr_quorum_reply(jr_quorum_t *q, const Jr__QuorumMsg *to,
+                     Jr__QuorumMsg *reply);
+int jr_quorum_find(const jr_quorum_t *q, uint64_t id);
+size_t jr_quorum_majority(const jr_quorum_t *q);
+
+#endif
--- /dev/null
+++ b/src/quorum/replicate.c
@@ -0,0 +1,300 @@
+/* Replication: what a leader sends and what a follower does with it. */
+#include "core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    BATCH_ENTRIES = 1024,
+    BATCH_BYTES = 512 * 1024,
+};
+
+static void
+send_install(jr_quorum_t *q, size_t i)
+{
+    jr_snapshot_t *base = &q->log.base;
+    jr_config_t config = base->config;
+    Jr__Member slots[JR_MEMBERS_MAX];
+    Jr__Member *pointers[JR_MEMBERS_MAX];
+    Jr__Config members;
+    Jr__Snapshot snapshot = JR__SNAPSHOT__INIT;
+    Jr__Install install = JR__INSTALL__INIT;
+    Jr__QuorumMsg message = JR__QUORUM_MSG__INIT;
+
+    jr_config_to_message(&config, &members, slots, pointers);
+    snapshot.index = base->index;
+    snapshot.term = base->term;
+    snapshot.config = &members;
+    snapshot.data.data = base->data;
+    snapshot.data.len = base->len;
+    install.snapshot = &snapshot;
+    install.sent_at = q->now;
+    message.body_case = JR__QUORUM_MSG__BODY_INSTALL;
+    message.install = &install;
+    jr_quorum_send(q, &q->config.members[i], &message);
+}
+
+static size_t
+batch_size(const jr_quorum_t *q, uint64_t first)
+{
+    size_t bytes = 0;
+    size_t n = 0;
+
+    while (n < BATCH_ENTRIES && bytes < BATCH_BYTES &&
+           first + n <= jr_log_last(&q->log)) {
+        bytes += jr_log_get(&q->log, first + n)->len;
+        n++;
+    }
+    return n;
+}
+
+static void
+send_append(jr_quorum_t *q, size_t i, size_t n)
+{
+    uint64_t first = q->progress[i].next;
+    Jr__Entry *slots = jr_alloc(q->ctx, n * sizeof *slots);
+    Jr__Entry **pointers = jr_alloc(q->ctx, n * sizeof(Jr__Entry *));
+    Jr__Append append = JR__APPEND__INIT;
+    Jr__QuorumMsg message = JR__QUORUM_MSG__INIT;
+
+    for (size_t k = 0; k < n; k++) {
+        const jr_entry_t *entry = jr_log_get(&q->log, first + k);
+
+        jr__entry__init(&slots[k]);
+        slots[k].index = entry->index;
+        slots[k].term = entry->term;
+        slots[k].kind = (Jr__Entry__Kind)entry->kind;
+        slots[k].data.data = entry->data;
+        slots[k].data.len = entry->len;
+        pointers[k] = &slots[k];
+    }
+    append.prev_index = first - 1;
+    append.prev_term = jr_log_term(&q->log, first - 1);
+    append.commit = q->commit;
+    append.sent_at = q->now;
+    append.n_entries = n;
+    append.entries = pointers;
+    message.body_case = JR__QUORUM_MSG__BODY_APPEND;
+    message.append = &append;
+    jr_quorum_send(q, &q->config.members[i], &message);
+    jr_free(q->ctx, pointers);
+    jr_free(q->ctx, slots);
+}
+
+void
+jr_quorum_replicate(jr_quorum_t *q, size_t i, bool is_probe)
+{
+    jr_progress_t *progress = &q->progress[i];
+    bool is_busy = progress->busy_until > q->now;
+    size_t n;
+
+    if (progress->id == q->options.self) {
+        return;
+    }
+    if (progress->next <= q->log.base.index) {
+        if (!is_busy) {
+            send_install(q, i);
+            progress->busy_until = q->now + q->options.election_ms;
+        }
+        return;
+    }
+    n = is_busy ? 0 : batch_size(q, progress->next);
+    if (n == 0 && !is_probe) {
+        return;
+    }
+    send_append(q, i, n);
+    if (n > 0) {
+        progress->busy_until = q->now + 2 * q->options.heartbeat_ms;
+    }
+}
+
+static int
+descending(const void *a, const void *b)
+{
+    uint64_t x = *(const uint64_t *)a;
+    uint64_t y = *(const uint64_t *)b;
+
+    return (x < y) - (x > y);
+}
+
+void
+jr_quorum_advance_commit(jr_quorum_t *q)
+{
+    uint64_t matches[JR_MEMBERS_MAX];
+    size_t n = 0;
+    uint64_t agreed;
+
+    for (size_t i = 0; i < q->config.n; i++) {
+        if (!q->config.members[i].voter) {
+            continue;
+        }
+        matches[n++] = q->progress[i].id == q->options.self
+                           ? q->stable
+                           : q->progress[i].match;
+    }
+    if (n == 0) {
+        return;
+    }
+    qsort(matches, n, sizeof matches[0], descending);
+    agreed = matches[n / 2];
+    if (agreed > q->commit && jr_log_term(&q->log, agreed) == q->term) {
+        q->commit = agreed;
+    }
+}
+
+/* The newest index before the term of the entry that does not match. */
+static uint64_t
+conflict_hint(const jr_quorum_t *q, uint64_t prev_index)
+{
+    uint64_t index = prev_index;
+    uint64_t term;
+
+    if (index > jr_log_last(&q->log)) {
+        return jr_log_last(&q->log);
+    }
+    term = jr_log_term(&q->log, index);
+    while (index > q->commit && jr_log_term(&q->log, index) == term) {
+        index--;
+    }
+    return index;
+}
+
+static void
+reply_append(jr_quorum_t *q, const Jr__QuorumMsg *m, bool ok, uint64_t match,
+             int64_t sent_at)
+{
+    Jr__AppendReply body = JR__APPEND_REPLY__INIT;
+    Jr__QuorumMsg reply = JR__QUORUM_MSG__INIT;
+
+    body.ok = ok;
+    body.match = match;
+    body.sent_at = sent_at;
+    reply.body_case = JR__QUORUM_MSG__BODY_APPEND_REPLY;
+    reply.append_reply = &body;
+    jr_quorum_reply(q, m, &reply);
+}
+
+static void
+take_entries(jr_quorum_t *q, const Jr__Append *append)
+{
+    bool is_config_changed = false;
+
+    for (size_t k = 0; k < append->n_entries; k++) {
+        const Jr__Entry *from = append->entries[k];
+        jr_entry_t entry = {
+            .index = from->index,
+            .term = from->term,
+            .kind = (jr_entry_kind_t)from->kind,
+            .data = from->data.data,
+            .len = from->data.len,
+        };
+
+        if (entry.index <= jr_log_last(&q->log)) {
+            if (jr_log_term(&q->log, entry.index) == entry.term) {
+                continue;
+            }
+            jr_log_truncate(q->ctx, &q->log, entry.index);
+            q->stable = MIN(q->stable, entry.index - 1);
+            is_config_changed |= q->config_index >= entry.index;
+        }
+        jr_log_append(q->ctx, &q->log, &entry);
+        is_config_changed |= entry.kind == JR_ENTRY_CONFIG;
+    }
+    if (is_config_changed) {
+        jr_quorum_reload_config(q);
+    }
+}
+
+/* Entries must follow prev_index without a gap. */
+static bool
+is_contiguous(const Jr__Append *append)
+{
+    for (size_t k = 0; k < append->n_entries; k++) {
+        if (append->entries[k]->index != append->prev_index + 1 + k) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+jr_quorum_on_append(jr_quorum_t *q, const Jr__QuorumMsg *m)
+{
+    const Jr__Append *append = m->append;
+    uint64_t end = append->prev_index + append->n_entries;
+
+    jr_quorum_become_follower(q, m->term, m->from);
+    q->heard_leader_at = q->now;
+    if (!is_contiguous(append)) {
+        jr_count(q->ctx, JR_C_BUS_BAD);
+        return;
+    }
+    if (append->prev_index < q->commit) {
+        reply_append(q, m, true, q->commit, append->sent_at);
+        return;
+    }
+    if (append->prev_index > jr_log_last(&q->log) ||
+        jr_log_term(&q->log, append->prev_index) != append->prev_term) {
+        reply_append(q, m, false, conflict_hint(q, append->prev_index),
+                     append->sent_at);
+        return;
+    }
+    take_entries(q, append);
+    q->commit = MAX(q->commit, MIN(append->commit, end));
+    reply_append(q, m, true, end, append->sent_at);
+}
+
+void
+jr_quorum_on_append_reply(jr_quorum_t *q, const Jr__QuorumMsg *m)
+{
+    int i = jr_quorum_find(q, m->from);
+    const Jr__AppendReply *reply = m->append_reply;
+    jr_progress_t *progress;
+
+    if (q->role != JR_LEADER || i < 0) {
+        return;
+    }
+    progress = &q->progress[i];
+    progress->acked_sent_at = MAX(progress->acked_sent_at, reply->sent_at);
+    progress->busy_until = 0;
+    if (!reply->ok) {
+        progress->next = MAX(progress->match, reply->match) + 1;
+        jr_quorum_replicate(q, (size_t)i, true);
+        return;
+    }
+    if (reply->match > jr_log_last(&q->log)) {
+        return;
+    }
+    progress->match = MAX(progress->match, reply->match);
+    progress->next = progress->match + 1;
+    jr_quorum_advance_commit(q);
+    jr_quorum_replicate(q, (size_t)i, false);
+}
+
+void
+jr_quorum_on_install(jr_quorum_t *q, const Jr__QuorumMsg *m)
+{
+    const Jr__Snapshot *from = m->install->snapshot;
+    jr_snapshot_t snapshot = {0};
+
+    jr_quorum_become_follower(q, m->term, m->from);
+    q->heard_leader_at = q->now;
+    if (from == NULL || !jr_config_from_message(from->config,
+                                                &snapshot.config)) {
+        jr_count(q->ctx, JR_C_BUS_BAD);
+        return;
+    }
+    if (from->index > q->commit) {
+        snapshot.index = from->index;
+        snapshot.term = from->term;
+        snapshot.data = from->data.data;
+        snapshot.len = from->data.len;
+        jr_log_rebase(q->ctx, &q->log, &snapshot, false);
+        q->commit = from->index;
+        q->applied = from->index;
+        q->stable = from->index;
+        q->has_install = true;
+        jr_quorum_reload_config(q);
+    }
+    reply_append(q, m, true, q->commit, m->install->sent_at);
+}
--- /dev/null
+++ b/src/relay/relay.c
@@ -0,0 +1,548 @@
+/* Calls from arrival to verdict. */
+#include "jayrelay/relay.h"
+
+#include <string.h>
+
+enum {
+    LOAN_ASK_EVERY_US = 100 * 1000,
+    LOAN_SLOTS = 4,
+    /* A lender keeps this many free slots of an upstream for itself. */
+    LOAN_RESERVE_SLOTS = 1,
+    PEER_BACKOFF_US = 500 * 1000,
+    RETRY_AFTER_MIN_US = 100 * 1000,
+    RETRY_AFTER_NONE_US = 1000 * 1000,
+    DEFAULT_SERVICE_US = 10 * 1000,
+    SWEEP_EVERY_US = 100 * 1000,
+};
+
+/* What a relay keeps for each service that was called. */
+typedef struct {
+    char name[JR_UPSTREAM_NAME_BYTES];
+    jr_queue_t *queue;
+    int64_t loan_asked_at;
+    int next_lender;
+    UT_hash_handle hh;
+} lane_t;
+
+struct jr_relay {
+    jr_ctx_t *ctx;
+    jr_relay_options_t options;
+    jr_upstreams_t *upstreams;
+    jr_budget_t budget;
+    GRand *rng;
+    jr_call_t *calls;
+    lane_t *lanes;
+    uint64_t next_id;
+    uint64_t next_attempt;
+    int next_peer;
+    int64_t peer_backoff[JR_PEERS_MAX];
+    int64_t sweep_at;
+};
+
+static const jr_counter_t refusal_counters[JR_REFUSALS] = {
+    [JR_REFUSE_OVERLOAD] = JR_C_REFUSED_OVERLOAD,
+    [JR_REFUSE_DEADLINE] = JR_C_REFUSED_DEADLINE,
+    [JR_REFUSE_NO_UPSTREAM] = JR_C_REFUSED_NO_UPSTREAM,
+    [JR_REFUSE_DRAINING] = JR_C_REFUSED_DRAINING,
+    [JR_REFUSE_SHED] = JR_C_SHED,
+    [JR_REFUSE_UPSTREAM] = JR_C_REFUSED_UPSTREAM,
+};
+
+static const jr_counter_t retry_counters[] = {
+    [JR_END_FAILED] = JR_C_RETRY_FAILED,
+    [JR_END_NOT_RUN] = JR_C_RETRY_REFUSED,
+    [JR_END_NOT_CONNECTED] = JR_C_RETRY_CONNECT,
+    [JR_END_BROKEN] = JR_C_RETRY_BROKEN,
+    [JR_END_TIMEOUT] = JR_C_RETRY_BROKEN,
+};
+
+static lane_t *
+lane_of(jr_relay_t *relay, const char *service)
+{
+    lane_t *lane;
+
+    HASH_FIND_STR(relay->lanes, service, lane);
+    if (lane == NULL) {
+        lane = jr_alloc(relay->ctx, sizeof *lane);
+        snprintf(lane->name, sizeof lane->name, "%s", service);
+        lane->queue = jr_new_queue(relay->ctx, relay->options.admit);
+        HASH_ADD_STR(relay->lanes, name, lane);
+    }
+    return lane;
+}
+
+static double
+service_time(const jr_service_t *service)
+{
+    return service != NULL && service->latency_us > 0.0
+               ? service->latency_us
+               : DEFAULT_SERVICE_US;
+}
+
+/* Slots of this process that serve a service now. */
+static int
+count_slots(const jr_service_t *service, int64_t now)
+{
+    int slots = 0;
+
+    for (size_t i = 0; service != NULL && i < service->n; i++) {
+        const jr_upstream_t *u = service->upstreams[i];
+
+        if (jr_upstream_is_open(u, now)) {
+            slots += u->share - u->lent + u->borrowed;
+        }
+    }
+    return slots;
+}
+
+static void
+finish(jr_relay_t *relay, jr_call_t *call, const jr_verdict_t *verdict)
+{
+    HASH_DEL(relay->calls, call);
+    relay->options.hooks.finish(relay->options.hooks.user, call, verdict);
+    jr_free(relay->ctx, call);
+}
+
+static void
+finish_unknown(jr_relay_t *relay, jr_call_t *call)
+{
+    jr_verdict_t verdict = {.kind = JR_VERDICT_UNKNOWN};
+
+    jr_count(relay->ctx, JR_C_CALLS_UNKNOWN);
+    finish(relay, call, &verdict);
+}
+
+static void
+refuse(jr_relay_t *relay, jr_call_t *call, jr_refusal_t reason,
+       int64_t retry_after_us)
+{
+    jr_verdict_t verdict = {
+        .kind = JR_VERDICT_NOT_RUN,
+        .as.not_run = {.reason = reason,
+                       .retry_after_us =
+                           MAX(retry_after_us, RETRY_AFTER_MIN_US)},
+    };
+
+    /* "Not run" is said only when no attempt can have run. */
+    if (call->may_have_run) {
+        finish_unknown(relay, call);
+        return;
+    }
+    jr_count(relay->ctx, refusal_counters[reason]);
+    finish(relay, call, &verdict);
+}
+
+static void
+start_attempt(jr_relay_t *relay, jr_call_t *call, jr_upstream_t *upstream,
+              int peer, int64_t now)
+{
+    call->upstream = upstream;
+    call->peer = peer;
+    call->attempt = ++relay->next_attempt;
+    call->attempt_started = now;
+    if (call->attempts++ == 0) {
+        jr_budget_earn(&relay->budget);
+    }
+    if (upstream != NULL) {
+        upstream->in_use++;
+        jr_count(relay->ctx, JR_C_ATTEMPTS);
+    }
+    else {
+        jr_count(relay->ctx, JR_C_FORWARDS);
+    }
+    relay->options.hooks.start(relay->options.hooks.user, call,
+                               call->deadline - now);
+}
+
+/* The next peer of another zone that did not refuse a moment ago, or -1. */
+static int
+choose_peer(jr_relay_t *relay, int64_t now)
+{
+    int n = relay->options.n_other_zones;
+
+    for (int i = 0; i < n; i++) {
+        int peer = relay->next_peer++ % n;
+
+        if (relay->peer_backoff[peer] <= now) {
+            return peer;
+        }
+    }
+    return -1;
+}
+
+static bool
+try_local(jr_relay_t *relay, jr_call_t *call, int64_t now)
+{
+    jr_service_t *service = call->service;
+    jr_upstream_t *upstream;
+
+    if (service == NULL) {
+        return false;
+    }
+    upstream = jr_route_choose(&relay->options.route, service, call->avoid,
+                               relay->rng, now, call->deadline - now);
+    if (upstream == NULL) {
+        return false;
+    }
+    start_attempt(relay, call, upstream, -1, now);
+    return true;
+}
+
+static bool
+try_forward(jr_relay_t *relay, jr_call_t *call, int64_t now)
+{
+    int peer;
+
+    if (call->is_forwarded ||
+        now + 2 * relay->options.crossing_us > call->deadline) {
+        return false;
+    }
+    peer = choose_peer(relay, now);
+    if (peer < 0) {
+        return false;
+    }
+    start_attempt(relay, call, NULL, peer, now);
+    return true;
+}
+
+static void
+ask_for_loan(jr_relay_t *relay, lane_t *lane, int64_t now)
+{
+    int n = relay->options.n_own_zone;
+
+    if (n == 0 || now - lane->loan_asked_at < LOAN_ASK_EVERY_US) {
+        return;
+    }
+    lane->loan_asked_at = now;
+    jr_count(relay->ctx, JR_C_LOANS_ASKED);
+    relay->options.hooks.ask_loan(
+        relay->options.hooks.user,
+        relay->options.n_other_zones + lane->next_lender++ % n, lane->name,
+        LOAN_SLOTS);
+}
+
+static void
+shed_last(jr_relay_t *relay, lane_t *lane)
+{
+    jr_call_t *last = jr_queue_last(lane->queue);
+
+    jr_queue_remove(lane->queue, last);
+    refuse(relay, last, JR_REFUSE_SHED, RETRY_AFTER_NONE_US);
+}
+
+/* No slot is free: wait, go elsewhere, or be refused at once. */
+static void
+place_waiting(jr_relay_t *relay, jr_call_t *call, int64_t now)
+{
+    lane_t *lane = lane_of(relay, call->service_name);
+    int slots = count_slots(call->service, now);
+    double service_us = service_time(call->service);
+    int64_t wait = jr_queue_wait(lane->queue, call, slots, service_us);
+    jr_result_t check;
+
+    if (slots == 0) {
+        if (!try_forward(relay, call, now)) {
+            refuse(relay, call, JR_REFUSE_NO_UPSTREAM, RETRY_AFTER_NONE_US);
+        }
+        return;
+    }
+    ask_for_loan(relay, lane, now);
+    check = jr_queue_check(lane->queue, call, slots, service_us, now);
+    if ((check != JR_OK || wait > 2 * relay->options.crossing_us) &&
+        relay->options.admit == JR_ADMIT_DEADLINE &&
+        try_forward(relay, call, now)) {
+        return;
+    }
+    if (check != JR_OK) {
+        refuse(relay, call,
+               check == JR_DEADLINE ? JR_REFUSE_DEADLINE
+                                    : JR_REFUSE_OVERLOAD,
+               wait);
+        return;
+    }
+    jr_queue_push(lane->queue, call);
+    if (jr_queue_length(lane->queue) > JR_QUEUE_MAX) {
+        shed_last(relay, lane);
+    }
+}
+
+static void
+serve_queue(jr_relay_t *relay, lane_t *lane, int64_t now)
+{
+    jr_service_t *service =
+        jr_upstreams_service(relay->upstreams, lane->name);
+    jr_call_t *call;
+
+    while ((call = jr_queue_late(lane->queue, service_time(service), now)) !=
+           NULL) {
+        jr_queue_remove(lane->queue, call);
+        refuse(relay, call, JR_REFUSE_DEADLINE,
+               (int64_t)service_time(service));
+    }
+    while ((call = jr_queue_first(lane->queue)) != NULL) {
+        call->service = service;
+        jr_queue_remove(lane->queue, call);
+        if (!try_local(relay, call, now)) {
+            jr_queue_push(lane->queue, call);
+            break;
+        }
+    }
+}
+
+jr_relay_t *
+jr_new_relay(jr_ctx_t *ctx, const jr_relay_options_t *options,
+             jr_upstreams_t *upstreams)
+{
+    jr_relay_t *relay = jr_alloc(ctx, sizeof *relay);
+
+    relay->ctx = ctx;
+    relay->options = *options;
+    relay->upstreams = upstreams;
+    relay->rng = g_rand_new_with_seed(options->seed);
+    jr_budget_init(&relay->budget, options->retry, options->retry_percent);
+    return relay;
+}
+
+void
+jr_drop_relay(jr_relay_t *relay)
+{
+    jr_call_t *call, *next_call;
+    lane_t *lane, *next_lane;
+
+    if (relay == NULL) {
+        return;
+    }
+    HASH_ITER(hh, relay->calls, call, next_call) {
+        HASH_DEL(relay->calls, call);
+        jr_free(relay->ctx, call);
+    }
+    HASH_ITER(hh, relay->lanes, lane, next_lane) {
+        HASH_DEL(relay->lanes, lane);
+        jr_drop_queue(lane->queue);
+        jr_free(relay->ctx, lane);
+    }
+    g_rand_free(relay->rng);
+    jr_free(relay->ctx, relay);
+}
+
+void
+jr_relay_call(jr_relay_t *relay, const char *service, int priority,
+              bool is_idempotent, bool is_forwarded, int64_t deadline_us,
+              void *user, int64_t now)
+{
+    jr_call_t *call = jr_alloc(relay->ctx, sizeof *call);
+    lane_t *lane;
+
+    call->id = ++relay->next_id;
+    call->service = jr_upstreams_service(relay->upstreams, service);
+    snprintf(call->service_name, sizeof call->service_name, "%s", service);
+    call->arrived = now;
+    call->deadline = now + deadline_us;
+    call->priority = priority;
+    call->is_idempotent = is_idempotent;
+    call->is_forwarded = is_forwarded;
+    call->user = user;
+    HASH_ADD(hh, relay->calls, id, sizeof call->id, call);
+    jr_count(relay->ctx, JR_C_CALLS);
+    lane = lane_of(relay, service);
+    /* Whoever waits already goes first. */
+    if (jr_queue_first(lane->queue) != NULL ||
+        !try_local(relay, call, now)) {
+        place_waiting(relay, call, now);
+    }
+}
+
+static jr_attempt_result_t
+result_of(jr_attempt_end_t end)
+{
+    switch (end) {
+    case JR_END_ANSWERED:
+        return JR_ATTEMPT_OK;
+    case JR_END_NOT_RUN:
+        return JR_ATTEMPT_REFUSED;
+    case JR_END_FAILED:
+    case JR_END_NOT_CONNECTED:
+    case JR_END_BROKEN:
+    case JR_END_TIMEOUT:
+        return JR_ATTEMPT_FAILED;
+    }
+    return JR_ATTEMPT_FAILED;
+}
+
+static void
+release_slot(jr_relay_t *relay, jr_call_t *call, jr_attempt_end_t end,
+             int64_t now)
+{
+    if (call->upstream != NULL) {
+        call->upstream->in_use--;
+        jr_route_note(relay->ctx, &relay->options.route, call->upstream,
+                      result_of(end), now - call->attempt_started, now);
+    }
+    else if (end != JR_END_ANSWERED && call->peer >= 0) {
+        relay->peer_backoff[call->peer] = now + PEER_BACKOFF_US;
+    }
+    call->avoid = call->upstream;
+    call->upstream = NULL;
+    call->attempt = 0;
+}
+
+static bool
+is_known_not_run(jr_attempt_end_t end)
+{
+    return end == JR_END_NOT_RUN || end == JR_END_NOT_CONNECTED;
+}
+
+static bool
+may_retry(jr_relay_t *relay, const jr_call_t *call, jr_attempt_end_t end,
+          int64_t now)
+{
+    if (!is_known_not_run(end) && !call->is_idempotent) {
+        return false;
+    }
+    if (call->attempts >= JR_ATTEMPTS_MAX || now >= call->deadline) {
+        return false;
+    }
+    if (!jr_budget_spend(&relay->budget)) {
+        jr_count(relay->ctx, JR_C_RETRY_NO_BUDGET);
+        return false;
+    }
+    jr_count(relay->ctx, retry_counters[end]);
+    return true;
+}
+
+/* The end of an attempt is the end of the call. */
+static void
+conclude(jr_relay_t *relay, jr_call_t *call, jr_attempt_end_t end,
+         const void *token)
+{
+    jr_verdict_t verdict = {
+        .kind = JR_VERDICT_ANSWERED,
+        .as.answered = {.token = token},
+    };
+
+    /* A failure report is a whole answer: the caller gets it. */
+    if (end == JR_END_ANSWERED || end == JR_END_FAILED) {
+        jr_count(relay->ctx, JR_C_CALLS_ANSWERED);
+        finish(relay, call, &verdict);
+    }
+    else if (is_known_not_run(end)) {
+        refuse(relay, call, JR_REFUSE_UPSTREAM, RETRY_AFTER_MIN_US);
+    }
+    else {
+        finish_unknown(relay, call);
+    }
+}
+
+bool
+jr_relay_ended(jr_relay_t *relay, uint64_t call_id, uint64_t attempt,
+               jr_attempt_end_t end, const void *token, int64_t now)
+{
+    jr_call_t *call;
+    lane_t *lane;
+
+    HASH_FIND(hh, relay->calls, &call_id, sizeof call_id, call);
+    if (call == NULL || call->attempt != attempt) {
+        jr_count(relay->ctx, JR_C_ANSWER_LATE);
+        return false;
+    }
+    lane = lane_of(relay, call->service_name);
+    release_slot(relay, call, end, now);
+    call->may_have_run |= !is_known_not_run(end);
+    if (end != JR_END_ANSWERED && may_retry(relay, call, end, now)) {
+        if (!try_local(relay, call, now)) {
+            place_waiting(relay, call, now);
+        }
+    }
+    else {
+        conclude(relay, call, end, token);
+    }
+    serve_queue(relay, lane, now);
+    return true;
+}
+
+void
+jr_relay_announced(jr_relay_t *relay, jr_upstream_t *upstream, int64_t now)
+{
+    lane_t *lane;
+
+    if (upstream->service == NULL) {
+        return;
+    }
+    upstream->share =
+        jr_limit_share(upstream->name, upstream->slots,
+                       relay->options.processes, relay->options.n_processes,
+                       relay->options.self);
+    lane = lane_of(relay, upstream->service->name);
+    serve_queue(relay, lane, now);
+}
+
+int
+jr_relay_asked(jr_relay_t *relay, const char *service_name, int slots,
+               jr_upstream_t **upstream, int64_t now)
+{
+    jr_service_t *service =
+        jr_upstreams_service(relay->upstreams, service_name);
+    lane_t *lane = lane_of(relay, service_name);
+    jr_upstream_t *best = NULL;
+    int best_free = LOAN_RESERVE_SLOTS;
+
+    if (service == NULL || jr_queue_first(lane->queue) != NULL) {
+        return 0;
+    }
+    for (size_t i = 0; i < service->n; i++) {
+        jr_upstream_t *u = service->upstreams[i];
+        int own = u->share - u->lent - u->in_use;
+
+        if (jr_upstream_is_open(u, now) && own > best_free) {
+            best = u;
+            best_free = own;
+        }
+    }
+    if (best == NULL) {
+        return 0;
+    }
+    *upstream = best;
+    return jr_limit_lend(relay->ctx, best,
+                         MIN(slots, best_free - LOAN_RESERVE_SLOTS), now);
+}
+
+void
+jr_relay_lent(jr_relay_t *relay, const char *name, int slots,
+              int64_t asked_at, int64_t now)
+{
+    jr_upstream_t *upstream = jr_upstreams_find(relay->upstreams, name);
+
+    if (upstream == NULL || upstream->service == NULL || slots <= 0 ||
+        asked_at + JR_LOAN_US <= now) {
+        return;
+    }
+    jr_limit_borrow(relay->ctx, upstream, slots, asked_at + JR_LOAN_US);
+    serve_queue(relay, lane_of(relay, upstream->service->name), now);
+}
+
+void
+jr_relay_tick(jr_relay_t *relay, int64_t now)
+{
+    jr_upstream_t *upstream, *next_upstream;
+    lane_t *lane, *next_lane;
+
+    if (now >= relay->sweep_at) {
+        relay->sweep_at = now + SWEEP_EVERY_US;
+        HASH_ITER(hh, relay->upstreams->by_name, upstream, next_upstream) {
+            jr_limit_expire(relay->ctx, upstream, now);
+        }
+        jr_upstreams_expire(relay->upstreams, now);
+    }
+    HASH_ITER(hh, relay->lanes, lane, next_lane) {
+        serve_queue(relay, lane, now);
+        if (jr_queue_first(lane->queue) != NULL) {
+            ask_for_loan(relay, lane, now);
+        }
+    }
+}
+
+size_t
+jr_relay_open(const jr_relay_t *relay)
+{
+    return HASH_COUNT(relay->calls);
+}
--- /dev/null
+++ b/src/route/route.c
@@ -0,0 +1,216 @@
+/* The choice of an upstream. */
+#include "jayrelay/route.h"
+
+#include <float.h>
+
+static const double LATENCY_GAIN = 0.1;
+static const double FAILURE_GAIN = 0.2;
+static const double FAILURE_LIMIT = 0.5;
+
+enum {
+    SAMPLES_TO_EJECT = 5,
+    EJECTION_FIRST_US = 5 * 1000 * 1000,
+    EJECTION_MAX_US = 60 * 1000 * 1000,
+    PROBATION_ANSWERS = 3,
+};
+
+static bool
+can_take(const jr_upstream_t *upstream, int64_t now, int64_t timeout_us)
+{
+    int64_t until;
+
+    if (!jr_upstream_is_open(upstream, now) || jr_limit_free(upstream) <= 0) {
+        return false;
+    }
+    if (upstream->probation > 0 && upstream->in_use > 0) {
+        return false;
+    }
+    until = jr_limit_free_until(upstream);
+    return until == INT64_MAX || until - now >= timeout_us;
+}
+
+static jr_upstream_t *
+choose_random(jr_service_t *service, GRand *rng, int64_t now,
+              int64_t timeout_us)
+{
+    size_t start =
+        (size_t)g_rand_int_range(rng, 0, (gint32)service->n);
+
+    for (size_t i = 0; i < service->n; i++) {
+        jr_upstream_t *u = service->upstreams[(start + i) % service->n];
+
+        if (can_take(u, now, timeout_us)) {
+            return u;
+        }
+    }
+    return NULL;
+}
+
+static jr_upstream_t *
+choose_round_robin(jr_service_t *service, int64_t now, int64_t timeout_us)
+{
+    for (size_t i = 0; i < service->n; i++) {
+        jr_upstream_t *u =
+            service->upstreams[service->next++ % service->n];
+
+        if (can_take(u, now, timeout_us)) {
+            return u;
+        }
+    }
+    return NULL;
+}
+
+static jr_upstream_t *
+choose_least(jr_service_t *service, int64_t now, int64_t timeout_us)
+{
+    jr_upstream_t *best = NULL;
+
+    for (size_t i = 0; i < service->n; i++) {
+        jr_upstream_t *u = service->upstreams[i];
+
+        if (can_take(u, now, timeout_us) &&
+            (best == NULL || u->in_use < best->in_use)) {
+            best = u;
+        }
+    }
+    return best;
+}
+
+/* Expected time of an answer; an unknown upstream counts as an average one. */
+static double
+score(const jr_upstream_t *upstream, const jr_upstream_t *avoid)
+{
+    double latency = upstream->latency_us > 0.0
+                         ? upstream->latency_us
+                         : upstream->service->latency_us;
+    double load =
+        (double)upstream->in_use / (double)MAX(upstream->share, 1);
+
+    if (upstream == avoid) {
+        return DBL_MAX / 2.0;
+    }
+    return MAX(latency, 1.0) * (1.0 + load) * (1.0 + 4.0 * upstream->failure);
+}
+
+static jr_upstream_t *
+choose_scored(jr_service_t *service, int candidates,
+              const jr_upstream_t *avoid, GRand *rng, int64_t now,
+              int64_t timeout_us)
+{
+    size_t start = (size_t)g_rand_int_range(rng, 0, (gint32)service->n);
+    jr_upstream_t *best = NULL;
+    double best_score = DBL_MAX;
+    int left = candidates;
+
+    for (size_t i = 0; i < service->n && left > 0; i++) {
+        jr_upstream_t *u = service->upstreams[(start + i) % service->n];
+        double s;
+
+        if (!can_take(u, now, timeout_us)) {
+            continue;
+        }
+        left--;
+        s = score(u, avoid);
+        if (s < best_score) {
+            best = u;
+            best_score = s;
+        }
+    }
+    return best;
+}
+
+jr_upstream_t *
+jr_route_choose(const jr_route_policy_t *policy, jr_service_t *service,
+                const jr_upstream_t *avoid, GRand *rng, int64_t now,
+                int64_t timeout_us)
+{
+    if (service->n == 0) {
+        return NULL;
+    }
+    switch (policy->kind) {
+    case JR_ROUTE_RANDOM:
+        return choose_random(service, rng, now, timeout_us);
+    case JR_ROUTE_ROUND_ROBIN:
+        return choose_round_robin(service, now, timeout_us);
+    case JR_ROUTE_LEAST_IN_FLIGHT:
+        return choose_least(service, now, timeout_us);
+    case JR_ROUTE_SCORED:
+        return choose_scored(service, policy->as.scored.candidates, avoid,
+                             rng, now, timeout_us);
+    }
+    return NULL;
+}
+
+/* At most half of a service's upstreams may be ejected at once. */
+static bool
+may_eject(const jr_service_t *service, int64_t now)
+{
+    size_t ejected = 0;
+
+    for (size_t i = 0; i < service->n; i++) {
+        ejected += service->upstreams[i]->ejected_until > now;
+    }
+    return 2 * (ejected + 1) <= service->n;
+}
+
+static void
+eject(jr_ctx_t *ctx, jr_upstream_t *upstream, int64_t now)
+{
+    upstream->ejection_us =
+        upstream->ejection_us == 0
+            ? EJECTION_FIRST_US
+            : MIN(2 * upstream->ejection_us, EJECTION_MAX_US);
+    upstream->ejected_until = now + upstream->ejection_us;
+    upstream->probation = PROBATION_ANSWERS;
+    upstream->failure = 0.0;
+    /* On probation the next failures count at once. */
+    upstream->samples = SAMPLES_TO_EJECT - 1;
+    jr_count(ctx, JR_C_EJECTIONS);
+    jr_log(ctx, JR_EV_UPSTREAM_EJECTED, "%s for %lld ms", upstream->name,
+           (long long)upstream->ejection_us / 1000);
+}
+
+static void
+note_ok(jr_ctx_t *ctx, jr_upstream_t *upstream, int64_t latency_us)
+{
+    double *mean = &upstream->latency_us;
+
+    *mean = *mean == 0.0 ? (double)latency_us
+                         : *mean + LATENCY_GAIN * ((double)latency_us - *mean);
+    upstream->failure -= FAILURE_GAIN * upstream->failure;
+    if (upstream->probation > 0 && --upstream->probation == 0) {
+        upstream->ejection_us = 0;
+        jr_log(ctx, JR_EV_UPSTREAM_READMITTED, "%s", upstream->name);
+    }
+    if (upstream->service != NULL) {
+        mean = &upstream->service->latency_us;
+        *mean = *mean == 0.0
+                    ? (double)latency_us
+                    : *mean + LATENCY_GAIN * ((double)latency_us - *mean);
+    }
+}
+
+void
+jr_route_note(jr_ctx_t *ctx, const jr_route_policy_t *policy,
+              jr_upstream_t *upstream, jr_attempt_result_t result,
+              int64_t latency_us, int64_t now)
+{
+    switch (result) {
+    case JR_ATTEMPT_OK:
+        upstream->samples++;
+        note_ok(ctx, upstream, latency_us);
+        break;
+    case JR_ATTEMPT_FAILED:
+        upstream->samples++;
+        upstream->failure += FAILURE_GAIN * (1.0 - upstream->failure);
+        if (policy->kind == JR_ROUTE_SCORED && upstream->service != NULL &&
+            (upstream->failure > FAILURE_LIMIT || upstream->probation > 0) &&
+            upstream->samples >= SAMPLES_TO_EJECT &&
+            may_eject(upstream->service, now)) {
+            eject(ctx, upstream, now);
+        }
+        break;
+    case JR_ATTEMPT_REFUSED:
+        break;
+    }
+}
--- /dev/null
+++ b/src/rules/register.c
@@ -0,0 +1,169 @@
+/* The replicated register of the rules in force. */
+#include "jayrelay/rules.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "rules/rules.pb-c.h"
+
+/* Accepted versions that a resend can still be answered from. */
+enum { HISTORY = 1024 };
+
+typedef struct {
+    uint64_t version;
+    uint64_t hash;
+} accepted_t;
+
+struct jr_register {
+    jr_ctx_t *ctx;
+    uint64_t version;
+    char *text;
+    accepted_t history[HISTORY]; /* a ring by order of acceptance */
+    uint64_t n_accepted;
+};
+
+static uint64_t
+hash_text(const char *text)
+{
+    return XXH64(text, strlen(text), 0);
+}
+
+static const accepted_t *
+find_accepted(const jr_register_t *reg, uint64_t version)
+{
+    uint64_t n = reg->n_accepted < HISTORY ? reg->n_accepted : HISTORY;
+
+    for (uint64_t i = 0; i < n; i++) {
+        if (reg->history[i].version == version) {
+            return &reg->history[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+accept(jr_register_t *reg, uint64_t version, const char *text)
+{
+    char *copy = jr_strdup(reg->ctx, text);
+
+    jr_free(reg->ctx, reg->text);
+    reg->text = copy;
+    reg->version = version;
+    reg->history[reg->n_accepted % HISTORY] =
+        (accepted_t){.version = version, .hash = hash_text(text)};
+    reg->n_accepted++;
+}
+
+jr_register_t *
+jr_new_register(jr_ctx_t *ctx)
+{
+    jr_register_t *reg = jr_alloc(ctx, sizeof *reg);
+
+    reg->ctx = ctx;
+    reg->text = jr_strdup(ctx, "");
+    return reg;
+}
+
+void
+jr_drop_register(jr_register_t *reg)
+{
+    if (reg == NULL) {
+        return;
+    }
+    jr_free(reg->ctx, reg->text);
+    jr_free(reg->ctx, reg);
+}
+
+jr_register_result_t
+jr_register_apply(jr_register_t *reg, uint64_t version, const char *text)
+{
+    jr_register_result_t result = {.code = JR_OK};
+    const accepted_t *earlier;
+
+    if (version > reg->version) {
+        accept(reg, version, text);
+    }
+    else {
+        earlier = find_accepted(reg, version);
+        if (earlier == NULL) {
+            result.code = JR_RULES_OLD;
+        }
+        else if (earlier->hash != hash_text(text)) {
+            result.code = JR_RULES_CONFLICT;
+        }
+    }
+    result.version = reg->version;
+    result.text = reg->text;
+    return result;
+}
+
+const char *
+jr_register_text(const jr_register_t *reg)
+{
+    return reg->text;
+}
+
+uint64_t
+jr_register_version(const jr_register_t *reg)
+{
+    return reg->version;
+}
+
+uint8_t *
+jr_register_save(const jr_register_t *reg, size_t *len)
+{
+    uint64_t n = reg->n_accepted < HISTORY ? reg->n_accepted : HISTORY;
+    uint64_t first = reg->n_accepted - n;
+    Jr__RulesAccepted *slots = jr_alloc(reg->ctx, n * sizeof *slots);
+    Jr__RulesAccepted **history =
+        jr_alloc(reg->ctx, n * sizeof(Jr__RulesAccepted *));
+    Jr__RulesText current = JR__RULES_TEXT__INIT;
+    Jr__RulesSnapshot snapshot = JR__RULES_SNAPSHOT__INIT;
+    uint8_t *bytes;
+
+    for (uint64_t i = 0; i < n; i++) {
+        const accepted_t *accepted = &reg->history[(first + i) % HISTORY];
+
+        jr__rules_accepted__init(&slots[i]);
+        slots[i].version = accepted->version;
+        slots[i].hash = accepted->hash;
+        history[i] = &slots[i];
+    }
+    current.version = reg->version;
+    current.text = reg->text;
+    snapshot.n_history = n;
+    snapshot.history = history;
+    snapshot.current = &current;
+    bytes = jr_alloc(reg->ctx,
+                     jr__rules_snapshot__get_packed_size(&snapshot) + 1);
+    *len = jr__rules_snapshot__pack(&snapshot, bytes);
+    jr_free(reg->ctx, history);
+    jr_free(reg->ctx, slots);
+    return bytes;
+}
+
+bool
+jr_register_load(jr_register_t *reg, const uint8_t *bytes, size_t len)
+{
+    Jr__RulesSnapshot *snapshot =
+        jr__rules_snapshot__unpack(NULL, len, bytes);
+    bool ok = snapshot != NULL && snapshot->current != NULL &&
+              snapshot->n_history <= HISTORY;
+
+    if (ok) {
+        for (size_t i = 0; i < snapshot->n_history; i++) {
+            reg->history[i] = (accepted_t){
+                .version = snapshot->history[i]->version,
+                .hash = snapshot->history[i]->hash,
+            };
+        }
+        reg->n_accepted = snapshot->n_history;
+        reg->version = snapshot->current->version;
+        jr_free(reg->ctx, reg->text);
+        reg->text = jr_strdup(reg->ctx, snapshot->current->text);
+    }
+    if (snapshot != NULL) {
+        jr__rules_snapshot__free_unpacked(snapshot, NULL);
+    }
+    return ok;
+}
