--- /dev/null
+++ b/src/rules/rules.c
@@ -0,0 +1,534 @@
+/* Reading and checking a rules file. */
+#include "jayrelay/rules.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    PRIORITY_MAX = 100,
+    PERCENT_MAX = 100,
+    WEIGHT_MAX = 10,
+    TARGET_MAX_MS = 3600 * 1000,
+    QUANTITY_MAX = 1000 * 1000 * 1000,
+    MILLI = 1000,
+    MB_PER_GB = 1024,
+    WORDS_MAX = 16,
+    DEFAULT_WEIGHT = 1,
+};
+
+static const char ASKED_FOR_BY[] = "asked for by ";
+
+typedef struct {
+    jr_ctx_t *ctx;
+    jr_rules_t *rules;
+    jr_rule_problems_t *problems;
+    size_t n_problems;
+    int line;
+    const char *raw;         /* the line as written */
+    int n;                   /* words on the line */
+    char **words;            /* unquoted */
+    int columns[WORDS_MAX];  /* of each word, from 1 */
+    bool seen_weights[3];
+} parser_t;
+
+static void __attribute__((format(printf, 3, 4)))
+problem(parser_t *p, int column, const char *format, ...)
+{
+    jr_rule_problem_t found = {.line = p->line, .column = column};
+    va_list args;
+
+    va_start(args, format);
+    vsnprintf(found.text, sizeof found.text, format, args);
+    va_end(args);
+    if (p->n_problems == 0) {
+        jr_fail(p->ctx, JR_RULES, "line %d, column %d: %s", found.line,
+                found.column, found.text);
+    }
+    if (p->problems != NULL && p->problems->n < JR_RULE_PROBLEMS_MAX) {
+        p->problems->problems[p->problems->n++] = found;
+    }
+    p->n_problems++;
+}
+
+static int
+end_column(const parser_t *p)
+{
+    return (int)strlen(p->raw) + 1;
+}
+
+/* A number with one of the units, which may be ""; -1 on a problem. */
+static int64_t
+read_number(parser_t *p, int word, const char *unit, int64_t scale,
+            int64_t max)
+{
+    const char *text = p->words[word];
+    char *end;
+    long long value;
+
+    errno = 0;
+    value = strtoll(text, &end, 10);
+    if (end == text || errno != 0 || strcmp(end, unit) != 0 || value < 0 ||
+        value > max / scale) {
+        problem(p, p->columns[word],
+                "'%.40s' is not a whole number from 0 to %lld%s%s", text,
+                (long long)(max / scale), *unit != '\0' ? " with unit " : "",
+                unit);
+        return -1;
+    }
+    return value * scale;
+}
+
+static int64_t
+read_target(parser_t *p, int word)
+{
+    int64_t value;
+
+    if (g_str_has_suffix(p->words[word], "ms")) {
+        value = read_number(p, word, "ms", 1, TARGET_MAX_MS);
+    }
+    else {
+        value = read_number(p, word, "s", MILLI, TARGET_MAX_MS);
+    }
+    if (value == 0) {
+        problem(p, p->columns[word], "a target of 0 can never be met");
+    }
+    return value;
+}
+
+static int64_t
+read_memory(parser_t *p, int word)
+{
+    if (g_str_has_suffix(p->words[word], "G")) {
+        return read_number(p, word, "G", MB_PER_GB, QUANTITY_MAX);
+    }
+    return read_number(p, word, "M", 1, QUANTITY_MAX);
+}
+
+static bool
+read_name(parser_t *p, char *to)
+{
+    const char *name;
+
+    if (p->n < 2) {
+        problem(p, end_column(p), "'%s' needs a name", p->words[0]);
+        return false;
+    }
+    name = p->words[1];
+    if (strlen(name) >= JR_RULE_NAME_BYTES || *name == '\0') {
+        problem(p, p->columns[1], "a name has 1 to %d characters",
+                JR_RULE_NAME_BYTES - 1);
+        return false;
+    }
+    for (const char *c = name; *c != '\0'; c++) {
+        if (!g_ascii_isalnum(*c) && strchr("-_.", *c) == NULL) {
+            problem(p, p->columns[1],
+                    "a name has letters, digits, '-', '_' and '.' only");
+            return false;
+        }
+    }
+    g_strlcpy(to, name, JR_RULE_NAME_BYTES);
+    return true;
+}
+
+/* The keys of a rule, each followed by its value. */
+typedef struct {
+    const char *key;
+    int word; /* where its value stands, 0 when it is missing */
+    bool is_required;
+} keyword_t;
+
+static bool
+read_keys(parser_t *p, int first, keyword_t *keys, size_t n)
+{
+    size_t before = p->n_problems;
+
+    for (int w = first; w < p->n; w += 2) {
+        size_t k = 0;
+
+        while (k < n && strcmp(keys[k].key, p->words[w]) != 0) {
+            k++;
+        }
+        if (k == n) {
+            problem(p, p->columns[w], "'%.40s' is not known here; '%s' is",
+                    p->words[w], keys[0].key);
+            return false;
+        }
+        if (keys[k].word != 0) {
+            problem(p, p->columns[w], "'%s' is given twice", keys[k].key);
+            return false;
+        }
+        if (w + 1 >= p->n) {
+            problem(p, end_column(p), "'%s' needs a value", keys[k].key);
+            return false;
+        }
+        keys[k].word = w + 1;
+    }
+    for (size_t k = 0; k < n; k++) {
+        if (keys[k].is_required && keys[k].word == 0) {
+            problem(p, end_column(p), "'%s' is missing", keys[k].key);
+        }
+    }
+    return p->n_problems == before;
+}
+
+static void
+on_version(parser_t *p)
+{
+    int64_t version;
+
+    if (p->n != 2) {
+        problem(p, p->columns[0], "write 'version N'");
+        return;
+    }
+    if (p->rules->version != 0) {
+        problem(p, p->columns[0], "the version is given twice");
+        return;
+    }
+    version = read_number(p, 1, "", 1, INT64_MAX);
+    if (version == 0) {
+        problem(p, p->columns[1], "versions start at 1");
+    }
+    p->rules->version = version > 0 ? (uint64_t)version : 1;
+}
+
+/* Room for one more element in an array of the rules. */
+static void *
+grow(parser_t *p, void *array, size_t n, size_t size)
+{
+    return jr_resize(p->ctx, array, (n + 1) * size);
+}
+
+static void
+on_service(parser_t *p)
+{
+    keyword_t keys[] = {{"target", 0, true}, {"priority", 0, true}};
+    jr_service_rule_t rule = {0};
+    jr_rules_t *rules = p->rules;
+
+    if (!read_name(p, rule.name) || !read_keys(p, 2, keys, 2)) {
+        return;
+    }
+    rule.target_ms = read_target(p, keys[0].word);
+    rule.priority = (int)read_number(p, keys[1].word, "", 1, PRIORITY_MAX);
+    for (size_t i = 0; i < rules->n_services; i++) {
+        if (strcmp(rules->services[i].name, rule.name) == 0) {
+            problem(p, p->columns[1], "service '%s' has a rule already",
+                    rule.name);
+        }
+    }
+    rules->services =
+        grow(p, rules->services, rules->n_services, sizeof rule);
+    rules->services[rules->n_services++] = rule;
+}
+
+static void
+on_class(parser_t *p)
+{
+    keyword_t keys[] = {{"rate", 0, true}, {"priority", 0, true}};
+    jr_class_rule_t rule = {0};
+    jr_rules_t *rules = p->rules;
+    int sum = 0;
+
+    if (!read_name(p, rule.name) || !read_keys(p, 2, keys, 2)) {
+        return;
+    }
+    rule.rate_percent =
+        (int)read_number(p, keys[0].word, "%", 1, PERCENT_MAX);
+    rule.priority = (int)read_number(p, keys[1].word, "", 1, PRIORITY_MAX);
+    for (size_t i = 0; i < rules->n_classes; i++) {
+        sum += rules->classes[i].rate_percent;
+        if (strcmp(rules->classes[i].name, rule.name) == 0) {
+            problem(p, p->columns[1], "class '%s' has a rule already",
+                    rule.name);
+        }
+    }
+    if (sum + rule.rate_percent > PERCENT_MAX) {
+        problem(p, p->columns[keys[0].word],
+                "the paid-for rates add up to %d%%; 100%% is all there is",
+                sum + rule.rate_percent);
+    }
+    rules->classes = grow(p, rules->classes, rules->n_classes, sizeof rule);
+    rules->classes[rules->n_classes++] = rule;
+}
+
+static void
+on_team(parser_t *p)
+{
+    keyword_t keys[] = {
+        {"cpu", 0, false}, {"memory", 0, false}, {"tasks", 0, false}};
+    jr_team_rule_t rule = {0};
+    jr_rules_t *rules = p->rules;
+
+    if (!read_name(p, rule.name) || !read_keys(p, 2, keys, 3)) {
+        return;
+    }
+    if (keys[0].word != 0) {
+        rule.cpu_milli =
+            read_number(p, keys[0].word, "", MILLI, QUANTITY_MAX);
+    }
+    if (keys[1].word != 0) {
+        rule.memory_mb = read_memory(p, keys[1].word);
+    }
+    if (keys[2].word != 0) {
+        rule.tasks = read_number(p, keys[2].word, "", 1, QUANTITY_MAX);
+    }
+    for (size_t i = 0; i < rules->n_teams; i++) {
+        if (strcmp(rules->teams[i].name, rule.name) == 0) {
+            problem(p, p->columns[1], "team '%s' has a rule already",
+                    rule.name);
+        }
+    }
+    rules->teams = grow(p, rules->teams, rules->n_teams, sizeof rule);
+    rules->teams[rules->n_teams++] = rule;
+}
+
+static void
+on_weight(parser_t *p)
+{
+    static const char *const names[] = {"tail", "throughput", "evictions"};
+    int *values[] = {&p->rules->weights.tail, &p->rules->weights.throughput,
+                     &p->rules->weights.evictions};
+
+    if (p->n != 3) {
+        problem(p, p->columns[0], "write 'weight NAME N'");
+        return;
+    }
+    for (size_t i = 0; i < 3; i++) {
+        if (strcmp(p->words[1], names[i]) != 0) {
+            continue;
+        }
+        if (p->seen_weights[i]) {
+            problem(p, p->columns[1], "weight '%s' is given twice", names[i]);
+        }
+        p->seen_weights[i] = true;
+        *values[i] = (int)read_number(p, 2, "", 1, WEIGHT_MAX);
+        return;
+    }
+    problem(p, p->columns[1],
+            "weights are 'tail', 'throughput' and 'evictions'");
+}
+
+static const struct {
+    const char *word;
+    void (*on_rule)(parser_t *p);
+} rule_kinds[] = {
+    {"version", on_version}, {"service", on_service}, {"class", on_class},
+    {"team", on_team},       {"weight", on_weight},
+};
+
+static void
+on_rule(parser_t *p)
+{
+    if (p->rules->version == 0 && strcmp(p->words[0], "version") != 0) {
+        problem(p, 1, "the first rule must be 'version N'");
+        p->rules->version = 1;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(rule_kinds); i++) {
+        if (strcmp(p->words[0], rule_kinds[i].word) == 0) {
+            rule_kinds[i].on_rule(p);
+            return;
+        }
+    }
+    problem(p, p->columns[0],
+            "'%.40s' is no rule; 'version', 'service', 'class', 'team' and "
+            "'weight' are",
+            p->words[0]);
+}
+
+/* Where each word starts in the line as written. */
+static void
+find_columns(parser_t *p)
+{
+    const char *at = p->raw;
+
+    for (int i = 0; i < p->n; i++) {
+        const char *found = strstr(at, p->words[i]);
+
+        p->columns[i] = (int)((found != NULL ? found : at) - p->raw) + 1;
+        at = found != NULL ? found + strlen(p->words[i]) : at;
+    }
+}
+
+/* The comment must say who asked for the rule. */
+static void
+check_comment(parser_t *p, const char *comment)
+{
+    const char *who;
+
+    if (comment == NULL) {
+        problem(p, end_column(p),
+                "the rule needs '# asked for by NAME' at its end");
+        return;
+    }
+    who = comment + 1;
+    while (*who == ' ') {
+        who++;
+    }
+    if (strncmp(who, ASKED_FOR_BY, strlen(ASKED_FOR_BY)) != 0 ||
+        who[strlen(ASKED_FOR_BY)] == '\0') {
+        problem(p, (int)(comment - p->raw) + 1,
+                "the comment must read '# asked for by NAME'");
+    }
+}
+
+/* The '#' that starts a comment: outside quotes, at the start of a word. */
+static char *
+find_comment(char *line)
+{
+    char quote = '\0';
+
+    for (char *c = line; *c != '\0'; c++) {
+        if (quote != '\0') {
+            quote = *c == quote ? '\0' : quote;
+        }
+        else if (*c == '"' || *c == '\'') {
+            quote = *c;
+        }
+        else if (*c == '#' && (c == line || c[-1] == ' ' || c[-1] == '\t')) {
+            return c;
+        }
+    }
+    return NULL;
+}
+
+static void
+on_line(parser_t *p, char *line)
+{
+    char *comment;
+    GError *error = NULL;
+    char *rule;
+
+    g_strchomp(line);
+    p->raw = line;
+    comment = find_comment(line);
+    rule = comment != NULL ? g_strndup(line, (gsize)(comment - line))
+                           : g_strdup(line);
+    g_strstrip(rule);
+    if (*rule == '\0') {
+        g_free(rule);
+        return;
+    }
+    if (!g_utf8_validate(line, -1, NULL)) {
+        problem(p, 1, "the line is not valid UTF-8");
+    }
+    else if (!g_shell_parse_argv(rule, &p->n, &p->words, &error)) {
+        problem(p, 1, "%.100s", error->message);
+        g_error_free(error);
+    }
+    else if (p->n > WORDS_MAX) {
+        problem(p, 1, "a rule has at most %d words", WORDS_MAX);
+        g_strfreev(p->words);
+    }
+    else {
+        find_columns(p);
+        check_comment(p, comment);
+        on_rule(p);
+        g_strfreev(p->words);
+    }
+    g_free(rule);
+}
+
+static int
+by_name(const void *a, const void *b)
+{
+    /* Each kind of rule begins with its name. */
+    return strcmp(a, b);
+}
+
+jr_rules_t *
+jr_new_rules(jr_ctx_t *ctx, const char *text, jr_rule_problems_t *problems)
+{
+    parser_t p = {.ctx = ctx, .problems = problems};
+    jr_rules_t *rules = jr_alloc(ctx, sizeof *rules);
+    char **lines;
+
+    rules->refs = 1;
+    rules->ctx = ctx;
+    rules->weights = (jr_weights_t){.tail = DEFAULT_WEIGHT,
+                                    .throughput = DEFAULT_WEIGHT,
+                                    .evictions = DEFAULT_WEIGHT};
+    p.rules = rules;
+    if (problems != NULL) {
+        problems->n = 0;
+    }
+    if (strlen(text) > JR_RULES_MAX_BYTES) {
+        p.line = 1;
+        problem(&p, 1, "the file has more than %d bytes", JR_RULES_MAX_BYTES);
+    }
+    else {
+        lines = g_strsplit(text, "\n", -1);
+        for (int i = 0; lines[i] != NULL; i++) {
+            p.line = i + 1;
+            on_line(&p, lines[i]);
+        }
+        g_strfreev(lines);
+    }
+    if (rules->version == 0 && p.n_problems == 0) {
+        p.line = 1;
+        problem(&p, 1, "the file must begin with 'version N'");
+    }
+    if (p.n_problems > 0) {
+        jr_drop_rules(rules);
+        return NULL;
+    }
+    if (rules->n_services > 0) {
+        qsort(rules->services, rules->n_services, sizeof(jr_service_rule_t),
+              by_name);
+    }
+    if (rules->n_classes > 0) {
+        qsort(rules->classes, rules->n_classes, sizeof(jr_class_rule_t),
+              by_name);
+    }
+    if (rules->n_teams > 0) {
+        qsort(rules->teams, rules->n_teams, sizeof(jr_team_rule_t), by_name);
+    }
+    return rules;
+}
+
+jr_rules_t *
+jr_keep_rules(jr_rules_t *rules)
+{
+    rules->refs++;
+    return rules;
+}
+
+void
+jr_drop_rules(jr_rules_t *rules)
+{
+    if (rules == NULL || --rules->refs > 0) {
+        return;
+    }
+    jr_free(rules->ctx, rules->services);
+    jr_free(rules->ctx, rules->classes);
+    jr_free(rules->ctx, rules->teams);
+    jr_free(rules->ctx, rules);
+}
+
+static const void *
+find_rule(const void *array, size_t n, size_t size, const char *name)
+{
+    return n > 0 ? bsearch(name, array, n, size, by_name) : NULL;
+}
+
+const jr_service_rule_t *
+jr_rules_service(const jr_rules_t *rules, const char *name)
+{
+    return find_rule(rules->services, rules->n_services,
+                     sizeof(jr_service_rule_t), name);
+}
+
+const jr_class_rule_t *
+jr_rules_class(const jr_rules_t *rules, const char *name)
+{
+    return find_rule(rules->classes, rules->n_classes,
+                     sizeof(jr_class_rule_t), name);
+}
+
+const jr_team_rule_t *
+jr_rules_team(const jr_rules_t *rules, const char *name)
+{
+    return find_rule(rules->teams, rules->n_teams, sizeof(jr_team_rule_t),
+                     name);
+}
