--- a/fakes/executor/main.c
+++ b/fakes/executor/main.c
@@ -95,8 +95,7 @@
     fflush(executor->log);
     run->executor = executor;
     run->exchange = exchange;
-    ev_timer_init(&run->timer, on_run_ended, executor->delay_ms / 1000.0,
-                  0.0);
+    ev_timer_init(&run->timer, on_run_ended, executor->delay_ms / 1000.0, 0.0);
     run->timer.data = run;
     ev_timer_start(executor->loop, &run->timer);
 }
@@ -142,9 +141,8 @@
              "{\"name\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"rack\":"
              "\"%s\",\"service\":\"%s\",\"slots\":%d,\"connections\":%d,"
              "\"incarnation\":%llu,\"sequence\":%llu,\"leaving\":%s}",
-             executor->name, executor->listen, executor->zone,
-             executor->rack, executor->service, executor->slots,
-             executor->connections,
+             executor->name, executor->listen, executor->zone, executor->rack,
+             executor->service, executor->slots, executor->connections,
              (unsigned long long)executor->incarnation,
              (unsigned long long)++executor->sequence,
              executor->is_leaving ? "true" : "false");
@@ -159,9 +157,9 @@
             .handler = on_announced,
         };
 
-        snprintf(url, sizeof url, "http://%s/v1/upstreams",
-                 executor->entries[executor->next_entry++ %
-                                   executor->n_entries]);
+        snprintf(
+            url, sizeof url, "http://%s/v1/upstreams",
+            executor->entries[executor->next_entry++ % executor->n_entries]);
         jr_client_fetch(executor->client, &fetch);
     }
 }
@@ -259,8 +257,7 @@
         fprintf(stderr, "fake-executor: cannot start\n");
         return 1;
     }
-    ev_timer_init(&executor.announce, on_announce, 0.0,
-                  ANNOUNCE_MS / 1000.0);
+    ev_timer_init(&executor.announce, on_announce, 0.0, ANNOUNCE_MS / 1000.0);
     executor.announce.data = &executor;
     ev_timer_start(executor.loop, &executor.announce);
     ev_signal_init(&executor.sigterm, on_signal, SIGTERM);
--- a/fakes/load/main.c
+++ b/fakes/load/main.c
@@ -65,8 +65,7 @@
 count_refusal(load_t *load, const jr_fetched_t *fetched)
 {
     json_t *answer = json_loadb(fetched->body, fetched->len, 0, NULL);
-    const char *reason =
-        json_string_value(json_object_get(answer, "reason"));
+    const char *reason = json_string_value(json_object_get(answer, "reason"));
     char *key = g_strdup(reason != NULL ? reason : "none");
     gpointer n = g_hash_table_lookup(load->refusals, key);
 
@@ -101,8 +100,8 @@
     call_try_t *attempt = user;
     load_t *load = attempt->load;
     call_t *call = attempt->call;
-    bool may_resend = call->tries < RESEND_MAX &&
-                      (call->is_idempotent || call->is_keyed);
+    bool may_resend =
+        call->tries < RESEND_MAX && (call->is_idempotent || call->is_keyed);
 
     free(attempt);
     call->latency_us = (double)(jr_clock_us() - call->sent_at);
@@ -219,8 +218,7 @@
 static void
 ask_job(load_t *load, job_t *job)
 {
-    static const char *const classes[] = {"cure-study", "allocation",
-                                          "watch"};
+    static const char *const classes[] = {"cure-study", "allocation", "watch"};
     job_try_t *attempt = malloc(sizeof *attempt);
     char url[128], body[512];
     bool is_new = job->id[0] == '\0';
--- a/fakes/load/report.c
+++ b/fakes/load/report.c
@@ -69,8 +69,7 @@
     else if (strncmp(line, "over ", 5) == 0) {
         seen->over_slots++;
     }
-    else if (sscanf(line, "%15s %31s %lld %lld", what, id, &epoch, &at) ==
-             4) {
+    else if (sscanf(line, "%15s %31s %lld %lld", what, id, &epoch, &at) == 4) {
         if (strcmp(what, "start") == 0) {
             add_span(seen, id, epoch, at);
         }
@@ -118,8 +117,7 @@
         for (guint k = 0; k < i; k++) {
             const span_t *b = &g_array_index(seen->spans, span_t, k);
 
-            if (strcmp(a->id, b->id) == 0 &&
-                (b->to < 0 || a->from < b->to) &&
+            if (strcmp(a->id, b->id) == 0 && (b->to < 0 || a->from < b->to) &&
                 (a->to < 0 || b->from < a->to)) {
                 overlaps++;
             }
@@ -212,8 +210,7 @@
     printf("  %-38s %8d\n", "calls without any answer", t->pending);
     printf("  %-38s %8d\n", "wrong or mixed answers", t->wrong);
     printf("  %-38s %8d\n", "not idempotent, run twice", t->doubled);
-    printf("  %-38s %8d\n", "refused as not run, but ran",
-           t->false_not_run);
+    printf("  %-38s %8d\n", "refused as not run, but ran", t->false_not_run);
     printf("  %-38s %8d\n", "calls beyond an executor's slots",
            seen->over_slots);
     printf("  %-38s %8.1f\n", "p50 of answered calls, ms",
@@ -250,8 +247,7 @@
     g_array_sort(load->latencies, by_value);
     print(load, &t, &seen);
     return t.wrong + t.doubled + t.false_not_run + t.overlaps +
-                       t.doubled_jobs + t.lost + t.pending +
-                       seen.over_slots >
+                       t.doubled_jobs + t.lost + t.pending + seen.over_slots >
                    0
                ? 1
                : 0;
--- a/fakes/worker/main.c
+++ b/fakes/worker/main.c
@@ -66,7 +66,8 @@
 {
     task_t *task;
 
-    TAILQ_FOREACH(task, &worker->tasks, link) {
+    TAILQ_FOREACH(task, &worker->tasks, link)
+    {
         if (strcmp(task->id, id) == 0 && task->epoch == epoch) {
             return task;
         }
@@ -102,7 +103,8 @@
     int64_t now = jr_clock_ms();
     task_t *task;
 
-    TAILQ_FOREACH(task, &worker->tasks, link) {
+    TAILQ_FOREACH(task, &worker->tasks, link)
+    {
         if (task->state != RUNNING) {
             continue;
         }
@@ -165,8 +167,7 @@
     const char *id = json_string_value(json_object_get(assignment, "id"));
     const char *action =
         json_string_value(json_object_get(assignment, "action"));
-    long long epoch =
-        json_integer_value(json_object_get(assignment, "epoch"));
+    long long epoch = json_integer_value(json_object_get(assignment, "epoch"));
     json_t *spec = json_object_get(assignment, "spec");
     task_t *task;
 
@@ -224,7 +225,8 @@
     json_t *tasks = json_array();
     task_t *task;
 
-    TAILQ_FOREACH(task, &worker->tasks, link) {
+    TAILQ_FOREACH(task, &worker->tasks, link)
+    {
         char checkpoint[32];
 
         snprintf(checkpoint, sizeof checkpoint, "%lld", task->checkpoint_ms);
@@ -262,10 +264,10 @@
     }
     snprintf(name, sizeof name, "%s/%llx", worker->name,
              (unsigned long long)worker->incarnation);
-    body = json_pack("{s:s, s:s, s:s, s:b, s:{s:i, s:i, s:i}, s:o}",
-                     "worker", name, "zone", worker->zone, "rack",
-                     worker->rack, "leaving", (int)worker->is_leaving,
-                     "capacity", "cpu_milli", worker->cpu_milli, "memory_mb",
+    body = json_pack("{s:s, s:s, s:s, s:b, s:{s:i, s:i, s:i}, s:o}", "worker",
+                     name, "zone", worker->zone, "rack", worker->rack,
+                     "leaving", (int)worker->is_leaving, "capacity",
+                     "cpu_milli", worker->cpu_milli, "memory_mb",
                      worker->memory_mb, "accelerators", worker->accelerators,
                      "tasks", tasks_to_json(worker));
     text = json_dumps(body, JSON_COMPACT);
@@ -301,7 +303,8 @@
     (void)loop;
     (void)events;
     worker->is_leaving = true;
-    TAILQ_FOREACH(task, &worker->tasks, link) {
+    TAILQ_FOREACH(task, &worker->tasks, link)
+    {
         end(worker, task, STOPPED);
     }
 }
@@ -348,8 +351,8 @@
 int
 main(int argc, char **argv)
 {
-    worker_t worker = {.cpu_milli = 16000, .memory_mb = 60000,
-                       .every_ms = 200};
+    worker_t worker = {
+        .cpu_milli = 16000, .memory_mb = 60000, .every_ms = 200};
 
     signal(SIGPIPE, SIG_IGN);
     worker.zone = g_strdup("a");
--- a/include/jayrelay/admit.h
+++ b/include/jayrelay/admit.h
@@ -44,8 +44,8 @@
  * Return: JR_OK; JR_DEADLINE when it would be late; JR_OVERLOADED when the
  * queue is full of calls that go before it.
  */
-jr_result_t jr_queue_check(jr_queue_t *queue, const jr_call_t *call,
-                           int slots, double service_us, int64_t now);
+jr_result_t jr_queue_check(jr_queue_t *queue, const jr_call_t *call, int slots,
+                           double service_us, int64_t now);
 
 /** jr_queue_push - let a call wait */
 void jr_queue_push(jr_queue_t *queue, jr_call_t *call);
--- a/include/jayrelay/coord.h
+++ b/include/jayrelay/coord.h
@@ -55,8 +55,7 @@
  *
  * Return: JR_OK, JR_BAD_REQUEST or JR_QUOTA with the reason in the context.
  */
-jr_result_t jr_coord_check_submit(jr_coord_t *coord,
-                                  const Jr__TaskSpec *spec);
+jr_result_t jr_coord_check_submit(jr_coord_t *coord, const Jr__TaskSpec *spec);
 
 /**
  * jr_coord_heartbeat - a worker was heard of
--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -11,75 +11,73 @@
 #include <stdint.h>
 
 /* name, name in /metrics, help text */
-#define JR_COUNTER_TABLE(X)                                                  \
-    X(CALLS, "calls_total", "calls taken in")                                \
-    X(CALLS_ANSWERED, "calls_answered_total", "calls answered")              \
-    X(CALLS_UNKNOWN, "calls_unknown_total", "calls with unknown outcome")    \
-    X(REFUSED_OVERLOAD, "refused_overload_total",                            \
-      "not run: no slot in time")                                            \
-    X(REFUSED_DEADLINE, "refused_deadline_total",                            \
-      "not run: deadline cannot be met")                                     \
-    X(REFUSED_NO_UPSTREAM, "refused_no_upstream_total",                      \
-      "not run: nothing offers the service")                                 \
-    X(REFUSED_DRAINING, "refused_draining_total", "not run: shutting down")  \
-    X(REFUSED_NO_QUORUM, "refused_no_quorum_total",                          \
-      "not run: key could not be claimed")                                   \
-    X(REFUSED_KEY_REUSED, "refused_key_reused_total",                        \
-      "not run: key used with other content")                                \
-    X(REFUSED_IN_PROGRESS, "refused_in_progress_total",                      \
-      "first request with the key is in progress")                           \
-    X(REFUSED_STARTING, "refused_starting_total", "not run: no rules yet")   \
-    X(REFUSED_BAD_REQUEST, "refused_bad_request_total",                      \
-      "request not valid")                                                   \
-    X(REFUSED_TOO_LARGE, "refused_too_large_total", "request too large")     \
-    X(REFUSED_QUOTA, "refused_quota_total", "team quota used up")            \
-    X(REFUSED_UPSTREAM, "refused_upstream_total",                            \
-      "not run: upstream said so and no attempt was left")                   \
-    X(SHED, "shed_total", "queued calls shed for more urgent ones")          \
-    X(RETRY_CONNECT, "retry_connect_total",                                  \
-      "attempts repeated: no connection")                                    \
-    X(RETRY_REFUSED, "retry_refused_total",                                  \
-      "attempts repeated: upstream said not run")                            \
-    X(RETRY_BROKEN, "retry_broken_total",                                    \
-      "attempts repeated: answer broken off")                                \
-    X(RETRY_FAILED, "retry_failed_total",                                    \
-      "attempts repeated: upstream failed")                                  \
-    X(RETRY_NO_BUDGET, "retry_no_budget_total",                              \
-      "attempts not repeated: budget spent")                                 \
-    X(ATTEMPTS, "attempts_total", "attempts sent to upstreams")              \
-    X(FORWARDS, "forwards_total", "calls forwarded to a peer")               \
-    X(ANSWER_LATE, "answer_late_total", "answers dropped: too late")         \
-    X(ANSWER_MISMATCH, "answer_mismatch_total",                              \
-      "answers dropped: of another attempt")                                 \
-    X(ANSWER_PARTIAL, "answer_partial_total", "answers dropped: cut off")    \
-    X(EJECTIONS, "ejections_total", "upstreams ejected")                     \
-    X(LOANS_ASKED, "loans_asked_total", "slot loans asked of peers")         \
-    X(LOANS_GIVEN, "loans_given_total", "slots lent to peers")               \
-    X(LOANS_TAKEN, "loans_taken_total", "slots borrowed from peers")         \
-    X(ANNOUNCE_OLD, "announce_old_total", "announcements older than known")  \
-    X(ANNOUNCE_BAD, "announce_bad_total", "announcements not valid")         \
-    X(BUS_SENT, "bus_sent_total", "messages sent on the bus")                \
-    X(BUS_RECEIVED, "bus_received_total", "messages received on the bus")    \
-    X(BUS_SENT_BYTES, "bus_sent_bytes_total", "bytes sent on the bus")       \
-    X(BUS_DROPPED, "bus_dropped_total", "messages dropped: peer not there")  \
-    X(BUS_BAD, "bus_bad_total", "messages not valid")                        \
-    X(LOG_APPENDS, "log_appends_total", "log entries written")               \
-    X(LOG_SYNCS, "log_syncs_total", "log syncs")                             \
-    X(LOG_TORN, "log_torn_total", "torn log tails cut")                      \
-    X(SNAPSHOTS, "snapshots_total", "snapshots taken")                       \
-    X(ELECTIONS, "elections_total", "elections started")                     \
-    X(HEARTBEATS, "heartbeats_total", "worker heartbeats handled")           \
-    X(HEARTBEAT_BAD, "heartbeat_bad_total", "heartbeats not valid")          \
-    X(REPORT_STALE, "report_stale_total", "reports with an old epoch")       \
-    X(GRANTS, "grants_total", "leases granted")                              \
-    X(EXPIRIES, "expiries_total", "leases expired")                          \
-    X(EVICTIONS, "evictions_total", "tasks evicted")                         \
-    X(QUARANTINES, "quarantines_total", "workers quarantined")               \
-    X(IMPOSSIBLE, "impossible_total", "tasks that can never run")            \
-    X(SUBMIT_REPEATED, "submit_repeated_total",                              \
-      "submissions answered from an earlier one")                            \
-    X(RULES_ACCEPTED, "rules_accepted_total", "rules files accepted")        \
-    X(RULES_REFUSED, "rules_refused_total", "rules files refused")           \
+#define JR_COUNTER_TABLE(X)                                                   \
+    X(CALLS, "calls_total", "calls taken in")                                 \
+    X(CALLS_ANSWERED, "calls_answered_total", "calls answered")               \
+    X(CALLS_UNKNOWN, "calls_unknown_total", "calls with unknown outcome")     \
+    X(REFUSED_OVERLOAD, "refused_overload_total", "not run: no slot in time") \
+    X(REFUSED_DEADLINE, "refused_deadline_total",                             \
+      "not run: deadline cannot be met")                                      \
+    X(REFUSED_NO_UPSTREAM, "refused_no_upstream_total",                       \
+      "not run: nothing offers the service")                                  \
+    X(REFUSED_DRAINING, "refused_draining_total", "not run: shutting down")   \
+    X(REFUSED_NO_QUORUM, "refused_no_quorum_total",                           \
+      "not run: key could not be claimed")                                    \
+    X(REFUSED_KEY_REUSED, "refused_key_reused_total",                         \
+      "not run: key used with other content")                                 \
+    X(REFUSED_IN_PROGRESS, "refused_in_progress_total",                       \
+      "first request with the key is in progress")                            \
+    X(REFUSED_STARTING, "refused_starting_total", "not run: no rules yet")    \
+    X(REFUSED_BAD_REQUEST, "refused_bad_request_total", "request not valid")  \
+    X(REFUSED_TOO_LARGE, "refused_too_large_total", "request too large")      \
+    X(REFUSED_QUOTA, "refused_quota_total", "team quota used up")             \
+    X(REFUSED_UPSTREAM, "refused_upstream_total",                             \
+      "not run: upstream said so and no attempt was left")                    \
+    X(SHED, "shed_total", "queued calls shed for more urgent ones")           \
+    X(RETRY_CONNECT, "retry_connect_total",                                   \
+      "attempts repeated: no connection")                                     \
+    X(RETRY_REFUSED, "retry_refused_total",                                   \
+      "attempts repeated: upstream said not run")                             \
+    X(RETRY_BROKEN, "retry_broken_total",                                     \
+      "attempts repeated: answer broken off")                                 \
+    X(RETRY_FAILED, "retry_failed_total",                                     \
+      "attempts repeated: upstream failed")                                   \
+    X(RETRY_NO_BUDGET, "retry_no_budget_total",                               \
+      "attempts not repeated: budget spent")                                  \
+    X(ATTEMPTS, "attempts_total", "attempts sent to upstreams")               \
+    X(FORWARDS, "forwards_total", "calls forwarded to a peer")                \
+    X(ANSWER_LATE, "answer_late_total", "answers dropped: too late")          \
+    X(ANSWER_MISMATCH, "answer_mismatch_total",                               \
+      "answers dropped: of another attempt")                                  \
+    X(ANSWER_PARTIAL, "answer_partial_total", "answers dropped: cut off")     \
+    X(EJECTIONS, "ejections_total", "upstreams ejected")                      \
+    X(LOANS_ASKED, "loans_asked_total", "slot loans asked of peers")          \
+    X(LOANS_GIVEN, "loans_given_total", "slots lent to peers")                \
+    X(LOANS_TAKEN, "loans_taken_total", "slots borrowed from peers")          \
+    X(ANNOUNCE_OLD, "announce_old_total", "announcements older than known")   \
+    X(ANNOUNCE_BAD, "announce_bad_total", "announcements not valid")          \
+    X(BUS_SENT, "bus_sent_total", "messages sent on the bus")                 \
+    X(BUS_RECEIVED, "bus_received_total", "messages received on the bus")     \
+    X(BUS_SENT_BYTES, "bus_sent_bytes_total", "bytes sent on the bus")        \
+    X(BUS_DROPPED, "bus_dropped_total", "messages dropped: peer not there")   \
+    X(BUS_BAD, "bus_bad_total", "messages not valid")                         \
+    X(LOG_APPENDS, "log_appends_total", "log entries written")                \
+    X(LOG_SYNCS, "log_syncs_total", "log syncs")                              \
+    X(LOG_TORN, "log_torn_total", "torn log tails cut")                       \
+    X(SNAPSHOTS, "snapshots_total", "snapshots taken")                        \
+    X(ELECTIONS, "elections_total", "elections started")                      \
+    X(HEARTBEATS, "heartbeats_total", "worker heartbeats handled")            \
+    X(HEARTBEAT_BAD, "heartbeat_bad_total", "heartbeats not valid")           \
+    X(REPORT_STALE, "report_stale_total", "reports with an old epoch")        \
+    X(GRANTS, "grants_total", "leases granted")                               \
+    X(EXPIRIES, "expiries_total", "leases expired")                           \
+    X(EVICTIONS, "evictions_total", "tasks evicted")                          \
+    X(QUARANTINES, "quarantines_total", "workers quarantined")                \
+    X(IMPOSSIBLE, "impossible_total", "tasks that can never run")             \
+    X(SUBMIT_REPEATED, "submit_repeated_total",                               \
+      "submissions answered from an earlier one")                             \
+    X(RULES_ACCEPTED, "rules_accepted_total", "rules files accepted")         \
+    X(RULES_REFUSED, "rules_refused_total", "rules files refused")            \
     X(RULES_CONFLICT, "rules_conflict_total", "rules files in conflict")
 
 typedef enum {
--- a/include/jayrelay/error.h
+++ b/include/jayrelay/error.h
@@ -12,32 +12,32 @@
 #include <stddef.h>
 
 /* name, number, exit code of the command line, short text */
-#define JR_RESULT_TABLE(X)                                                   \
-    X(OK, 0, 0, "ok")                                                        \
-    X(USAGE, 10, 2, "usage error")                                           \
-    X(SETTINGS, 11, 3, "settings are not valid")                             \
-    X(RULES, 12, 4, "rules are not valid")                                   \
-    X(RULES_CONFLICT, 13, 5, "another rules file has this version")          \
-    X(RULES_OLD, 14, 5, "a newer rules file is in force")                    \
-    X(BAD_REQUEST, 20, 6, "request is not valid")                            \
-    X(TOO_LARGE, 21, 6, "request is too large")                              \
-    X(NOT_FOUND, 22, 7, "not found")                                         \
-    X(KEY_REUSED, 23, 6, "idempotency key was used with other content")      \
-    X(QUOTA, 24, 8, "quota of the team is used up")                          \
-    X(IN_PROGRESS, 25, 8, "first request with this key is in progress")      \
-    X(STALE_EPOCH, 26, 6, "lease epoch is not the current one")              \
-    X(WRONG_STATE, 27, 6, "task is not in a state for this")                 \
-    X(NOT_LEADER, 30, 9, "this replica is not the leader")                   \
-    X(NO_QUORUM, 31, 9, "quorum cannot be reached")                          \
-    X(UNKNOWN, 32, 10, "outcome is unknown")                                 \
-    X(OVERLOADED, 40, 8, "no slot is free in time")                          \
-    X(NO_UPSTREAM, 41, 8, "no upstream offers this service")                 \
-    X(DEADLINE, 42, 8, "deadline cannot be met")                             \
-    X(DRAINING, 43, 8, "process is shutting down")                           \
-    X(IO, 50, 11, "input or output failed")                                  \
-    X(DISK_FULL, 51, 11, "no space left in the data folder")                 \
-    X(DAMAGED, 52, 12, "stored data is damaged")                             \
-    X(NETWORK, 53, 9, "network failure")                                     \
+#define JR_RESULT_TABLE(X)                                                    \
+    X(OK, 0, 0, "ok")                                                         \
+    X(USAGE, 10, 2, "usage error")                                            \
+    X(SETTINGS, 11, 3, "settings are not valid")                              \
+    X(RULES, 12, 4, "rules are not valid")                                    \
+    X(RULES_CONFLICT, 13, 5, "another rules file has this version")           \
+    X(RULES_OLD, 14, 5, "a newer rules file is in force")                     \
+    X(BAD_REQUEST, 20, 6, "request is not valid")                             \
+    X(TOO_LARGE, 21, 6, "request is too large")                               \
+    X(NOT_FOUND, 22, 7, "not found")                                          \
+    X(KEY_REUSED, 23, 6, "idempotency key was used with other content")       \
+    X(QUOTA, 24, 8, "quota of the team is used up")                           \
+    X(IN_PROGRESS, 25, 8, "first request with this key is in progress")       \
+    X(STALE_EPOCH, 26, 6, "lease epoch is not the current one")               \
+    X(WRONG_STATE, 27, 6, "task is not in a state for this")                  \
+    X(NOT_LEADER, 30, 9, "this replica is not the leader")                    \
+    X(NO_QUORUM, 31, 9, "quorum cannot be reached")                           \
+    X(UNKNOWN, 32, 10, "outcome is unknown")                                  \
+    X(OVERLOADED, 40, 8, "no slot is free in time")                           \
+    X(NO_UPSTREAM, 41, 8, "no upstream offers this service")                  \
+    X(DEADLINE, 42, 8, "deadline cannot be met")                              \
+    X(DRAINING, 43, 8, "process is shutting down")                            \
+    X(IO, 50, 11, "input or output failed")                                   \
+    X(DISK_FULL, 51, 11, "no space left in the data folder")                  \
+    X(DAMAGED, 52, 12, "stored data is damaged")                              \
+    X(NETWORK, 53, 9, "network failure")                                      \
     X(NOMEM, 54, 11, "out of memory")
 
 /** enum jr_result_t - result codes; the numbers are part of the interface */
--- a/include/jayrelay/event.h
+++ b/include/jayrelay/event.h
@@ -11,36 +11,36 @@
 #include <stddef.h>
 
 /* name, number, syslog severity, kebab-case name in the log */
-#define JR_EVENT_TABLE(X)                                                    \
-    X(STARTED, 100, 6, "started")                                            \
-    X(DRAINING, 101, 5, "draining")                                          \
-    X(STOPPED, 102, 6, "stopped")                                            \
-    X(FATAL, 103, 2, "fatal")                                                \
-    X(BAD_MESSAGE, 110, 4, "bad-message")                                    \
-    X(LEADER_ELECTED, 200, 5, "leader-elected")                              \
-    X(LEADER_LOST, 201, 5, "leader-lost")                                    \
-    X(TERM_STARTED, 202, 6, "term-started")                                  \
-    X(SNAPSHOT_TAKEN, 203, 6, "snapshot-taken")                              \
-    X(SNAPSHOT_INSTALLED, 204, 5, "snapshot-installed")                      \
-    X(TORN_TAIL, 205, 4, "torn-tail")                                        \
-    X(DAMAGE, 206, 2, "damage")                                              \
-    X(DISK_FAILED, 207, 2, "disk-failed")                                    \
-    X(MEMBERSHIP, 208, 5, "membership")                                      \
-    X(JOINING, 209, 5, "joining")                                            \
-    X(RULES_ACCEPTED, 300, 5, "rules-accepted")                              \
-    X(RULES_REFUSED, 301, 4, "rules-refused")                                \
-    X(RULES_IN_FORCE, 302, 5, "rules-in-force")                              \
-    X(UPSTREAM_NEW, 400, 6, "upstream-new")                                  \
-    X(UPSTREAM_LEAVING, 401, 5, "upstream-leaving")                          \
-    X(UPSTREAM_SILENT, 402, 4, "upstream-silent")                            \
-    X(UPSTREAM_EJECTED, 403, 4, "upstream-ejected")                          \
-    X(UPSTREAM_READMITTED, 404, 5, "upstream-readmitted")                    \
-    X(ANSWER_MISMATCH, 405, 3, "answer-mismatch")                            \
-    X(WORKER_NEW, 500, 6, "worker-new")                                      \
-    X(WORKER_LAPSED, 501, 4, "worker-lapsed")                                \
-    X(WORKER_QUARANTINED, 502, 4, "worker-quarantined")                      \
-    X(TASK_EVICTED, 503, 5, "task-evicted")                                  \
-    X(TASK_IMPOSSIBLE, 504, 4, "task-impossible")                            \
+#define JR_EVENT_TABLE(X)                                                     \
+    X(STARTED, 100, 6, "started")                                             \
+    X(DRAINING, 101, 5, "draining")                                           \
+    X(STOPPED, 102, 6, "stopped")                                             \
+    X(FATAL, 103, 2, "fatal")                                                 \
+    X(BAD_MESSAGE, 110, 4, "bad-message")                                     \
+    X(LEADER_ELECTED, 200, 5, "leader-elected")                               \
+    X(LEADER_LOST, 201, 5, "leader-lost")                                     \
+    X(TERM_STARTED, 202, 6, "term-started")                                   \
+    X(SNAPSHOT_TAKEN, 203, 6, "snapshot-taken")                               \
+    X(SNAPSHOT_INSTALLED, 204, 5, "snapshot-installed")                       \
+    X(TORN_TAIL, 205, 4, "torn-tail")                                         \
+    X(DAMAGE, 206, 2, "damage")                                               \
+    X(DISK_FAILED, 207, 2, "disk-failed")                                     \
+    X(MEMBERSHIP, 208, 5, "membership")                                       \
+    X(JOINING, 209, 5, "joining")                                             \
+    X(RULES_ACCEPTED, 300, 5, "rules-accepted")                               \
+    X(RULES_REFUSED, 301, 4, "rules-refused")                                 \
+    X(RULES_IN_FORCE, 302, 5, "rules-in-force")                               \
+    X(UPSTREAM_NEW, 400, 6, "upstream-new")                                   \
+    X(UPSTREAM_LEAVING, 401, 5, "upstream-leaving")                           \
+    X(UPSTREAM_SILENT, 402, 4, "upstream-silent")                             \
+    X(UPSTREAM_EJECTED, 403, 4, "upstream-ejected")                           \
+    X(UPSTREAM_READMITTED, 404, 5, "upstream-readmitted")                     \
+    X(ANSWER_MISMATCH, 405, 3, "answer-mismatch")                             \
+    X(WORKER_NEW, 500, 6, "worker-new")                                       \
+    X(WORKER_LAPSED, 501, 4, "worker-lapsed")                                 \
+    X(WORKER_QUARANTINED, 502, 4, "worker-quarantined")                       \
+    X(TASK_EVICTED, 503, 5, "task-evicted")                                   \
+    X(TASK_IMPOSSIBLE, 504, 4, "task-impossible")                             \
     X(QUORUM_UNREACHABLE, 505, 4, "quorum-unreachable")
 
 /** enum jr_event_t - log events; the numbers are part of the interface */
--- a/include/jayrelay/ledger.h
+++ b/include/jayrelay/ledger.h
@@ -25,7 +25,7 @@
 #include "jayrelay/ctx.h"
 
 enum {
-    JR_KEY_BYTES = 128,        /* longest idempotency key, with its NUL */
+    JR_KEY_BYTES = 128, /* longest idempotency key, with its NUL */
     JR_PAYLOAD_MAX_BYTES = 64 * 1024,
     JR_CHECKPOINT_MAX_BYTES = 4096,
     JR_ANSWER_KEPT_MAX_BYTES = 256 * 1024,
--- a/include/jayrelay/place.h
+++ b/include/jayrelay/place.h
@@ -52,8 +52,7 @@
 jr_worker_t *jr_place_worker(jr_lease_table_t *table,
                              const jr_place_policy_t *policy,
                              const jr_resources_t *need,
-                             const jr_rules_t *rules, GRand *rng,
-                             int64_t now);
+                             const jr_rules_t *rules, GRand *rng, int64_t now);
 
 /** enum jr_evict_kind_t - which task goes when a host has too much */
 typedef enum {
--- a/include/jayrelay/quorum.h
+++ b/include/jayrelay/quorum.h
@@ -117,12 +117,10 @@
 void jr_drop_quorum(jr_quorum_t *q);
 
 /** jr_quorum_restore_hard - after a restart: the durable term and vote */
-void jr_quorum_restore_hard(jr_quorum_t *q, uint64_t term,
-                            uint64_t voted_for);
+void jr_quorum_restore_hard(jr_quorum_t *q, uint64_t term, uint64_t voted_for);
 
 /** jr_quorum_restore_snapshot - after a restart; copies @snapshot */
-void jr_quorum_restore_snapshot(jr_quorum_t *q,
-                                const jr_snapshot_t *snapshot);
+void jr_quorum_restore_snapshot(jr_quorum_t *q, const jr_snapshot_t *snapshot);
 
 /** jr_quorum_restore_entry - after a restart, in order; copies @entry */
 void jr_quorum_restore_entry(jr_quorum_t *q, const jr_entry_t *entry);
@@ -135,8 +133,8 @@
  *
  * Return: JR_OK, or JR_BAD_REQUEST for what is not a message of this group.
  */
-jr_result_t jr_quorum_receive(jr_quorum_t *q, const uint8_t *bytes,
-                              size_t len, int64_t now);
+jr_result_t jr_quorum_receive(jr_quorum_t *q, const uint8_t *bytes, size_t len,
+                              int64_t now);
 
 /**
  * jr_quorum_propose - append a command as the leader; copies @data
--- a/include/jayrelay/relay.h
+++ b/include/jayrelay/relay.h
@@ -18,11 +18,11 @@
 
 /** enum jr_attempt_end_t - what is known of an attempt that ended */
 typedef enum {
-    JR_END_ANSWERED,  /* whole answer to this very attempt */
-    JR_END_FAILED,    /* whole answer that reports a failure of the upstream */
-    JR_END_NOT_RUN,   /* the upstream said so, or no byte left */
+    JR_END_ANSWERED, /* whole answer to this very attempt */
+    JR_END_FAILED,   /* whole answer that reports a failure of the upstream */
+    JR_END_NOT_RUN,  /* the upstream said so, or no byte left */
     JR_END_NOT_CONNECTED,
-    JR_END_BROKEN,    /* no whole answer */
+    JR_END_BROKEN, /* no whole answer */
     JR_END_TIMEOUT,
 } jr_attempt_end_t;
 
--- a/include/jayrelay/route.h
+++ b/include/jayrelay/route.h
@@ -15,8 +15,8 @@
 #include "jayrelay/limit.h"
 
 typedef enum {
-    JR_ROUTE_RANDOM,         /* baseline */
-    JR_ROUTE_ROUND_ROBIN,    /* baseline */
+    JR_ROUTE_RANDOM,          /* baseline */
+    JR_ROUTE_ROUND_ROBIN,     /* baseline */
     JR_ROUTE_LEAST_IN_FLIGHT, /* baseline */
     JR_ROUTE_SCORED,
 } jr_route_kind_t;
--- a/include/jayrelay/rules.h
+++ b/include/jayrelay/rules.h
@@ -4,10 +4,11 @@
  * One rule a line, each with a comment that names who asked for it:
  *
  *   version 7                                  # asked for by Aino, operations
- *   service advice target 250ms priority 90    # asked for by the joiners' desk
- *   class cure-study rate 30% priority 20      # asked for by the laboratory
- *   team lab cpu 200 memory 800G tasks 5000    # asked for by finance
- *   weight tail 5                              # asked for by the joiners' desk
+ *   service advice target 250ms priority 90    # asked for by the joiners'
+ * desk class cure-study rate 30% priority 20      # asked for by the
+ * laboratory team lab cpu 200 memory 800G tasks 5000    # asked for by finance
+ *   weight tail 5                              # asked for by the joiners'
+ * desk
  *
  * A file is taken whole or not at all. Words are split as a shell does.
  */
@@ -124,8 +125,7 @@
                                       const char *name);
 
 /** jr_rules_team - the quotas of a team, or NULL */
-const jr_team_rule_t *jr_rules_team(const jr_rules_t *rules,
-                                    const char *name);
+const jr_team_rule_t *jr_rules_team(const jr_rules_t *rules, const char *name);
 
 /**
  * DOC: register - the replicated register that holds the rules in force
--- a/include/jayrelay/settings.h
+++ b/include/jayrelay/settings.h
@@ -70,8 +70,7 @@
  * Return: JR_OK or JR_SETTINGS with the first error in the context.
  */
 jr_result_t jr_settings_parse(jr_ctx_t *ctx, const char *text, size_t len,
-                              jr_settings_kind_t kind,
-                              jr_settings_t *settings,
+                              jr_settings_kind_t kind, jr_settings_t *settings,
                               jr_setting_errors_t *errors);
 
 /** jr_settings_read - check settings in a file */
--- a/include/jayrelay/store.h
+++ b/include/jayrelay/store.h
@@ -76,10 +76,9 @@
  * @voted_for: current vote, which the new log begins with
  * @entries: entries after the snapshot that are to be kept
  */
-jr_result_t jr_store_snapshot(jr_store_t *store,
-                              const jr_snapshot_t *snapshot, uint64_t term,
-                              uint64_t voted_for, const jr_entry_t *entries,
-                              size_t n);
+jr_result_t jr_store_snapshot(jr_store_t *store, const jr_snapshot_t *snapshot,
+                              uint64_t term, uint64_t voted_for,
+                              const jr_entry_t *entries, size_t n);
 
 /** jr_store_is_empty - nothing was ever stored here */
 bool jr_store_is_empty(jr_store_t *store);
--- a/include/jayrelay/upstream.h
+++ b/include/jayrelay/upstream.h
@@ -130,7 +130,8 @@
                                  const jr_announcement_t *announcement,
                                  int64_t now, bool *is_news);
 
-/** jr_upstreams_expire - forget those silent for long, once their work ended */
+/** jr_upstreams_expire - forget those silent for long, once their work ended
+ */
 void jr_upstreams_expire(jr_upstreams_t *upstreams, int64_t now);
 
 /** jr_upstream_is_open - may it get new work at all? */
@@ -141,7 +142,6 @@
                                    const char *name);
 
 /** jr_upstreams_find - an upstream by name, or NULL */
-jr_upstream_t *jr_upstreams_find(jr_upstreams_t *upstreams,
-                                 const char *name);
+jr_upstream_t *jr_upstreams_find(jr_upstreams_t *upstreams, const char *name);
 
 #endif
--- a/src/admit/queue.c
+++ b/src/admit/queue.c
@@ -116,10 +116,10 @@
 void
 jr_queue_push(jr_queue_t *queue, jr_call_t *call)
 {
-    call->queued = g_sequence_insert_sorted(queue->calls, call,
-                                            by_service_order, queue);
-    call->by_deadline = g_sequence_insert_sorted(queue->deadlines, call,
-                                                 by_deadline, NULL);
+    call->queued =
+        g_sequence_insert_sorted(queue->calls, call, by_service_order, queue);
+    call->by_deadline =
+        g_sequence_insert_sorted(queue->deadlines, call, by_deadline, NULL);
 }
 
 void
--- a/src/base/program.c
+++ b/src/base/program.c
@@ -69,12 +69,11 @@
     gboolean init = FALSE;
     gboolean verbose = FALSE;
     GOptionEntry entries[] = {
-        {"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
-         "Settings in YAML", "FILE"},
+        {"settings", 's', 0, G_OPTION_ARG_FILENAME, &path, "Settings in YAML",
+         "FILE"},
         {"check", 'c', 0, G_OPTION_ARG_NONE, &check,
          "Check the settings and exit", NULL},
-        {"verbose", 'v', 0, G_OPTION_ARG_NONE, &verbose,
-         "Log more", NULL},
+        {"verbose", 'v', 0, G_OPTION_ARG_NONE, &verbose, "Log more", NULL},
         {"version", 0, 0, G_OPTION_ARG_NONE, &version,
          "Print the version and exit", NULL},
         {"init", 0, program->has_init ? 0 : G_OPTION_FLAG_HIDDEN,
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -31,41 +31,104 @@
 #define AT(field) offsetof(jr_settings_t, field)
 
 static const key_spec_t specs[] = {
-    {.key = "name", .kind = TEXT, .offset = AT(name),
+    {.key = "name",
+     .kind = TEXT,
+     .offset = AT(name),
      .flags = FOR_BOTH | REQUIRED},
-    {.key = "zone", .kind = TEXT, .offset = AT(zone),
+    {.key = "zone",
+     .kind = TEXT,
+     .offset = AT(zone),
      .flags = FOR_BOTH | REQUIRED},
-    {.key = "bus", .kind = ADDRESS, .offset = AT(bus),
+    {.key = "bus",
+     .kind = ADDRESS,
+     .offset = AT(bus),
      .flags = FOR_BOTH | REQUIRED},
-    {.key = "http", .kind = ADDRESS, .offset = AT(http),
+    {.key = "http",
+     .kind = ADDRESS,
+     .offset = AT(http),
      .flags = FOR_BOTH | REQUIRED},
-    {.key = "data", .kind = PATH, .offset = AT(data),
+    {.key = "data",
+     .kind = PATH,
+     .offset = AT(data),
      .flags = FOR_CONTROL | REQUIRED},
-    {.key = "rules_file", .kind = PATH, .offset = AT(rules_file),
+    {.key = "rules_file",
+     .kind = PATH,
+     .offset = AT(rules_file),
      .flags = FOR_CONTROL},
-    {.key = "groups", .kind = NUMBER, .offset = AT(groups),
-     .flags = FOR_BOTH, .min = 1, .max = 1024, .standard = 3},
-    {.key = "lease_ms", .kind = NUMBER, .offset = AT(lease_ms),
-     .flags = FOR_CONTROL, .min = 500, .max = 600000, .standard = 6000},
-    {.key = "drift_permille", .kind = NUMBER, .offset = AT(drift_permille),
-     .flags = FOR_CONTROL, .min = 0, .max = 100, .standard = 10},
-    {.key = "election_ms", .kind = NUMBER, .offset = AT(election_ms),
-     .flags = FOR_CONTROL, .min = 50, .max = 60000, .standard = 1000},
-    {.key = "heartbeat_ms", .kind = NUMBER, .offset = AT(heartbeat_ms),
-     .flags = FOR_CONTROL, .min = 10, .max = 10000, .standard = 100},
-    {.key = "snapshot_every", .kind = NUMBER, .offset = AT(snapshot_every),
-     .flags = FOR_CONTROL, .min = 16, .max = 10000000, .standard = 10000},
-    {.key = "drain_ms", .kind = NUMBER, .offset = AT(drain_ms),
-     .flags = FOR_ENTRY, .min = 0, .max = 600000, .standard = 2000},
-    {.key = "crossing_ms", .kind = NUMBER, .offset = AT(crossing_ms),
-     .flags = FOR_ENTRY, .min = 0, .max = 10000, .standard = 10},
-    {.key = "retry_percent", .kind = NUMBER, .offset = AT(retry_percent),
-     .flags = FOR_ENTRY, .min = 0, .max = 100, .standard = 10},
-    {.key = "controls", .kind = PROCESSES, .offset = AT(controls),
-     .flags = FOR_BOTH | REQUIRED, .max = JR_CONTROLS_MAX,
+    {.key = "groups",
+     .kind = NUMBER,
+     .offset = AT(groups),
+     .flags = FOR_BOTH,
+     .min = 1,
+     .max = 1024,
+     .standard = 3},
+    {.key = "lease_ms",
+     .kind = NUMBER,
+     .offset = AT(lease_ms),
+     .flags = FOR_CONTROL,
+     .min = 500,
+     .max = 600000,
+     .standard = 6000},
+    {.key = "drift_permille",
+     .kind = NUMBER,
+     .offset = AT(drift_permille),
+     .flags = FOR_CONTROL,
+     .min = 0,
+     .max = 100,
+     .standard = 10},
+    {.key = "election_ms",
+     .kind = NUMBER,
+     .offset = AT(election_ms),
+     .flags = FOR_CONTROL,
+     .min = 50,
+     .max = 60000,
+     .standard = 1000},
+    {.key = "heartbeat_ms",
+     .kind = NUMBER,
+     .offset = AT(heartbeat_ms),
+     .flags = FOR_CONTROL,
+     .min = 10,
+     .max = 10000,
+     .standard = 100},
+    {.key = "snapshot_every",
+     .kind = NUMBER,
+     .offset = AT(snapshot_every),
+     .flags = FOR_CONTROL,
+     .min = 16,
+     .max = 10000000,
+     .standard = 10000},
+    {.key = "drain_ms",
+     .kind = NUMBER,
+     .offset = AT(drain_ms),
+     .flags = FOR_ENTRY,
+     .min = 0,
+     .max = 600000,
+     .standard = 2000},
+    {.key = "crossing_ms",
+     .kind = NUMBER,
+     .offset = AT(crossing_ms),
+     .flags = FOR_ENTRY,
+     .min = 0,
+     .max = 10000,
+     .standard = 10},
+    {.key = "retry_percent",
+     .kind = NUMBER,
+     .offset = AT(retry_percent),
+     .flags = FOR_ENTRY,
+     .min = 0,
+     .max = 100,
+     .standard = 10},
+    {.key = "controls",
+     .kind = PROCESSES,
+     .offset = AT(controls),
+     .flags = FOR_BOTH | REQUIRED,
+     .max = JR_CONTROLS_MAX,
      .count_offset = AT(n_controls)},
-    {.key = "entries", .kind = PROCESSES, .offset = AT(entries),
-     .flags = FOR_BOTH, .max = JR_ENTRIES_MAX,
+    {.key = "entries",
+     .kind = PROCESSES,
+     .offset = AT(entries),
+     .flags = FOR_BOTH,
+     .max = JR_ENTRIES_MAX,
      .count_offset = AT(n_entries)},
 };
 
@@ -91,8 +154,8 @@
         jr_fail(r->ctx, JR_SETTINGS, "line %zu: %s", line, text);
     }
     if (r->errors->n < JR_SETTING_ERRORS_MAX) {
-        snprintf(r->errors->texts[r->errors->n++],
-                 sizeof r->errors->texts[0], "line %zu: %.140s", line, text);
+        snprintf(r->errors->texts[r->errors->n++], sizeof r->errors->texts[0],
+                 "line %zu: %.140s", line, text);
     }
 }
 
@@ -136,8 +199,10 @@
         return;
     }
     if (kind == ADDRESS && !is_address(text)) {
-        complain(r, node, "'%s' must be an IP number and a port, such as "
-                 "10.0.0.1:7000", key);
+        complain(r, node,
+                 "'%s' must be an IP number and a port, such as "
+                 "10.0.0.1:7000",
+                 key);
         return;
     }
     strcpy(to, text);
@@ -178,15 +243,15 @@
     yaml_node_pair_t *pair;
 
     if (node->type != YAML_MAPPING_NODE) {
-        complain(r, node, "a process is written "
+        complain(r, node,
+                 "a process is written "
                  "{name: N, zone: Z, bus: IP:PORT, http: IP:PORT}");
         return;
     }
     for (pair = node->data.mapping.pairs.start;
          pair < node->data.mapping.pairs.top; pair++) {
         yaml_node_t *key = yaml_document_get_node(&r->document, pair->key);
-        yaml_node_t *value =
-            yaml_document_get_node(&r->document, pair->value);
+        yaml_node_t *value = yaml_document_get_node(&r->document, pair->value);
         const char *name = scalar(key);
         size_t i = 0;
 
@@ -210,8 +275,7 @@
 static void
 read_processes(reader_t *r, const key_spec_t *spec, const yaml_node_t *node)
 {
-    jr_process_t *to =
-        (jr_process_t *)((char *)r->settings + spec->offset);
+    jr_process_t *to = (jr_process_t *)((char *)r->settings + spec->offset);
     int64_t *n = (int64_t *)((char *)r->settings + spec->count_offset);
     yaml_node_item_t *item;
 
@@ -224,8 +288,8 @@
         yaml_node_t *element = yaml_document_get_node(&r->document, *item);
 
         if (*n == spec->max) {
-            complain(r, element, "'%s' has more than %lld elements",
-                     spec->key, (long long)spec->max);
+            complain(r, element, "'%s' has more than %lld elements", spec->key,
+                     (long long)spec->max);
             return;
         }
         read_process(r, element, &to[(*n)++]);
@@ -283,8 +347,7 @@
     for (pair = root->data.mapping.pairs.start;
          pair < root->data.mapping.pairs.top; pair++) {
         yaml_node_t *key = yaml_document_get_node(&r->document, pair->key);
-        yaml_node_t *value =
-            yaml_document_get_node(&r->document, pair->value);
+        yaml_node_t *value = yaml_document_get_node(&r->document, pair->value);
         const char *name = scalar(key);
         const key_spec_t *spec = find_spec(r, name);
 
--- a/src/cli/rules.c
+++ b/src/cli/rules.c
@@ -51,8 +51,8 @@
     }
     printf("%s: version %llu is valid: %zu services, %zu classes, %zu "
            "teams\n",
-           arguments[0], (unsigned long long)rules->version,
-           rules->n_services, rules->n_classes, rules->n_teams);
+           arguments[0], (unsigned long long)rules->version, rules->n_services,
+           rules->n_classes, rules->n_teams);
     jr_drop_rules(rules);
     return 0;
 }
--- a/src/cli/tasks.c
+++ b/src/cli/tasks.c
@@ -18,13 +18,12 @@
         jr_cli_print_json(answer);
     }
     else {
-        printf("%-16s %-12s %-20s %-12s %6s %6s  %s\n", "ID", "STATE",
-               "CLASS", "TEAM", "EPOCH", "STARTS", "WORKER");
+        printf("%-16s %-12s %-20s %-12s %6s %6s  %s\n", "ID", "STATE", "CLASS",
+               "TEAM", "EPOCH", "STARTS", "WORKER");
         printf("%-16s %-12s %-20s %-12s %6lld %6lld  %s\n",
                jr_cli_text(answer, "id"), jr_cli_text(answer, "state"),
                jr_cli_text(answer, "class"), jr_cli_text(answer, "team"),
-               jr_cli_number(answer, "epoch"),
-               jr_cli_number(answer, "starts"),
+               jr_cli_number(answer, "epoch"), jr_cli_number(answer, "starts"),
                jr_cli_text(answer, "worker"));
     }
     json_decref(answer);
@@ -133,9 +132,9 @@
     printf("%s in zone %s, rules version %lld\n\n",
            jr_cli_text(answer, "name"), jr_cli_text(answer, "zone"),
            jr_cli_number(answer, "rules_version"));
-    printf("%-14s %-8s %5s  %-10s %-14s %6s %8s %7s %7s %7s %7s\n",
-           "CONTROL", "ZONE", "GROUP", "ROLE", "LEADER", "TERM", "COMMIT",
-           "QUEUED", "LEASED", "ENDED", "WORKERS");
+    printf("%-14s %-8s %5s  %-10s %-14s %6s %8s %7s %7s %7s %7s\n", "CONTROL",
+           "ZONE", "GROUP", "ROLE", "LEADER", "TERM", "COMMIT", "QUEUED",
+           "LEASED", "ENDED", "WORKERS");
     for (size_t i = 0; i < json_array_size(controls); i++) {
         print_groups(json_array_get(controls, i));
     }
--- a/src/control/identity.c
+++ b/src/control/identity.c
@@ -61,8 +61,8 @@
     if (g_file_get_contents(path, &text, NULL, NULL)) {
         control->replica_id = strtoull(text, NULL, 16);
         if (control->replica_id == 0) {
-            result = jr_fail(control->ctx, JR_DAMAGED, "%s: no replica id",
-                             path);
+            result =
+                jr_fail(control->ctx, JR_DAMAGED, "%s: no replica id", path);
         }
     }
     else {
@@ -83,8 +83,8 @@
 jr_store_t *
 jr_control_open_store(jr_control_t *control, size_t group)
 {
-    char *folder = g_strdup_printf("%s/group-%zu", control->settings.data,
-                                   group);
+    char *folder =
+        g_strdup_printf("%s/group-%zu", control->settings.data, group);
     jr_store_t *store = jr_new_file_store(control->ctx, folder);
 
     g_free(folder);
@@ -116,8 +116,8 @@
         return control->ctx->error.code;
     }
     if (!jr_store_is_empty(store)) {
-        result = jr_fail(control->ctx, JR_WRONG_STATE,
-                         "%s holds data already", control->settings.data);
+        result = jr_fail(control->ctx, JR_WRONG_STATE, "%s holds data already",
+                         control->settings.data);
     }
     else {
         result = jr_store_load(store, &none);
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -32,8 +32,7 @@
         jr_result_t result = jr_group_pump(control->groups[g], now);
 
         if (result != JR_OK) {
-            jr_log(control->ctx, JR_EV_FATAL, "%s",
-                   control->ctx->error.text);
+            jr_log(control->ctx, JR_EV_FATAL, "%s", control->ctx->error.text);
             stop(control, jr_result_exit(result));
             return;
         }
--- a/src/control/rules_file.c
+++ b/src/control/rules_file.c
@@ -31,9 +31,8 @@
         ev_timer_again(control->loop, &control->rules_retry);
         break;
     default:
-        jr_count(control->ctx, code == JR_RULES_CONFLICT
-                                   ? JR_C_RULES_CONFLICT
-                                   : JR_C_RULES_REFUSED);
+        jr_count(control->ctx, code == JR_RULES_CONFLICT ? JR_C_RULES_CONFLICT
+                                                         : JR_C_RULES_REFUSED);
         jr_log(control->ctx, JR_EV_RULES_REFUSED,
                "%s: %s; in force is version %llu",
                control->settings.rules_file, jr_result_text(code), version);
--- a/src/control/status.c
+++ b/src/control/status.c
@@ -48,10 +48,8 @@
         gauges[1].value +=
             jr_quorum_role(jr_group_quorum(control->groups[g])) == JR_LEADER;
         if (ledger != NULL) {
-            gauges[2].value +=
-                (double)jr_ledger_count(ledger, JR_TASK_QUEUED);
-            gauges[3].value +=
-                (double)jr_ledger_count(ledger, JR_TASK_LEASED);
+            gauges[2].value += (double)jr_ledger_count(ledger, JR_TASK_QUEUED);
+            gauges[3].value += (double)jr_ledger_count(ledger, JR_TASK_LEASED);
         }
     }
     text = jr_metrics_text(control->ctx, gauges,
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -80,7 +80,8 @@
     coord->generation++;
     coord->elected_at = elected_at;
     jr_lease_reset(coord->table);
-    HASH_ITER(hh, jr_ledger_holdings(coord->ledger), holding, next) {
+    HASH_ITER(hh, jr_ledger_holdings(coord->ledger), holding, next)
+    {
         jr_lease_renew(coord->table, holding->worker, elected_at);
     }
 }
@@ -176,7 +177,8 @@
     if (holding == NULL) {
         return;
     }
-    TAILQ_FOREACH(task, &holding->tasks, on_worker) {
+    TAILQ_FOREACH(task, &holding->tasks, on_worker)
+    {
         jr_task_soft_t *soft = jr_coord_soft(coord, task);
         jr_proposal_t expire = {
             .kind = JR_PROPOSE_EXPIRE,
@@ -221,8 +223,8 @@
 start_task(jr_coord_t *coord, jr_task_t *task, int64_t now)
 {
     jr_worker_t *worker =
-        jr_place_worker(coord->table, &coord->options.policy,
-                        &task->spec.need, coord->rules, coord->rng, now);
+        jr_place_worker(coord->table, &coord->options.policy, &task->spec.need,
+                        coord->rules, coord->rng, now);
     jr_proposal_t grant = {.kind = JR_PROPOSE_GRANT, .task = task->id};
 
     if (worker == NULL) {
@@ -243,7 +245,8 @@
 {
     jr_class_queue_t *queue, *next;
 
-    HASH_ITER(hh, jr_ledger_classes(coord->ledger), queue, next) {
+    HASH_ITER(hh, jr_ledger_classes(coord->ledger), queue, next)
+    {
         if (queue->generation != coord->generation) {
             queue->generation = coord->generation;
             queue->granting = (jr_resources_t){0};
@@ -282,8 +285,8 @@
 
     start_round(coord);
     while (granted < coord->options.max_grants) {
-        jr_class_queue_t *queue = jr_place_class(
-            coord->ledger, coord->rules, &coord->table->total);
+        jr_class_queue_t *queue =
+            jr_place_class(coord->ledger, coord->rules, &coord->table->total);
 
         if (queue == NULL) {
             break;
@@ -303,7 +306,8 @@
     jr_task_t *task;
     int looked_at = 0;
 
-    TAILQ_FOREACH(task, &queue->tasks, link) {
+    TAILQ_FOREACH(task, &queue->tasks, link)
+    {
         jr_proposal_t proposal = {
             .kind = JR_PROPOSE_IMPOSSIBLE,
             .task = task->id,
@@ -316,8 +320,8 @@
             jr_place_is_possible(coord->table, &task->spec.need)) {
             continue;
         }
-        proposal.text = jr_strdup(
-            coord->ctx, "no worker of this group is large enough");
+        proposal.text =
+            jr_strdup(coord->ctx, "no worker of this group is large enough");
         jr_coord_propose(coord, &proposal);
         jr_count(coord->ctx, JR_C_IMPOSSIBLE);
         jr_log(coord->ctx, JR_EV_TASK_IMPOSSIBLE, "task %llu",
@@ -336,7 +340,8 @@
         return;
     }
     coord->impossible_check_at = now + IMPOSSIBLE_CHECK_MS;
-    HASH_ITER(hh, jr_ledger_classes(coord->ledger), queue, next) {
+    HASH_ITER(hh, jr_ledger_classes(coord->ledger), queue, next)
+    {
         end_impossible(coord, queue);
     }
 }
--- a/src/coord/heartbeat.c
+++ b/src/coord/heartbeat.c
@@ -142,8 +142,8 @@
 }
 
 static void
-propose_report(jr_coord_t *coord, jr_task_t *task,
-               const Jr__WorkerTask *from, jr_report_kind_t kind, int64_t now)
+propose_report(jr_coord_t *coord, jr_task_t *task, const Jr__WorkerTask *from,
+               jr_report_kind_t kind, int64_t now)
 {
     jr_proposal_t report = {
         .kind = JR_PROPOSE_REPORT,
@@ -209,8 +209,8 @@
 }
 
 static void
-on_reported(jr_coord_t *coord, jr_worker_t *worker,
-            const Jr__WorkerTask *from, int64_t now, reply_t *reply)
+on_reported(jr_coord_t *coord, jr_worker_t *worker, const Jr__WorkerTask *from,
+            int64_t now, reply_t *reply)
 {
     jr_task_t *task = jr_ledger_task(coord->ledger, from->task);
 
@@ -218,8 +218,8 @@
         task->epoch != from->epoch ||
         strcmp(task->worker, worker->name) != 0) {
         jr_count(coord->ctx, JR_C_REPORT_STALE);
-        assign(reply, from->task, from->epoch,
-               JR__ASSIGNMENT__ACTION__FORGET, NULL);
+        assign(reply, from->task, from->epoch, JR__ASSIGNMENT__ACTION__FORGET,
+               NULL);
         return;
     }
     jr_coord_soft(coord, task)->seen_round = coord->round;
@@ -238,7 +238,8 @@
 {
     jr_task_t *task;
 
-    TAILQ_FOREACH(task, &holding->tasks, on_worker) {
+    TAILQ_FOREACH(task, &holding->tasks, on_worker)
+    {
         jr_task_soft_t *soft = jr_coord_soft(coord, task);
 
         if (soft->seen_round == coord->round || soft->is_expiring ||
@@ -249,8 +250,8 @@
             soft->checkpoint_at = now;
         }
         if (task->cancel_asked || soft->is_evicting) {
-            assign(reply, task->id, task->epoch,
-                   JR__ASSIGNMENT__ACTION__STOP, NULL);
+            assign(reply, task->id, task->epoch, JR__ASSIGNMENT__ACTION__STOP,
+                   NULL);
         }
         else {
             assign(reply, task->id, task->epoch, JR__ASSIGNMENT__ACTION__RUN,
@@ -267,7 +268,8 @@
 
     worker->load = (jr_resources_t){0};
     if (holding != NULL) {
-        TAILQ_FOREACH(task, &holding->tasks, on_worker) {
+        TAILQ_FOREACH(task, &holding->tasks, on_worker)
+        {
             jr_resources_t size = jr_resources_max(
                 &task->spec.need, &jr_coord_soft(coord, task)->used);
 
@@ -285,8 +287,7 @@
     jr_resources_t room = jr_worker_room(worker);
     jr_task_t *task;
 
-    if (room.cpu_milli >= 0 && room.memory_mb >= 0 &&
-        room.accelerators >= 0) {
+    if (room.cpu_milli >= 0 && room.memory_mb >= 0 && room.accelerators >= 0) {
         worker->overloads = 0;
         return;
     }
--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -29,9 +29,8 @@
          i++) {
         const Jr__Member *m = group->config->members[i];
 
-        json_array_append_new(members,
-                              json_pack("{s:s, s:b}", "name", m->name,
-                                        "voter", (int)m->voter));
+        json_array_append_new(members, json_pack("{s:s, s:b}", "name", m->name,
+                                                 "voter", (int)m->voter));
     }
     return json_pack(
         "{s:i, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o}", "group",
@@ -63,7 +62,8 @@
     int64_t now = jr_clock_us();
     jr_upstream_t *u, *next;
 
-    HASH_ITER(hh, entry->upstreams->by_name, u, next) {
+    HASH_ITER(hh, entry->upstreams->by_name, u, next)
+    {
         json_array_append_new(
             list,
             json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:i, s:b, s:f}",
@@ -84,13 +84,12 @@
     ev_timer_stop(entry->loop, &wait->timer);
     jr_answer_json(
         wait->exchange, HTTP_OK,
-        json_pack("{s:s, s:s, s:I, s:b, s:o, s:o}", "name",
-                  entry->settings.name, "zone", entry->settings.zone,
-                  "rules_version",
-                  (json_int_t)(entry->rules != NULL ? entry->rules->version
-                                                    : 0),
-                  "draining", (int)entry->is_draining, "controls",
-                  wait->controls, "upstreams", upstreams_to_json(entry)),
+        json_pack(
+            "{s:s, s:s, s:I, s:b, s:o, s:o}", "name", entry->settings.name,
+            "zone", entry->settings.zone, "rules_version",
+            (json_int_t)(entry->rules != NULL ? entry->rules->version : 0),
+            "draining", (int)entry->is_draining, "controls", wait->controls,
+            "upstreams", upstreams_to_json(entry)),
         0);
     TAILQ_REMOVE(&entry->status_waits, wait, link);
     entry->n_busy--;
@@ -113,7 +112,8 @@
     if (reply->body_case != JR__REPLY__BODY_STATUS) {
         return false;
     }
-    TAILQ_FOREACH(wait, &entry->status_waits, link) {
+    TAILQ_FOREACH(wait, &entry->status_waits, link)
+    {
         if (wait->id == reply->id) {
             json_array_append_new(wait->controls,
                                   control_to_json(reply->status));
@@ -144,8 +144,8 @@
     envelope.body_case = JR__ENVELOPE__BODY_REQUEST;
     envelope.request = &request;
     for (size_t i = 0; i < entry->n_controls; i++) {
-        wait->missing += jr_bus_send(entry->bus, entry->controls[i],
-                                     &envelope);
+        wait->missing +=
+            jr_bus_send(entry->bus, entry->controls[i], &envelope);
     }
     entry->n_busy++;
     TAILQ_INSERT_TAIL(&entry->status_waits, wait, link);
@@ -172,8 +172,8 @@
         {"upstreams", "upstreams known",
          (double)HASH_COUNT(entry->upstreams->by_name)},
     };
-    char *text = jr_metrics_text(entry->ctx, gauges,
-                                 sizeof gauges / sizeof gauges[0]);
+    char *text =
+        jr_metrics_text(entry->ctx, gauges, sizeof gauges / sizeof gauges[0]);
 
     answer_text(exchange, HTTP_OK, text);
     jr_free(entry->ctx, text);
@@ -187,8 +187,8 @@
         handler(entry, exchange);
     }
     else {
-        jr_answer_error(exchange, HTTP_METHOD_NOT_ALLOWED, "not-run",
-                        "method", JR_BAD_REQUEST, "POST only", 0);
+        jr_answer_error(exchange, HTTP_METHOD_NOT_ALLOWED, "not-run", "method",
+                        JR_BAD_REQUEST, "POST only", 0);
     }
 }
 
@@ -205,8 +205,8 @@
 on_call_path(jr_entry_t *entry, jr_exchange_t *exchange, const char *service)
 {
     if (strcmp(jr_exchange_method(exchange), "POST") != 0) {
-        jr_answer_error(exchange, HTTP_METHOD_NOT_ALLOWED, "not-run",
-                        "method", JR_BAD_REQUEST, "POST only", 0);
+        jr_answer_error(exchange, HTTP_METHOD_NOT_ALLOWED, "not-run", "method",
+                        JR_BAD_REQUEST, "POST only", 0);
     }
     else if (*service == '\0' || strchr(service, '/') != NULL ||
              strlen(service) >= JR_UPSTREAM_NAME_BYTES) {
--- a/src/entry/answer.c
+++ b/src/entry/answer.c
@@ -29,9 +29,9 @@
                 const char *reason, jr_result_t code, const char *message,
                 int64_t retry_after_ms)
 {
-    json_t *object = json_pack(
-        "{s:s, s:s, s:i, s:s}", "outcome", outcome, "reason", reason, "code",
-        (int)code, "message", message != NULL ? message : "");
+    json_t *object = json_pack("{s:s, s:s, s:i, s:s}", "outcome", outcome,
+                               "reason", reason, "code", (int)code, "message",
+                               message != NULL ? message : "");
 
     if (retry_after_ms > 0) {
         json_object_set_new(object, "retry_after_ms",
@@ -56,12 +56,12 @@
         break;
     case JR_UNKNOWN:
         jr_count(entry->ctx, JR_C_CALLS_UNKNOWN);
-        jr_answer_error(exchange, HTTP_GATEWAY_TIMEOUT, "unknown",
-                        "no-reply", code, text, RETRY_AFTER_QUORUM_MS);
+        jr_answer_error(exchange, HTTP_GATEWAY_TIMEOUT, "unknown", "no-reply",
+                        code, text, RETRY_AFTER_QUORUM_MS);
         break;
     case JR_NOT_FOUND:
-        jr_answer_error(exchange, HTTP_NOT_FOUND, "not-run", "not-found",
-                        code, text, 0);
+        jr_answer_error(exchange, HTTP_NOT_FOUND, "not-run", "not-found", code,
+                        text, 0);
         break;
     case JR_KEY_REUSED:
         jr_count(entry->ctx, JR_C_REFUSED_KEY_REUSED);
--- a/src/entry/calls.c
+++ b/src/entry/calls.c
@@ -117,8 +117,8 @@
 }
 
 static void
-ask_command(jr_entry_call_t *c, Jr__LedgerCommand *command,
-            int64_t timeout_ms, jr_ask_handler_t *handler, void *user)
+ask_command(jr_entry_call_t *c, Jr__LedgerCommand *command, int64_t timeout_ms,
+            jr_ask_handler_t *handler, void *user)
 {
     Jr__Request request = JR__REQUEST__INIT;
 
@@ -191,8 +191,7 @@
                                verdict->as.not_run.reason == JR_REFUSE_SHED
                            ? HTTP_TOO_MANY
                            : HTTP_UNAVAILABLE,
-                       "not-run",
-                       jr_refusal_name(verdict->as.not_run.reason),
+                       "not-run", jr_refusal_name(verdict->as.not_run.reason),
                        JR_OVERLOADED,
                        verdict->as.not_run.retry_after_us / US_PER_MS);
         break;
@@ -311,8 +310,8 @@
 replay(jr_entry_call_t *c, const Jr__CallRecord *record)
 {
     if (record->status == 0) {
-        jr_answer_error(c->exchange, HTTP_CONFLICT, "ran",
-                        "answer-not-kept", JR_TOO_LARGE,
+        jr_answer_error(c->exchange, HTTP_CONFLICT, "ran", "answer-not-kept",
+                        JR_TOO_LARGE,
                         "it ran; its answer was too large to keep", 0);
     }
     else {
@@ -377,8 +376,7 @@
         return rule != NULL ? rule->target_ms : DEADLINE_DEFAULT_MS;
     }
     value = strtoll(text, &end, 10);
-    if (end == text || *end != '\0' || value <= 0 ||
-        value > DEADLINE_MAX_MS) {
+    if (end == text || *end != '\0' || value <= 0 || value > DEADLINE_MAX_MS) {
         return -1;
     }
     return value;
@@ -428,8 +426,7 @@
     if (entry->rules == NULL) {
         jr_count(entry->ctx, JR_C_REFUSED_STARTING);
         jr_answer_error(exchange, HTTP_UNAVAILABLE, "not-run", "starting",
-                        JR_OVERLOADED, "no rules yet",
-                        RETRY_AFTER_QUORUM_MS);
+                        JR_OVERLOADED, "no rules yet", RETRY_AFTER_QUORUM_MS);
         return;
     }
     if (rule == NULL) {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -114,9 +114,8 @@
                     int64_t retry_after_ms);
 /* An error: outcome is "not-run", "unknown" or "error". */
 void jr_answer_error(jr_exchange_t *exchange, unsigned status,
-                     const char *outcome, const char *reason,
-                     jr_result_t code, const char *message,
-                     int64_t retry_after_ms);
+                     const char *outcome, const char *reason, jr_result_t code,
+                     const char *message, int64_t retry_after_ms);
 /* An error from the code of a reply. */
 void jr_answer_code(jr_entry_t *entry, jr_exchange_t *exchange,
                     jr_result_t code, const char *message);
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -164,8 +164,7 @@
 {
     const jr_settings_t *s = &entry->settings;
     jr_relay_options_t options = {
-        .route = {.kind = JR_ROUTE_SCORED,
-                  .as.scored.candidates = CANDIDATES},
+        .route = {.kind = JR_ROUTE_SCORED, .as.scored.candidates = CANDIDATES},
         .admit = JR_ADMIT_DEADLINE,
         .retry = JR_RETRY_BUDGET,
         .retry_percent = (int)s->retry_percent,
@@ -214,8 +213,8 @@
         return result;
     }
     make_relay(entry);
-    entry->http = jr_new_http(entry->ctx, entry->loop, s->http,
-                              jr_entry_on_http, entry);
+    entry->http =
+        jr_new_http(entry->ctx, entry->loop, s->http, jr_entry_on_http, entry);
     return entry->http != NULL ? JR_OK : JR_NETWORK;
 }
 
--- a/src/entry/rules.c
+++ b/src/entry/rules.c
@@ -95,9 +95,9 @@
     for (size_t i = 0; i < problems->n; i++) {
         const jr_rule_problem_t *p = &problems->problems[i];
 
-        json_array_append_new(
-            list, json_pack("{s:i, s:i, s:s}", "line", p->line, "column",
-                            p->column, "message", p->text));
+        json_array_append_new(list, json_pack("{s:i, s:i, s:s}", "line",
+                                              p->line, "column", p->column,
+                                              "message", p->text));
     }
     jr_answer_json(exchange, HTTP_BAD_REQUEST,
                    json_pack("{s:s, s:i, s:s, s:o}", "outcome", "not-run",
@@ -139,10 +139,10 @@
 {
     jr_answer_json(
         exchange, HTTP_OK,
-        json_pack("{s:I, s:s}", "version",
-                  (json_int_t)(entry->rules != NULL ? entry->rules->version
-                                                    : 0),
-                  "text", entry->rules_text != NULL ? entry->rules_text : ""),
+        json_pack(
+            "{s:I, s:s}", "version",
+            (json_int_t)(entry->rules != NULL ? entry->rules->version : 0),
+            "text", entry->rules_text != NULL ? entry->rules_text : ""),
         0);
 }
 
@@ -158,7 +158,7 @@
         apply(entry, exchange);
     }
     else {
-        jr_answer_error(exchange, HTTP_METHOD_NOT_ALLOWED, "not-run",
-                        "method", JR_BAD_REQUEST, "GET or POST", 0);
+        jr_answer_error(exchange, HTTP_METHOD_NOT_ALLOWED, "not-run", "method",
+                        JR_BAD_REQUEST, "GET or POST", 0);
     }
 }
--- a/src/entry/tasks.c
+++ b/src/entry/tasks.c
@@ -209,8 +209,7 @@
 }
 
 void
-jr_entry_on_tasks(jr_entry_t *entry, jr_exchange_t *exchange,
-                  const char *rest)
+jr_entry_on_tasks(jr_entry_t *entry, jr_exchange_t *exchange, const char *rest)
 {
     const char *method = jr_exchange_method(exchange);
     uint64_t id;
@@ -228,8 +227,8 @@
         cancel(entry, exchange, id);
     }
     else {
-        jr_answer_error(exchange, HTTP_METHOD_NOT_ALLOWED, "not-run",
-                        "method", JR_BAD_REQUEST, "GET or DELETE", 0);
+        jr_answer_error(exchange, HTTP_METHOD_NOT_ALLOWED, "not-run", "method",
+                        JR_BAD_REQUEST, "GET or DELETE", 0);
     }
 }
 
@@ -246,9 +245,9 @@
     json_t *object;
 
     snprintf(id, sizeof id, "%llu", (unsigned long long)a->task);
-    object = json_pack("{s:s, s:I, s:s}", "id", id, "epoch",
-                       (json_int_t)a->epoch, "action",
-                       action_names[a->action]);
+    object =
+        json_pack("{s:s, s:I, s:s}", "id", id, "epoch", (json_int_t)a->epoch,
+                  "action", action_names[a->action]);
     if (a->spec != NULL) {
         json_object_set_new(
             object, "spec",
--- a/src/entry/upstreams.c
+++ b/src/entry/upstreams.c
@@ -84,9 +84,8 @@
         const char *key;
         char **to;
     } texts[] = {
-        {"name", &to->name},     {"address", &to->address},
-        {"zone", &to->zone},     {"rack", &to->rack},
-        {"service", &to->service},
+        {"name", &to->name}, {"address", &to->address}, {"zone", &to->zone},
+        {"rack", &to->rack}, {"service", &to->service},
     };
     uint64_t slots, connections;
 
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -78,9 +78,8 @@
         break;
     case JR_GROUP_LEDGER:
         group->as.ledger.ledger = jr_new_ledger(group->ctx, number);
-        group->as.ledger.coord =
-            jr_new_coord(group->ctx, &group->options.coord,
-                         group->as.ledger.ledger);
+        group->as.ledger.coord = jr_new_coord(
+            group->ctx, &group->options.coord, group->as.ledger.ledger);
         break;
     }
 }
@@ -135,8 +134,8 @@
         jr_log(group->ctx, JR_EV_SNAPSHOT_INSTALLED, "group %u index %llu",
                group->options.quorum.group,
                (unsigned long long)ready->install->index);
-        result = jr_group_restore(group, ready->install->data,
-                                  ready->install->len);
+        result =
+            jr_group_restore(group, ready->install->data, ready->install->len);
         return result != JR_OK
                    ? result
                    : jr_store_snapshot(group->store, ready->install,
@@ -215,9 +214,9 @@
     while (jr_coord_take_command(group->as.ledger.coord, &command)) {
         uint64_t index;
         size_t len;
-        uint8_t *bytes = jr_command_pack(
-            group->ctx, command, group->now + group->options.wall_offset,
-            &len);
+        uint8_t *bytes =
+            jr_command_pack(group->ctx, command,
+                            group->now + group->options.wall_offset, &len);
 
         jr_quorum_propose(group->quorum, bytes, len, &index);
         jr_free(group->ctx, bytes);
@@ -248,8 +247,7 @@
     entries = jr_quorum_entries(q, &n);
     jr_quorum_ready(q, &unused);
     return jr_store_snapshot(group->store, jr_quorum_snapshot(q), unused.term,
-                             unused.voted_for, entries,
-                             n - unused.n_entries);
+                             unused.voted_for, entries, n - unused.n_entries);
 }
 
 jr_result_t
--- a/src/group/machine.c
+++ b/src/group/machine.c
@@ -77,8 +77,8 @@
     Jr__Reply reply = JR__REPLY__INIT;
 
     if (command != NULL) {
-        result = jr_register_apply(group->as.reg, command->version,
-                                   command->text);
+        result =
+            jr_register_apply(group->as.reg, command->version, command->text);
         jr__rules_apply__free_unpacked(command, NULL);
     }
     text.version = result.version;
--- a/src/group/request.c
+++ b/src/group/request.c
@@ -19,9 +19,8 @@
                     jr_result_t code, const char *message)
 {
     static char none[] = "";
-    const jr_member_t *leader =
-        jr_config_find(jr_quorum_config(group->quorum),
-                       jr_quorum_leader(group->quorum));
+    const jr_member_t *leader = jr_config_find(
+        jr_quorum_config(group->quorum), jr_quorum_leader(group->quorum));
     Jr__Reply reply = JR__REPLY__INIT;
 
     reply.code = (uint32_t)code;
@@ -49,8 +48,7 @@
 {
     jr_waiter_t *waiter;
     uint64_t index;
-    jr_result_t result =
-        jr_quorum_propose(group->quorum, bytes, len, &index);
+    jr_result_t result = jr_quorum_propose(group->quorum, bytes, len, &index);
 
     if (result != JR_OK) {
         refuse_not_leader(group, ticket);
@@ -273,8 +271,8 @@
 static void
 serve_task(jr_group_t *group, const jr_read_t *read)
 {
-    const jr_task_t *task = jr_ledger_task(group->as.ledger.ledger,
-                                           read->request->task_get->task);
+    const jr_task_t *task =
+        jr_ledger_task(group->as.ledger.ledger, read->request->task_get->task);
     Jr__LedgerResult result = JR__LEDGER_RESULT__INIT;
     Jr__Reply reply = JR__REPLY__INIT;
     Jr__Task message;
@@ -296,9 +294,8 @@
 static void
 serve_heartbeat(jr_group_t *group, const jr_read_t *read)
 {
-    Jr__HeartbeatReply *body =
-        jr_coord_heartbeat(group->as.ledger.coord, read->request->heartbeat,
-                           read->arrived);
+    Jr__HeartbeatReply *body = jr_coord_heartbeat(
+        group->as.ledger.coord, read->request->heartbeat, read->arrived);
     Jr__Reply reply = JR__REPLY__INIT;
 
     if (body == NULL) {
--- a/src/lease/lease.c
+++ b/src/lease/lease.c
@@ -83,7 +83,8 @@
 {
     jr_worker_t *worker, *next;
 
-    HASH_ITER(hh, table->by_name, worker, next) {
+    HASH_ITER(hh, table->by_name, worker, next)
+    {
         jr_lease_forget(table, worker);
     }
 }
--- a/src/ledger/apply.c
+++ b/src/ledger/apply.c
@@ -42,8 +42,8 @@
 static void
 release(jr_ledger_t *ledger, jr_task_t *task)
 {
-    move(ledger, task,
-         task->cancel_asked ? JR_TASK_CANCELLED : JR_TASK_QUEUED, NULL);
+    move(ledger, task, task->cancel_asked ? JR_TASK_CANCELLED : JR_TASK_QUEUED,
+         NULL);
 }
 
 /* All that makes two submissions the same one. */
@@ -315,8 +315,7 @@
 jr_ledger_result_t
 jr_ledger_apply(jr_ledger_t *ledger, const uint8_t *bytes, size_t len)
 {
-    Jr__LedgerCommand *command =
-        jr__ledger_command__unpack(NULL, len, bytes);
+    Jr__LedgerCommand *command = jr__ledger_command__unpack(NULL, len, bytes);
     jr_ledger_result_t result;
 
     if (command == NULL) {
--- a/src/ledger/convert.h
+++ b/src/ledger/convert.h
@@ -17,7 +17,7 @@
  * Pack a command: fills in the time, packs, returns bytes that the caller
  * frees with jr_free().
  */
-uint8_t *jr_command_pack(jr_ctx_t *ctx, Jr__LedgerCommand *command,
-                         int64_t at, size_t *len);
+uint8_t *jr_command_pack(jr_ctx_t *ctx, Jr__LedgerCommand *command, int64_t at,
+                         size_t *len);
 
 #endif
--- a/src/ledger/index.c
+++ b/src/ledger/index.c
@@ -72,8 +72,8 @@
         queue = jr_alloc(ledger->ctx, sizeof *queue);
         queue->name = jr_strdup(ledger->ctx, name);
         TAILQ_INIT(&queue->tasks);
-        HASH_ADD_KEYPTR(hh, ledger->classes, queue->name,
-                        strlen(queue->name), queue);
+        HASH_ADD_KEYPTR(hh, ledger->classes, queue->name, strlen(queue->name),
+                        queue);
     }
     return queue;
 }
@@ -101,15 +101,13 @@
     if (use == NULL) {
         use = jr_alloc(ledger->ctx, sizeof *use);
         use->team = jr_strdup(ledger->ctx, name);
-        HASH_ADD_KEYPTR(hh, ledger->teams, use->team, strlen(use->team),
-                        use);
+        HASH_ADD_KEYPTR(hh, ledger->teams, use->team, strlen(use->team), use);
     }
     return use;
 }
 
 static void
-forget_if_idle(jr_ledger_t *ledger, jr_holding_t *holding,
-               jr_team_use_t *team)
+forget_if_idle(jr_ledger_t *ledger, jr_holding_t *holding, jr_team_use_t *team)
 {
     if (holding != NULL && holding->n == 0) {
         HASH_DEL(ledger->holdings, holding);
@@ -253,7 +251,8 @@
 {
     jr_class_queue_t *queue, *next;
 
-    HASH_ITER(hh, ledger->classes, queue, next) {
+    HASH_ITER(hh, ledger->classes, queue, next)
+    {
         HASH_DEL(ledger->classes, queue);
         jr_free(ledger->ctx, queue->name);
         jr_free(ledger->ctx, queue);
@@ -266,11 +265,13 @@
     jr_task_t *task, *next_task;
     jr_claim_t *claim, *next_call;
 
-    HASH_ITER(hh, ledger->by_id, task, next_task) {
+    HASH_ITER(hh, ledger->by_id, task, next_task)
+    {
         jr_task_unlink(ledger, task);
         jr_task_free(ledger, task);
     }
-    HASH_ITER(hh, ledger->claims, claim, next_call) {
+    HASH_ITER(hh, ledger->claims, claim, next_call)
+    {
         jr_claim_free(ledger, claim);
     }
     free_classes(ledger);
--- a/src/limit/limit.c
+++ b/src/limit/limit.c
@@ -31,8 +31,8 @@
 int
 jr_limit_free(const jr_upstream_t *upstream)
 {
-    int owned = upstream->share < upstream->slots ? upstream->share
-                                                  : upstream->slots;
+    int owned =
+        upstream->share < upstream->slots ? upstream->share : upstream->slots;
 
     return owned - upstream->lent + upstream->borrowed - upstream->in_use;
 }
@@ -47,7 +47,8 @@
     if (upstream->share - upstream->lent > upstream->in_use) {
         return INT64_MAX;
     }
-    TAILQ_FOREACH(loan, &upstream->borrowed_loans, link) {
+    TAILQ_FOREACH(loan, &upstream->borrowed_loans, link)
+    {
         if (until == 0 || loan->until < until) {
             until = loan->until;
         }
--- a/src/member/upstream.c
+++ b/src/member/upstream.c
@@ -62,10 +62,12 @@
     if (upstreams == NULL) {
         return;
     }
-    HASH_ITER(hh, upstreams->by_name, upstream, next) {
+    HASH_ITER(hh, upstreams->by_name, upstream, next)
+    {
         forget(upstreams, upstream);
     }
-    HASH_ITER(hh, upstreams->services, service, next_service) {
+    HASH_ITER(hh, upstreams->services, service, next_service)
+    {
         HASH_DEL(upstreams->services, service);
         jr_free(upstreams->ctx, service->upstreams);
         jr_free(upstreams->ctx, service);
@@ -237,7 +239,8 @@
 {
     jr_upstream_t *upstream, *next;
 
-    HASH_ITER(hh, upstreams->by_name, upstream, next) {
+    HASH_ITER(hh, upstreams->by_name, upstream, next)
+    {
         if (upstream->in_use == 0 &&
             now - upstream->heard_at > FORGET_AFTER_US) {
             jr_log(upstreams->ctx, JR_EV_UPSTREAM_SILENT, "%s forgotten",
--- a/src/net/ask.c
+++ b/src/net/ask.c
@@ -7,8 +7,8 @@
 #include "jayrelay/program.h"
 
 enum {
-    TRY_MS = 500,    /* a try without a reply is repeated elsewhere after */
-    PAUSE_MS = 50,   /* between two tries when nobody leads */
+    TRY_MS = 500,  /* a try without a reply is repeated elsewhere after */
+    PAUSE_MS = 50, /* between two tries when nobody leads */
     TICK_MS = 10,
     GROUPS_MAX = 1025,
 };
@@ -18,8 +18,8 @@
     Jr__Request *request;
     int64_t deadline;
     int64_t try_at;   /* when the next try is due */
-    bool is_waiting;   /* for the reply to the latest try */
-    bool had_silence;  /* an earlier try got no definite reply */
+    bool is_waiting;  /* for the reply to the latest try */
+    bool had_silence; /* an earlier try got no definite reply */
     size_t next_peer;
     jr_ask_handler_t *handler;
     void *user;
@@ -88,7 +88,8 @@
 
     (void)loop;
     (void)events;
-    HASH_ITER(hh, asker->questions, question, next) {
+    HASH_ITER(hh, asker->questions, question, next)
+    {
         if (now >= question->deadline) {
             conclude(asker, question,
                      question->is_waiting || question->had_silence
@@ -137,7 +138,8 @@
         return;
     }
     ev_timer_stop(asker->loop, &asker->timer);
-    HASH_ITER(hh, asker->questions, question, next) {
+    HASH_ITER(hh, asker->questions, question, next)
+    {
         free_question(asker, question);
     }
     jr_free(asker->ctx, asker->peers);
@@ -182,9 +184,8 @@
               int64_t now)
 {
     uint32_t group = question->request->group % GROUPS_MAX;
-    int leader = *reply->leader != '\0'
-                     ? jr_bus_find(asker->bus, reply->leader)
-                     : -1;
+    int leader =
+        *reply->leader != '\0' ? jr_bus_find(asker->bus, reply->leader) : -1;
 
     question->is_waiting = false;
     if (leader >= 0 && asker->leaders[group] != leader + 1) {
--- a/src/net/bus.c
+++ b/src/net/bus.c
@@ -93,8 +93,8 @@
 static void
 handle(jr_bus_t *bus, const jr_route_t *route, zmq_msg_t *message)
 {
-    Jr__Envelope *envelope = jr__envelope__unpack(
-        NULL, zmq_msg_size(message), zmq_msg_data(message));
+    Jr__Envelope *envelope = jr__envelope__unpack(NULL, zmq_msg_size(message),
+                                                  zmq_msg_data(message));
 
     jr_count(bus->ctx, JR_C_BUS_RECEIVED);
     if (envelope == NULL) {
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -68,8 +68,7 @@
         return JR_FETCH_ANSWERED;
     }
     curl_easy_getinfo(fetch->easy, CURLINFO_REQUEST_SIZE, &sent);
-    curl_easy_getinfo(fetch->easy, CURLINFO_PRETRANSFER_TIME_T,
-                      &connected_at);
+    curl_easy_getinfo(fetch->easy, CURLINFO_PRETRANSFER_TIME_T, &connected_at);
     if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
         (sent == 0 && connected_at == 0)) {
         return JR_FETCH_NOT_CONNECTED;
@@ -201,8 +200,7 @@
     }
     if (fetch->len + len + 1 > fetch->cap) {
         fetch->cap = 2 * (fetch->len + len + 1);
-        fetch->body =
-            jr_resize(fetch->client->ctx, fetch->body, fetch->cap);
+        fetch->body = jr_resize(fetch->client->ctx, fetch->body, fetch->cap);
     }
     memcpy(fetch->body + fetch->len, data, len);
     fetch->len += len;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -260,8 +260,7 @@
     http->user = user;
     http->listen_fd = -1;
     if (!start(http, address)) {
-        jr_fail(ctx, JR_NETWORK, "listen on %s: %s", address,
-                strerror(errno));
+        jr_fail(ctx, JR_NETWORK, "listen on %s: %s", address, strerror(errno));
         jr_free(ctx, http);
         return NULL;
     }
@@ -354,8 +353,8 @@
                                 headers[i].value);
     }
     if (exchange->http->is_closing) {
-        MHD_add_response_header(exchange->response,
-                                MHD_HTTP_HEADER_CONNECTION, "close");
+        MHD_add_response_header(exchange->response, MHD_HTTP_HEADER_CONNECTION,
+                                "close");
     }
     if (exchange->is_suspended) {
         exchange->is_suspended = false;
--- a/src/quorum/core.c
+++ b/src/quorum/core.c
@@ -270,8 +270,8 @@
     body.pre = request->pre;
     body.granted = is_up_to_date(q, request);
     if (request->pre) {
-        body.granted = body.granted && m->term > q->term &&
-                       !heard_leader_lately(q);
+        body.granted =
+            body.granted && m->term > q->term && !heard_leader_lately(q);
         reply.term = body.granted ? m->term : q->term;
     }
     else {
--- a/src/quorum/core.h
+++ b/src/quorum/core.h
@@ -71,7 +71,7 @@
     bool is_pre_vote;
 
     jr_log_t log;
-    uint64_t stable;  /* last durable index */
+    uint64_t stable; /* last durable index */
     uint64_t commit;
     uint64_t applied;
     uint64_t term_start; /* index of the leader's first entry */
--- a/src/quorum/log.c
+++ b/src/quorum/log.c
@@ -70,8 +70,8 @@
 
     if (log->n == log->cap) {
         log->cap = log->cap > 0 ? 2 * log->cap : FIRST_CAPACITY;
-        log->entries = jr_resize(ctx, log->entries,
-                                 log->cap * sizeof *log->entries);
+        log->entries =
+            jr_resize(ctx, log->entries, log->cap * sizeof *log->entries);
     }
     slot = &log->entries[log->n++];
     *slot = *entry;
--- a/src/quorum/replicate.c
+++ b/src/quorum/replicate.c
@@ -279,8 +279,8 @@
 
     jr_quorum_become_follower(q, m->term, m->from);
     q->heard_leader_at = q->now;
-    if (from == NULL || !jr_config_from_message(from->config,
-                                                &snapshot.config)) {
+    if (from == NULL ||
+        !jr_config_from_message(from->config, &snapshot.config)) {
         jr_count(q->ctx, JR_C_BUS_BAD);
         return;
     }
--- a/src/quorum/store.c
+++ b/src/quorum/store.c
@@ -90,8 +90,8 @@
 
 jr_result_t
 jr_store_snapshot(jr_store_t *store, const jr_snapshot_t *snapshot,
-                  uint64_t term, uint64_t voted_for,
-                  const jr_entry_t *entries, size_t n)
+                  uint64_t term, uint64_t voted_for, const jr_entry_t *entries,
+                  size_t n)
 {
     GByteArray *bytes = g_byte_array_new();
     GByteArray *log = g_byte_array_new();
--- a/src/quorum/store_file.c
+++ b/src/quorum/store_file.c
@@ -75,8 +75,8 @@
 {
     char *temporary = path_of(store, kind, index, ".tmp");
     char *path = path_of(store, kind, index, "");
-    int fd = open(temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
-                  FILE_MODE);
+    int fd =
+        open(temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
     jr_result_t result = JR_OK;
 
     if (fd < 0 || !write_all(fd, bytes->data, bytes->len) || fsync(fd) != 0 ||
@@ -166,8 +166,8 @@
     if (file->fd >= 0) {
         close(file->fd);
     }
-    file->fd = open(path, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC,
-                    FILE_MODE);
+    file->fd =
+        open(path, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, FILE_MODE);
     if (file->fd < 0) {
         result = io_failed(store, "open", path);
     }
@@ -186,8 +186,8 @@
     if (!g_file_get_contents(path, &bytes, &len, NULL) ||
         !jr_snapshot_read((const uint8_t *)bytes, len, loaded)) {
         jr_log(store->ctx, JR_EV_DAMAGE, "%s: no valid snapshot", path);
-        result = jr_fail(store->ctx, JR_DAMAGED, "%s: no valid snapshot",
-                         path);
+        result =
+            jr_fail(store->ctx, JR_DAMAGED, "%s: no valid snapshot", path);
     }
     g_free(bytes);
     g_free(path);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -74,9 +74,8 @@
 static double
 service_time(const jr_service_t *service)
 {
-    return service != NULL && service->latency_us > 0.0
-               ? service->latency_us
-               : DEFAULT_SERVICE_US;
+    return service != NULL && service->latency_us > 0.0 ? service->latency_us
+                                                        : DEFAULT_SERVICE_US;
 }
 
 /* Slots of this process that serve a service now. */
@@ -215,10 +214,10 @@
     }
     lane->loan_asked_at = now;
     jr_count(relay->ctx, JR_C_LOANS_ASKED);
-    relay->options.hooks.ask_loan(
-        relay->options.hooks.user,
-        relay->options.n_other_zones + lane->next_lender++ % n, lane->name,
-        LOAN_SLOTS);
+    relay->options.hooks.ask_loan(relay->options.hooks.user,
+                                  relay->options.n_other_zones +
+                                      lane->next_lender++ % n,
+                                  lane->name, LOAN_SLOTS);
 }
 
 static void
@@ -255,8 +254,7 @@
     }
     if (check != JR_OK) {
         refuse(relay, call,
-               check == JR_DEADLINE ? JR_REFUSE_DEADLINE
-                                    : JR_REFUSE_OVERLOAD,
+               check == JR_DEADLINE ? JR_REFUSE_DEADLINE : JR_REFUSE_OVERLOAD,
                wait);
         return;
     }
@@ -269,8 +267,7 @@
 static void
 serve_queue(jr_relay_t *relay, lane_t *lane, int64_t now)
 {
-    jr_service_t *service =
-        jr_upstreams_service(relay->upstreams, lane->name);
+    jr_service_t *service = jr_upstreams_service(relay->upstreams, lane->name);
     jr_call_t *call;
 
     while ((call = jr_queue_late(lane->queue, service_time(service), now)) !=
@@ -312,11 +309,13 @@
     if (relay == NULL) {
         return;
     }
-    HASH_ITER(hh, relay->calls, call, next_call) {
+    HASH_ITER(hh, relay->calls, call, next_call)
+    {
         HASH_DEL(relay->calls, call);
         jr_free(relay->ctx, call);
     }
-    HASH_ITER(hh, relay->lanes, lane, next_lane) {
+    HASH_ITER(hh, relay->lanes, lane, next_lane)
+    {
         HASH_DEL(relay->lanes, lane);
         jr_drop_queue(lane->queue);
         jr_free(relay->ctx, lane);
@@ -346,8 +345,7 @@
     jr_count(relay->ctx, JR_C_CALLS);
     lane = lane_of(relay, service);
     /* Whoever waits already goes first. */
-    if (jr_queue_first(lane->queue) != NULL ||
-        !try_local(relay, call, now)) {
+    if (jr_queue_first(lane->queue) != NULL || !try_local(relay, call, now)) {
         place_waiting(relay, call, now);
     }
 }
@@ -468,10 +466,9 @@
     if (upstream->service == NULL) {
         return;
     }
-    upstream->share =
-        jr_limit_share(upstream->name, upstream->slots,
-                       relay->options.processes, relay->options.n_processes,
-                       relay->options.self);
+    upstream->share = jr_limit_share(
+        upstream->name, upstream->slots, relay->options.processes,
+        relay->options.n_processes, relay->options.self);
     lane = lane_of(relay, upstream->service->name);
     serve_queue(relay, lane, now);
 }
@@ -507,8 +504,8 @@
 }
 
 void
-jr_relay_lent(jr_relay_t *relay, const char *name, int slots,
-              int64_t asked_at, int64_t now)
+jr_relay_lent(jr_relay_t *relay, const char *name, int slots, int64_t asked_at,
+              int64_t now)
 {
     jr_upstream_t *upstream = jr_upstreams_find(relay->upstreams, name);
 
@@ -528,12 +525,14 @@
 
     if (now >= relay->sweep_at) {
         relay->sweep_at = now + SWEEP_EVERY_US;
-        HASH_ITER(hh, relay->upstreams->by_name, upstream, next_upstream) {
+        HASH_ITER(hh, relay->upstreams->by_name, upstream, next_upstream)
+        {
             jr_limit_expire(relay->ctx, upstream, now);
         }
         jr_upstreams_expire(relay->upstreams, now);
     }
-    HASH_ITER(hh, relay->lanes, lane, next_lane) {
+    HASH_ITER(hh, relay->lanes, lane, next_lane)
+    {
         serve_queue(relay, lane, now);
         if (jr_queue_first(lane->queue) != NULL) {
             ask_for_loan(relay, lane, now);
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -33,8 +33,7 @@
 choose_random(jr_service_t *service, GRand *rng, int64_t now,
               int64_t timeout_us)
 {
-    size_t start =
-        (size_t)g_rand_int_range(rng, 0, (gint32)service->n);
+    size_t start = (size_t)g_rand_int_range(rng, 0, (gint32)service->n);
 
     for (size_t i = 0; i < service->n; i++) {
         jr_upstream_t *u = service->upstreams[(start + i) % service->n];
@@ -50,8 +49,7 @@
 choose_round_robin(jr_service_t *service, int64_t now, int64_t timeout_us)
 {
     for (size_t i = 0; i < service->n; i++) {
-        jr_upstream_t *u =
-            service->upstreams[service->next++ % service->n];
+        jr_upstream_t *u = service->upstreams[service->next++ % service->n];
 
         if (can_take(u, now, timeout_us)) {
             return u;
@@ -83,8 +81,7 @@
     double latency = upstream->latency_us > 0.0
                          ? upstream->latency_us
                          : upstream->service->latency_us;
-    double load =
-        (double)upstream->in_use / (double)MAX(upstream->share, 1);
+    double load = (double)upstream->in_use / (double)MAX(upstream->share, 1);
 
     if (upstream == avoid) {
         return DBL_MAX / 2.0;
@@ -135,8 +132,8 @@
     case JR_ROUTE_LEAST_IN_FLIGHT:
         return choose_least(service, now, timeout_us);
     case JR_ROUTE_SCORED:
-        return choose_scored(service, policy->as.scored.candidates, avoid,
-                             rng, now, timeout_us);
+        return choose_scored(service, policy->as.scored.candidates, avoid, rng,
+                             now, timeout_us);
     }
     return NULL;
 }
--- a/src/rules/register.c
+++ b/src/rules/register.c
@@ -134,8 +134,8 @@
     snapshot.n_history = n;
     snapshot.history = history;
     snapshot.current = &current;
-    bytes = jr_alloc(reg->ctx,
-                     jr__rules_snapshot__get_packed_size(&snapshot) + 1);
+    bytes =
+        jr_alloc(reg->ctx, jr__rules_snapshot__get_packed_size(&snapshot) + 1);
     *len = jr__rules_snapshot__pack(&snapshot, bytes);
     jr_free(reg->ctx, history);
     jr_free(reg->ctx, slots);
@@ -145,8 +145,7 @@
 bool
 jr_register_load(jr_register_t *reg, const uint8_t *bytes, size_t len)
 {
-    Jr__RulesSnapshot *snapshot =
-        jr__rules_snapshot__unpack(NULL, len, bytes);
+    Jr__RulesSnapshot *snapshot = jr__rules_snapshot__unpack(NULL, len, bytes);
     bool ok = snapshot != NULL && snapshot->current != NULL &&
               snapshot->n_history <= HISTORY;
 
--- a/src/rules/rules.c
+++ b/src/rules/rules.c
@@ -26,10 +26,10 @@
     jr_rule_problems_t *problems;
     size_t n_problems;
     int line;
-    const char *raw;         /* the line as written */
-    int n;                   /* words on the line */
-    char **words;            /* unquoted */
-    int columns[WORDS_MAX];  /* of each word, from 1 */
+    const char *raw;        /* the line as written */
+    int n;                  /* words on the line */
+    char **words;           /* unquoted */
+    int columns[WORDS_MAX]; /* of each word, from 1 */
     bool seen_weights[3];
 } parser_t;
 
@@ -218,8 +218,7 @@
                     rule.name);
         }
     }
-    rules->services =
-        grow(p, rules->services, rules->n_services, sizeof rule);
+    rules->services = grow(p, rules->services, rules->n_services, sizeof rule);
     rules->services[rules->n_services++] = rule;
 }
 
@@ -234,8 +233,7 @@
     if (!read_name(p, rule.name) || !read_keys(p, 2, keys, 2)) {
         return;
     }
-    rule.rate_percent =
-        (int)read_number(p, keys[0].word, "%", 1, PERCENT_MAX);
+    rule.rate_percent = (int)read_number(p, keys[0].word, "%", 1, PERCENT_MAX);
     rule.priority = (int)read_number(p, keys[1].word, "", 1, PRIORITY_MAX);
     for (size_t i = 0; i < rules->n_classes; i++) {
         sum += rules->classes[i].rate_percent;
@@ -265,8 +263,7 @@
         return;
     }
     if (keys[0].word != 0) {
-        rule.cpu_milli =
-            read_number(p, keys[0].word, "", MILLI, QUANTITY_MAX);
+        rule.cpu_milli = read_number(p, keys[0].word, "", MILLI, QUANTITY_MAX);
     }
     if (keys[1].word != 0) {
         rule.memory_mb = read_memory(p, keys[1].word);
@@ -522,8 +519,8 @@
 const jr_class_rule_t *
 jr_rules_class(const jr_rules_t *rules, const char *name)
 {
-    return find_rule(rules->classes, rules->n_classes,
-                     sizeof(jr_class_rule_t), name);
+    return find_rule(rules->classes, rules->n_classes, sizeof(jr_class_rule_t),
+                     name);
 }
 
 const jr_team_rule_t *
