Tests of the slices; quotas count grants that are under way

Cause: CoordTest.QuotasHoldWork was red: five tasks of a team with 2 processors started in one step, since only applied grants were counted. Change: the use of a team holds the grants under way, as that of a class. Before: 5 tasks leased against a quota of 2. Conclusion: a decision must count what it decided a moment ago.

--- a/fakes/load/report.c
+++ b/fakes/load/report.c
@@ -246,6 +246,9 @@
     t.overlaps = count_overlaps(&seen);
     g_array_sort(load->latencies, by_value);
     print(load, &t, &seen);
+    g_free(seen.runs);
+    g_array_free(seen.spans, TRUE);
+    g_hash_table_destroy(seen.finishes);
     return t.wrong + t.doubled + t.false_not_run + t.overlaps +
                        t.doubled_jobs + t.lost + t.pending + seen.over_slots >
                    0
--- a/fakes/worker/main.c
+++ b/fakes/worker/main.c
@@ -66,8 +66,8 @@
 {
     task_t *task;
 
-    TAILQ_FOREACH(task, &worker->tasks, link)
-    {
+    TAILQ_FOREACH (task, &worker->tasks, link) {
+        /* NOLINTNEXTLINE: removal is elsewhere */
         if (strcmp(task->id, id) == 0 && task->epoch == epoch) {
             return task;
         }
@@ -103,8 +103,7 @@
     int64_t now = jr_clock_ms();
     task_t *task;
 
-    TAILQ_FOREACH(task, &worker->tasks, link)
-    {
+    TAILQ_FOREACH (task, &worker->tasks, link) {
         if (task->state != RUNNING) {
             continue;
         }
@@ -225,8 +224,7 @@
     json_t *tasks = json_array();
     task_t *task;
 
-    TAILQ_FOREACH(task, &worker->tasks, link)
-    {
+    TAILQ_FOREACH (task, &worker->tasks, link) {
         char checkpoint[32];
 
         snprintf(checkpoint, sizeof checkpoint, "%lld", task->checkpoint_ms);
@@ -303,8 +301,7 @@
     (void)loop;
     (void)events;
     worker->is_leaving = true;
-    TAILQ_FOREACH(task, &worker->tasks, link)
-    {
+    TAILQ_FOREACH (task, &worker->tasks, link) {
         end(worker, task, STOPPED);
     }
 }
--- a/include/jayrelay/http.h
+++ b/include/jayrelay/http.h
@@ -130,7 +130,7 @@
  *
  * The handler is called once, from the loop, never from this call.
  */
-jr_result_t jr_client_fetch(jr_client_t *client, const jr_fetch_t *fetch);
+jr_result_t jr_client_fetch(jr_client_t *client, const jr_fetch_t *from);
 
 /** jr_fetched_header - value of a header of the answer, or NULL */
 const char *jr_fetched_header(const jr_fetched_t *fetched, const char *name);
--- a/include/jayrelay/ledger.h
+++ b/include/jayrelay/ledger.h
@@ -152,11 +152,19 @@
     UT_hash_handle hh;
 } jr_holding_t;
 
-/** struct jr_team_use_t - what one team has in this group */
+/**
+ * struct jr_team_use_t - what one team has in this group
+ * @n_open: its queued and leased tasks
+ * @leased: declared needs of the leased ones
+ * @generation: of the leadership that @granting belongs to
+ * @granting: needs of its tasks whose grant is proposed and not applied
+ */
 typedef struct {
     char *team;
-    uint64_t n_open; /* queued or leased */
+    uint64_t n_open;
     jr_resources_t leased;
+    uint64_t generation;
+    jr_resources_t granting;
     UT_hash_handle hh;
 } jr_team_use_t;
 
--- a/include/jayrelay/relay.h
+++ b/include/jayrelay/relay.h
@@ -108,7 +108,7 @@
  * jr_relay_lent - a peer answered that it lends
  * @asked_at: when the loan was asked for; its time counts from then
  */
-void jr_relay_lent(jr_relay_t *relay, const char *upstream, int slots,
+void jr_relay_lent(jr_relay_t *relay, const char *name, int slots,
                    int64_t asked_at, int64_t now);
 
 /** jr_relay_tick - let time pass */
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -205,7 +205,7 @@
                  key);
         return;
     }
-    strcpy(to, text);
+    g_strlcpy(to, text, size);
 }
 
 static void
--- /dev/null
+++ b/src/base/settings_test.cc
@@ -0,0 +1,132 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "jayrelay/settings.h"
+}
+
+namespace {
+
+const char kEntry[] =
+    "name: entry-a\n"
+    "zone: a\n"
+    "bus: 127.0.0.1:7000\n"
+    "http: 127.0.0.1:8080\n"
+    "controls:\n"
+    "  - {name: control-a, zone: a, bus: 127.0.0.1:7100}\n"
+    "entries:\n"
+    "  - {name: entry-a, zone: a, bus: 127.0.0.1:7000, "
+    "http: 127.0.0.1:8080}\n";
+
+class SettingsTest : public ::testing::Test {
+  protected:
+    void SetUp() override
+    {
+        ctx_ = jr_new_ctx("test", nullptr);
+    }
+
+    void TearDown() override
+    {
+        jr_drop_ctx(ctx_);
+    }
+
+    std::string Errors(const std::string &text, jr_settings_kind_t kind)
+    {
+        jr_result_t result = jr_settings_parse(ctx_, text.data(), text.size(),
+                                               kind, &settings_, &errors_);
+        std::string all;
+
+        EXPECT_EQ(result == JR_OK, errors_.n == 0);
+        for (size_t i = 0; i < errors_.n; i++) {
+            all += std::string(errors_.texts[i]) + "\n";
+        }
+        return all;
+    }
+
+    jr_ctx_t *ctx_ = nullptr;
+    jr_settings_t settings_;
+    jr_setting_errors_t errors_;
+};
+
+TEST_F(SettingsTest, ReadsValuesAndStandards)
+{
+    EXPECT_EQ(Errors(kEntry, JR_SETTINGS_ENTRY), "");
+    EXPECT_STREQ(settings_.name, "entry-a");
+    EXPECT_STREQ(settings_.entries[0].http, "127.0.0.1:8080");
+    EXPECT_EQ(settings_.n_controls, 1);
+    EXPECT_EQ(settings_.groups, 3);
+    EXPECT_EQ(settings_.retry_percent, 10);
+}
+
+TEST_F(SettingsTest, AllErrorsComeAtOnceEachWithItsLine)
+{
+    std::string errors = Errors("name: entry-a\n"
+                                "zone: ''\n"
+                                "bus: localhost:7000\n"
+                                "http: 127.0.0.1:99999\n"
+                                "speed: 9\n"
+                                "groups: many\n"
+                                "name: again\n"
+                                "controls: none\n",
+                                JR_SETTINGS_ENTRY);
+
+    EXPECT_EQ(errors,
+              "line 2: 'zone' must be a text of 1 to 63 characters\n"
+              "line 3: 'bus' must be an IP number and a port, such as "
+              "10.0.0.1:7000\n"
+              "line 4: 'http' must be an IP number and a port, such as "
+              "10.0.0.1:7000\n"
+              "line 5: 'speed' is not a setting of this program\n"
+              "line 6: 'groups' must be a whole number from 1 to 1024\n"
+              "line 7: 'name' is given twice\n"
+              "line 8: 'controls' must be a list\n");
+}
+
+TEST_F(SettingsTest, MissingSettingsAreNamed)
+{
+    std::string errors = Errors("zone: a\n", JR_SETTINGS_CONTROL);
+
+    EXPECT_NE(errors.find("'name' is missing"), std::string::npos);
+    EXPECT_NE(errors.find("'data' is missing"), std::string::npos);
+    EXPECT_NE(errors.find("'controls' is missing"), std::string::npos);
+}
+
+TEST_F(SettingsTest, WhatIsNotYamlGetsItsLine)
+{
+    EXPECT_NE(Errors("name: a\n  - b: [\n", JR_SETTINGS_ENTRY).find("line 2"),
+              std::string::npos);
+    EXPECT_NE(Errors("", JR_SETTINGS_ENTRY).find("key: value"),
+              std::string::npos);
+}
+
+TEST_F(SettingsTest, TheWholeIsCheckedToo)
+{
+    std::string text = kEntry;
+
+    text.replace(text.find("- {name: entry-a"), 16, "- {name: entry-z");
+    EXPECT_NE(Errors(text, JR_SETTINGS_ENTRY).find("must name this process"),
+              std::string::npos);
+}
+
+TEST_F(SettingsTest, TheExamplesAreValid)
+{
+    static const struct {
+        const char *path;
+        jr_settings_kind_t kind;
+    } examples[] = {
+        {"examples/liimaneuvo/control.yaml", JR_SETTINGS_CONTROL},
+        {"examples/liimaneuvo/entry.yaml", JR_SETTINGS_ENTRY},
+        {"examples/bergstijl/control.yaml", JR_SETTINGS_CONTROL},
+        {"examples/bergstijl/entry.yaml", JR_SETTINGS_ENTRY},
+    };
+
+    for (const auto &example : examples) {
+        EXPECT_EQ(jr_settings_read(ctx_, example.path, example.kind,
+                                   &settings_, &errors_),
+                  JR_OK)
+            << example.path << ": " << ctx_->error.text;
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/src/base/tables_test.cc
@@ -0,0 +1,88 @@
+/* The tables in the docs hold what the code says. */
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+extern "C" {
+#include "jayrelay/ctx.h"
+#include "jayrelay/metrics.h"
+}
+
+static std::string
+Slurp(const char *path)
+{
+    std::ifstream in(path);
+    std::stringstream text;
+
+    text << in.rdbuf();
+    return text.str();
+}
+
+TEST(Tables, EveryResultCodeHasItsRow)
+{
+    std::string doc = Slurp("docs/ERRORS.md");
+    jr_result_t code;
+
+    for (size_t i = 0; jr_result_at(i, &code); i++) {
+        std::string row = "| " + std::to_string(code) + " | " +
+                          jr_result_name(code) + " | " +
+                          std::to_string(jr_result_exit(code)) + " |";
+
+        EXPECT_NE(doc.find(row), std::string::npos) << row;
+    }
+}
+
+TEST(Tables, EveryEventHasItsRow)
+{
+    static const char *const severities[] = {"emergency", "alert",  "critical",
+                                             "error",     "warning", "notice",
+                                             "info",      "debug"};
+    std::string doc = Slurp("docs/EVENTS.md");
+    jr_event_t event;
+
+    for (size_t i = 0; jr_event_at(i, &event); i++) {
+        std::string row = "| " + std::to_string(event) + " | " +
+                          jr_event_name(event) + " | " +
+                          severities[jr_event_severity(event)] + " |";
+
+        EXPECT_NE(doc.find(row), std::string::npos) << row;
+    }
+}
+
+TEST(Tables, MetricsShowEveryCounter)
+{
+    jr_ctx_t *ctx = jr_new_ctx("test", nullptr);
+    jr_gauge_t gauge = {"things", "some things", 2.5};
+    char *text;
+
+    jr_count_n(ctx, JR_C_CALLS, 3);
+    text = jr_metrics_text(ctx, &gauge, 1);
+    for (int i = 0; i < JR_COUNTERS; i++) {
+        std::string line =
+            std::string("\njayrelay_") +
+            jr_counter_metric((jr_counter_t)i) + " ";
+
+        EXPECT_NE(strstr(text, line.c_str()), nullptr) << line;
+    }
+    EXPECT_NE(strstr(text, "\njayrelay_calls_total 3\n"), nullptr);
+    EXPECT_NE(strstr(text, "\njayrelay_things 2.5\n"), nullptr);
+    jr_free(ctx, text);
+    jr_drop_ctx(ctx);
+}
+
+TEST(Tables, ALogLineHasPriorityNumberAndName)
+{
+    char *text = nullptr;
+    size_t len = 0;
+    FILE *log = open_memstream(&text, &len);
+    jr_ctx_t *ctx = jr_new_ctx("prog", log);
+
+    jr_log(ctx, JR_EV_TORN_TAIL, "at byte %d", 7);
+    fclose(log);
+    EXPECT_EQ(strncmp(text, "<28>", 4), 0) << text;
+    EXPECT_NE(strstr(text, "]: E205 torn-tail: at byte 7\n"), nullptr)
+        << text;
+    free(text);
+    jr_drop_ctx(ctx);
+}
--- a/src/control/identity.c
+++ b/src/control/identity.c
@@ -100,8 +100,10 @@
 
         member->id = first_id(settings->controls[i].name);
         member->voter = true;
-        strcpy(member->name, settings->controls[i].name);
-        strcpy(member->address, settings->controls[i].bus);
+        g_strlcpy(member->name, settings->controls[i].name,
+                  sizeof member->name);
+        g_strlcpy(member->address, settings->controls[i].bus,
+                  sizeof member->address);
     }
 }
 
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -75,7 +75,7 @@
         control->n_known++;
     }
     control->known[i].id = id;
-    strcpy(control->known[i].name, name);
+    g_strlcpy(control->known[i].name, name, sizeof control->known[i].name);
 }
 
 static int
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -80,8 +80,7 @@
     coord->generation++;
     coord->elected_at = elected_at;
     jr_lease_reset(coord->table);
-    HASH_ITER(hh, jr_ledger_holdings(coord->ledger), holding, next)
-    {
+    HASH_ITER (hh, jr_ledger_holdings(coord->ledger), holding, next) {
         jr_lease_renew(coord->table, holding->worker, elected_at);
     }
 }
@@ -134,12 +133,37 @@
     return JR_OK;
 }
 
+/* Note that a grant is under way, or (n = -1) that it is no more. */
+static void
+count_granting(jr_coord_t *coord, const jr_task_t *task, int n)
+{
+    jr_team_use_t *team = jr_ledger_team(coord->ledger, task->spec.team);
+    jr_class_queue_t *queue;
+
+    HASH_FIND_STR(jr_ledger_classes(coord->ledger), task->spec.class_name,
+                  queue);
+    if (queue != NULL && queue->generation == coord->generation) {
+        jr_resources_add(&queue->granting, &task->spec.need, n);
+    }
+    if (team != NULL && team->generation != coord->generation) {
+        team->generation = coord->generation;
+        team->granting = (jr_resources_t){0};
+        if (n < 0) {
+            return;
+        }
+    }
+    if (team != NULL) {
+        jr_resources_add(&team->granting, &task->spec.need, n);
+    }
+}
+
 /* Would a start take the team over its quota of running work? */
 static bool
 is_over_quota(const jr_coord_t *coord, const jr_task_t *task)
 {
     const jr_team_rule_t *team;
     const jr_team_use_t *use;
+    jr_resources_t after = task->spec.need;
 
     if (coord->rules == NULL) {
         return false;
@@ -149,14 +173,16 @@
     if (team == NULL || use == NULL) {
         return false;
     }
+    jr_resources_add(&after, &use->leased, 1);
+    if (use->generation == coord->generation) {
+        jr_resources_add(&after, &use->granting, 1);
+    }
     if (team->cpu_milli > 0 &&
-        use->leased.cpu_milli + task->spec.need.cpu_milli >
-            group_share(coord, team->cpu_milli)) {
+        after.cpu_milli > group_share(coord, team->cpu_milli)) {
         return true;
     }
     return team->memory_mb > 0 &&
-           use->leased.memory_mb + task->spec.need.memory_mb >
-               group_share(coord, team->memory_mb);
+           after.memory_mb > group_share(coord, team->memory_mb);
 }
 
 jr_task_soft_t *
@@ -177,8 +203,7 @@
     if (holding == NULL) {
         return;
     }
-    TAILQ_FOREACH(task, &holding->tasks, on_worker)
-    {
+    TAILQ_FOREACH (task, &holding->tasks, on_worker) {
         jr_task_soft_t *soft = jr_coord_soft(coord, task);
         jr_proposal_t expire = {
             .kind = JR_PROPOSE_EXPIRE,
@@ -245,8 +270,7 @@
 {
     jr_class_queue_t *queue, *next;
 
-    HASH_ITER(hh, jr_ledger_classes(coord->ledger), queue, next)
-    {
+    HASH_ITER (hh, jr_ledger_classes(coord->ledger), queue, next) {
         if (queue->generation != coord->generation) {
             queue->generation = coord->generation;
             queue->granting = (jr_resources_t){0};
@@ -271,7 +295,7 @@
         }
         looked_at++;
         if (!is_over_quota(coord, task) && start_task(coord, task, now)) {
-            jr_resources_add(&queue->granting, &task->spec.need, 1);
+            count_granting(coord, task, 1);
             return true;
         }
     }
@@ -306,8 +330,7 @@
     jr_task_t *task;
     int looked_at = 0;
 
-    TAILQ_FOREACH(task, &queue->tasks, link)
-    {
+    TAILQ_FOREACH (task, &queue->tasks, link) {
         jr_proposal_t proposal = {
             .kind = JR_PROPOSE_IMPOSSIBLE,
             .task = task->id,
@@ -340,8 +363,7 @@
         return;
     }
     coord->impossible_check_at = now + IMPOSSIBLE_CHECK_MS;
-    HASH_ITER(hh, jr_ledger_classes(coord->ledger), queue, next)
-    {
+    HASH_ITER (hh, jr_ledger_classes(coord->ledger), queue, next) {
         end_impossible(coord, queue);
     }
 }
@@ -418,7 +440,6 @@
     jr_task_t *task = (jr_task_t *)result->task;
     jr_task_soft_t *soft;
     jr_worker_t *worker;
-    jr_class_queue_t *queue;
 
     if (!coord->is_leading || task == NULL) {
         return;
@@ -441,11 +462,7 @@
     if (task->state == JR_TASK_LEASED) {
         jr_resources_add(&worker->load, &task->spec.need, 1);
     }
-    HASH_FIND_STR(jr_ledger_classes(coord->ledger), task->spec.class_name,
-                  queue);
-    if (queue != NULL && queue->generation == coord->generation) {
-        jr_resources_add(&queue->granting, &task->spec.need, -1);
-    }
+    count_granting(coord, task, -1);
     jr_lease_update_room(coord->table, worker);
 }
 
--- a/src/coord/heartbeat.c
+++ b/src/coord/heartbeat.c
@@ -238,8 +238,7 @@
 {
     jr_task_t *task;
 
-    TAILQ_FOREACH(task, &holding->tasks, on_worker)
-    {
+    TAILQ_FOREACH (task, &holding->tasks, on_worker) {
         jr_task_soft_t *soft = jr_coord_soft(coord, task);
 
         if (soft->seen_round == coord->round || soft->is_expiring ||
@@ -268,8 +267,7 @@
 
     worker->load = (jr_resources_t){0};
     if (holding != NULL) {
-        TAILQ_FOREACH(task, &holding->tasks, on_worker)
-        {
+        TAILQ_FOREACH (task, &holding->tasks, on_worker) {
             jr_resources_t size = jr_resources_max(
                 &task->spec.need, &jr_coord_soft(coord, task)->used);
 
--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -62,8 +62,7 @@
     int64_t now = jr_clock_us();
     jr_upstream_t *u, *next;
 
-    HASH_ITER(hh, entry->upstreams->by_name, u, next)
-    {
+    HASH_ITER (hh, entry->upstreams->by_name, u, next) {
         json_array_append_new(
             list,
             json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:i, s:b, s:f}",
@@ -112,8 +111,7 @@
     if (reply->body_case != JR__REPLY__BODY_STATUS) {
         return false;
     }
-    TAILQ_FOREACH(wait, &entry->status_waits, link)
-    {
+    TAILQ_FOREACH (wait, &entry->status_waits, link) {
         if (wait->id == reply->id) {
             json_array_append_new(wait->controls,
                                   control_to_json(reply->status));
--- a/src/entry/calls.c
+++ b/src/entry/calls.c
@@ -393,12 +393,12 @@
 
     c->entry = entry;
     c->exchange = exchange;
-    strcpy(c->service, service);
+    g_strlcpy(c->service, service, sizeof c->service);
     c->is_idempotent = idempotent != NULL && strcmp(idempotent, "yes") == 0;
     c->is_forwarded =
         jr_exchange_header(exchange, "Jayrelay-Forwarded") != NULL;
     if (c->is_forwarded && request != NULL && strlen(request) < ID_BYTES) {
-        strcpy(c->request, request);
+        g_strlcpy(c->request, request, sizeof c->request);
     }
     else {
         snprintf(c->request, sizeof c->request, "%llx-%llx",
--- a/src/group/request.c
+++ b/src/group/request.c
@@ -191,8 +191,8 @@
         return;
     }
     *slot = (jr_member_t){.id = from->id, .voter = false};
-    strcpy(slot->name, from->name);
-    strcpy(slot->address, from->address);
+    g_strlcpy(slot->name, from->name, sizeof slot->name);
+    g_strlcpy(slot->address, from->address, sizeof slot->address);
     config.n++;
     result = jr_quorum_propose_config(group->quorum, &config);
     jr_log(group->ctx, JR_EV_MEMBERSHIP, "group %u: %s joins as a learner",
--- a/src/lease/lease.c
+++ b/src/lease/lease.c
@@ -83,8 +83,7 @@
 {
     jr_worker_t *worker, *next;
 
-    HASH_ITER(hh, table->by_name, worker, next)
-    {
+    HASH_ITER (hh, table->by_name, worker, next) {
         jr_lease_forget(table, worker);
     }
 }
--- a/src/ledger/index.c
+++ b/src/ledger/index.c
@@ -251,8 +251,7 @@
 {
     jr_class_queue_t *queue, *next;
 
-    HASH_ITER(hh, ledger->classes, queue, next)
-    {
+    HASH_ITER (hh, ledger->classes, queue, next) {
         HASH_DEL(ledger->classes, queue);
         jr_free(ledger->ctx, queue->name);
         jr_free(ledger->ctx, queue);
@@ -265,13 +264,11 @@
     jr_task_t *task, *next_task;
     jr_claim_t *claim, *next_call;
 
-    HASH_ITER(hh, ledger->by_id, task, next_task)
-    {
+    HASH_ITER (hh, ledger->by_id, task, next_task) {
         jr_task_unlink(ledger, task);
         jr_task_free(ledger, task);
     }
-    HASH_ITER(hh, ledger->claims, claim, next_call)
-    {
+    HASH_ITER (hh, ledger->claims, claim, next_call) {
         jr_claim_free(ledger, claim);
     }
     free_classes(ledger);
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -32,7 +32,7 @@
 void jr_task_unlink(jr_ledger_t *ledger, jr_task_t *task);
 void jr_task_free(jr_ledger_t *ledger, jr_task_t *task);
 jr_claim_t *jr_claim_insert(jr_ledger_t *ledger, const char *key);
-void jr_claim_free(jr_ledger_t *ledger, jr_claim_t *call);
+void jr_claim_free(jr_ledger_t *ledger, jr_claim_t *claim);
 void jr_ledger_clear(jr_ledger_t *ledger);
 void jr_set_string(jr_ctx_t *ctx, char **to, const char *from);
 
--- a/src/ledger/snapshot.c
+++ b/src/ledger/snapshot.c
@@ -36,22 +36,17 @@
     jr_holding_t *holding, *next_holding;
     const jr_task_t *task;
 
-    HASH_ITER(hh, s->ledger->classes, queue, next_queue)
-    {
-        TAILQ_FOREACH(task, &queue->tasks, link)
-        {
+    HASH_ITER (hh, s->ledger->classes, queue, next_queue) {
+        TAILQ_FOREACH (task, &queue->tasks, link) {
             save_task(s, task);
         }
     }
-    HASH_ITER(hh, s->ledger->holdings, holding, next_holding)
-    {
-        TAILQ_FOREACH(task, &holding->tasks, on_worker)
-        {
+    HASH_ITER (hh, s->ledger->holdings, holding, next_holding) {
+        TAILQ_FOREACH (task, &holding->tasks, on_worker) {
             save_task(s, task);
         }
     }
-    TAILQ_FOREACH(task, &s->ledger->ended, link)
-    {
+    TAILQ_FOREACH (task, &s->ledger->ended, link) {
         save_task(s, task);
     }
 }
@@ -61,8 +56,7 @@
 {
     const jr_claim_t *claim;
 
-    TAILQ_FOREACH(claim, &s->ledger->claim_order, link)
-    {
+    TAILQ_FOREACH (claim, &s->ledger->claim_order, link) {
         size_t i = s->message.n_calls++;
 
         jr_claim_to_message(claim, &s->calls[i]);
--- a/src/limit/limit.c
+++ b/src/limit/limit.c
@@ -16,6 +16,7 @@
                size_t n, size_t self)
 {
     uint64_t own = rank(upstream, processes[self]);
+    int count = n > 0 ? (int)n : 1;
     size_t before = 0;
 
     for (size_t i = 0; i < n; i++) {
@@ -25,7 +26,7 @@
             before++;
         }
     }
-    return slots / (int)n + ((int)before < slots % (int)n ? 1 : 0);
+    return slots / count + ((int)before < slots % count ? 1 : 0);
 }
 
 int
@@ -47,8 +48,7 @@
     if (upstream->share - upstream->lent > upstream->in_use) {
         return INT64_MAX;
     }
-    TAILQ_FOREACH(loan, &upstream->borrowed_loans, link)
-    {
+    TAILQ_FOREACH (loan, &upstream->borrowed_loans, link) {
         if (until == 0 || loan->until < until) {
             until = loan->until;
         }
--- a/src/member/upstream.c
+++ b/src/member/upstream.c
@@ -1,6 +1,7 @@
 /* Announcements of upstreams. */
 #include "jayrelay/upstream.h"
 
+#include <glib.h>
 #include <string.h>
 
 enum { FORGET_AFTER_US = 60 * 1000 * 1000 };
@@ -49,7 +50,7 @@
     leave_service(upstream);
     drop_loans(upstreams->ctx, &upstream->lent_loans);
     drop_loans(upstreams->ctx, &upstream->borrowed_loans);
-    HASH_DEL(upstreams->by_name, upstream);
+    HASH_DEL(upstreams->by_name, upstream); /* NOLINT: it is there */
     jr_free(upstreams->ctx, upstream);
 }
 
@@ -62,12 +63,10 @@
     if (upstreams == NULL) {
         return;
     }
-    HASH_ITER(hh, upstreams->by_name, upstream, next)
-    {
+    HASH_ITER (hh, upstreams->by_name, upstream, next) {
         forget(upstreams, upstream);
     }
-    HASH_ITER(hh, upstreams->services, service, next_service)
-    {
+    HASH_ITER (hh, upstreams->services, service, next_service) {
         HASH_DEL(upstreams->services, service);
         jr_free(upstreams->ctx, service->upstreams);
         jr_free(upstreams->ctx, service);
@@ -116,7 +115,7 @@
 
     if (service == NULL) {
         service = jr_alloc(upstreams->ctx, sizeof *service);
-        strcpy(service->name, name);
+        g_strlcpy(service->name, name, sizeof service->name);
         HASH_ADD_STR(upstreams->services, name, service);
     }
     return service;
@@ -134,9 +133,8 @@
     leave_service(upstream);
     if (service->n == service->cap) {
         service->cap = service->cap > 0 ? 2 * service->cap : 8;
-        service->upstreams =
-            jr_resize(upstreams->ctx, service->upstreams,
-                      service->cap * sizeof *service->upstreams);
+        service->upstreams = jr_resize(upstreams->ctx, service->upstreams,
+                                       service->cap * sizeof(jr_upstream_t *));
     }
     service->upstreams[service->n++] = upstream;
     upstream->service = service;
@@ -147,7 +145,7 @@
 {
     jr_upstream_t *upstream = jr_alloc(upstreams->ctx, sizeof *upstream);
 
-    strcpy(upstream->name, name);
+    g_strlcpy(upstream->name, name, sizeof upstream->name);
     TAILQ_INIT(&upstream->lent_loans);
     TAILQ_INIT(&upstream->borrowed_loans);
     HASH_ADD_STR(upstreams->by_name, name, upstream);
@@ -172,9 +170,9 @@
         upstream->samples = 0;
         upstream->ejected_until = 0;
     }
-    strcpy(upstream->address, a->address);
-    strcpy(upstream->zone, a->zone);
-    strcpy(upstream->rack, a->rack);
+    g_strlcpy(upstream->address, a->address, sizeof upstream->address);
+    g_strlcpy(upstream->zone, a->zone, sizeof upstream->zone);
+    g_strlcpy(upstream->rack, a->rack, sizeof upstream->rack);
     upstream->slots = a->slots;
     upstream->connections = a->connections;
     upstream->incarnation = a->incarnation;
@@ -239,8 +237,7 @@
 {
     jr_upstream_t *upstream, *next;
 
-    HASH_ITER(hh, upstreams->by_name, upstream, next)
-    {
+    HASH_ITER (hh, upstreams->by_name, upstream, next) {
         if (upstream->in_use == 0 &&
             now - upstream->heard_at > FORGET_AFTER_US) {
             jr_log(upstreams->ctx, JR_EV_UPSTREAM_SILENT, "%s forgotten",
--- a/src/net/ask.c
+++ b/src/net/ask.c
@@ -88,8 +88,7 @@
 
     (void)loop;
     (void)events;
-    HASH_ITER(hh, asker->questions, question, next)
-    {
+    HASH_ITER (hh, asker->questions, question, next) {
         if (now >= question->deadline) {
             conclude(asker, question,
                      question->is_waiting || question->had_silence
@@ -138,8 +137,7 @@
         return;
     }
     ev_timer_stop(asker->loop, &asker->timer);
-    HASH_ITER(hh, asker->questions, question, next)
-    {
+    HASH_ITER (hh, asker->questions, question, next) {
         free_question(asker, question);
     }
     jr_free(asker->ctx, asker->peers);
--- a/src/place/evict.c
+++ b/src/place/evict.c
@@ -43,8 +43,7 @@
     jr_task_t *task;
     jr_task_t *best = NULL;
 
-    TAILQ_FOREACH(task, &holding->tasks, on_worker)
-    {
+    TAILQ_FOREACH (task, &holding->tasks, on_worker) {
         if (task->soft.is_evicting || task->soft.is_expiring ||
             task->cancel_asked) {
             continue;
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -46,8 +46,7 @@
     jr_class_queue_t *queue, *next;
     jr_class_queue_t *best = NULL;
 
-    HASH_ITER(hh, jr_ledger_classes(ledger), queue, next)
-    {
+    HASH_ITER (hh, jr_ledger_classes(ledger), queue, next) {
         if (queue->n == 0 || queue->is_skipped) {
             continue;
         }
@@ -79,8 +78,7 @@
 {
     jr_worker_t *worker, *next;
 
-    HASH_ITER(hh, table->by_name, worker, next)
-    {
+    HASH_ITER (hh, table->by_name, worker, next) {
         if (worker->bucket >= 0 && can_hold(worker, need, now)) {
             return worker;
         }
@@ -161,8 +159,7 @@
 {
     const jr_worker_t *worker, *next;
 
-    HASH_ITER(hh, table->by_name, worker, next)
-    {
+    HASH_ITER (hh, table->by_name, worker, next) {
         if (!worker->is_lapsed && jr_resources_fit(need, &worker->capacity)) {
             return true;
         }
--- /dev/null
+++ b/src/relay/pool_test.h
@@ -0,0 +1,618 @@
+/*
+ * A pool of executors and a few relays in virtual time: the stand-in at the
+ * relay's interface for its test and for the benchmark of its policies.
+ */
+#ifndef JR_RELAY_POOL_TEST_H
+#define JR_RELAY_POOL_TEST_H
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "jayrelay/relay.h"
+}
+
+namespace pool {
+
+struct Options {
+    int zones = 3;
+    int entries_per_zone = 3;
+    int executors = 50;
+    int slots = 8;
+    double service_us = 40000; /* mean service time */
+    int64_t crossing_us = 4000;
+    int64_t deadline_us = 250000;
+    double idempotent = 0.5;
+    bool sloppy_slots = false; /* entries ignore shares: to go red */
+    bool retry_blindly = false; /* all is told as not run: to go red */
+    jr_route_policy_t route = {};
+    jr_admit_kind_t admit = JR_ADMIT_DEADLINE;
+    jr_retry_kind_t retry = JR_RETRY_BUDGET;
+};
+
+enum class Fault { kNone, kFastFail, kSlow, kDead };
+
+struct Metrics {
+    std::vector<double> latency_us; /* of answered calls */
+    std::vector<double> refusal_us; /* from arrival to refusal */
+    long calls = 0, answered = 0, in_target = 0, unknown = 0, failed = 0;
+    long refused = 0, attempts = 0, over_slots = 0;
+    long wrong_not_run = 0, doubled = 0, two_verdicts = 0;
+    std::map<std::string, long> reasons;
+
+    double Percentile(double p)
+    {
+        if (latency_us.empty()) {
+            return 0;
+        }
+        size_t k = (size_t)(p * (double)(latency_us.size() - 1));
+
+        std::nth_element(latency_us.begin(), latency_us.begin() + (long)k,
+                         latency_us.end());
+        return latency_us[k];
+    }
+};
+
+class Pool {
+  public:
+    Pool(uint32_t seed, Options options) : o_(options), rng_(seed)
+    {
+        if (o_.route.kind == JR_ROUTE_SCORED &&
+            o_.route.as.scored.candidates == 0) {
+            o_.route.as.scored.candidates = 4;
+        }
+        for (int z = 0; z < o_.zones; z++) {
+            for (int e = 0; e < o_.entries_per_zone; e++) {
+                names_.push_back("entry-" + std::to_string(z) + "-" +
+                                 std::to_string(e));
+            }
+        }
+        for (int x = 0; x < o_.executors; x++) {
+            executors_.push_back({"executor-" + std::to_string(x),
+                                  x % o_.zones, 0, Fault::kNone, false, 0,
+                                  {}});
+        }
+        entries_.resize(names_.size());
+        for (size_t e = 0; e < entries_.size(); e++) {
+            StartEntry((int)e);
+        }
+    }
+
+    ~Pool()
+    {
+        for (Entry &entry : entries_) {
+            StopEntry(entry);
+        }
+    }
+
+    /* Calls a second at which all slots are busy. */
+    double Capacity() const
+    {
+        return o_.executors * o_.slots * 1e6 / o_.service_us;
+    }
+
+    void SetFault(int executor, Fault fault)
+    {
+        executors_[(size_t)executor].fault = fault;
+        if (fault == Fault::kDead) {
+            BreakRuns(executors_[(size_t)executor]);
+        }
+    }
+
+    void Leave(int executor)
+    {
+        executors_[(size_t)executor].leaving = true;
+    }
+
+    /* Cut a zone off from the others, or join it again. */
+    void CutZone(int zone, bool cut)
+    {
+        cut_zone_ = cut ? zone : -1;
+    }
+
+    void SetCrossing(double loss, int64_t jitter_us)
+    {
+        crossing_loss_ = loss;
+        crossing_jitter_us_ = jitter_us;
+    }
+
+    void KillEntry(int entry)
+    {
+        StopEntry(entries_[(size_t)entry]);
+    }
+
+    /* Let calls arrive at a rate for a while. */
+    void Run(double seconds, double calls_per_s)
+    {
+        int64_t end = now_ + (int64_t)(seconds * 1e6);
+        std::exponential_distribution<> gap(calls_per_s / 1e6);
+        double next = (double)now_ + gap(rng_);
+
+        while (now_ < end) {
+            int64_t at = std::min({end, next_tick_, (int64_t)next});
+
+            if (!events_.empty() && events_.top().at <= at) {
+                now_ = events_.top().at;
+                auto run = events_.top().run;
+
+                events_.pop();
+                run();
+                continue;
+            }
+            now_ = at;
+            if (now_ == next_tick_) {
+                Tick();
+            }
+            if (now_ >= (int64_t)next && now_ < end) {
+                Arrive();
+                next += gap(rng_);
+            }
+        }
+    }
+
+    /* Let what is under way end; no new calls. */
+    void Drain()
+    {
+        int64_t end = now_ + 3 * o_.deadline_us + 1000000;
+
+        while (now_ < end) {
+            if (!events_.empty() && events_.top().at <= next_tick_) {
+                now_ = events_.top().at;
+                auto run = events_.top().run;
+
+                events_.pop();
+                run();
+            }
+            else {
+                now_ = next_tick_;
+                Tick();
+            }
+        }
+    }
+
+    size_t OpenCalls() const
+    {
+        size_t n = 0;
+
+        for (const Entry &entry : entries_) {
+            n += entry.relay != nullptr ? jr_relay_open(entry.relay) : 0;
+        }
+        return n;
+    }
+
+    void ForgetMetrics()
+    {
+        metrics = Metrics{};
+    }
+
+    uint64_t Counter(jr_counter_t counter) const
+    {
+        uint64_t n = 0;
+
+        for (const Entry &entry : entries_) {
+            n += entry.ctx != nullptr ? entry.ctx->counters[counter] : 0;
+        }
+        return n;
+    }
+
+    Metrics metrics;
+
+  private:
+    struct Request {
+        int64_t arrived;
+        int runs = 0;
+        bool idempotent;
+        bool has_verdict = false;
+        bool forwarded_to = false;
+        /* Set for a forwarded call: how its end reaches the first entry. */
+        std::function<void(jr_attempt_end_t)> on_end;
+        std::shared_ptr<Request> origin;
+    };
+    using RequestPtr = std::shared_ptr<Request>;
+    struct Executor {
+        std::string name;
+        int zone;
+        int in_use;
+        Fault fault;
+        bool leaving;
+        uint64_t sequence;
+        std::map<uint64_t, std::function<void()>> broken; /* by run */
+    };
+    struct Entry {
+        jr_ctx_t *ctx = nullptr;
+        jr_upstreams_t *upstreams = nullptr;
+        jr_relay_t *relay = nullptr;
+        Pool *pool = nullptr;
+        int number = 0;
+        std::vector<int> peers; /* entry numbers, as the relay counts */
+        std::vector<std::string> own_names;
+        std::vector<const char *> pointers;
+        uint64_t generation = 0;
+    };
+    struct Event {
+        int64_t at;
+        uint64_t order;
+        std::function<void()> run;
+        bool operator<(const Event &o) const
+        {
+            return at != o.at ? at > o.at : order > o.order;
+        }
+    };
+
+    int ZoneOf(int entry) const
+    {
+        return entry / o_.entries_per_zone;
+    }
+
+    void At(int64_t delay, std::function<void()> run)
+    {
+        events_.push({now_ + delay, ++order_, std::move(run)});
+    }
+
+    double Uniform()
+    {
+        return std::uniform_real_distribution<>(0, 1)(rng_);
+    }
+
+    bool IsCut(int zone_a, int zone_b) const
+    {
+        return zone_a != zone_b &&
+               (zone_a == cut_zone_ || zone_b == cut_zone_);
+    }
+
+    void StartEntry(int number)
+    {
+        Entry &entry = entries_[(size_t)number];
+        jr_relay_options_t options = {};
+        int zone = ZoneOf(number);
+
+        entry.pool = this;
+        entry.number = number;
+        entry.ctx = jr_new_ctx("pool", nullptr);
+        entry.upstreams =
+            jr_new_upstreams(entry.ctx, std::to_string(zone).c_str());
+        for (int pass = 0; pass < 2; pass++) {
+            for (int p = 0; p < (int)names_.size(); p++) {
+                if ((ZoneOf(p) == zone) == (pass == 1) && p != number) {
+                    entry.peers.push_back(p);
+                    (pass == 0 ? options.n_other_zones : options.n_own_zone)++;
+                }
+            }
+        }
+        for (int p = 0; p < (int)names_.size(); p++) {
+            if (ZoneOf(p) == zone) {
+                if (p == number) {
+                    options.self = entry.own_names.size();
+                }
+                entry.own_names.push_back(names_[(size_t)p]);
+            }
+        }
+        if (o_.sloppy_slots) {
+            entry.own_names = {names_[(size_t)number]};
+            options.self = 0;
+        }
+        for (const std::string &name : entry.own_names) {
+            entry.pointers.push_back(name.c_str());
+        }
+        options.route = o_.route;
+        options.admit = o_.admit;
+        options.retry = o_.retry;
+        options.retry_percent = 10;
+        options.processes = entry.pointers.data();
+        options.n_processes = entry.pointers.size();
+        options.crossing_us = 2 * o_.crossing_us;
+        options.seed = (uint32_t)rng_();
+        options.hooks = {OnStart, OnFinish, OnAskLoan, &entry};
+        entry.relay = jr_new_relay(entry.ctx, &options, entry.upstreams);
+    }
+
+    void StopEntry(Entry &entry)
+    {
+        entry.generation++;
+        jr_drop_relay(entry.relay);
+        jr_drop_upstreams(entry.upstreams);
+        jr_drop_ctx(entry.ctx);
+        entry.relay = nullptr;
+        entry.upstreams = nullptr;
+        entry.ctx = nullptr;
+    }
+
+    void Tick()
+    {
+        next_tick_ = now_ + 10000;
+        if (now_ % 500000 == 0) {
+            Announce();
+        }
+        for (Entry &entry : entries_) {
+            if (entry.relay != nullptr) {
+                jr_relay_tick(entry.relay, now_);
+            }
+        }
+    }
+
+    /* As a balancer would spread them, and peers pass them on. */
+    void Announce()
+    {
+        for (Executor &x : executors_) {
+            std::string zone = std::to_string(x.zone);
+            jr_announcement_t a = {};
+
+            if (x.fault == Fault::kDead) {
+                continue;
+            }
+            a.name = x.name.c_str();
+            a.address = "127.0.0.1:1";
+            a.zone = zone.c_str();
+            a.rack = "r";
+            a.service = "advice";
+            a.slots = o_.slots;
+            a.connections = 64;
+            a.sequence = ++x.sequence;
+            a.is_leaving = x.leaving;
+            for (Entry &entry : entries_) {
+                if (entry.relay != nullptr && ZoneOf(entry.number) == x.zone) {
+                    jr_relay_announced(
+                        entry.relay,
+                        jr_upstreams_hear(entry.upstreams, &a, now_, nullptr),
+                        now_);
+                }
+            }
+        }
+    }
+
+    void Arrive()
+    {
+        int entry;
+        RequestPtr request = std::make_shared<Request>();
+
+        do {
+            entry = (int)(rng_() % entries_.size());
+        } while (entries_[(size_t)entry].relay == nullptr);
+        request->arrived = now_;
+        request->idempotent = Uniform() < o_.idempotent;
+        request->origin = request;
+        metrics.calls++;
+        Submit(entry, request, o_.deadline_us, false);
+    }
+
+    void Submit(int entry, const RequestPtr &request, int64_t deadline,
+                bool forwarded)
+    {
+        /* The relay keeps a pointer; the verdict frees it. */
+        jr_relay_call(entries_[(size_t)entry].relay, "advice", 50,
+                      request->idempotent, forwarded, deadline,
+                      new RequestPtr(request), now_);
+    }
+
+    static void OnStart(void *user, jr_call_t *call, int64_t timeout_us)
+    {
+        Entry *entry = static_cast<Entry *>(user);
+        Pool *p = entry->pool;
+        RequestPtr request = *static_cast<RequestPtr *>(call->user);
+        uint64_t id = call->id, attempt = call->attempt;
+        uint64_t generation = entry->generation;
+        auto end = [p, entry, id, attempt,
+                    generation](jr_attempt_end_t how) {
+            if (entry->generation == generation) {
+                if (p->o_.retry_blindly && how != JR_END_ANSWERED) {
+                    how = JR_END_NOT_RUN;
+                }
+                jr_relay_ended(entry->relay, id, attempt, how, nullptr,
+                               p->now_);
+            }
+        };
+
+        p->metrics.attempts++;
+        p->At(timeout_us, [end] { end(JR_END_TIMEOUT); });
+        if (call->upstream != nullptr) {
+            int x = atoi(call->upstream->name + strlen("executor-"));
+
+            p->At(200, [p, x, request, end] { p->Execute(x, request, end); });
+        }
+        else {
+            p->Forward(*entry, call->peer, request, timeout_us, end);
+        }
+    }
+
+    void Forward(Entry &from, int peer, const RequestPtr &request,
+                 int64_t timeout_us,
+                 std::function<void(jr_attempt_end_t)> end)
+    {
+        int to = from.peers[(size_t)peer];
+        int64_t delay = o_.crossing_us;
+
+        if (IsCut(ZoneOf(from.number), ZoneOf(to)) ||
+            entries_[(size_t)to].relay == nullptr) {
+            At(500000, [end] { end(JR_END_NOT_CONNECTED); });
+            return;
+        }
+        /* A lost packet is sent again: the crossing takes longer. */
+        if (Uniform() < crossing_loss_) {
+            delay += 200000;
+        }
+        delay += (int64_t)(Uniform() * (double)crossing_jitter_us_);
+        At(delay, [this, to, request, timeout_us, delay, end] {
+            RequestPtr copy = std::make_shared<Request>();
+
+            if (entries_[(size_t)to].relay == nullptr) {
+                end(JR_END_BROKEN);
+                return;
+            }
+            copy->arrived = now_;
+            copy->idempotent = request->idempotent;
+            copy->origin = request->origin;
+            copy->forwarded_to = true;
+            copy->on_end = [this, delay, end](jr_attempt_end_t how) {
+                At(delay, [end, how] { end(how); });
+            };
+            Submit(to, copy, std::max<int64_t>(timeout_us - 2 * delay, 1),
+                   true);
+        });
+    }
+
+    void Execute(int number, const RequestPtr &request,
+                 std::function<void(jr_attempt_end_t)> end)
+    {
+        Executor &x = executors_[(size_t)number];
+        double time = o_.service_us * std::lognormal_distribution<>(
+                                          -0.125, 0.5)(rng_);
+        uint64_t run = ++next_run_;
+
+        if (x.fault == Fault::kDead) {
+            end(JR_END_NOT_CONNECTED);
+            return;
+        }
+        if (x.fault == Fault::kFastFail) {
+            request->origin->runs++;
+            At(300, [end] { end(JR_END_FAILED); });
+            return;
+        }
+        if (x.in_use >= o_.slots) {
+            metrics.over_slots++;
+            At(200, [end] { end(JR_END_NOT_RUN); });
+            return;
+        }
+        x.in_use++;
+        if (++request->origin->runs > 1 && !request->idempotent) {
+            metrics.doubled++;
+        }
+        if (x.fault == Fault::kSlow) {
+            time *= 8;
+        }
+        x.broken[run] = [end] { end(JR_END_BROKEN); };
+        At((int64_t)time, [this, number, run, end] {
+            Executor &me = executors_[(size_t)number];
+
+            if (me.broken.erase(run) > 0) {
+                me.in_use--;
+                At(200, [end] { end(JR_END_ANSWERED); });
+            }
+        });
+    }
+
+    void BreakRuns(Executor &x)
+    {
+        auto broken = std::move(x.broken);
+
+        x.broken.clear();
+        x.in_use = 0;
+        for (auto &run : broken) {
+            auto tell = run.second;
+
+            At(200, tell);
+        }
+    }
+
+    static void OnFinish(void *user, jr_call_t *call,
+                         const jr_verdict_t *verdict)
+    {
+        Entry *entry = static_cast<Entry *>(user);
+        RequestPtr *held = static_cast<RequestPtr *>(call->user);
+        RequestPtr request = *held;
+
+        delete held;
+        if (request->forwarded_to) {
+            switch (verdict->kind) {
+            case JR_VERDICT_ANSWERED:
+                request->on_end(JR_END_ANSWERED);
+                break;
+            case JR_VERDICT_NOT_RUN:
+                request->on_end(JR_END_NOT_RUN);
+                break;
+            case JR_VERDICT_UNKNOWN:
+                request->on_end(JR_END_BROKEN);
+                break;
+            }
+            return;
+        }
+        entry->pool->Count(*request, verdict);
+    }
+
+    void Count(Request &request, const jr_verdict_t *verdict)
+    {
+        double took = (double)(now_ - request.arrived);
+
+        metrics.two_verdicts += request.has_verdict;
+        request.has_verdict = true;
+        switch (verdict->kind) {
+        case JR_VERDICT_ANSWERED:
+            if (request.runs == 0) {
+                metrics.failed++;
+                break;
+            }
+            metrics.answered++;
+            metrics.in_target += took <= (double)o_.deadline_us;
+            metrics.latency_us.push_back(took);
+            break;
+        case JR_VERDICT_NOT_RUN:
+            metrics.refused++;
+            metrics.refusal_us.push_back(took);
+            metrics.wrong_not_run += request.runs > 0;
+            metrics.reasons[jr_refusal_name(verdict->as.not_run.reason)]++;
+            break;
+        case JR_VERDICT_UNKNOWN:
+            metrics.unknown++;
+            break;
+        }
+    }
+
+    static void OnAskLoan(void *user, int peer, const char *service,
+                          int slots)
+    {
+        Entry *entry = static_cast<Entry *>(user);
+        Pool *p = entry->pool;
+        int to = entry->peers[(size_t)peer];
+        int64_t asked = p->now_;
+        std::string name = service;
+        uint64_t generation = entry->generation;
+
+        p->At(500, [p, entry, to, asked, name, slots, generation] {
+            Entry &lender = p->entries_[(size_t)to];
+            jr_upstream_t *upstream = nullptr;
+            int lent = 0;
+
+            if (lender.relay != nullptr) {
+                lent = jr_relay_asked(lender.relay, name.c_str(), slots,
+                                      &upstream, p->now_);
+            }
+            if (lent == 0) {
+                return;
+            }
+            std::string which = upstream->name;
+
+            p->At(500, [p, entry, asked, which, lent, generation] {
+                if (entry->generation == generation) {
+                    jr_relay_lent(entry->relay, which.c_str(), lent, asked,
+                                  p->now_);
+                }
+            });
+        });
+    }
+
+    Options o_;
+    std::mt19937 rng_;
+    int64_t now_ = 0;
+    int64_t next_tick_ = 0;
+    uint64_t order_ = 0;
+    uint64_t next_run_ = 0;
+    int cut_zone_ = -1;
+    double crossing_loss_ = 0;
+    int64_t crossing_jitter_us_ = 0;
+    std::vector<std::string> names_;
+    std::vector<Executor> executors_;
+    std::vector<Entry> entries_;
+    std::priority_queue<Event> events_;
+};
+
+} // namespace pool
+
+#endif
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -97,7 +97,7 @@
 static void
 finish(jr_relay_t *relay, jr_call_t *call, const jr_verdict_t *verdict)
 {
-    HASH_DEL(relay->calls, call);
+    HASH_DEL(relay->calls, call); /* NOLINT: it is there */
     relay->options.hooks.finish(relay->options.hooks.user, call, verdict);
     jr_free(relay->ctx, call);
 }
@@ -309,13 +309,11 @@
     if (relay == NULL) {
         return;
     }
-    HASH_ITER(hh, relay->calls, call, next_call)
-    {
+    HASH_ITER (hh, relay->calls, call, next_call) {
         HASH_DEL(relay->calls, call);
         jr_free(relay->ctx, call);
     }
-    HASH_ITER(hh, relay->lanes, lane, next_lane)
-    {
+    HASH_ITER (hh, relay->lanes, lane, next_lane) {
         HASH_DEL(relay->lanes, lane);
         jr_drop_queue(lane->queue);
         jr_free(relay->ctx, lane);
@@ -525,14 +523,12 @@
 
     if (now >= relay->sweep_at) {
         relay->sweep_at = now + SWEEP_EVERY_US;
-        HASH_ITER(hh, relay->upstreams->by_name, upstream, next_upstream)
-        {
+        HASH_ITER (hh, relay->upstreams->by_name, upstream, next_upstream) {
             jr_limit_expire(relay->ctx, upstream, now);
         }
         jr_upstreams_expire(relay->upstreams, now);
     }
-    HASH_ITER(hh, relay->lanes, lane, next_lane)
-    {
+    HASH_ITER (hh, relay->lanes, lane, next_lane) {
         serve_queue(relay, lane, now);
         if (jr_queue_first(lane->queue) != NULL) {
             ask_for_loan(relay, lane, now);
--- a/src/retry/budget.c
+++ b/src/retry/budget.c
@@ -3,8 +3,8 @@
 
 enum {
     TOKENS_PER_RETRY = 100,
-    STOCK_RETRIES = 10,
-    STOCK_MAX_RETRIES = 100,
+    STOCK_TOKENS = 10 * TOKENS_PER_RETRY,
+    STOCK_MAX_TOKENS = 100 * TOKENS_PER_RETRY,
 };
 
 void
@@ -13,7 +13,7 @@
     *budget = (jr_budget_t){
         .kind = kind,
         .percent = percent,
-        .tokens = STOCK_RETRIES * TOKENS_PER_RETRY,
+        .tokens = STOCK_TOKENS,
     };
 }
 
@@ -21,8 +21,8 @@
 jr_budget_earn(jr_budget_t *budget)
 {
     budget->tokens += budget->percent;
-    if (budget->tokens > STOCK_MAX_RETRIES * TOKENS_PER_RETRY) {
-        budget->tokens = STOCK_MAX_RETRIES * TOKENS_PER_RETRY;
+    if (budget->tokens > STOCK_MAX_TOKENS) {
+        budget->tokens = STOCK_MAX_TOKENS;
     }
 }
 
