A planned stop hands leadership over

Cause: after SIGTERM a group had no leader for an election timeout, so keyed calls of that time were refused. Ruled out: stepping down first, which fails what is under way. Change: the leader asks the replica that is furthest along to stand at once, and leads until that one is elected. Before: one election timeout (600 to 1200 ms in the demo) without a leader.

--- a/include/jayrelay/group.h
+++ b/include/jayrelay/group.h
@@ -102,8 +102,8 @@
 /** jr_group_set_rules - rules in force, for the coordinator of a ledger */
 void jr_group_set_rules(jr_group_t *group, jr_rules_t *rules);
 
-/** jr_group_step_down - give leadership up before a planned stop */
-void jr_group_step_down(jr_group_t *group, int64_t now);
+/** jr_group_transfer - hand leadership over, before a planned stop */
+void jr_group_transfer(jr_group_t *group);
 
 jr_quorum_t *jr_group_quorum(jr_group_t *group);
 /** jr_group_register - of a rules group, else NULL */
--- a/include/jayrelay/quorum.h
+++ b/include/jayrelay/quorum.h
@@ -205,8 +205,13 @@
 /** jr_quorum_is_caught_up - leads, and has applied all earlier terms */
 bool jr_quorum_is_caught_up(const jr_quorum_t *q);
 
-/** jr_quorum_step_down - stop leading, before a planned stop */
-void jr_quorum_step_down(jr_quorum_t *q, int64_t now);
+/**
+ * jr_quorum_transfer - hand leadership over, before a planned stop
+ *
+ * The replica that is furthest along is asked to stand for election at
+ * once; this one leads until it is elected.
+ */
+void jr_quorum_transfer(jr_quorum_t *q);
 
 /**
  * jr_quorum_next_config - the next single step of a repair, if one is due
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -262,7 +262,7 @@
     stop(timer->data, 0);
 }
 
-/* Others lead before this process goes; then what is under way ends. */
+/* Others lead before this process goes, and what is under way ends. */
 static void
 on_signal(struct ev_loop *loop, ev_signal *signal, int events)
 {
@@ -274,9 +274,8 @@
     }
     control->is_draining = true;
     jr_log(control->ctx, JR_EV_DRAINING, "signal %d", signal->signum);
-    pump(control);
     for (size_t g = 0; g < control->n_groups; g++) {
-        jr_group_step_down(control->groups[g], jr_clock_ms());
+        jr_group_transfer(control->groups[g]);
     }
     ev_timer_init(&control->drain, on_drained, DRAIN_S, 0.0);
     control->drain.data = control;
--- a/src/gen/quorum/quorum.pb-c.c
+++ b/src/gen/quorum/quorum.pb-c.c
@@ -457,6 +457,51 @@
   assert(message->base.descriptor == &jr__install__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jr__timeout_now__init
+                     (Jr__TimeoutNow         *message)
+{
+  static const Jr__TimeoutNow init_value = JR__TIMEOUT_NOW__INIT;
+  *message = init_value;
+}
+size_t jr__timeout_now__get_packed_size
+                     (const Jr__TimeoutNow *message)
+{
+  assert(message->base.descriptor == &jr__timeout_now__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jr__timeout_now__pack
+                     (const Jr__TimeoutNow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jr__timeout_now__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jr__timeout_now__pack_to_buffer
+                     (const Jr__TimeoutNow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jr__timeout_now__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jr__TimeoutNow *
+       jr__timeout_now__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jr__TimeoutNow *)
+     protobuf_c_message_unpack (&jr__timeout_now__descriptor,
+                                allocator, len, data);
+}
+void   jr__timeout_now__free_unpacked
+                     (Jr__TimeoutNow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jr__timeout_now__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jr__quorum_msg__init
                      (Jr__QuorumMsg         *message)
 {
@@ -1217,7 +1262,25 @@
   (ProtobufCMessageInit) jr__install__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__quorum_msg__field_descriptors[9] =
+#define jr__timeout_now__field_descriptors NULL
+#define jr__timeout_now__field_indices_by_name NULL
+#define jr__timeout_now__number_ranges NULL
+const ProtobufCMessageDescriptor jr__timeout_now__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.TimeoutNow",
+  "TimeoutNow",
+  "Jr__TimeoutNow",
+  "jr",
+  sizeof(Jr__TimeoutNow),
+  0,
+  jr__timeout_now__field_descriptors,
+  jr__timeout_now__field_indices_by_name,
+  0,  jr__timeout_now__number_ranges,
+  (ProtobufCMessageInit) jr__timeout_now__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jr__quorum_msg__field_descriptors[10] =
 {
   {
     "group",
@@ -1327,6 +1390,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "timeout_now",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__QuorumMsg, body_case),
+    offsetof(Jr__QuorumMsg, timeout_now),
+    &jr__timeout_now__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__quorum_msg__field_indices_by_name[] = {
   6,   /* field[6] = append */
@@ -1335,6 +1410,7 @@
   0,   /* field[0] = group */
   8,   /* field[8] = install */
   1,   /* field[1] = term */
+  9,   /* field[9] = timeout_now */
   3,   /* field[3] = to */
   5,   /* field[5] = vote_reply */
   4,   /* field[4] = vote_request */
@@ -1342,7 +1418,7 @@
 static const ProtobufCIntRange jr__quorum_msg__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor jr__quorum_msg__descriptor =
 {
@@ -1352,7 +1428,7 @@
   "Jr__QuorumMsg",
   "jr",
   sizeof(Jr__QuorumMsg),
-  9,
+  10,
   jr__quorum_msg__field_descriptors,
   jr__quorum_msg__field_indices_by_name,
   1,  jr__quorum_msg__number_ranges,
--- a/src/gen/quorum/quorum.pb-c.h
+++ b/src/gen/quorum/quorum.pb-c.h
@@ -25,6 +25,7 @@
 typedef struct Jr__Append Jr__Append;
 typedef struct Jr__AppendReply Jr__AppendReply;
 typedef struct Jr__Install Jr__Install;
+typedef struct Jr__TimeoutNow Jr__TimeoutNow;
 typedef struct Jr__QuorumMsg Jr__QuorumMsg;
 typedef struct Jr__Record Jr__Record;
 
@@ -180,13 +181,26 @@
     , NULL, 0 }
 
 
+/*
+ * The leader asks a follower to stand for election at once.
+ */
+struct  Jr__TimeoutNow
+{
+  ProtobufCMessage base;
+};
+#define JR__TIMEOUT_NOW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jr__timeout_now__descriptor) \
+     }
+
+
 typedef enum {
   JR__QUORUM_MSG__BODY__NOT_SET = 0,
   JR__QUORUM_MSG__BODY_VOTE_REQUEST = 5,
   JR__QUORUM_MSG__BODY_VOTE_REPLY = 6,
   JR__QUORUM_MSG__BODY_APPEND = 7,
   JR__QUORUM_MSG__BODY_APPEND_REPLY = 8,
-  JR__QUORUM_MSG__BODY_INSTALL = 9
+  JR__QUORUM_MSG__BODY_INSTALL = 9,
+  JR__QUORUM_MSG__BODY_TIMEOUT_NOW = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JR__QUORUM_MSG__BODY__CASE)
 } Jr__QuorumMsg__BodyCase;
 
@@ -204,6 +218,7 @@
     Jr__Append *append;
     Jr__AppendReply *append_reply;
     Jr__Install *install;
+    Jr__TimeoutNow *timeout_now;
   };
 };
 #define JR__QUORUM_MSG__INIT \
@@ -425,6 +440,25 @@
 void   jr__install__free_unpacked
                      (Jr__Install *message,
                       ProtobufCAllocator *allocator);
+/* Jr__TimeoutNow methods */
+void   jr__timeout_now__init
+                     (Jr__TimeoutNow         *message);
+size_t jr__timeout_now__get_packed_size
+                     (const Jr__TimeoutNow   *message);
+size_t jr__timeout_now__pack
+                     (const Jr__TimeoutNow   *message,
+                      uint8_t             *out);
+size_t jr__timeout_now__pack_to_buffer
+                     (const Jr__TimeoutNow   *message,
+                      ProtobufCBuffer     *buffer);
+Jr__TimeoutNow *
+       jr__timeout_now__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jr__timeout_now__free_unpacked
+                     (Jr__TimeoutNow *message,
+                      ProtobufCAllocator *allocator);
 /* Jr__QuorumMsg methods */
 void   jr__quorum_msg__init
                      (Jr__QuorumMsg         *message);
@@ -495,6 +529,9 @@
 typedef void (*Jr__Install_Closure)
                  (const Jr__Install *message,
                   void *closure_data);
+typedef void (*Jr__TimeoutNow_Closure)
+                 (const Jr__TimeoutNow *message,
+                  void *closure_data);
 typedef void (*Jr__QuorumMsg_Closure)
                  (const Jr__QuorumMsg *message,
                   void *closure_data);
@@ -518,6 +555,7 @@
 extern const ProtobufCMessageDescriptor jr__append__descriptor;
 extern const ProtobufCMessageDescriptor jr__append_reply__descriptor;
 extern const ProtobufCMessageDescriptor jr__install__descriptor;
+extern const ProtobufCMessageDescriptor jr__timeout_now__descriptor;
 extern const ProtobufCMessageDescriptor jr__quorum_msg__descriptor;
 extern const ProtobufCMessageDescriptor jr__record__descriptor;
 
--- a/src/group/driver_test.cpp
+++ b/src/group/driver_test.cpp
@@ -256,7 +256,7 @@
         return;
     }
     faults++;
-    switch (Pick(0, 8)) {
+    switch (Pick(0, 9)) {
     case 0: /* kill */
         if (node.alive) {
             StopNode(n);
@@ -303,6 +303,11 @@
         worker.frozen_until = now_ + Pick(50, 2500);
         break;
     }
+    case 8: /* hand leadership over */
+        if (node.alive) {
+            jr_group_transfer(node.groups[Pick(0, 1)]);
+        }
+        break;
     default: { /* restart a worker */
         Worker &worker = workers_[Pick(0, kWorkers - 1)];
 
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -317,10 +317,9 @@
 }
 
 void
-jr_group_step_down(jr_group_t *group, int64_t now)
+jr_group_transfer(jr_group_t *group)
 {
-    jr_quorum_step_down(group->quorum, now);
-    follow_leadership(group);
+    jr_quorum_transfer(group->quorum);
 }
 
 jr_quorum_t *
--- a/src/quorum/core.c
+++ b/src/quorum/core.c
@@ -352,6 +352,11 @@
     case JR__QUORUM_MSG__BODY_INSTALL:
         jr_quorum_on_install(q, m);
         break;
+    case JR__QUORUM_MSG__BODY_TIMEOUT_NOW:
+        if (q->leader == m->from && is_voter(q)) {
+            campaign(q, false);
+        }
+        break;
     default:
         jr_count(q->ctx, JR_C_BUS_BAD);
         break;
@@ -664,11 +669,23 @@
 }
 
 void
-jr_quorum_step_down(jr_quorum_t *q, int64_t now)
+jr_quorum_transfer(jr_quorum_t *q)
 {
-    q->now = MAX(q->now, now);
-    if (q->role == JR_LEADER) {
-        jr_quorum_become_follower(q, q->term, 0);
+    Jr__TimeoutNow body = JR__TIMEOUT_NOW__INIT;
+    Jr__QuorumMsg message = JR__QUORUM_MSG__INIT;
+    int best = -1;
+
+    for (size_t i = 0; i < q->config.n && q->role == JR_LEADER; i++) {
+        if (q->config.members[i].voter &&
+            q->config.members[i].id != q->options.self &&
+            (best < 0 || q->progress[i].match > q->progress[best].match)) {
+            best = (int)i;
+        }
+    }
+    if (best >= 0) {
+        message.body_case = JR__QUORUM_MSG__BODY_TIMEOUT_NOW;
+        message.timeout_now = &body;
+        jr_quorum_send(q, &q->config.members[best], &message);
     }
 }
 
--- a/src/quorum/quorum_test.cc
+++ b/src/quorum/quorum_test.cc
@@ -275,6 +275,23 @@
     EXPECT_EQ(jr_quorum_applied(replicas_[9]), jr_quorum_last(leader));
 }
 
+TEST_F(QuorumTest, LeadershipIsHandedOverAtOnce)
+{
+    jr_config_t members = Members({1, 2, 3});
+    jr_quorum_t *old;
+
+    for (uint64_t id = 1; id <= 3; id++) {
+        Add(id, &members);
+    }
+    Run(600);
+    old = Leader();
+    ASSERT_NE(old, nullptr);
+    jr_quorum_transfer(old);
+    Run(30);
+    ASSERT_NE(Leader(), nullptr);
+    EXPECT_NE(Leader(), old);
+}
+
 /* Found by history seed 2786. */
 TEST_F(QuorumTest, ASnapshotDoesNotDropAcknowledgedEntries)
 {
