An entry process opens its port when it can serve

Cause: the process test of a rolling restart was red: an entry process that had just started took calls before it had rules and refused them. Ruled out: the drain (no call was cut), the change of leader (all keyed calls were answered). Change: the HTTP port stays closed until rules and upstreams are known, or a few seconds have passed, so that the balancer goes elsewhere.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -66,6 +66,9 @@
     unsigned n_busy; /* asks and calls whose exchange is open */
     TAILQ_HEAD(, jr_status_wait) status_waits;
     bool is_draining;
+    int64_t started_at; /* ms */
+    int exit_status;
+    ev_timer open;
     ev_timer tick;
     ev_timer poll;
     ev_timer drain;
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -9,6 +9,10 @@
     POLL_RULES_MS = 500,
     POLL_FIRST_RULES_MS = 50,
     DRAIN_LOOK_MS = 20,
+    OPEN_LOOK_MS = 20,
+    /* How long the HTTP port stays closed for want of rules, upstreams. */
+    OPEN_WITHOUT_RULES_MS = 3000,
+    OPEN_WITHOUT_UPSTREAMS_MS = 1500,
 };
 enum { CANDIDATES = 4 };
 
@@ -98,6 +102,10 @@
         return;
     }
     entry->is_draining = true;
+    if (entry->http == NULL) {
+        ev_break(loop, EVBREAK_ALL);
+        return;
+    }
     jr_log(entry->ctx, JR_EV_DRAINING, "signal %d", signal->signum);
     jr_http_close_connections(entry->http);
     ev_timer_init(&entry->drain, on_drain_look,
@@ -213,9 +221,58 @@
         return result;
     }
     make_relay(entry);
-    entry->http =
-        jr_new_http(entry->ctx, entry->loop, s->http, jr_entry_on_http, entry);
-    return entry->http != NULL ? JR_OK : JR_NETWORK;
+    return JR_OK;
+}
+
+static bool
+knows_upstreams(const jr_entry_t *entry)
+{
+    const jr_service_t *service, *next;
+
+    HASH_ITER(hh, entry->upstreams->services, service, next) {
+        if (service->n > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * A process that has just started knows nothing. Until it has heard of
+ * rules and upstreams its port stays closed, so that the balancer sends
+ * calls elsewhere; but rules must get in somewhere when there are none.
+ */
+static bool
+may_open(const jr_entry_t *entry)
+{
+    int64_t age_ms = jr_clock_ms() - entry->started_at;
+
+    if (entry->rules == NULL) {
+        return age_ms >= OPEN_WITHOUT_RULES_MS;
+    }
+    return knows_upstreams(entry) || age_ms >= OPEN_WITHOUT_UPSTREAMS_MS;
+}
+
+static void
+on_open_look(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    jr_entry_t *entry = timer->data;
+
+    (void)events;
+    if (!may_open(entry)) {
+        return;
+    }
+    ev_timer_stop(loop, timer);
+    entry->http = jr_new_http(entry->ctx, entry->loop, entry->settings.http,
+                              jr_entry_on_http, entry);
+    if (entry->http == NULL) {
+        jr_log(entry->ctx, JR_EV_FATAL, "%s", entry->ctx->error.text);
+        entry->exit_status = jr_result_exit(JR_NETWORK);
+        ev_break(loop, EVBREAK_ALL);
+        return;
+    }
+    jr_log(entry->ctx, JR_EV_STARTED, "%s in zone %s", entry->settings.name,
+           entry->settings.zone);
 }
 
 static void
@@ -264,12 +321,12 @@
     start_timer(entry, &entry->poll, on_poll, POLL_RULES_MS);
     start_signal(entry, &entry->sigterm, SIGTERM);
     start_signal(entry, &entry->sigint, SIGINT);
-    jr_log(entry->ctx, JR_EV_STARTED, "%s in zone %s", entry->settings.name,
-           entry->settings.zone);
+    entry->started_at = jr_clock_ms();
+    start_timer(entry, &entry->open, on_open_look, OPEN_LOOK_MS);
     ev_run(entry->loop, 0);
     jr_log(entry->ctx, JR_EV_STOPPED, "%s", entry->settings.name);
     close_entry(entry);
-    return 0;
+    return entry->exit_status;
 }
 
 int
