--- /dev/null
+++ b/bench/scenarios.cc
@@ -0,0 +1,275 @@
+/*
+ * The decisions under load and faults: each policy on the same arrivals,
+ * in virtual time, with the production step functions inside.
+ * Prints one table and writes it as JSON lines.
+ */
+#include <cstdio>
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include "relay/pool_test.h"
+
+using pool::Fault;
+using pool::Metrics;
+using pool::Options;
+using pool::Pool;
+
+namespace {
+
+struct Site {
+    const char *name;
+    int executors;
+    int64_t crossing_us;
+    int64_t deadline_us;
+};
+
+const Site kSites[] = {
+    {"liimaneuvo", 50, 4000, 250000},
+    {"bergstijl", 65, 5000, 400000},
+};
+
+struct Policy {
+    const char *name;
+    jr_route_kind_t route;
+    jr_admit_kind_t admit;
+    jr_retry_kind_t retry;
+};
+
+const Policy kPolicies[] = {
+    {"jayrelay", JR_ROUTE_SCORED, JR_ADMIT_DEADLINE, JR_RETRY_BUDGET},
+    {"least-in-flight", JR_ROUTE_LEAST_IN_FLIGHT, JR_ADMIT_DEADLINE,
+     JR_RETRY_BUDGET},
+    {"round-robin", JR_ROUTE_ROUND_ROBIN, JR_ADMIT_FIFO,
+     JR_RETRY_UNLIMITED},
+    {"random", JR_ROUTE_RANDOM, JR_ADMIT_FIFO, JR_RETRY_UNLIMITED},
+};
+
+struct Scenario {
+    const char *name;
+    double load;     /* of all slots */
+    bool below_full; /* p99 must stay within the target */
+    void (*run)(Pool &p, double rate);
+};
+
+void
+Steady(Pool &p, double rate)
+{
+    p.Run(4, rate);
+}
+
+void
+FastFailer(Pool &p, double rate)
+{
+    p.SetFault(0, Fault::kFastFail);
+    p.Run(4, rate);
+}
+
+void
+SlowOne(Pool &p, double rate)
+{
+    p.SetFault(1, Fault::kSlow);
+    p.Run(4, rate);
+}
+
+void
+ZoneCut(Pool &p, double rate)
+{
+    p.CutZone(0, true);
+    p.Run(2, rate);
+    p.CutZone(0, false);
+    p.Run(2, rate);
+}
+
+void
+LossyCrossing(Pool &p, double rate)
+{
+    p.SetCrossing(0.05, 20000);
+    p.Run(4, rate);
+}
+
+void
+EntryLost(Pool &p, double rate)
+{
+    p.KillEntry(4);
+    p.Run(4, rate);
+}
+
+void
+RackLost(Pool &p, double rate)
+{
+    for (int x = 0; x < 8; x++) {
+        p.SetFault(3 * x, Fault::kDead);
+    }
+    p.Run(4, rate);
+}
+
+const Scenario kScenarios[] = {
+    {"steady 50 %", 0.5, true, Steady},
+    {"steady 80 %", 0.8, true, Steady},
+    {"steady 95 %", 0.95, true, Steady},
+    {"surge to 150 %", 1.5, false, Steady},
+    {"fast failer, 50 %", 0.5, true, FastFailer},
+    {"slow upstream, 50 %", 0.5, true, SlowOne},
+    {"zone cut and joined, 60 %", 0.6, true, ZoneCut},
+    {"lossy crossing, 80 %", 0.8, true, LossyCrossing},
+    {"entry host lost, 60 %", 0.6, true, EntryLost},
+    {"rack lost, 60 %", 0.6, true, RackLost},
+};
+
+/* Over the seeds of one cell: median, least and greatest. */
+struct Spread {
+    std::vector<double> values;
+
+    double Median()
+    {
+        std::sort(values.begin(), values.end());
+        return values[values.size() / 2];
+    }
+};
+
+struct Cell {
+    Spread p50, p99, p999, goodput, amplification, refused, refusal_p99;
+    long wrong_not_run = 0, doubled = 0, failed = 0, unknown = 0;
+};
+
+double
+Quantile(std::vector<double> &values, double q)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    return values[(size_t)(q * (double)(values.size() - 1))];
+}
+
+Cell
+RunCell(const Site &site, const Scenario &scenario, const Policy &policy,
+        int seeds)
+{
+    Cell cell;
+
+    for (int seed = 1; seed <= seeds; seed++) {
+        Options options;
+
+        options.executors = site.executors;
+        options.crossing_us = site.crossing_us;
+        options.deadline_us = site.deadline_us;
+        options.route.kind = policy.route;
+        options.admit = policy.admit;
+        options.retry = policy.retry;
+        Pool p((uint32_t)seed, options);
+        double rate = scenario.load * p.Capacity();
+
+        p.Run(1, 0.5 * p.Capacity());
+        p.ForgetMetrics();
+        scenario.run(p, rate);
+        p.Drain();
+        Metrics &m = p.metrics;
+        double calls = (double)m.calls;
+
+        cell.p50.values.push_back(m.Percentile(0.5) / 1000);
+        cell.p99.values.push_back(m.Percentile(0.99) / 1000);
+        cell.p999.values.push_back(m.Percentile(0.999) / 1000);
+        cell.goodput.values.push_back((double)m.in_target / 4.0 /
+                                      p.Capacity());
+        cell.amplification.values.push_back((double)m.attempts / calls);
+        cell.refused.values.push_back((double)m.refused / calls);
+        cell.refusal_p99.values.push_back(Quantile(m.refusal_us, 0.99) /
+                                          1000);
+        cell.wrong_not_run += m.wrong_not_run;
+        cell.doubled += m.doubled;
+        cell.failed += m.failed;
+        cell.unknown += m.unknown;
+    }
+    return cell;
+}
+
+int
+Judge(const Site &site, const Scenario &scenario, Cell &cell)
+{
+    int missed = 0;
+    auto check = [&](const char *what, double value, double target,
+                     bool ok) {
+        printf("  %-10s %-26s %-30s %10.2f %10.2f  %s\n", site.name,
+               scenario.name, what, target, value, ok ? "met" : "NOT MET");
+        missed += !ok;
+    };
+
+    check("wrong 'not run'", (double)cell.wrong_not_run, 0,
+          cell.wrong_not_run == 0);
+    check("not idempotent, run twice", (double)cell.doubled, 0,
+          cell.doubled == 0);
+    if (scenario.below_full) {
+        double target = (double)site.deadline_us / 1000;
+
+        check("p99 ms", cell.p99.Median(), target,
+              cell.p99.Median() <= target);
+    }
+    else {
+        check("goodput, share of capacity", cell.goodput.Median(), 0.95,
+              cell.goodput.Median() >= 0.95);
+        check("refused within ms (p99)", cell.refusal_p99.Median(), 10,
+              cell.refusal_p99.Median() <= 10);
+    }
+    check("attempts for one call", cell.amplification.Median(), 1.10,
+          cell.amplification.Median() <= 1.10);
+    return missed;
+}
+
+} // namespace
+
+int
+main(int argc, char **argv)
+{
+    int seeds = argc > 1 ? atoi(argv[1]) : 3;
+    FILE *json = argc > 2 ? fopen(argv[2], "w") : nullptr;
+    int missed = 0;
+
+    printf("%-10s %-26s %-16s %7s %7s %8s %8s %8s %8s %8s %7s %7s\n", "site",
+           "scenario", "policy", "p50 ms", "p99 ms", "p99.9 ms", "goodput",
+           "attempts", "refused", "refusal", "failed", "unknown");
+    for (const Site &site : kSites) {
+        for (const Scenario &scenario : kScenarios) {
+            for (const Policy &policy : kPolicies) {
+                Cell c = RunCell(site, scenario, policy, seeds);
+
+                printf("%-10s %-26s %-16s %7.1f %7.1f %8.1f %8.3f %8.3f "
+                       "%8.3f %8.1f %7ld %7ld\n",
+                       site.name, scenario.name, policy.name, c.p50.Median(),
+                       c.p99.Median(), c.p999.Median(), c.goodput.Median(),
+                       c.amplification.Median(), c.refused.Median(),
+                       c.refusal_p99.Median(), c.failed, c.unknown);
+                if (json != nullptr) {
+                    fprintf(json,
+                            "{\"site\":\"%s\",\"scenario\":\"%s\","
+                            "\"policy\":\"%s\",\"p50_ms\":%.2f,\"p99_ms\":"
+                            "%.2f,\"p999_ms\":%.2f,\"goodput\":%.4f,"
+                            "\"attempts\":%.4f,\"refused\":%.4f,"
+                            "\"refusal_p99_ms\":%.2f,\"wrong_not_run\":%ld,"
+                            "\"failed\":%ld,\"unknown\":%ld}\n",
+                            site.name, scenario.name, policy.name,
+                            c.p50.Median(), c.p99.Median(), c.p999.Median(),
+                            c.goodput.Median(), c.amplification.Median(),
+                            c.refused.Median(), c.refusal_p99.Median(),
+                            c.wrong_not_run, c.failed, c.unknown);
+                }
+            }
+        }
+    }
+    printf("\ntargets of the first policy (median of %d seeds)\n", seeds);
+    printf("  %-10s %-26s %-30s %10s %10s\n", "site", "scenario", "what",
+           "target", "figure");
+    for (const Site &site : kSites) {
+        for (const Scenario &scenario : kScenarios) {
+            Cell c = RunCell(site, scenario, kPolicies[0], seeds);
+
+            missed += Judge(site, scenario, c);
+        }
+    }
+    if (json != nullptr) {
+        fclose(json);
+    }
+    printf("%d targets not met\n", missed);
+    return missed > 0 ? 1 : 0;
+}
