Placement learns what tasks use; eviction frees the most for the least

And eviction took whoever had the least to lose, often a neighbour of the one that was over. Ruled out: hysteresis (two heartbeats already), the lag alone. Change: the most that an ended run was seen to use is in the ledger and counts from then on; tasks not seen yet are reckoned as others of their class; an eviction is weighed by the work lost for each processor freed.

--- a/bench/bare/main.c
+++ b/bench/bare/main.c
@@ -72,10 +72,10 @@
 
     address.sin_port = htons((uint16_t)port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL, NULL,
-                              on_access, NULL, MHD_OPTION_SOCK_ADDR, &address,
-                              MHD_OPTION_CONNECTION_LIMIT, 4096u,
-                              MHD_OPTION_END);
+    daemon =
+        MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL, NULL,
+                         on_access, NULL, MHD_OPTION_SOCK_ADDR, &address,
+                         MHD_OPTION_CONNECTION_LIMIT, 4096u, MHD_OPTION_END);
     if (daemon == NULL) {
         return 1;
     }
@@ -140,9 +140,9 @@
     printf("{\"calls_per_s\":%.0f,\"p50_us\":%lld,\"p99_us\":%lld,"
            "\"failed\":%ld,\"client_cpu_us\":%.1f}\n",
            took->len / seconds, (long long)p50, (long long)p99, failed,
-           took->len > 0 ? (double)clock_us(CLOCK_PROCESS_CPUTIME_ID) /
-                               took->len
-                         : 0.0);
+           took->len > 0
+               ? (double)clock_us(CLOCK_PROCESS_CPUTIME_ID) / took->len
+               : 0.0);
 }
 
 static int
--- a/include/jayrelay/ledger.h
+++ b/include/jayrelay/ledger.h
@@ -74,6 +74,8 @@
  * struct jr_task_soft_t - what the current leader knows of a task besides
  * @generation: of the leadership that it belongs to; else it is void
  * @used: measured use
+ * @expected: what it is reckoned to use until measurements are in
+ * @expected_until: when they are
  * @checkpoint_at: when its last checkpoint was seen
  * @reported_at: when a report about it was last proposed
  * @granting_to: worker of a grant that is proposed and not applied
@@ -85,6 +87,8 @@
 typedef struct {
     uint64_t generation;
     jr_resources_t used;
+    jr_resources_t expected;
+    int64_t expected_until;
     int64_t checkpoint_at;
     int64_t reported_at;
     struct jr_worker *granting_to;
@@ -98,6 +102,7 @@
  * struct jr_task_t - a task; owned by the ledger
  * @epoch: of the newest grant, 0 before the first
  * @worker: holder of the lease, NULL unless leased
+ * @measured: the most that a run which ended was seen to use
  * @soft: not replicated; see jr_task_soft_t
  */
 typedef struct jr_task {
@@ -106,6 +111,7 @@
     uint64_t spec_hash;
     jr_task_state_t state;
     uint64_t epoch;
+    jr_resources_t measured;
     char *worker;
     char *checkpoint;
     char *result;
@@ -129,6 +135,7 @@
  * @leased: declared needs of its leased tasks
  * @generation: of the leadership that the next fields belong to
  * @granting: needs of its tasks whose grant is proposed and not applied
+ * @use_ratio: moving average of measured over declared processors
  * @cursor: where the current round of placement goes on
  * @is_skipped: nothing of it can start in this round
  */
@@ -139,6 +146,7 @@
     jr_resources_t leased;
     uint64_t generation;
     jr_resources_t granting;
+    double use_ratio;
     jr_task_t *cursor;
     bool is_skipped;
     UT_hash_handle hh;
@@ -233,6 +241,9 @@
 /** jr_ledger_count - number of tasks in a state */
 uint64_t jr_ledger_count(const jr_ledger_t *ledger, jr_task_state_t state);
 
+/** jr_task_size - what a task is reckoned to need: declared or measured */
+jr_resources_t jr_task_size(const jr_task_t *task);
+
 /** jr_task_group - the group that a task id belongs to */
 uint32_t jr_task_group(uint64_t id);
 
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "ledger/convert.h"
+
 enum {
     /* A task for which no live worker is large enough is ended after. */
     IMPOSSIBLE_AFTER_MS = 30000,
@@ -10,6 +12,8 @@
     IMPOSSIBLE_CHECK_MS = 1000,
     /* Queued tasks of a class that are looked at for one that fits. */
     LOOK_AHEAD = 32,
+    /* Measurements of use lag behind by up to. */
+    MEASURED_AFTER_MS = 12000,
 };
 
 void
@@ -244,11 +248,48 @@
     }
 }
 
+/* A host's average processors, or INT64_MAX without a host. */
+static int64_t
+average_host(const jr_coord_t *coord)
+{
+    unsigned n = HASH_COUNT(coord->table->by_name);
+
+    return n > 0 ? coord->table->total.cpu_milli / n : INT64_MAX;
+}
+
+/*
+ * What a task will use: what it was seen to use or, before that, what
+ * others of its class use for what they declare. An expectation never
+ * keeps a task from a host that its declared size fits.
+ */
+jr_resources_t
+jr_coord_expected_size(const jr_coord_t *coord, const jr_task_t *task)
+{
+    jr_resources_t size = jr_task_size(task);
+    jr_class_queue_t *queue;
+    int64_t expected;
+
+    if (coord->options.policy.kind == JR_PLACE_FIRST_FIT) {
+        return task->spec.need;
+    }
+    HASH_FIND_STR(jr_ledger_classes(coord->ledger), task->spec.class_name,
+                  queue);
+    if (task->measured.cpu_milli > 0 || queue == NULL ||
+        queue->generation != coord->generation) {
+        return size;
+    }
+    expected = (int64_t)((double)size.cpu_milli * queue->use_ratio);
+    expected = MIN(expected, average_host(coord) / 2);
+    size.cpu_milli = MAX(size.cpu_milli, expected);
+    return size;
+}
+
 static bool
 start_task(jr_coord_t *coord, jr_task_t *task, int64_t now)
 {
+    jr_resources_t size = jr_coord_expected_size(coord, task);
     jr_worker_t *worker =
-        jr_place_worker(coord->table, &coord->options.policy, &task->spec.need,
+        jr_place_worker(coord->table, &coord->options.policy, &size,
                         coord->rules, coord->rng, now);
     jr_proposal_t grant = {.kind = JR_PROPOSE_GRANT, .task = task->id};
 
@@ -259,7 +300,9 @@
     grant.text = jr_strdup(coord->ctx, worker->name);
     jr_coord_propose(coord, &grant);
     jr_coord_soft(coord, task)->granting_to = worker;
-    jr_resources_add(&worker->reserved, &task->spec.need, 1);
+    task->soft.expected = size;
+    task->soft.expected_until = now + MEASURED_AFTER_MS;
+    jr_resources_add(&worker->reserved, &size, 1);
     worker->n_granting++;
     jr_lease_update_room(coord->table, worker);
     return true;
@@ -274,6 +317,7 @@
         if (queue->generation != coord->generation) {
             queue->generation = coord->generation;
             queue->granting = (jr_resources_t){0};
+            queue->use_ratio = 1.0;
         }
         queue->cursor = TAILQ_FIRST(&queue->tasks);
         queue->is_skipped = false;
@@ -419,6 +463,8 @@
         space->as.report.checkpoint =
             p->checkpoint != NULL ? p->checkpoint : empty;
         space->as.report.result = p->text != NULL ? p->text : empty;
+        jr_resources_to_message(&p->used, &space->used);
+        space->as.report.used = &space->used;
         space->command.body_case = JR__LEDGER_COMMAND__BODY_REPORT;
         space->command.report = &space->as.report;
         break;
@@ -440,6 +486,7 @@
     jr_task_t *task = (jr_task_t *)result->task;
     jr_task_soft_t *soft;
     jr_worker_t *worker;
+    jr_resources_t size;
 
     if (!coord->is_leading || task == NULL) {
         return;
@@ -448,19 +495,26 @@
     worker = soft->granting_to;
     if (task->state == JR_TASK_QUEUED) {
         /* What was known of the last run is void; a grant may be next. */
-        *soft = (jr_task_soft_t){.generation = coord->generation,
-                                 .granting_to = worker};
+        jr_task_soft_t next = {.generation = coord->generation};
+
+        if (worker != NULL) {
+            next.granting_to = worker;
+            next.expected = soft->expected;
+            next.expected_until = soft->expected_until;
+        }
+        *soft = next;
         return;
     }
     if (worker == NULL) {
         return;
     }
     /* The grant was applied, or the end of the task overtook it. */
+    size = soft->expected;
     soft->granting_to = NULL;
     worker->n_granting--;
-    jr_resources_add(&worker->reserved, &task->spec.need, -1);
+    jr_resources_add(&worker->reserved, &size, -1);
     if (task->state == JR_TASK_LEASED) {
-        jr_resources_add(&worker->load, &task->spec.need, 1);
+        jr_resources_add(&worker->load, &size, 1);
     }
     count_granting(coord, task, -1);
     jr_lease_update_room(coord->table, worker);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -20,11 +20,13 @@
     jr_report_kind_t report;
     char *text; /* worker, result or reason */
     char *checkpoint;
+    jr_resources_t used;
 } jr_proposal_t;
 
 /* Where the command that was taken last stands. */
 typedef struct {
     Jr__LedgerCommand command;
+    Jr__Resources used;
     union {
         Jr__Grant grant;
         Jr__Expire expire;
@@ -54,6 +56,9 @@
 void jr_coord_propose(jr_coord_t *coord, jr_proposal_t *proposal);
 /* The soft state of a task, void if it was another leadership's. */
 jr_task_soft_t *jr_coord_soft(const jr_coord_t *coord, jr_task_t *task);
+/* What a task is reckoned to use on a worker. */
+jr_resources_t jr_coord_expected_size(const jr_coord_t *coord,
+                                      const jr_task_t *task);
 /* Nothing is leased to the worker and nothing is about to be. */
 bool jr_coord_is_idle(const jr_coord_t *coord, const jr_worker_t *worker);
 
--- a/src/coord/heartbeat.c
+++ b/src/coord/heartbeat.c
@@ -18,6 +18,8 @@
     TASKS_MAX = 4096,
 };
 
+static const double USE_GAIN = 0.05;
+
 /* A reply under construction, in memory of the message library. */
 typedef struct {
     Jr__HeartbeatReply *message;
@@ -141,6 +143,22 @@
            worker->name, (long long)worker->quarantine_ms);
 }
 
+/* Learn what tasks of this class use for what they declare. */
+static void
+note_use(jr_coord_t *coord, const jr_task_t *task)
+{
+    double declared = (double)task->spec.need.cpu_milli;
+    double used = (double)task->soft.used.cpu_milli;
+    jr_class_queue_t *queue;
+
+    HASH_FIND_STR(jr_ledger_classes(coord->ledger), task->spec.class_name,
+                  queue);
+    if (queue != NULL && queue->generation == coord->generation &&
+        used > 0.0 && declared > 0.0) {
+        queue->use_ratio += USE_GAIN * (used / declared - queue->use_ratio);
+    }
+}
+
 static void
 propose_report(jr_coord_t *coord, jr_task_t *task, const Jr__WorkerTask *from,
                jr_report_kind_t kind, int64_t now)
@@ -152,6 +170,7 @@
         .report = kind,
         .text = jr_strdup(coord->ctx, from->result),
         .checkpoint = jr_strdup(coord->ctx, from->checkpoint),
+        .used = jr_coord_soft(coord, task)->used,
     };
 
     jr_coord_soft(coord, task)->reported_at = now;
@@ -204,6 +223,9 @@
     if (kind != JR_REPORT_STOPPED && !task->soft.is_ending) {
         note_run_ended(coord, worker, kind == JR_REPORT_FINISHED, now);
     }
+    if (!task->soft.is_ending) {
+        note_use(coord, task);
+    }
     task->soft.is_ending = true;
     propose_report(coord, task, from, kind, now);
 }
@@ -259,17 +281,30 @@
     }
 }
 
+/* Until measurements are in, the expectation counts. */
+static jr_resources_t
+size_now(const jr_task_t *task, int64_t now)
+{
+    jr_resources_t size = jr_task_size(task);
+
+    return now < task->soft.expected_until
+               ? jr_resources_max(&size, &task->soft.expected)
+               : size;
+}
+
 static void
 refresh_load(jr_coord_t *coord, jr_worker_t *worker,
-             const jr_holding_t *holding)
+             const jr_holding_t *holding, int64_t now)
 {
     jr_task_t *task;
 
     worker->load = (jr_resources_t){0};
     if (holding != NULL) {
         TAILQ_FOREACH (task, &holding->tasks, on_worker) {
-            jr_resources_t size = jr_resources_max(
-                &task->spec.need, &jr_coord_soft(coord, task)->used);
+            jr_resources_t size;
+
+            jr_coord_soft(coord, task);
+            size = size_now(task, now);
 
             jr_resources_add(&worker->load, &size, 1);
         }
@@ -325,7 +360,7 @@
         on_reported(coord, worker, heartbeat->tasks[i], arrived, &reply);
     }
     holding = jr_ledger_holding(coord->ledger, worker->name);
-    refresh_load(coord, worker, holding);
+    refresh_load(coord, worker, holding, arrived);
     check_overload(coord, worker, holding, arrived);
     if (holding != NULL) {
         assign_new(coord, worker, holding, arrived, &reply);
--- a/src/gen/ledger/ledger.pb-c.c
+++ b/src/gen/ledger/ledger.pb-c.c
@@ -849,7 +849,7 @@
   (ProtobufCMessageInit) jr__task_spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__task__field_descriptors[13] =
+static const ProtobufCFieldDescriptor jr__task__field_descriptors[14] =
 {
   {
     "id",
@@ -1007,6 +1007,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "measured",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Task, measured),
+    &jr__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__task__field_indices_by_name[] = {
   6,   /* field[6] = cancel_asked */
@@ -1015,6 +1027,7 @@
   3,   /* field[3] = epoch */
   8,   /* field[8] = failures */
   0,   /* field[0] = id */
+  13,   /* field[13] = measured */
   11,   /* field[11] = result */
   1,   /* field[1] = spec */
   12,   /* field[12] = spec_hash */
@@ -1026,7 +1039,7 @@
 static const ProtobufCIntRange jr__task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor jr__task__descriptor =
 {
@@ -1036,7 +1049,7 @@
   "Jr__Task",
   "jr",
   sizeof(Jr__Task),
-  13,
+  14,
   jr__task__field_descriptors,
   jr__task__field_indices_by_name,
   1,  jr__task__number_ranges,
@@ -1228,7 +1241,7 @@
   jr__report__kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor jr__report__field_descriptors[5] =
+static const ProtobufCFieldDescriptor jr__report__field_descriptors[6] =
 {
   {
     "task",
@@ -1290,6 +1303,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "used",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Report, used),
+    &jr__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__report__field_indices_by_name[] = {
   3,   /* field[3] = checkpoint */
@@ -1297,11 +1322,12 @@
   2,   /* field[2] = kind */
   4,   /* field[4] = result */
   0,   /* field[0] = task */
+  5,   /* field[5] = used */
 };
 static const ProtobufCIntRange jr__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor jr__report__descriptor =
 {
@@ -1311,7 +1337,7 @@
   "Jr__Report",
   "jr",
   sizeof(Jr__Report),
-  5,
+  6,
   jr__report__field_descriptors,
   jr__report__field_indices_by_name,
   1,  jr__report__number_ranges,
--- a/src/gen/ledger/ledger.pb-c.h
+++ b/src/gen/ledger/ledger.pb-c.h
@@ -102,10 +102,14 @@
   int64_t ended_at;
   char *result;
   uint64_t spec_hash;
+  /*
+   * the most it was seen to use
+   */
+  Jr__Resources *measured;
 };
 #define JR__TASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__task__descriptor) \
-    , 0, NULL, JR__TASK_STATE__QUEUED, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, NULL, JR__TASK_STATE__QUEUED, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, NULL }
 
 
 struct  Jr__Submit
@@ -149,10 +153,11 @@
   Jr__Report__Kind kind;
   char *checkpoint;
   char *result;
+  Jr__Resources *used;
 };
 #define JR__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__report__descriptor) \
-    , 0, 0, JR__REPORT__KIND__CHECKPOINT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, JR__REPORT__KIND__CHECKPOINT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL }
 
 
 struct  Jr__Cancel
--- a/src/group/machine.c
+++ b/src/group/machine.c
@@ -7,9 +7,7 @@
 
 typedef struct {
     Jr__LedgerResult result;
-    Jr__Task task;
-    Jr__TaskSpec spec;
-    Jr__Resources need;
+    jr_task_message_t task;
     Jr__CallRecord call;
 } ledger_reply_t;
 
@@ -20,9 +18,8 @@
     jr__ledger_result__init(&space->result);
     space->result.code = (uint32_t)from->code;
     if (from->task != NULL) {
-        jr_task_to_message(from->task, &space->task, &space->spec,
-                           &space->need);
-        space->result.task = &space->task;
+        jr_task_to_message(from->task, &space->task);
+        space->result.task = &space->task.task;
     }
     if (from->claim != NULL) {
         jr_claim_to_message(from->claim, &space->call);
--- a/src/group/request.c
+++ b/src/group/request.c
@@ -275,17 +275,15 @@
         jr_ledger_task(group->as.ledger.ledger, read->request->task_get->task);
     Jr__LedgerResult result = JR__LEDGER_RESULT__INIT;
     Jr__Reply reply = JR__REPLY__INIT;
-    Jr__Task message;
-    Jr__TaskSpec spec;
-    Jr__Resources need;
+    jr_task_message_t message;
 
     if (task == NULL) {
         jr_group_reply_code(group, &read->ticket, JR_NOT_FOUND,
                             "no such task");
         return;
     }
-    jr_task_to_message(task, &message, &spec, &need);
-    result.task = &message;
+    jr_task_to_message(task, &message);
+    result.task = &message.task;
     reply.body_case = JR__REPLY__BODY_LEDGER;
     reply.ledger = &result;
     send_reply(group, &read->ticket, &reply);
--- a/src/ledger/apply.c
+++ b/src/ledger/apply.c
@@ -1,6 +1,8 @@
 /* The state machine: what each command does. */
 #include "ledger.h"
 
+#include "convert.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -154,6 +156,11 @@
     if (found.code != JR_OK) {
         return found;
     }
+    if (report->used != NULL) {
+        jr_resources_t used = jr_resources_from_message(report->used);
+
+        task->measured = jr_resources_max(&task->measured, &used);
+    }
     if (*report->checkpoint != '\0') {
         jr_set_string(ledger->ctx, &task->checkpoint, report->checkpoint);
     }
--- a/src/ledger/convert.c
+++ b/src/ledger/convert.c
@@ -45,24 +45,27 @@
 }
 
 void
-jr_task_to_message(const jr_task_t *task, Jr__Task *message,
-                   Jr__TaskSpec *spec, Jr__Resources *need)
+jr_task_to_message(const jr_task_t *task, jr_task_message_t *message)
 {
-    jr__task__init(message);
-    jr_spec_to_message(&task->spec, spec, need);
-    message->id = task->id;
-    message->spec = spec;
-    message->state = (Jr__TaskState)task->state;
-    message->epoch = task->epoch;
-    message->worker = or_empty(task->worker);
-    message->checkpoint = or_empty(task->checkpoint);
-    message->result = or_empty(task->result);
-    message->cancel_asked = task->cancel_asked;
-    message->starts = task->starts;
-    message->failures = task->failures;
-    message->submitted_at = task->submitted_at;
-    message->ended_at = task->ended_at;
-    message->spec_hash = task->spec_hash;
+    Jr__Task *to = &message->task;
+
+    jr__task__init(to);
+    jr_spec_to_message(&task->spec, &message->spec, &message->need);
+    jr_resources_to_message(&task->measured, &message->measured);
+    to->id = task->id;
+    to->spec = &message->spec;
+    to->measured = &message->measured;
+    to->state = (Jr__TaskState)task->state;
+    to->epoch = task->epoch;
+    to->worker = or_empty(task->worker);
+    to->checkpoint = or_empty(task->checkpoint);
+    to->result = or_empty(task->result);
+    to->cancel_asked = task->cancel_asked;
+    to->starts = task->starts;
+    to->failures = task->failures;
+    to->submitted_at = task->submitted_at;
+    to->ended_at = task->ended_at;
+    to->spec_hash = task->spec_hash;
 }
 
 void
--- a/src/ledger/index.c
+++ b/src/ledger/index.c
@@ -53,6 +53,14 @@
     };
 }
 
+jr_resources_t
+jr_task_size(const jr_task_t *task)
+{
+    jr_resources_t size = jr_resources_max(&task->spec.need, &task->measured);
+
+    return jr_resources_max(&size, &task->soft.used);
+}
+
 void
 jr_set_string(jr_ctx_t *ctx, char **to, const char *from)
 {
--- a/src/ledger/snapshot.c
+++ b/src/ledger/snapshot.c
@@ -7,9 +7,7 @@
 
 typedef struct {
     jr_ledger_t *ledger;
-    Jr__Task *tasks;
-    Jr__TaskSpec *specs;
-    Jr__Resources *needs;
+    jr_task_message_t *tasks;
     Jr__Task **task_pointers;
     Jr__CallRecord *calls;
     Jr__CallRecord **call_pointers;
@@ -21,8 +19,8 @@
 {
     size_t i = s->message.n_tasks++;
 
-    jr_task_to_message(task, &s->tasks[i], &s->specs[i], &s->needs[i]);
-    s->task_pointers[i] = &s->tasks[i];
+    jr_task_to_message(task, &s->tasks[i]);
+    s->task_pointers[i] = &s->tasks[i].task;
 }
 
 /*
@@ -73,8 +71,7 @@
     saving_t s = {
         .ledger = ledger,
         .tasks = jr_alloc(ctx, n * sizeof *s.tasks),
-        .specs = jr_alloc(ctx, n * sizeof *s.specs),
-        .needs = jr_alloc(ctx, n * sizeof *s.needs),
+
         .task_pointers = jr_alloc(ctx, n * sizeof(Jr__Task *)),
         .calls = jr_alloc(ctx, n_calls * sizeof *s.calls),
         .call_pointers = jr_alloc(ctx, n_calls * sizeof(Jr__CallRecord *)),
@@ -92,8 +89,7 @@
         jr_alloc(ctx, jr__ledger_snapshot__get_packed_size(&s.message) + 1);
     *len = jr__ledger_snapshot__pack(&s.message, bytes);
     jr_free(ctx, s.tasks);
-    jr_free(ctx, s.specs);
-    jr_free(ctx, s.needs);
+
     jr_free(ctx, s.task_pointers);
     jr_free(ctx, s.calls);
     jr_free(ctx, s.call_pointers);
@@ -109,6 +105,7 @@
     task->spec_hash = from->spec_hash;
     task->state = (jr_task_state_t)from->state;
     task->epoch = from->epoch;
+    task->measured = jr_resources_from_message(from->measured);
     task->cancel_asked = from->cancel_asked;
     task->failures = from->failures;
     task->submitted_at = from->submitted_at;
--- a/src/place/evict.c
+++ b/src/place/evict.c
@@ -10,11 +10,15 @@
     return rule != NULL ? rule->priority : 0;
 }
 
-/* Work that would be done again, in processor milliseconds. */
-static int64_t
+/* Work that would be done again, for each processor that comes free. */
+static double
 lost_work(const jr_task_t *task, int64_t now)
 {
-    return (now - task->soft.checkpoint_at) * task->spec.need.cpu_milli;
+    jr_resources_t size = jr_task_size(task);
+    double lost = (double)(now - task->soft.checkpoint_at) *
+                  (double)task->spec.need.cpu_milli;
+
+    return lost / (double)MAX(size.cpu_milli, 1);
 }
 
 static bool
