--- a/src/relay/pool_test.h
+++ b/src/relay/pool_test.h
@@ -231,7 +231,13 @@
         bool forwarded_to = false;
         /* Set for a forwarded call: how its end reaches the first entry. */
         std::function<void(jr_attempt_end_t)> on_end;
+        /* Of a forwarded call; an own call is its own origin. */
         std::shared_ptr<Request> origin;
+
+        Request &First()
+        {
+            return origin != nullptr ? *origin : *this;
+        }
     };
     using RequestPtr = std::shared_ptr<Request>;
     struct Executor {
@@ -405,7 +411,6 @@
         } while (entries_[(size_t)entry].relay == nullptr);
         request->arrived = now_;
         request->idempotent = Uniform() < o_.idempotent;
-        request->origin = request;
         metrics.calls++;
         Submit(entry, request, o_.deadline_us, false);
     }
@@ -414,10 +419,13 @@
     Submit(int entry, const RequestPtr &request, int64_t deadline,
            bool forwarded)
     {
-        /* The relay keeps a pointer; the verdict frees it. */
+        /* The relay keeps a pointer until the verdict. */
+        auto held = std::make_unique<RequestPtr>(request);
+        RequestPtr *user = held.get();
+
+        held_[user] = std::move(held);
         jr_relay_call(entries_[(size_t)entry].relay, "advice", 50,
-                      request->idempotent, forwarded, deadline,
-                      new RequestPtr(request), now_);
+                      request->idempotent, forwarded, deadline, user, now_);
     }
 
     static void
@@ -477,7 +485,8 @@
             }
             copy->arrived = now_;
             copy->idempotent = request->idempotent;
-            copy->origin = request->origin;
+            copy->origin = request->origin != nullptr ? request->origin
+                                                     : request;
             copy->forwarded_to = true;
             copy->on_end = [this, delay, end](jr_attempt_end_t how) {
                 At(delay, [end, how] { end(how); });
@@ -501,7 +510,7 @@
             return;
         }
         if (x.fault == Fault::kFastFail) {
-            request->origin->runs++;
+            request->First().runs++;
             At(300, [end] { end(JR_END_FAILED); });
             return;
         }
@@ -511,7 +520,7 @@
             return;
         }
         x.in_use++;
-        if (++request->origin->runs > 1 && !request->idempotent) {
+        if (++request->First().runs > 1 && !request->idempotent) {
             metrics.doubled++;
         }
         if (x.fault == Fault::kSlow) {
@@ -549,7 +558,7 @@
         RequestPtr *held = static_cast<RequestPtr *>(call->user);
         RequestPtr request = *held;
 
-        delete held;
+        entry->pool->held_.erase(held);
         if (request->forwarded_to) {
             switch (verdict->kind) {
             case JR_VERDICT_ANSWERED:
@@ -641,6 +650,7 @@
     std::vector<std::string> names_;
     std::vector<Executor> executors_;
     std::vector<Entry> entries_;
+    std::map<RequestPtr *, std::unique_ptr<RequestPtr>> held_;
     std::priority_queue<Event> events_;
 };
 
