Entries are sent once; peers that are not there get no calls

Cause: a follower's reply to an earlier message let the leader send the entries that were under way once more, and their two replies twice again. Checks of rules for one name compared all pairs. Under the sanitizers a call of a cut-off zone was forwarded to a frozen peer and its outcome was unknown. Ruled out: heartbeats as the source of the repeats (the same millisecond). Change: a member's window opens when its newest entries are acknowledged; names of rules are in a table; entry processes greet each other, and only a peer heard of within 1.5 s is sent calls; the demo's load frees all.

--- a/bench/placement.cc
+++ b/bench/placement.cc
@@ -23,12 +23,12 @@
 
 struct Scenario {
     const char *name;
-    double load;        /* tasks' processors over all processors */
-    double noisy;       /* share of tasks that use 4 times what they say */
-    double impossible;  /* share of tasks larger than any host */
-    double cancelled;   /* share of tasks that are cancelled */
-    int failing;        /* workers that fail all they start */
-    int lost;           /* workers lost in the middle */
+    double load;       /* tasks' processors over all processors */
+    double noisy;      /* share of tasks that use 4 times what they say */
+    double impossible; /* share of tasks larger than any host */
+    double cancelled;  /* share of tasks that are cancelled */
+    int failing;       /* workers that fail all they start */
+    int lost;          /* workers lost in the middle */
     int64_t seconds;
 };
 
@@ -89,7 +89,9 @@
         jr_coord_lead(coord_, now_);
         for (int w = 0; w < workers; w++) {
             workers_.push_back({"host-" + std::to_string(w) + "/1",
-                                w < s.failing, false, {}});
+                                w < s.failing,
+                                false,
+                                {}});
         }
     }
 
@@ -102,7 +104,8 @@
         jr_drop_ctx(ctx_);
     }
 
-    Result Run()
+    Result
+    Run()
     {
         double cores = (double)workers_.size() * cores_;
         double per_step = s_.load * cores * kStepMs / (double)kRunMs / 1.5;
@@ -158,12 +161,14 @@
         int64_t saved;
     };
 
-    double Uniform()
+    double
+    Uniform()
     {
         return std::uniform_real_distribution<>(0, 1)(rng_);
     }
 
-    double Busy(const Worker &worker, const std::string &cls)
+    double
+    Busy(const Worker &worker, const std::string &cls)
     {
         double busy = 0;
 
@@ -176,7 +181,8 @@
         return busy;
     }
 
-    void ApplyOne(Jr__LedgerCommand *command)
+    void
+    ApplyOne(Jr__LedgerCommand *command)
     {
         size_t len;
         uint8_t *bytes = jr_command_pack(ctx_, command, now_, &len);
@@ -189,7 +195,8 @@
         jr_free(ctx_, bytes);
     }
 
-    void Apply()
+    void
+    Apply()
     {
         Jr__LedgerCommand *command;
 
@@ -198,7 +205,8 @@
         }
     }
 
-    void Submit()
+    void
+    Submit()
     {
         Jr__LedgerCommand command = JR__LEDGER_COMMAND__INIT;
         Jr__Submit submit = JR__SUBMIT__INIT;
@@ -208,9 +216,8 @@
         char team[] = "t", study[] = "study", watch[] = "watch";
         bool impossible = Uniform() < s_.impossible;
 
-        need.cpu_milli = impossible
-                             ? (uint32_t)cores_ * 2000
-                             : (uint32_t)(1000 + 1000 * Uniform());
+        need.cpu_milli = impossible ? (uint32_t)cores_ * 2000
+                                    : (uint32_t)(1000 + 1000 * Uniform());
         need.memory_mb = 1000;
         spec.key = key.data();
         spec.team = team;
@@ -234,7 +241,8 @@
         }
     }
 
-    void Advance(Worker &worker)
+    void
+    Advance(Worker &worker)
     {
         double used = 0;
 
@@ -266,7 +274,8 @@
         }
     }
 
-    void Follow(Worker &worker, const Jr__Assignment &a)
+    void
+    Follow(Worker &worker, const Jr__Assignment &a)
     {
         auto found = worker.jobs.find(a.task);
 
@@ -299,7 +308,8 @@
         }
     }
 
-    void Step(Worker &worker)
+    void
+    Step(Worker &worker)
     {
         Jr__Heartbeat heartbeat = JR__HEARTBEAT__INIT;
         Jr__Resources capacity = JR__RESOURCES__INIT;
@@ -321,8 +331,7 @@
             tasks[i].task = item.first;
             tasks[i].epoch = item.second.epoch;
             tasks[i].state = item.second.state;
-            used[i].cpu_milli =
-                seen ? item.second.real : item.second.declared;
+            used[i].cpu_milli = seen ? item.second.real : item.second.declared;
             tasks[i].used = &used[i];
             pointers.push_back(&tasks[i]);
             declared += item.second.state == JR__WORKER_TASK__STATE__RUNNING
@@ -359,8 +368,8 @@
 int missed = 0;
 
 void
-Check(const char *site, const char *scenario, const char *what,
-      double target, double figure, bool ok)
+Check(const char *site, const char *scenario, const char *what, double target,
+      double figure, bool ok)
 {
     printf("  %-10s %-26s %-34s %10.2f %10.2f  %s\n", site, scenario, what,
            target, figure, ok ? "met" : "NOT MET");
@@ -403,9 +412,9 @@
                             "\"policy\":\"%s\",\"submitted\":%ld,"
                             "\"finished\":%ld,\"failed\":%ld,\"evictions\":"
                             "%lu,\"lost_cpu_s\":%.1f}\n",
-                            site.name, scenario.name, policy.name,
-                            r.submitted, r.finished, r.failed,
-                            (unsigned long)r.evictions, r.lost_work_s);
+                            site.name, scenario.name, policy.name, r.submitted,
+                            r.finished, r.failed, (unsigned long)r.evictions,
+                            r.lost_work_s);
                 }
             }
             all.push_back(pair);
--- a/fakes/executor/main.c
+++ b/fakes/executor/main.c
@@ -12,7 +12,7 @@
 #include "jayrelay/program.h"
 
 enum {
-    ANNOUNCE_MS = 500,
+    ANNOUNCE_MS = 250,
     OK = 200,
     ERROR = 500,
     UNAVAILABLE = 503,
--- a/fakes/load/main.c
+++ b/fakes/load/main.c
@@ -315,6 +315,7 @@
 {
     load_t load = {.rate = 200, .seconds = 10, .limit_s = 30, .n_jobs = 40};
     ev_timer calls, poll;
+    int status;
 
     signal(SIGPIPE, SIG_IGN);
     if (!read_options(&load, argc, argv)) {
@@ -337,5 +338,14 @@
     start_timer(&load, &calls, on_call_timer, 1.0 / load.rate);
     start_timer(&load, &poll, on_poll, POLL_MS / 1000.0);
     ev_run(load.loop, 0);
-    return load_report(&load);
+    status = load_report(&load);
+    jr_drop_client(load.client);
+    g_hash_table_destroy(load.refusals);
+    g_array_free(load.latencies, TRUE);
+    g_strfreev(load.entries);
+    g_free(load.logs);
+    g_free(load.calls);
+    g_free(load.jobs);
+    jr_drop_ctx(load.ctx);
+    return status;
 }
--- a/include/jayrelay/relay.h
+++ b/include/jayrelay/relay.h
@@ -14,7 +14,10 @@
 #include "jayrelay/retry.h"
 #include "jayrelay/route.h"
 
-enum { JR_PEERS_MAX = 64 };
+enum {
+    JR_PEERS_MAX = 64,
+    JR_PEER_TTL_US = 1500 * 1000,
+};
 
 /** enum jr_attempt_end_t - what is known of an attempt that ended */
 typedef enum {
@@ -111,6 +114,9 @@
 void jr_relay_lent(jr_relay_t *relay, const char *name, int slots,
                    int64_t asked_at, int64_t now);
 
+/** jr_relay_heard - a peer was heard of; only such a one gets calls */
+void jr_relay_heard(jr_relay_t *relay, int peer, int64_t now);
+
 /** jr_relay_tick - let time pass */
 void jr_relay_tick(jr_relay_t *relay, int64_t now);
 
--- a/src/base/fuzz_test.cc
+++ b/src/base/fuzz_test.cc
@@ -33,9 +33,12 @@
 
 class Mutator {
   public:
-    explicit Mutator(std::string good) : good_(std::move(good)), rng_(1) {}
+    explicit Mutator(std::string good) : good_(std::move(good)), rng_(1)
+    {
+    }
 
-    std::string Next()
+    std::string
+    Next()
     {
         std::string s = good_;
         size_t edits = 1 + rng_() % 4;
@@ -74,17 +77,20 @@
 
 class FuzzTest : public ::testing::Test {
   protected:
-    void SetUp() override
+    void
+    SetUp() override
     {
         ctx_ = jr_new_ctx("fuzz", nullptr);
     }
 
-    void TearDown() override
+    void
+    TearDown() override
     {
         jr_drop_ctx(ctx_);
     }
 
-    std::string Pack(const jr_config_t *config)
+    std::string
+    Pack(const jr_config_t *config)
     {
         uint8_t *bytes;
         size_t len = jr_config_pack(ctx_, config, &bytes);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -71,6 +71,7 @@
     ev_timer open;
     ev_timer tick;
     ev_timer poll;
+    ev_timer hello;
     ev_timer drain;
     ev_signal sigterm;
     ev_signal sigint;
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -7,6 +7,7 @@
 enum {
     TICK_MS = 10,
     POLL_RULES_MS = 500,
+    HELLO_MS = 500,
     POLL_FIRST_RULES_MS = 50,
     DRAIN_LOOK_MS = 20,
     OPEN_LOOK_MS = 20,
@@ -16,6 +17,16 @@
 };
 enum { CANDIDATES = 4 };
 
+static void
+on_hello(jr_entry_t *entry, const char *from)
+{
+    for (int i = 0; i < entry->n_other_zones + entry->n_own_zone; i++) {
+        if (strcmp(entry->peers[i].process->name, from) == 0) {
+            jr_relay_heard(entry->relay, i, jr_clock_us());
+        }
+    }
+}
+
 static void
 on_envelope(void *user, const jr_route_t *route, const Jr__Envelope *envelope)
 {
@@ -43,6 +54,9 @@
     case JR__ENVELOPE__BODY_LOAN_GIVE:
         jr_entry_on_loan_give(entry, envelope->loan_give);
         break;
+    case JR__ENVELOPE__BODY_HELLO:
+        on_hello(entry, envelope->from);
+        break;
     case JR__ENVELOPE__BODY_RULES:
         jr_entry_take_rules(entry, envelope->rules->version,
                             envelope->rules->text);
@@ -63,6 +77,25 @@
     jr_relay_tick(entry->relay, jr_clock_us());
 }
 
+static void
+on_hello_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    jr_entry_t *entry = timer->data;
+    Jr__Hello hello = JR__HELLO__INIT;
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+
+    (void)loop;
+    (void)events;
+    if (entry->is_draining || entry->http == NULL) {
+        return;
+    }
+    envelope.body_case = JR__ENVELOPE__BODY_HELLO;
+    envelope.hello = &hello;
+    for (int i = 0; i < entry->n_other_zones + entry->n_own_zone; i++) {
+        jr_bus_send(entry->bus, entry->peers[i].bus_peer, &envelope);
+    }
+}
+
 static void
 on_poll(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -319,6 +352,7 @@
     }
     start_timer(entry, &entry->tick, on_tick, TICK_MS);
     start_timer(entry, &entry->poll, on_poll, POLL_RULES_MS);
+    start_timer(entry, &entry->hello, on_hello_timer, HELLO_MS);
     start_signal(entry, &entry->sigterm, SIGTERM);
     start_signal(entry, &entry->sigint, SIGINT);
     entry->started_at = jr_clock_ms();
--- a/src/gen/net/wire.pb-c.c
+++ b/src/gen/net/wire.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &jr__loan_give__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jr__hello__init
+                     (Jr__Hello         *message)
+{
+  static const Jr__Hello init_value = JR__HELLO__INIT;
+  *message = init_value;
+}
+size_t jr__hello__get_packed_size
+                     (const Jr__Hello *message)
+{
+  assert(message->base.descriptor == &jr__hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jr__hello__pack
+                     (const Jr__Hello *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jr__hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jr__hello__pack_to_buffer
+                     (const Jr__Hello *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jr__hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jr__Hello *
+       jr__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jr__Hello *)
+     protobuf_c_message_unpack (&jr__hello__descriptor,
+                                allocator, len, data);
+}
+void   jr__hello__free_unpacked
+                     (Jr__Hello *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jr__hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jr__envelope__init
                      (Jr__Envelope         *message)
 {
@@ -2010,7 +2055,25 @@
   (ProtobufCMessageInit) jr__loan_give__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__envelope__field_descriptors[8] =
+#define jr__hello__field_descriptors NULL
+#define jr__hello__field_indices_by_name NULL
+#define jr__hello__number_ranges NULL
+const ProtobufCMessageDescriptor jr__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.Hello",
+  "Hello",
+  "Jr__Hello",
+  "jr",
+  sizeof(Jr__Hello),
+  0,
+  jr__hello__field_descriptors,
+  jr__hello__field_indices_by_name,
+  0,  jr__hello__number_ranges,
+  (ProtobufCMessageInit) jr__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jr__envelope__field_descriptors[9] =
 {
   {
     "quorum",
@@ -2108,10 +2171,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hello",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__Envelope, body_case),
+    offsetof(Jr__Envelope, hello),
+    &jr__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__envelope__field_indices_by_name[] = {
   3,   /* field[3] = announce */
   7,   /* field[7] = from */
+  8,   /* field[8] = hello */
   4,   /* field[4] = loan_ask */
   5,   /* field[5] = loan_give */
   0,   /* field[0] = quorum */
@@ -2122,7 +2198,7 @@
 static const ProtobufCIntRange jr__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor jr__envelope__descriptor =
 {
@@ -2132,7 +2208,7 @@
   "Jr__Envelope",
   "jr",
   sizeof(Jr__Envelope),
-  8,
+  9,
   jr__envelope__field_descriptors,
   jr__envelope__field_indices_by_name,
   1,  jr__envelope__number_ranges,
--- a/src/gen/net/wire.pb-c.h
+++ b/src/gen/net/wire.pb-c.h
@@ -32,6 +32,7 @@
 typedef struct Jr__Announce Jr__Announce;
 typedef struct Jr__LoanAsk Jr__LoanAsk;
 typedef struct Jr__LoanGive Jr__LoanGive;
+typedef struct Jr__Hello Jr__Hello;
 typedef struct Jr__Envelope Jr__Envelope;
 
 
@@ -295,6 +296,18 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * Sent to every other entry process, again and again: this one is there.
+ */
+struct  Jr__Hello
+{
+  ProtobufCMessage base;
+};
+#define JR__HELLO__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jr__hello__descriptor) \
+     }
+
+
 typedef enum {
   JR__ENVELOPE__BODY__NOT_SET = 0,
   JR__ENVELOPE__BODY_QUORUM = 1,
@@ -303,7 +316,8 @@
   JR__ENVELOPE__BODY_ANNOUNCE = 4,
   JR__ENVELOPE__BODY_LOAN_ASK = 5,
   JR__ENVELOPE__BODY_LOAN_GIVE = 6,
-  JR__ENVELOPE__BODY_RULES = 7
+  JR__ENVELOPE__BODY_RULES = 7,
+  JR__ENVELOPE__BODY_HELLO = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JR__ENVELOPE__BODY__CASE)
 } Jr__Envelope__BodyCase;
 
@@ -320,6 +334,7 @@
     Jr__LoanAsk *loan_ask;
     Jr__LoanGive *loan_give;
     Jr__RulesText *rules;
+    Jr__Hello *hello;
   };
 };
 #define JR__ENVELOPE__INIT \
@@ -593,6 +608,25 @@
 void   jr__loan_give__free_unpacked
                      (Jr__LoanGive *message,
                       ProtobufCAllocator *allocator);
+/* Jr__Hello methods */
+void   jr__hello__init
+                     (Jr__Hello         *message);
+size_t jr__hello__get_packed_size
+                     (const Jr__Hello   *message);
+size_t jr__hello__pack
+                     (const Jr__Hello   *message,
+                      uint8_t             *out);
+size_t jr__hello__pack_to_buffer
+                     (const Jr__Hello   *message,
+                      ProtobufCBuffer     *buffer);
+Jr__Hello *
+       jr__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jr__hello__free_unpacked
+                     (Jr__Hello *message,
+                      ProtobufCAllocator *allocator);
 /* Jr__Envelope methods */
 void   jr__envelope__init
                      (Jr__Envelope         *message);
@@ -656,6 +690,9 @@
 typedef void (*Jr__LoanGive_Closure)
                  (const Jr__LoanGive *message,
                   void *closure_data);
+typedef void (*Jr__Hello_Closure)
+                 (const Jr__Hello *message,
+                  void *closure_data);
 typedef void (*Jr__Envelope_Closure)
                  (const Jr__Envelope *message,
                   void *closure_data);
@@ -681,6 +718,7 @@
 extern const ProtobufCMessageDescriptor jr__announce__descriptor;
 extern const ProtobufCMessageDescriptor jr__loan_ask__descriptor;
 extern const ProtobufCMessageDescriptor jr__loan_give__descriptor;
+extern const ProtobufCMessageDescriptor jr__hello__descriptor;
 extern const ProtobufCMessageDescriptor jr__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/quorum/core.h
+++ b/src/quorum/core.h
@@ -46,6 +46,7 @@
     uint64_t id;
     uint64_t match;
     uint64_t next;
+    uint64_t sent;         /* last index under way */
     int64_t acked_sent_at; /* when the newest acknowledged probe was sent */
     int64_t busy_until;    /* entries are under way until then */
     bool granted;          /* its vote, for a candidate */
--- a/src/quorum/replicate.c
+++ b/src/quorum/replicate.c
@@ -94,6 +94,7 @@
     if (progress->next <= q->log.base.index) {
         if (!is_busy) {
             send_install(q, i);
+            progress->sent = q->log.base.index;
             progress->busy_until = q->now + q->options.election_ms;
         }
         return;
@@ -104,6 +105,7 @@
     }
     send_append(q, i, n);
     if (n > 0) {
+        progress->sent = progress->next + n - 1;
         progress->busy_until = q->now + 2 * q->options.heartbeat_ms;
     }
 }
@@ -256,8 +258,8 @@
     }
     progress = &q->progress[i];
     progress->acked_sent_at = MAX(progress->acked_sent_at, reply->sent_at);
-    progress->busy_until = 0;
     if (!reply->ok) {
+        progress->busy_until = 0;
         progress->next = MAX(progress->match, reply->match) + 1;
         jr_quorum_replicate(q, (size_t)i, true);
         return;
@@ -267,6 +269,10 @@
     }
     progress->match = MAX(progress->match, reply->match);
     progress->next = progress->match + 1;
+    if (progress->match >= progress->sent) {
+        /* An earlier reply must not send the same entries again. */
+        progress->busy_until = 0;
+    }
     jr_quorum_advance_commit(q);
     jr_quorum_replicate(q, (size_t)i, false);
 }
--- a/src/relay/pool_test.h
+++ b/src/relay/pool_test.h
@@ -234,7 +234,8 @@
         /* Of a forwarded call; an own call is its own origin. */
         std::shared_ptr<Request> origin;
 
-        Request &First()
+        Request &
+        First()
         {
             return origin != nullptr ? *origin : *this;
         }
@@ -360,6 +361,7 @@
     {
         next_tick_ = now_ + 10000;
         if (now_ % 500000 == 0) {
+            Greet();
             Announce();
         }
         for (Entry &entry : entries_) {
@@ -369,6 +371,22 @@
         }
     }
 
+    void
+    Greet()
+    {
+        for (Entry &entry : entries_) {
+            for (size_t k = 0;
+                 entry.relay != nullptr && k < entry.peers.size(); k++) {
+                Entry &peer = entries_[(size_t)entry.peers[k]];
+
+                if (peer.relay != nullptr &&
+                    !IsCut(ZoneOf(entry.number), ZoneOf(peer.number))) {
+                    jr_relay_heard(entry.relay, (int)k, now_ + 1);
+                }
+            }
+        }
+    }
+
     /* As a balancer would spread them, and peers pass them on. */
     void
     Announce()
@@ -485,8 +503,8 @@
             }
             copy->arrived = now_;
             copy->idempotent = request->idempotent;
-            copy->origin = request->origin != nullptr ? request->origin
-                                                     : request;
+            copy->origin =
+                request->origin != nullptr ? request->origin : request;
             copy->forwarded_to = true;
             copy->on_end = [this, delay, end](jr_attempt_end_t how) {
                 At(delay, [end, how] { end(how); });
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -46,6 +46,7 @@
     uint64_t next_attempt;
     int next_peer;
     int64_t peer_backoff[JR_PEERS_MAX];
+    int64_t peer_heard[JR_PEERS_MAX]; /* 0: never */
     int64_t sweep_at;
     TAILQ_HEAD(, hold) holds;
 };
@@ -164,7 +165,17 @@
                                call->deadline - now);
 }
 
-/* The next peer of another zone that did not refuse a moment ago, or -1. */
+static bool
+is_peer_there(const jr_relay_t *relay, int peer, int64_t now)
+{
+    return relay->peer_heard[peer] != 0 &&
+           now - relay->peer_heard[peer] < JR_PEER_TTL_US;
+}
+
+/*
+ * The next peer of another zone that is there and did not refuse a moment
+ * ago, or -1.
+ */
 static int
 choose_peer(jr_relay_t *relay, int64_t now)
 {
@@ -173,7 +184,8 @@
     for (int i = 0; i < n; i++) {
         int peer = relay->next_peer++ % n;
 
-        if (relay->peer_backoff[peer] <= now) {
+        if (relay->peer_backoff[peer] <= now &&
+            is_peer_there(relay, peer, now)) {
             return peer;
         }
     }
@@ -612,6 +624,14 @@
     serve_queue(relay, lane_of(relay, upstream->service->name), now);
 }
 
+void
+jr_relay_heard(jr_relay_t *relay, int peer, int64_t now)
+{
+    if (peer >= 0 && peer < JR_PEERS_MAX) {
+        relay->peer_heard[peer] = now;
+    }
+}
+
 void
 jr_relay_tick(jr_relay_t *relay, int64_t now)
 {
--- a/src/rules/rules.c
+++ b/src/rules/rules.c
@@ -31,6 +31,7 @@
     char **words;           /* unquoted */
     int columns[WORDS_MAX]; /* of each word, from 1 */
     bool seen_weights[3];
+    GHashTable *names; /* "kind name" of each rule so far */
 } parser_t;
 
 static void __attribute__((format(printf, 3, 4)))
@@ -200,6 +201,18 @@
     return jr_resize(p->ctx, array, (n + 1) * size);
 }
 
+/* A thing has one rule. */
+static void
+check_new(parser_t *p, const char *name)
+{
+    char *key = g_strdup_printf("%s %s", p->words[0], name);
+
+    if (!g_hash_table_add(p->names, key)) {
+        problem(p, p->columns[1], "%s '%s' has a rule already", p->words[0],
+                name);
+    }
+}
+
 static void
 on_service(parser_t *p)
 {
@@ -212,12 +225,7 @@
     }
     rule.target_ms = read_target(p, keys[0].word);
     rule.priority = (int)read_number(p, keys[1].word, "", 1, PRIORITY_MAX);
-    for (size_t i = 0; i < rules->n_services; i++) {
-        if (strcmp(rules->services[i].name, rule.name) == 0) {
-            problem(p, p->columns[1], "service '%s' has a rule already",
-                    rule.name);
-        }
-    }
+    check_new(p, rule.name);
     rules->services = grow(p, rules->services, rules->n_services, sizeof rule);
     rules->services[rules->n_services++] = rule;
 }
@@ -237,11 +245,8 @@
     rule.priority = (int)read_number(p, keys[1].word, "", 1, PRIORITY_MAX);
     for (size_t i = 0; i < rules->n_classes; i++) {
         sum += rules->classes[i].rate_percent;
-        if (strcmp(rules->classes[i].name, rule.name) == 0) {
-            problem(p, p->columns[1], "class '%s' has a rule already",
-                    rule.name);
-        }
     }
+    check_new(p, rule.name);
     if (sum + rule.rate_percent > PERCENT_MAX) {
         problem(p, p->columns[keys[0].word],
                 "the paid-for rates add up to %d%%; 100%% is all there is",
@@ -271,12 +276,7 @@
     if (keys[2].word != 0) {
         rule.tasks = read_number(p, keys[2].word, "", 1, QUANTITY_MAX);
     }
-    for (size_t i = 0; i < rules->n_teams; i++) {
-        if (strcmp(rules->teams[i].name, rule.name) == 0) {
-            problem(p, p->columns[1], "team '%s' has a rule already",
-                    rule.name);
-        }
-    }
+    check_new(p, rule.name);
     rules->teams = grow(p, rules->teams, rules->n_teams, sizeof rule);
     rules->teams[rules->n_teams++] = rule;
 }
@@ -447,6 +447,7 @@
                                     .throughput = DEFAULT_WEIGHT,
                                     .evictions = DEFAULT_WEIGHT};
     p.rules = rules;
+    p.names = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     if (problems != NULL) {
         problems->n = 0;
     }
@@ -466,6 +467,7 @@
         p.line = 1;
         problem(&p, 1, "the file must begin with 'version N'");
     }
+    g_hash_table_destroy(p.names);
     if (p.n_problems > 0) {
         jr_drop_rules(rules);
         return NULL;
