Rules travel by pull; a peer is asked only when no control answers

Change: entry processes greet each other with their version; whoever lacks it and has heard of no control process for 1.5 s asks that peer. Bytes for a change: one copy for each entry process.

--- a/bench/bare/main.c
+++ b/bench/bare/main.c
@@ -4,7 +4,7 @@
  * run.
  *
  *   bare server PORT
- *   bare client URL CONCURRENT SECONDS
+ *   bare client URL CONCURRENT SECONDS [BODY]
  */
 #include <arpa/inet.h>
 #include <curl/curl.h>
@@ -105,13 +105,14 @@
 }
 
 static void
-prepare(slot_t *slot, const char *url, struct curl_slist *headers)
+prepare(slot_t *slot, const char *url, const char *body,
+        struct curl_slist *headers)
 {
     slot->easy = curl_easy_init();
     curl_easy_setopt(slot->easy, CURLOPT_URL, url);
     curl_easy_setopt(slot->easy, CURLOPT_PRIVATE, slot);
     curl_easy_setopt(slot->easy, CURLOPT_WRITEFUNCTION, on_data);
-    curl_easy_setopt(slot->easy, CURLOPT_POSTFIELDS, "hello");
+    curl_easy_setopt(slot->easy, CURLOPT_POSTFIELDS, body);
     curl_easy_setopt(slot->easy, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(slot->easy, CURLOPT_PROXY, "");
     curl_easy_setopt(slot->easy, CURLOPT_TCP_NODELAY, 1L);
@@ -146,7 +147,7 @@
 }
 
 static int
-call(const char *url, int concurrent, int seconds)
+call(const char *url, int concurrent, int seconds, const char *body)
 {
     CURLM *multi = curl_multi_init();
     struct curl_slist *headers = NULL;
@@ -161,7 +162,7 @@
     headers = curl_slist_append(headers, "Jayrelay-Idempotent: yes");
     headers = curl_slist_append(headers, "Jayrelay-Deadline-Ms: 5000");
     for (int i = 0; i < concurrent; i++) {
-        prepare(&slots[i], url, headers);
+        prepare(&slots[i], url, body, headers);
         start(multi, &slots[i]);
     }
     while (clock_us(CLOCK_MONOTONIC) < end) {
@@ -197,8 +198,9 @@
     if (argc == 3 && strcmp(argv[1], "server") == 0) {
         return serve(atoi(argv[2]));
     }
-    if (argc == 5 && strcmp(argv[1], "client") == 0) {
-        return call(argv[2], atoi(argv[3]), atoi(argv[4]));
+    if (argc >= 5 && strcmp(argv[1], "client") == 0) {
+        return call(argv[2], atoi(argv[3]), atoi(argv[4]),
+                    argc > 5 ? argv[5] : "hello");
     }
     fprintf(stderr, "bare server PORT | bare client URL CONCURRENT SECONDS\n");
     return 2;
--- a/scripts/end-to-end.sh
+++ b/scripts/end-to-end.sh
@@ -122,6 +122,25 @@
 libraries=$(awk "BEGIN { print ($server_after - $server_before) / $calls + $(value "$dir/bare.cpu" client_cpu_us) }")
 echo "  processor time of a call: entry $cpu_32 us, its two libraries alone $libraries us"
 
+# Processor time of an entry process for the other requests.
+cost() { # PATH BODY
+    local before after
+    before=$(cpu_us "${pids[entry-a]}")
+    "$bin/bare" client "http://$http_a$1" 8 2 "$2" > "$dir/cost"
+    after=$(cpu_us "${pids[entry-a]}")
+    awk "BEGIN { print ($after - $before) / (2 * $(value "$dir/cost" calls_per_s) + 1) }"
+}
+heartbeat=$(python3 -c '
+import json
+print(json.dumps({"worker": "host-1/1a2b", "zone": "a", "rack": "r1",
+    "capacity": {"cpu_milli": 64000, "memory_mb": 250000},
+    "tasks": [{"id": str((1 << 40) + n), "epoch": 1, "state": "running",
+        "checkpoint": "500", "used": {"cpu_milli": 1000, "memory_mb": 512}}
+        for n in range(32)]}, separators=(",", ":")))')
+heartbeat_us=$(cost /v1/workers/heartbeat "$heartbeat")
+submit_us=$(cost /v1/tasks '{"key":"k","team":"demo","class":"watch","need":{"cpu_milli":1000,"memory_mb":512}}')
+announce_us=$(cost /v1/upstreams '{"name":"x","address":"127.0.0.1:1","zone":"b","rack":"r","service":"other","slots":8,"connections":64,"incarnation":1,"sequence":1}')
+
 leader=$(leader_name)
 killed=$(date +%s%N)
 kill -KILL "${pids[$leader]}"
@@ -156,6 +175,10 @@
 row "accepted rules in force everywhere, ms" 5000 "$slowest" "<="
 printf '  %-52s %12s %12s\n' "memory for an open call, KB" "" "$connection_kb"
 printf '  %-52s %12s %12s\n' "processor time of a call in an entry process, us" "" "$cpu_32"
+printf '  %-52s %12s %12s\n' "the same, heartbeat with 32 tasks, us" "" "$heartbeat_us"
+printf '  %-52s %12s %12s\n' "the same, bytes of that heartbeat" "" "${#heartbeat}"
+printf '  %-52s %12s %12s\n' "the same, submission of a task, us" "" "$submit_us"
+printf '  %-52s %12s %12s\n' "the same, announcement of an upstream, us" "" "$announce_us"
 printf '{"what":"entry cpu per call us","figure":%s}\n{"what":"KB per open call","figure":%s}\n' \
     "$cpu_32" "$connection_kb" >> "$out/end-to-end.json"
 stop_all
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -61,7 +61,8 @@
     int controls[JR_CONTROLS_MAX]; /* nearest first */
     size_t n_controls;
     size_t next_control;
-    uint64_t instance; /* makes request ids unique across restarts */
+    int64_t control_heard_at; /* a control process answered about rules */
+    uint64_t instance;        /* makes request ids unique across restarts */
     uint64_t next_request;
     unsigned n_busy; /* asks and calls whose exchange is open */
     TAILQ_HEAD(, jr_status_wait) status_waits;
@@ -107,6 +108,11 @@
 void jr_entry_poll_rules(jr_entry_t *entry);
 void jr_entry_take_rules(jr_entry_t *entry, uint64_t version,
                          const char *text);
+/* A peer acts on this version. */
+void jr_entry_hear_version(jr_entry_t *entry, int peer, uint64_t version);
+/* A peer asks for rules. */
+void jr_entry_give_rules(jr_entry_t *entry, const jr_route_t *route,
+                         const Jr__RulesGet *get);
 void jr_entry_on_rules(jr_entry_t *entry, jr_exchange_t *exchange);
 
 /* admin.c */
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -18,15 +18,35 @@
 enum { CANDIDATES = 4 };
 
 static void
-on_hello(jr_entry_t *entry, const char *from)
+on_hello(jr_entry_t *entry, const char *from, const Jr__Hello *hello)
 {
     for (int i = 0; i < entry->n_other_zones + entry->n_own_zone; i++) {
         if (strcmp(entry->peers[i].process->name, from) == 0) {
             jr_relay_heard(entry->relay, i, jr_clock_us());
+            jr_entry_hear_version(entry, i, hello->rules_version);
         }
     }
 }
 
+/* To the poll of a control process, or to a question to a peer. */
+static void
+on_rules_reply(jr_entry_t *entry, const Jr__Envelope *envelope)
+{
+    const Jr__Reply *reply = envelope->reply;
+
+    if (reply->body_case != JR__REPLY__BODY_RULES) {
+        return;
+    }
+    for (int64_t i = 0; i < entry->settings.n_controls; i++) {
+        if (strcmp(entry->settings.controls[i].name, envelope->from) == 0) {
+            entry->control_heard_at = jr_clock_ms();
+        }
+    }
+    if (*reply->rules->text != '\0') {
+        jr_entry_take_rules(entry, reply->rules->version, reply->rules->text);
+    }
+}
+
 static void
 on_envelope(void *user, const jr_route_t *route, const Jr__Envelope *envelope)
 {
@@ -34,11 +54,7 @@
 
     switch (envelope->body_case) {
     case JR__ENVELOPE__BODY_REPLY:
-        if (envelope->reply->body_case == JR__REPLY__BODY_RULES &&
-            *envelope->reply->rules->text != '\0') {
-            jr_entry_take_rules(entry, envelope->reply->rules->version,
-                                envelope->reply->rules->text);
-        }
+        on_rules_reply(entry, envelope);
         if (!jr_entry_on_status_reply(entry, envelope->reply)) {
             jr_asker_reply(entry->asker, envelope->reply);
         }
@@ -55,11 +71,13 @@
         jr_entry_on_loan_give(entry, envelope->loan_give);
         break;
     case JR__ENVELOPE__BODY_HELLO:
-        on_hello(entry, envelope->from);
+        on_hello(entry, envelope->from, envelope->hello);
         break;
-    case JR__ENVELOPE__BODY_RULES:
-        jr_entry_take_rules(entry, envelope->rules->version,
-                            envelope->rules->text);
+    case JR__ENVELOPE__BODY_REQUEST:
+        if (route != NULL &&
+            envelope->request->body_case == JR__REQUEST__BODY_RULES_GET) {
+            jr_entry_give_rules(entry, route, envelope->request->rules_get);
+        }
         break;
     default:
         jr_count(entry->ctx, JR_C_BUS_BAD);
@@ -89,6 +107,7 @@
     if (entry->is_draining || entry->http == NULL) {
         return;
     }
+    hello.rules_version = entry->rules != NULL ? entry->rules->version : 0;
     envelope.body_case = JR__ENVELOPE__BODY_HELLO;
     envelope.hello = &hello;
     for (int i = 0; i < entry->n_other_zones + entry->n_own_zone; i++) {
--- a/src/entry/rules.c
+++ b/src/entry/rules.c
@@ -8,14 +8,13 @@
     jr_exchange_t *exchange;
 } pending_t;
 
+enum { CONTROL_SILENT_MS = 1500 };
+
 /* The version that this process acts on never goes back. */
 void
 jr_entry_take_rules(jr_entry_t *entry, uint64_t version, const char *text)
 {
-    Jr__RulesText message = JR__RULES_TEXT__INIT;
-    Jr__Envelope envelope = JR__ENVELOPE__INIT;
     jr_rules_t *rules;
-    int n = entry->n_other_zones + entry->n_own_zone;
 
     if (entry->rules != NULL && version <= entry->rules->version) {
         return;
@@ -31,31 +30,66 @@
     entry->rules_text = jr_strdup(entry->ctx, text);
     jr_log(entry->ctx, JR_EV_RULES_IN_FORCE, "version %llu",
            (unsigned long long)version);
-    /* Peers that no control process reaches learn of it from here. */
-    message.version = version;
-    message.text = entry->rules_text;
-    envelope.body_case = JR__ENVELOPE__BODY_RULES;
-    envelope.rules = &message;
-    for (int i = 0; i < n; i++) {
-        jr_bus_send(entry->bus, entry->peers[i].bus_peer, &envelope);
-    }
 }
 
-void
-jr_entry_poll_rules(jr_entry_t *entry)
+static uint64_t
+own_version(const jr_entry_t *entry)
+{
+    return entry->rules != NULL ? entry->rules->version : 0;
+}
+
+static void
+ask_rules(jr_entry_t *entry, int bus_peer)
 {
     Jr__RulesGet get = JR__RULES_GET__INIT;
     Jr__Request request = JR__REQUEST__INIT;
     Jr__Envelope envelope = JR__ENVELOPE__INIT;
-    int control = entry->controls[entry->next_control % entry->n_controls];
 
-    get.have = entry->rules != NULL ? entry->rules->version : 0;
+    get.have = own_version(entry);
     request.body_case = JR__REQUEST__BODY_RULES_GET;
     request.rules_get = &get;
     envelope.body_case = JR__ENVELOPE__BODY_REQUEST;
     envelope.request = &request;
-    jr_bus_send(entry->bus, control, &envelope);
-    entry->next_control++;
+    jr_bus_send(entry->bus, bus_peer, &envelope);
+}
+
+/* A peer is asked only when no control process answers: one hop is enough. */
+void
+jr_entry_hear_version(jr_entry_t *entry, int peer, uint64_t version)
+{
+    bool is_cut_off =
+        jr_clock_ms() - entry->control_heard_at > CONTROL_SILENT_MS;
+
+    if (version > own_version(entry) && is_cut_off) {
+        ask_rules(entry, entry->peers[peer].bus_peer);
+    }
+}
+
+void
+jr_entry_give_rules(jr_entry_t *entry, const jr_route_t *route,
+                    const Jr__RulesGet *get)
+{
+    Jr__RulesText text = JR__RULES_TEXT__INIT;
+    Jr__Reply reply = JR__REPLY__INIT;
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+
+    if (get->have >= own_version(entry)) {
+        return;
+    }
+    text.version = own_version(entry);
+    text.text = entry->rules_text;
+    reply.body_case = JR__REPLY__BODY_RULES;
+    reply.rules = &text;
+    envelope.body_case = JR__ENVELOPE__BODY_REPLY;
+    envelope.reply = &reply;
+    jr_bus_reply(entry->bus, route, &envelope);
+}
+
+void
+jr_entry_poll_rules(jr_entry_t *entry)
+{
+    ask_rules(entry,
+              entry->controls[entry->next_control++ % entry->n_controls]);
 }
 
 static void
--- a/src/gen/net/wire.pb-c.c
+++ b/src/gen/net/wire.pb-c.c
@@ -2055,9 +2055,29 @@
   (ProtobufCMessageInit) jr__loan_give__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-#define jr__hello__field_descriptors NULL
-#define jr__hello__field_indices_by_name NULL
-#define jr__hello__number_ranges NULL
+static const ProtobufCFieldDescriptor jr__hello__field_descriptors[1] =
+{
+  {
+    "rules_version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Hello, rules_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jr__hello__field_indices_by_name[] = {
+  0,   /* field[0] = rules_version */
+};
+static const ProtobufCIntRange jr__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
 const ProtobufCMessageDescriptor jr__hello__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
@@ -2066,14 +2086,14 @@
   "Jr__Hello",
   "jr",
   sizeof(Jr__Hello),
-  0,
+  1,
   jr__hello__field_descriptors,
   jr__hello__field_indices_by_name,
-  0,  jr__hello__number_ranges,
+  1,  jr__hello__number_ranges,
   (ProtobufCMessageInit) jr__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__envelope__field_descriptors[9] =
+static const ProtobufCFieldDescriptor jr__envelope__field_descriptors[8] =
 {
   {
     "quorum",
@@ -2147,18 +2167,6 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "rules",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jr__Envelope, body_case),
-    offsetof(Jr__Envelope, rules),
-    &jr__rules_text__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "from",
     8,
@@ -2186,19 +2194,19 @@
 };
 static const unsigned jr__envelope__field_indices_by_name[] = {
   3,   /* field[3] = announce */
-  7,   /* field[7] = from */
-  8,   /* field[8] = hello */
+  6,   /* field[6] = from */
+  7,   /* field[7] = hello */
   4,   /* field[4] = loan_ask */
   5,   /* field[5] = loan_give */
   0,   /* field[0] = quorum */
   2,   /* field[2] = reply */
   1,   /* field[1] = request */
-  6,   /* field[6] = rules */
 };
-static const ProtobufCIntRange jr__envelope__number_ranges[1 + 1] =
+static const ProtobufCIntRange jr__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 8, 6 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor jr__envelope__descriptor =
 {
@@ -2208,10 +2216,10 @@
   "Jr__Envelope",
   "jr",
   sizeof(Jr__Envelope),
-  9,
+  8,
   jr__envelope__field_descriptors,
   jr__envelope__field_indices_by_name,
-  1,  jr__envelope__number_ranges,
+  2,  jr__envelope__number_ranges,
   (ProtobufCMessageInit) jr__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/gen/net/wire.pb-c.h
+++ b/src/gen/net/wire.pb-c.h
@@ -302,10 +302,11 @@
 struct  Jr__Hello
 {
   ProtobufCMessage base;
+  uint64_t rules_version;
 };
 #define JR__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__hello__descriptor) \
-     }
+    , 0 }
 
 
 typedef enum {
@@ -316,7 +317,6 @@
   JR__ENVELOPE__BODY_ANNOUNCE = 4,
   JR__ENVELOPE__BODY_LOAN_ASK = 5,
   JR__ENVELOPE__BODY_LOAN_GIVE = 6,
-  JR__ENVELOPE__BODY_RULES = 7,
   JR__ENVELOPE__BODY_HELLO = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JR__ENVELOPE__BODY__CASE)
 } Jr__Envelope__BodyCase;
@@ -333,7 +333,6 @@
     Jr__Announce *announce;
     Jr__LoanAsk *loan_ask;
     Jr__LoanGive *loan_give;
-    Jr__RulesText *rules;
     Jr__Hello *hello;
   };
 };
