Interference is learnt by pair; a guard throttles before it evicts

Cause: services beside noisy tasks suffered whatever was placed, since the score knew only how busy a host was. Change: a slope for each pair of service and class, learnt from lagged measurements and the loads of that time, with decay and caution; placement weighs what a task adds; the guard throttles, waits, evicts, and eases with hysteresis; the weights are rules.

--- a/bench/bare/main.c
+++ b/bench/bare/main.c
@@ -188,6 +188,8 @@
         curl_multi_poll(multi, NULL, 0, POLL_MS, NULL);
     }
     report(took, failed, seconds);
+    g_array_free(took, TRUE);
+    g_free(slots);
     return 0;
 }
 
--- a/bench/placement.cc
+++ b/bench/placement.cc
@@ -3,6 +3,7 @@
  * virtual time, with the production coordinator and ledger: the policy
  * against the baselines, on the same arrivals.
  */
+#include <algorithm>
 #include <cstdio>
 #include <cstring>
 #include <map>
@@ -30,26 +31,30 @@
     int failing;       /* workers that fail all they start */
     int lost;          /* workers lost in the middle */
     int64_t seconds;
+    bool interference; /* services suffer, by pair and by load */
 };
 
 const Scenario kScenarios[] = {
-    {"steady 80 %", 0.8, 0, 0, 0, 0, 0, 180},
-    {"declared wrong by 4", 0.5, 0.3, 0, 0, 0, 0, 180},
-    {"wave of cancellations", 0.8, 0, 0, 0.4, 0, 0, 180},
-    {"jobs that can never run", 0.8, 0, 0.05, 0, 0, 0, 180},
-    {"a worker that fails all", 0.6, 0, 0, 0, 1, 0, 180},
-    {"rack lost", 0.6, 0, 0, 0, 0, 8, 180},
+    {"steady 80 %", 0.8, 0, 0, 0, 0, 0, 180, false},
+    {"declared wrong by 4", 0.5, 0.3, 0, 0, 0, 0, 180, false},
+    {"wave of cancellations", 0.8, 0, 0, 0.4, 0, 0, 180, false},
+    {"jobs that can never run", 0.8, 0, 0.05, 0, 0, 0, 180, false},
+    {"a worker that fails all", 0.6, 0, 0, 0, 1, 0, 180, false},
+    {"rack lost", 0.6, 0, 0, 0, 0, 8, 180, false},
+    {"noisy beside services", 0.5, 0, 0, 0, 0, 0, 400, true},
 };
 
 struct Policy {
     const char *name;
     jr_place_kind_t place;
     jr_evict_kind_t evict;
+    bool ignores_interference;
 };
 
 const Policy kPolicies[] = {
-    {"jayrelay", JR_PLACE_SCORED, JR_EVICT_CHEAPEST},
-    {"first-fit, newest", JR_PLACE_FIRST_FIT, JR_EVICT_NEWEST},
+    {"jayrelay", JR_PLACE_SCORED, JR_EVICT_CHEAPEST, false},
+    {"first-fit, newest", JR_PLACE_FIRST_FIT, JR_EVICT_NEWEST, true},
+    {"without estimates", JR_PLACE_SCORED, JR_EVICT_CHEAPEST, true},
 };
 
 struct Result {
@@ -57,13 +62,24 @@
     double lost_work_s = 0; /* processor seconds done again */
     double study_share = 0; /* of the processors given to batch work */
     long impossible_found = 0, impossible_made = 0;
-    uint64_t evictions = 0;
+    uint64_t evictions = 0, throttles = 0;
+    std::vector<double> slowdowns; /* of each host with a service, each step */
+
+    double
+    Slowdown(double p)
+    {
+        if (slowdowns.empty()) {
+            return 1;
+        }
+        std::sort(slowdowns.begin(), slowdowns.end());
+        return slowdowns[(size_t)(p * (double)(slowdowns.size() - 1))];
+    }
 };
 
 class Site {
   public:
     Site(const Scenario &s, const Policy &p, int workers, int cores,
-         uint32_t seed)
+         const char *weights, uint32_t seed)
         : s_(s), cores_(cores), rng_(seed)
     {
         jr_coord_options_t o = {};
@@ -76,21 +92,26 @@
         o.lease = {6000, 10};
         o.policy.kind = p.place;
         o.policy.as.scored.candidates = 16;
+        o.policy.as.scored.ignores_interference = p.ignores_interference;
         o.evict = p.evict;
         coord_ = jr_new_coord(ctx_, &o, ledger_);
-        rules_ = jr_new_rules(ctx_,
-                              "version 1 # asked for by A\n"
-                              "class study rate 60% priority 10 # asked for "
-                              "by A\n"
-                              "class watch rate 20% priority 90 # asked for "
-                              "by A\n",
-                              nullptr);
+        rules_ = jr_new_rules(
+            ctx_,
+            (std::string("version 1 # asked for by A\n"
+                         "class study rate 60% priority 10 # asked for by A\n"
+                         "class watch rate 20% priority 90 # asked for by "
+                         "A\n") +
+             weights)
+                .c_str(),
+            nullptr);
         jr_coord_set_rules(coord_, rules_);
         jr_coord_lead(coord_, now_);
         for (int w = 0; w < workers; w++) {
             workers_.push_back({"host-" + std::to_string(w) + "/1",
                                 w < s.failing,
                                 false,
+                                {},
+                                w % 2,
                                 {}});
         }
     }
@@ -137,6 +158,7 @@
         result_.impossible_found =
             (long)jr_ledger_count(ledger_, JR_TASK_IMPOSSIBLE);
         result_.evictions = ctx_->counters[JR_C_EVICTIONS];
+        result_.throttles = ctx_->counters[JR_C_THROTTLES];
         result_.study_share = busy > 0 ? study / busy : 0;
         return result_;
     }
@@ -148,12 +170,15 @@
         int64_t done, saved, total, started;
         uint32_t declared, real;
         bool study;
+        bool throttled;
     };
     struct Worker {
         std::string name;
         bool fails;
         bool gone;
         std::map<uint64_t, Job> jobs;
+        int service;             /* which of the two it carries */
+        std::vector<double> lag; /* measured slowdowns, oldest first */
     };
     struct Truth {
         bool noisy;
@@ -260,7 +285,8 @@
             if (job.state != JR__WORKER_TASK__STATE__RUNNING) {
                 continue;
             }
-            job.done += (int64_t)(pace * kStepMs);
+            job.done +=
+                (int64_t)(pace * kStepMs * (job.throttled ? 0.5 : 1.0));
             if (job.done - job.saved >= 5000) {
                 job.saved = job.done;
                 truth_[item.first].saved = job.saved;
@@ -274,6 +300,27 @@
         }
     }
 
+    /*
+     * Each class disturbs one of the services much and the other little,
+     * and more so the more of the host it uses.
+     */
+    double
+    Slowdown(const Worker &worker)
+    {
+        double slowdown = 1;
+
+        for (const auto &item : worker.jobs) {
+            const Job &job = item.second;
+            bool much = job.study == (worker.service == 0);
+
+            if (job.state == JR__WORKER_TASK__STATE__RUNNING) {
+                slowdown += (much ? 3.0 : 0.2) * job.real / (cores_ * 1000.0) *
+                            (job.throttled ? 0.5 : 1.0);
+            }
+        }
+        return slowdown;
+    }
+
     void
     Follow(Worker &worker, const Jr__Assignment &a)
     {
@@ -292,7 +339,11 @@
             worker.jobs[a.task].epoch = a.epoch;
             worker.jobs[a.task].state = JR__WORKER_TASK__STATE__STOPPED;
         }
-        else if (found == worker.jobs.end() && a.spec != nullptr) {
+        else if (found != worker.jobs.end()) {
+            found->second.throttled =
+                a.action == JR__ASSIGNMENT__ACTION__THROTTLE;
+        }
+        else if (a.spec != nullptr) {
             const Truth &truth = truth_[a.task];
             uint32_t declared = a.spec->need->cpu_milli;
 
@@ -304,7 +355,8 @@
                                    now_,
                                    declared,
                                    truth.noisy ? 4 * declared : declared,
-                                   strcmp(a.spec->class_name, "study") == 0};
+                                   strcmp(a.spec->class_name, "study") == 0,
+                                   false};
         }
     }
 
@@ -343,6 +395,27 @@
         heartbeat.capacity = &capacity;
         heartbeat.n_tasks = pointers.size();
         heartbeat.tasks = pointers.data();
+        Jr__ServiceSeen seen = JR__SERVICE_SEEN__INIT;
+        Jr__ServiceSeen *all[] = {&seen};
+        char name[] = "service-0";
+
+        if (s_.interference) {
+            double now = Slowdown(worker);
+
+            /* The load of the first minute is not counted. */
+            if (now_ > 100000 && now_ < s_.seconds * 1000 - 2 * kRunMs) {
+                result_.slowdowns.push_back(now);
+            }
+            worker.lag.push_back(now);
+            name[8] = (char)('0' + worker.service);
+            seen.service = name;
+            seen.slowdown_permille = (uint32_t)(1000 * worker.lag.front());
+            if (worker.lag.size() > kLagMs / kStepMs) {
+                worker.lag.erase(worker.lag.begin());
+            }
+            heartbeat.n_services_seen = 1;
+            heartbeat.services_seen = all;
+        }
         reply = jr_coord_heartbeat(coord_, &heartbeat, now_);
         for (size_t i = 0; i < reply->n_tasks; i++) {
             Follow(worker, *reply->tasks[i]);
@@ -385,27 +458,39 @@
         const char *name;
         int workers;
         int cores;
-    } sites[] = {{"liimaneuvo", 50, 16}, {"bergstijl", 65, 64}};
+        const char *weights; /* as in the examples of both */
+    } sites[] = {{"liimaneuvo", 50, 16,
+                  "weight tail 8 # asked for by A\n"
+                  "weight throughput 3 # asked for by A\n"
+                  "weight evictions 3 # asked for by A\n"},
+                 {"bergstijl", 65, 64,
+                  "weight tail 3 # asked for by A\n"
+                  "weight throughput 6 # asked for by A\n"
+                  "weight evictions 8 # asked for by A\n"}};
     FILE *json = argc > 1 ? fopen(argv[1], "w") : nullptr;
     std::vector<std::vector<Result>> all;
 
-    printf("%-10s %-26s %-18s %9s %9s %7s %9s %10s %8s %7s\n", "site",
+    printf("%-10s %-26s %-18s %9s %9s %7s %9s %9s %10s %6s %8s %8s\n", "site",
            "scenario", "policy", "submitted", "finished", "failed",
-           "evictions", "lost cpu s", "study", "over");
+           "evictions", "throttles", "lost cpu s", "study", "slow p50",
+           "slow p99");
     for (const auto &site : sites) {
         for (const Scenario &scenario : kScenarios) {
             std::vector<Result> pair;
 
             for (const Policy &policy : kPolicies) {
-                Site s(scenario, policy, site.workers, site.cores, 1);
+                Site s(scenario, policy, site.workers, site.cores,
+                       site.weights, 1);
                 Result r = s.Run();
 
                 pair.push_back(r);
-                printf("%-10s %-26s %-18s %9ld %9ld %7ld %9lu %10.0f %8.2f "
-                       "%7ld\n",
-                       site.name, scenario.name, policy.name, r.submitted,
-                       r.finished, r.failed, (unsigned long)r.evictions,
-                       r.lost_work_s, r.study_share, r.over_host);
+                printf(
+                    "%-10s %-26s %-18s %9ld %9ld %7ld %9lu %9lu %10.0f %6.2f "
+                    "%8.2f %8.2f\n",
+                    site.name, scenario.name, policy.name, r.submitted,
+                    r.finished, r.failed, (unsigned long)r.evictions,
+                    (unsigned long)r.throttles, r.lost_work_s, r.study_share,
+                    r.Slowdown(0.5), r.Slowdown(0.99));
                 if (json != nullptr) {
                     fprintf(json,
                             "{\"site\":\"%s\",\"scenario\":\"%s\","
@@ -425,8 +510,9 @@
 
     for (const auto &site : sites) {
         for (const Scenario &scenario : kScenarios) {
-            const Result &r = all[k][0];
-            const Result &base = all[k++][1];
+            Result &r = all[k][0];
+            const Result &base = all[k][1];
+            Result &blind = all[k++][2];
 
             Check(site.name, scenario.name, "hosts over their processors", 0,
                   (double)r.over_host, r.over_host == 0);
@@ -441,6 +527,19 @@
                       (double)r.impossible_made, (double)r.impossible_found,
                       r.impossible_found == r.impossible_made);
             }
+            if (scenario.interference) {
+                double p99 = r.Slowdown(0.99);
+
+                Check(site.name, scenario.name,
+                      "slowdown p99, against without", blind.Slowdown(0.99),
+                      p99, p99 <= blind.Slowdown(0.99));
+                Check(site.name, scenario.name, "evictions, against without",
+                      0.5 * (double)blind.evictions, (double)r.evictions,
+                      2 * r.evictions <= blind.evictions);
+                Check(site.name, scenario.name, "finished, against without",
+                      0.95 * (double)blind.finished, (double)r.finished,
+                      (double)r.finished >= 0.95 * (double)blind.finished);
+            }
             if (scenario.noisy > 0) {
                 Check(site.name, scenario.name,
                       "work lost, share of the baseline's", 0.5,
--- a/fakes/worker/main.c
+++ b/fakes/worker/main.c
@@ -184,7 +184,8 @@
         }
         end(worker, task, STOPPED);
     }
-    else if (strcmp(action, "run") == 0 && task != NULL) {
+    else if ((strcmp(action, "run") == 0 || strcmp(action, "throttle") == 0) &&
+             task != NULL) {
         task->deadline = MAX(task->deadline, deadline);
     }
     else if (strcmp(action, "run") == 0 && spec != NULL) {
--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -71,6 +71,7 @@
     X(REPORT_STALE, "report_stale_total", "reports with an old epoch")        \
     X(GRANTS, "grants_total", "leases granted")                               \
     X(EXPIRIES, "expiries_total", "leases expired")                           \
+    X(THROTTLES, "throttles_total", "tasks throttled")                        \
     X(EVICTIONS, "evictions_total", "tasks evicted")                          \
     X(QUARANTINES, "quarantines_total", "workers quarantined")                \
     X(IMPOSSIBLE, "impossible_total", "tasks that can never run")             \
--- a/include/jayrelay/lease.h
+++ b/include/jayrelay/lease.h
@@ -17,6 +17,7 @@
 
 #include <sys/queue.h>
 
+#include "jayrelay/interfere.h"
 #include "jayrelay/ledger.h"
 
 enum { JR_FREE_BUCKETS = 128 };
@@ -34,7 +35,9 @@
  * @predecessor: earlier incarnation of the host that still holds tasks
  * @quarantined_until: no work until then
  * @overloads: heartbeats in a row that showed it over its capacity
- * @slowdown: how much the services on the host suffer, 1.0 is not at all
+ * @host_load: services and classes of tasks on the host
+ * @guard_over: heartbeats in a row that showed a service too slow
+ * @guard_acted_at: when the guard last throttled, evicted or eased
  */
 typedef struct jr_worker {
     char *name;
@@ -55,7 +58,9 @@
     bool is_leaving;
     bool is_lapsed;
     bool is_superseded;
-    double slowdown;
+    jr_host_load_t host_load;
+    uint32_t guard_over;
+    int64_t guard_acted_at;
     int bucket;
     TAILQ_ENTRY(jr_worker) by_renewal;
     TAILQ_ENTRY(jr_worker) by_room;
--- a/include/jayrelay/ledger.h
+++ b/include/jayrelay/ledger.h
@@ -81,6 +81,7 @@
  * @granting_to: worker of a grant that is proposed and not applied
  * @is_expiring: its expiry is proposed
  * @is_evicting: the worker is asked to stop it
+ * @is_throttled: the worker is asked to run it slower
  * @is_ending: its end is proposed
  * @seen_round: heartbeat that last named it
  */
@@ -94,6 +95,7 @@
     struct jr_worker *granting_to;
     bool is_expiring;
     bool is_evicting;
+    bool is_throttled;
     bool is_ending;
     uint64_t seen_round;
 } jr_task_soft_t;
--- a/include/jayrelay/place.h
+++ b/include/jayrelay/place.h
@@ -26,12 +26,14 @@
 /**
  * struct jr_place_policy_t - a policy and its parameters
  * @scored.candidates: workers looked at for one decision
+ * @scored.ignores_interference: baseline, without estimates
  */
 typedef struct {
     jr_place_kind_t kind;
     union {
         struct {
             int candidates;
+            bool ignores_interference;
         } scored;
     } as;
 } jr_place_policy_t;
@@ -44,15 +46,30 @@
 jr_class_queue_t *jr_place_class(jr_ledger_t *ledger, const jr_rules_t *rules,
                                  const jr_resources_t *total);
 
+/**
+ * struct jr_place_ask_t - what a worker is looked for
+ * @need: what the task is reckoned to use
+ * @model: of interference, NULL: none is reckoned with
+ */
+typedef struct {
+    jr_resources_t need;
+    const char *class_name;
+    const jr_rules_t *rules;
+    const jr_interference_t *model;
+    int64_t now;
+} jr_place_ask_t;
+
 /**
  * jr_place_worker - the worker for a task
  *
- * Return: a worker whose room holds @need at this moment, or NULL.
+ * Return: a worker whose room holds the need at this moment, or NULL.
  */
 jr_worker_t *jr_place_worker(jr_lease_table_t *table,
                              const jr_place_policy_t *policy,
-                             const jr_resources_t *need,
-                             const jr_rules_t *rules, GRand *rng, int64_t now);
+                             const jr_place_ask_t *ask, GRand *rng);
+
+/** jr_place_slowdown_limit - slowdown of services that the rules allow */
+double jr_place_slowdown_limit(const jr_rules_t *rules);
 
 /** enum jr_evict_kind_t - which task goes when a host has too much */
 typedef enum {
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -57,6 +57,7 @@
     coord->options = *options;
     coord->ledger = ledger;
     coord->table = jr_new_lease_table(ctx, &options->lease);
+    coord->model = jr_new_interference(ctx);
     coord->rng = g_rand_new_with_seed(options->seed);
     STAILQ_INIT(&coord->proposals);
     return coord;
@@ -71,6 +72,7 @@
     clear_proposals(coord);
     jr_drop_lease_table(coord->table);
     jr_drop_rules(coord->rules);
+    jr_drop_interference(coord->model);
     g_rand_free(coord->rng);
     jr_free(coord->ctx, coord);
 }
@@ -284,13 +286,28 @@
     return size;
 }
 
+static bool
+reckons_interference(const jr_coord_t *coord)
+{
+    const jr_place_policy_t *policy = &coord->options.policy;
+
+    return policy->kind == JR_PLACE_SCORED &&
+           !policy->as.scored.ignores_interference;
+}
+
 static bool
 start_task(jr_coord_t *coord, jr_task_t *task, int64_t now)
 {
     jr_resources_t size = jr_coord_expected_size(coord, task);
-    jr_worker_t *worker =
-        jr_place_worker(coord->table, &coord->options.policy, &size,
-                        coord->rules, coord->rng, now);
+    jr_place_ask_t ask = {
+        .need = size,
+        .class_name = task->spec.class_name,
+        .rules = coord->rules,
+        .model = reckons_interference(coord) ? coord->model : NULL,
+        .now = now,
+    };
+    jr_worker_t *worker = jr_place_worker(coord->table, &coord->options.policy,
+                                          &ask, coord->rng);
     jr_proposal_t grant = {.kind = JR_PROPOSE_GRANT, .task = task->id};
 
     if (worker == NULL) {
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -41,6 +41,7 @@
     jr_ledger_t *ledger;
     jr_lease_table_t *table;
     jr_rules_t *rules;
+    jr_interference_t *model;
     GRand *rng;
     bool is_leading;
     uint64_t generation;
@@ -59,6 +60,12 @@
 /* What a task is reckoned to use on a worker. */
 jr_resources_t jr_coord_expected_size(const jr_coord_t *coord,
                                       const jr_task_t *task);
+/* Learn from a heartbeat, and keep services within their limit. */
+void jr_coord_guard(jr_coord_t *coord, jr_worker_t *worker,
+                    const jr_holding_t *holding, int64_t now);
+/* Ask a worker to stop a task, so that its host has room. */
+void jr_coord_evict(jr_coord_t *coord, jr_task_t *task,
+                    const jr_worker_t *worker);
 /* Nothing is leased to the worker and nothing is about to be. */
 bool jr_coord_is_idle(const jr_coord_t *coord, const jr_worker_t *worker);
 
--- a/src/coord/coord_test.cc
+++ b/src/coord/coord_test.cc
@@ -135,6 +135,14 @@
             tasks[i].used = &used[i];
             pointers.push_back(&tasks[i]);
         }
+        Jr__ServiceSeen seen = JR__SERVICE_SEEN__INIT;
+        Jr__ServiceSeen *all[] = {&seen};
+        char service[] = "advice";
+
+        seen.service = service;
+        seen.slowdown_permille = slowdown_permille_;
+        heartbeat.n_services_seen = slowdown_permille_ > 0;
+        heartbeat.services_seen = all;
         heartbeat.worker = worker.data();
         heartbeat.capacity = &capacity;
         heartbeat.n_tasks = pointers.size();
@@ -163,10 +171,12 @@
     int64_t now_ = 100000;
     int keys_ = 0;
     int64_t last_lease_ = 0;
+    uint32_t slowdown_permille_ = 0; /* of the service on each host */
 };
 
 constexpr int kRun = JR__ASSIGNMENT__ACTION__RUN;
 constexpr int kStop = JR__ASSIGNMENT__ACTION__STOP;
+constexpr int kThrottle = JR__ASSIGNMENT__ACTION__THROTTLE;
 constexpr int kForget = JR__ASSIGNMENT__ACTION__FORGET;
 constexpr auto kRunning = JR__WORKER_TASK__STATE__RUNNING;
 constexpr auto kDone = JR__WORKER_TASK__STATE__DONE;
@@ -302,6 +312,53 @@
     EXPECT_EQ(Task(victim)->epoch, 1u);
 }
 
+/* Throttle, wait for the lag, evict, and ease again when it is quiet. */
+TEST_F(CoordTest, TheGuardThrottlesBeforeItEvicts)
+{
+    uint64_t id = Submit("study", 1000);
+    std::vector<Reported> running = {{id, 1, kRunning, 1000}};
+    std::vector<int> actions;
+
+    Heartbeat("h1/1", 4000);
+    Tick(10);
+    slowdown_permille_ = 4000;
+    for (int s = 0; s < 60; s++) {
+        int action = Heartbeat("h1/1", 4000, running)[id];
+
+        if (actions.empty() || actions.back() != action) {
+            actions.push_back(action);
+        }
+        now_ += 500;
+    }
+    EXPECT_EQ(actions, (std::vector<int>{kRun, kThrottle, kStop}));
+    EXPECT_EQ(ctx_->counters[JR_C_EVICTIONS], 1u);
+    EXPECT_EQ(ctx_->counters[JR_C_THROTTLES], 1u);
+}
+
+TEST_F(CoordTest, TheGuardEasesWithHysteresis)
+{
+    uint64_t id = Submit("study", 1000);
+    std::vector<Reported> running = {{id, 1, kRunning, 1000}};
+    double limit = jr_place_slowdown_limit(rules_);
+
+    Heartbeat("h1/1", 4000);
+    Tick(10);
+    slowdown_permille_ = 4000;
+    for (int s = 0; s < 25; s++, now_ += 500) {
+        Heartbeat("h1/1", 4000, running);
+    }
+    EXPECT_EQ(Heartbeat("h1/1", 4000, running)[id], kThrottle);
+    /* Just below the limit is not enough. */
+    slowdown_permille_ = (uint32_t)(1000 * (limit - 0.1));
+    for (int s = 0; s < 60; s++, now_ += 500) {
+        EXPECT_EQ(Heartbeat("h1/1", 4000, running)[id], kThrottle);
+    }
+    slowdown_permille_ = 1000;
+    Heartbeat("h1/1", 4000, running);
+    EXPECT_EQ(Heartbeat("h1/1", 4000, running)[id], kRun);
+    EXPECT_EQ(ctx_->counters[JR_C_EVICTIONS], 0u);
+}
+
 TEST_F(CoordTest, AWorkerThatFailsEverythingIsQuarantined)
 {
     std::vector<uint64_t> ids;
--- a/src/coord/heartbeat.c
+++ b/src/coord/heartbeat.c
@@ -19,6 +19,7 @@
 };
 
 static const double USE_GAIN = 0.05;
+static const double PERMILLE = 1000.0;
 
 /* A reply under construction, in memory of the message library. */
 typedef struct {
@@ -91,6 +92,20 @@
     }
 }
 
+static void
+take_services(jr_worker_t *worker, const Jr__Heartbeat *heartbeat)
+{
+    jr_host_load_t *host = &worker->host_load;
+
+    host->n_services = MIN(heartbeat->n_services_seen, JR_HOST_SERVICES_MAX);
+    for (size_t i = 0; i < host->n_services; i++) {
+        const Jr__ServiceSeen *seen = heartbeat->services_seen[i];
+
+        g_strlcpy(host->services[i], seen->service, JR_PAIR_NAME_BYTES);
+        host->slowdowns[i] = MAX(seen->slowdown_permille / PERMILLE, 1.0);
+    }
+}
+
 static jr_worker_t *
 renew(jr_coord_t *coord, const Jr__Heartbeat *heartbeat, int64_t arrived)
 {
@@ -112,6 +127,7 @@
     jr_lease_set_capacity(table, worker, &capacity);
     worker->services = jr_resources_from_message(heartbeat->services);
     worker->is_leaving = heartbeat->leaving;
+    take_services(worker, heartbeat);
     if (worker->predecessor != NULL &&
         jr_ledger_holding(coord->ledger, worker->predecessor) == NULL) {
         jr_free(coord->ctx, worker->predecessor);
@@ -183,6 +199,7 @@
 {
     jr_task_soft_t *soft = jr_coord_soft(coord, task);
     const char *known = task->checkpoint != NULL ? task->checkpoint : "";
+    Jr__Assignment__Action action = JR__ASSIGNMENT__ACTION__RUN;
 
     soft->used = jr_resources_from_message(from->used);
     if (soft->checkpoint_at == 0) {
@@ -196,11 +213,13 @@
     if (worker->is_lapsed || soft->is_expiring) {
         return;
     }
-    assign(reply, from->task, from->epoch,
-           task->cancel_asked || soft->is_evicting
-               ? JR__ASSIGNMENT__ACTION__STOP
-               : JR__ASSIGNMENT__ACTION__RUN,
-           NULL);
+    if (task->cancel_asked || soft->is_evicting) {
+        action = JR__ASSIGNMENT__ACTION__STOP;
+    }
+    else if (soft->is_throttled) {
+        action = JR__ASSIGNMENT__ACTION__THROTTLE;
+    }
+    assign(reply, from->task, from->epoch, action, NULL);
 }
 
 static void
@@ -330,10 +349,7 @@
     worker->overloads = 0;
     task = jr_evict_choose(coord->options.evict, holding, coord->rules, now);
     if (task != NULL) {
-        jr_coord_soft(coord, task)->is_evicting = true;
-        jr_count(coord->ctx, JR_C_EVICTIONS);
-        jr_log(coord->ctx, JR_EV_TASK_EVICTED, "task %llu from %s",
-               (unsigned long long)task->id, worker->name);
+        jr_coord_evict(coord, task, worker);
     }
 }
 
@@ -362,6 +378,9 @@
     holding = jr_ledger_holding(coord->ledger, worker->name);
     refresh_load(coord, worker, holding, arrived);
     check_overload(coord, worker, holding, arrived);
+    if (coord->options.policy.kind != JR_PLACE_FIRST_FIT) {
+        jr_coord_guard(coord, worker, holding, arrived);
+    }
     if (holding != NULL) {
         assign_new(coord, worker, holding, arrived, &reply);
     }
--- a/src/entry/tasks.c
+++ b/src/entry/tasks.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "jayrelay/interfere.h"
 #include "jayrelay/ledger.h"
 
 enum {
@@ -236,6 +237,7 @@
     [JR__ASSIGNMENT__ACTION__RUN] = "run",
     [JR__ASSIGNMENT__ACTION__STOP] = "stop",
     [JR__ASSIGNMENT__ACTION__FORGET] = "forget",
+    [JR__ASSIGNMENT__ACTION__THROTTLE] = "throttle",
 };
 
 static json_t *
@@ -293,6 +295,11 @@
     Jr__Resources used;
 } task_space_t;
 
+typedef struct {
+    Jr__ServiceSeen services[JR_HOST_SERVICES_MAX];
+    Jr__ServiceSeen *pointers[JR_HOST_SERVICES_MAX];
+} seen_space_t;
+
 static bool
 read_state(const json_t *object, Jr__WorkerTask__State *to)
 {
@@ -332,10 +339,35 @@
            read_resources(json_object_get(object, "used"), &space->used);
 }
 
+/* Slowdowns of the services on the host, as many as are looked at. */
+static bool
+read_services(const json_t *object, seen_space_t *seen,
+              Jr__Heartbeat *heartbeat)
+{
+    const json_t *list = json_object_get(object, "services_seen");
+
+    heartbeat->services_seen = seen->pointers;
+    for (size_t i = 0; i < json_array_size(list) && i < JR_HOST_SERVICES_MAX;
+         i++) {
+        const json_t *item = json_array_get(list, i);
+
+        jr__service_seen__init(&seen->services[i]);
+        if (!read_text(item, "service", &seen->services[i].service,
+                       JR_PAIR_NAME_BYTES - 1) ||
+            !read_number(item, "slowdown_permille",
+                         &seen->services[i].slowdown_permille)) {
+            return false;
+        }
+        seen->pointers[i] = &seen->services[i];
+        heartbeat->n_services_seen++;
+    }
+    return true;
+}
+
 static bool
 read_heartbeat(const json_t *object, Jr__Heartbeat *heartbeat,
                Jr__Resources *capacity, Jr__Resources *services,
-               task_space_t *spaces)
+               seen_space_t *seen, task_space_t *spaces)
 {
     const json_t *tasks = json_object_get(object, "tasks");
 
@@ -346,7 +378,8 @@
         !read_text(object, "zone", &heartbeat->zone, JR_KEY_BYTES) ||
         !read_text(object, "rack", &heartbeat->rack, JR_KEY_BYTES) ||
         !read_resources(json_object_get(object, "capacity"), capacity) ||
-        !read_resources(json_object_get(object, "services"), services)) {
+        !read_resources(json_object_get(object, "services"), services) ||
+        !read_services(object, seen, heartbeat)) {
         return false;
     }
     heartbeat->leaving = json_is_true(json_object_get(object, "leaving"));
@@ -377,6 +410,7 @@
     Jr__Heartbeat heartbeat = JR__HEARTBEAT__INIT;
     Jr__Request request = JR__REQUEST__INIT;
     Jr__Resources capacity, services;
+    seen_space_t seen;
     task_space_t *spaces;
     size_t n;
 
@@ -388,7 +422,8 @@
     spaces = jr_alloc(entry->ctx, n * sizeof *spaces);
     heartbeat.tasks = jr_alloc(entry->ctx, n * sizeof(Jr__WorkerTask *));
     heartbeat.worker = heartbeat.zone = heartbeat.rack = empty;
-    if (read_heartbeat(object, &heartbeat, &capacity, &services, spaces)) {
+    if (read_heartbeat(object, &heartbeat, &capacity, &services, &seen,
+                       spaces)) {
         request.group = group_of_worker(entry, heartbeat.worker);
         request.body_case = JR__REQUEST__BODY_HEARTBEAT;
         request.heartbeat = &heartbeat;
--- a/src/gen/net/wire.pb-c.c
+++ b/src/gen/net/wire.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &jr__worker_task__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jr__service_seen__init
+                     (Jr__ServiceSeen         *message)
+{
+  static const Jr__ServiceSeen init_value = JR__SERVICE_SEEN__INIT;
+  *message = init_value;
+}
+size_t jr__service_seen__get_packed_size
+                     (const Jr__ServiceSeen *message)
+{
+  assert(message->base.descriptor == &jr__service_seen__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jr__service_seen__pack
+                     (const Jr__ServiceSeen *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jr__service_seen__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jr__service_seen__pack_to_buffer
+                     (const Jr__ServiceSeen *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jr__service_seen__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jr__ServiceSeen *
+       jr__service_seen__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jr__ServiceSeen *)
+     protobuf_c_message_unpack (&jr__service_seen__descriptor,
+                                allocator, len, data);
+}
+void   jr__service_seen__free_unpacked
+                     (Jr__ServiceSeen *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jr__service_seen__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jr__heartbeat__init
                      (Jr__Heartbeat         *message)
 {
@@ -862,7 +907,58 @@
   (ProtobufCMessageInit) jr__worker_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__heartbeat__field_descriptors[7] =
+static const ProtobufCFieldDescriptor jr__service_seen__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jr__ServiceSeen, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slowdown_permille",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jr__ServiceSeen, slowdown_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jr__service_seen__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = slowdown_permille */
+};
+static const ProtobufCIntRange jr__service_seen__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor jr__service_seen__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.ServiceSeen",
+  "ServiceSeen",
+  "Jr__ServiceSeen",
+  "jr",
+  sizeof(Jr__ServiceSeen),
+  2,
+  jr__service_seen__field_descriptors,
+  jr__service_seen__field_indices_by_name,
+  1,  jr__service_seen__number_ranges,
+  (ProtobufCMessageInit) jr__service_seen__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jr__heartbeat__field_descriptors[8] =
 {
   {
     "worker",
@@ -948,12 +1044,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "services_seen",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__Heartbeat, n_services_seen),
+    offsetof(Jr__Heartbeat, services_seen),
+    &jr__service_seen__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__heartbeat__field_indices_by_name[] = {
   3,   /* field[3] = capacity */
   6,   /* field[6] = leaving */
   2,   /* field[2] = rack */
   4,   /* field[4] = services */
+  7,   /* field[7] = services_seen */
   5,   /* field[5] = tasks */
   0,   /* field[0] = worker */
   1,   /* field[1] = zone */
@@ -961,7 +1070,7 @@
 static const ProtobufCIntRange jr__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor jr__heartbeat__descriptor =
 {
@@ -971,27 +1080,29 @@
   "Jr__Heartbeat",
   "jr",
   sizeof(Jr__Heartbeat),
-  7,
+  8,
   jr__heartbeat__field_descriptors,
   jr__heartbeat__field_indices_by_name,
   1,  jr__heartbeat__number_ranges,
   (ProtobufCMessageInit) jr__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue jr__assignment__action__enum_values_by_number[3] =
+static const ProtobufCEnumValue jr__assignment__action__enum_values_by_number[4] =
 {
   { "RUN", "JR__ASSIGNMENT__ACTION__RUN", 0 },
   { "STOP", "JR__ASSIGNMENT__ACTION__STOP", 1 },
   { "FORGET", "JR__ASSIGNMENT__ACTION__FORGET", 2 },
+  { "THROTTLE", "JR__ASSIGNMENT__ACTION__THROTTLE", 3 },
 };
 static const ProtobufCIntRange jr__assignment__action__value_ranges[] = {
-{0, 0},{0, 3}
+{0, 0},{0, 4}
 };
-static const ProtobufCEnumValueIndex jr__assignment__action__enum_values_by_name[3] =
+static const ProtobufCEnumValueIndex jr__assignment__action__enum_values_by_name[4] =
 {
   { "FORGET", 2 },
   { "RUN", 0 },
   { "STOP", 1 },
+  { "THROTTLE", 3 },
 };
 const ProtobufCEnumDescriptor jr__assignment__action__descriptor =
 {
@@ -1000,9 +1111,9 @@
   "Action",
   "Jr__Assignment__Action",
   "jr",
-  3,
+  4,
   jr__assignment__action__enum_values_by_number,
-  3,
+  4,
   jr__assignment__action__enum_values_by_name,
   1,
   jr__assignment__action__value_ranges,
--- a/src/gen/net/wire.pb-c.h
+++ b/src/gen/net/wire.pb-c.h
@@ -19,6 +19,7 @@
 #include "rules/rules.pb-c.h"
 
 typedef struct Jr__WorkerTask Jr__WorkerTask;
+typedef struct Jr__ServiceSeen Jr__ServiceSeen;
 typedef struct Jr__Heartbeat Jr__Heartbeat;
 typedef struct Jr__Assignment Jr__Assignment;
 typedef struct Jr__HeartbeatReply Jr__HeartbeatReply;
@@ -48,7 +49,8 @@
 typedef enum _Jr__Assignment__Action {
   JR__ASSIGNMENT__ACTION__RUN = 0,
   JR__ASSIGNMENT__ACTION__STOP = 1,
-  JR__ASSIGNMENT__ACTION__FORGET = 2
+  JR__ASSIGNMENT__ACTION__FORGET = 2,
+  JR__ASSIGNMENT__ACTION__THROTTLE = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JR__ASSIGNMENT__ACTION)
 } Jr__Assignment__Action;
 
@@ -69,6 +71,20 @@
     , 0, 0, JR__WORKER_TASK__STATE__RUNNING, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL }
 
 
+/*
+ * How much a service on the host is slowed down, measured.
+ */
+struct  Jr__ServiceSeen
+{
+  ProtobufCMessage base;
+  char *service;
+  uint32_t slowdown_permille;
+};
+#define JR__SERVICE_SEEN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jr__service_seen__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Jr__Heartbeat
 {
   ProtobufCMessage base;
@@ -83,10 +99,12 @@
   size_t n_tasks;
   Jr__WorkerTask **tasks;
   protobuf_c_boolean leaving;
+  size_t n_services_seen;
+  Jr__ServiceSeen **services_seen;
 };
 #define JR__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, NULL, 0,NULL, 0, 0,NULL }
 
 
 struct  Jr__Assignment
@@ -360,6 +378,25 @@
 void   jr__worker_task__free_unpacked
                      (Jr__WorkerTask *message,
                       ProtobufCAllocator *allocator);
+/* Jr__ServiceSeen methods */
+void   jr__service_seen__init
+                     (Jr__ServiceSeen         *message);
+size_t jr__service_seen__get_packed_size
+                     (const Jr__ServiceSeen   *message);
+size_t jr__service_seen__pack
+                     (const Jr__ServiceSeen   *message,
+                      uint8_t             *out);
+size_t jr__service_seen__pack_to_buffer
+                     (const Jr__ServiceSeen   *message,
+                      ProtobufCBuffer     *buffer);
+Jr__ServiceSeen *
+       jr__service_seen__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jr__service_seen__free_unpacked
+                     (Jr__ServiceSeen *message,
+                      ProtobufCAllocator *allocator);
 /* Jr__Heartbeat methods */
 void   jr__heartbeat__init
                      (Jr__Heartbeat         *message);
@@ -650,6 +687,9 @@
 typedef void (*Jr__WorkerTask_Closure)
                  (const Jr__WorkerTask *message,
                   void *closure_data);
+typedef void (*Jr__ServiceSeen_Closure)
+                 (const Jr__ServiceSeen *message,
+                  void *closure_data);
 typedef void (*Jr__Heartbeat_Closure)
                  (const Jr__Heartbeat *message,
                   void *closure_data);
@@ -703,6 +743,7 @@
 
 extern const ProtobufCMessageDescriptor jr__worker_task__descriptor;
 extern const ProtobufCEnumDescriptor    jr__worker_task__state__descriptor;
+extern const ProtobufCMessageDescriptor jr__service_seen__descriptor;
 extern const ProtobufCMessageDescriptor jr__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor jr__assignment__descriptor;
 extern const ProtobufCEnumDescriptor    jr__assignment__action__descriptor;
--- a/src/lease/lease.c
+++ b/src/lease/lease.c
@@ -48,7 +48,7 @@
     worker->name = jr_strdup(table->ctx, name);
     worker->host = host_of(table->ctx, name);
     worker->renewed_at = now;
-    worker->slowdown = 1.0;
+    worker->host_load.updated_at = now;
     worker->bucket = BUCKET_NONE;
     HASH_FIND(hh_host, table->by_host, worker->host, strlen(worker->host),
               old);
