--- a/scripts/end-to-end.sh
+++ b/scripts/end-to-end.sh
@@ -60,6 +60,10 @@
     done
 }
 
+not_running() {
+    ! kill -0 "$1" 2> /dev/null
+}
+
 leads() { # GROUP NOT
     "$bin/jayrelay" --entry "$entry_list" --json status | python3 -c '
 import json, sys
@@ -93,6 +97,7 @@
 start bare "$bin/bare" server "${bare##*:}"
 announce &
 pids[announce]=$!
+disown "${pids[announce]}"
 wait_until 20 ready || { echo "the set did not come up" >&2; exit 1; }
 # The bare server is an upstream of zone a alone.
 wait_until 10 curl -sf --noproxy '*' -d hi "http://$http_a/v1/call/advice" ||
@@ -141,6 +146,31 @@
 submit_us=$(cost /v1/tasks '{"key":"k","team":"demo","class":"watch","need":{"cpu_milli":1000,"memory_mb":512}}')
 announce_us=$(cost /v1/upstreams '{"name":"x","address":"127.0.0.1:1","zone":"b","rack":"r","service":"other","slots":8,"connections":64,"incarnation":1,"sequence":1}')
 
+# 10,000 changes, then a restart of one control process.
+for zone in $zones; do
+    echo "snapshot_every: 100000" >> "$dir/control-$zone.yaml"
+done
+changes() {
+    curl -s --noproxy '*' "http://$chttp_b/metrics" |
+        awk '/^jayrelay_log_appends_total/ { print $2 }'
+}
+control_ready() {
+    curl -sf --noproxy '*' -o /dev/null "http://$chttp_b/readyz"
+}
+kill -TERM "${pids[control-b]}"
+wait_until 10 not_running "${pids[control-b]}"
+start_control b
+wait_until 10 control_ready
+while [ "$(changes)" -lt 10000 ]; do
+    "$bin/bare" client "http://$http_a/v1/tasks" 32 1 '{"key":"k","team":"demo","class":"watch","need":{"cpu_milli":1000,"memory_mb":512}}' > /dev/null
+done
+kill -KILL "${pids[control-b]}"
+wait_until 5 not_running "${pids[control-b]}"
+from=$(date +%s%N)
+start_control b
+wait_until 10 control_ready
+restart_ms=$((($(date +%s%N) - from) / 1000000))
+
 leader=$(leader_name)
 killed=$(date +%s%N)
 kill -KILL "${pids[$leader]}"
@@ -173,6 +203,7 @@
 row "failed calls" 0 "$(value "$dir/entry.32" failed)" "<="
 row "time to a new leader, ms" 1800 "$leader_ms" "<="
 row "accepted rules in force everywhere, ms" 5000 "$slowest" "<="
+row "restart of a control process after 10,000 changes, ms" 1800 "$restart_ms" "<="
 printf '  %-52s %12s %12s\n' "memory for an open call, KB" "" "$connection_kb"
 printf '  %-52s %12s %12s\n' "processor time of a call in an entry process, us" "" "$cpu_32"
 printf '  %-52s %12s %12s\n' "the same, heartbeat with 32 tasks, us" "" "$heartbeat_us"
--- a/src/coord/guard.c
+++ b/src/coord/guard.c
@@ -29,21 +29,21 @@
 share_of(const jr_worker_t *worker, const jr_task_t *task)
 {
     jr_resources_t size = jr_task_size(task);
-    double share = (double)size.cpu_milli /
-                   (double)MAX(worker->capacity.cpu_milli, 1);
+    double share =
+        (double)size.cpu_milli / (double)MAX(worker->capacity.cpu_milli, 1);
 
     return task->soft.is_throttled ? THROTTLED_PART * share : share;
 }
 
 static void
-take_loads(jr_coord_t *coord, jr_worker_t *worker,
-           const jr_holding_t *holding, int64_t now)
+take_loads(jr_coord_t *coord, jr_worker_t *worker, const jr_holding_t *holding,
+           int64_t now)
 {
     jr_task_t *task;
 
     jr_host_load_begin(&worker->host_load);
     if (holding != NULL) {
-        TAILQ_FOREACH(task, &holding->tasks, on_worker) {
+        TAILQ_FOREACH (task, &holding->tasks, on_worker) {
             jr_coord_soft(coord, task);
             jr_host_load_add(&worker->host_load, task->spec.class_name,
                              share_of(worker, task));
@@ -72,7 +72,7 @@
     jr_task_t *task;
     jr_task_t *worst = NULL;
 
-    TAILQ_FOREACH(task, &holding->tasks, on_worker) {
+    TAILQ_FOREACH (task, &holding->tasks, on_worker) {
         if (task->soft.is_throttled != is_throttled ||
             task->soft.is_evicting || task->soft.is_expiring ||
             task->soft.is_ending || task->cancel_asked) {
@@ -135,8 +135,7 @@
     jr_interference_learn(coord->model, &worker->host_load, now);
     slowdown = jr_host_slowdown(&worker->host_load);
     worker->guard_over = slowdown > limit ? worker->guard_over + 1 : 0;
-    if (holding == NULL ||
-        now - worker->guard_acted_at < JR_SLOWDOWN_LAG_MS) {
+    if (holding == NULL || now - worker->guard_acted_at < JR_SLOWDOWN_LAG_MS) {
         return;
     }
     if (worker->guard_over >= OVER_TO_ACT) {
--- a/src/interfere/interfere.c
+++ b/src/interfere/interfere.c
@@ -44,7 +44,7 @@
     if (model == NULL) {
         return;
     }
-    HASH_ITER(hh, model->pairs, pair, next) {
+    HASH_ITER (hh, model->pairs, pair, next) {
         HASH_DEL(model->pairs, pair);
         jr_free(model->ctx, pair);
     }
@@ -74,8 +74,7 @@
     if (i == host->n_classes) {
         host->n_classes++;
         host->classes[i] = (jr_class_load_t){.now = 0.0};
-        g_strlcpy(host->classes[i].class_name, class_name,
-                  JR_PAIR_NAME_BYTES);
+        g_strlcpy(host->classes[i].class_name, class_name, JR_PAIR_NAME_BYTES);
     }
     host->classes[i].now += share;
 }
@@ -107,8 +106,8 @@
 void
 jr_host_load_end(jr_host_load_t *host, int64_t now)
 {
-    int64_t from = MAX(host->updated_at,
-                       now - (JR_LOAD_SECONDS - 1) * (int64_t)MS_PER_S);
+    int64_t from =
+        MAX(host->updated_at, now - (JR_LOAD_SECONDS - 1) * (int64_t)MS_PER_S);
     size_t kept = 0;
 
     for (size_t i = 0; i < host->n_classes; i++) {
@@ -192,8 +191,7 @@
 
         pairs[i]->slope += GAIN * error * x / square;
         pairs[i]->slope = MAX(pairs[i]->slope, 0.0);
-        pairs[i]->seen =
-            decayed(pairs[i]->seen, pairs[i]->seen_at, now) + x;
+        pairs[i]->seen = decayed(pairs[i]->seen, pairs[i]->seen_at, now) + x;
         pairs[i]->seen_at = now;
     }
 }
@@ -234,8 +232,8 @@
     if (pair == NULL) {
         return UNKNOWN_SLOPE + UNKNOWN_MARGIN;
     }
-    return pair->slope + UNKNOWN_MARGIN / (1.0 + decayed(pair->seen,
-                                                         pair->seen_at, now));
+    return pair->slope +
+           UNKNOWN_MARGIN / (1.0 + decayed(pair->seen, pair->seen_at, now));
 }
 
 double
--- a/src/interfere/interfere_test.cc
+++ b/src/interfere/interfere_test.cc
@@ -9,7 +9,8 @@
 
 class InterfereTest : public ::testing::Test {
   protected:
-    void SetUp() override
+    void
+    SetUp() override
     {
         ctx_ = jr_new_ctx("test", nullptr);
         model_ = jr_new_interference(ctx_);
@@ -17,13 +18,15 @@
         strcpy(host_.services[0], "advice");
     }
 
-    void TearDown() override
+    void
+    TearDown() override
     {
         jr_drop_interference(model_);
         jr_drop_ctx(ctx_);
     }
 
-    void Load(double study, double watch, int64_t now)
+    void
+    Load(double study, double watch, int64_t now)
     {
         jr_host_load_begin(&host_);
         jr_host_load_add(&host_, "study", study);
@@ -54,10 +57,10 @@
             jr_interference_learn(model_, &host_, s * 1000);
         }
     }
-    EXPECT_NEAR(jr_interference_slope(model_, "advice", "study", 3000000),
-                3.0, 0.3);
-    EXPECT_NEAR(jr_interference_slope(model_, "advice", "watch", 3000000),
-                0.2, 0.3);
+    EXPECT_NEAR(jr_interference_slope(model_, "advice", "study", 3000000), 3.0,
+                0.3);
+    EXPECT_NEAR(jr_interference_slope(model_, "advice", "watch", 3000000), 0.2,
+                0.3);
     EXPECT_GT(jr_interference_added(model_, &host_, "study", 0.1, 3000000),
               jr_interference_added(model_, &host_, "watch", 0.1, 3000000));
 }
@@ -74,8 +77,7 @@
     }
     EXPECT_LT(jr_interference_slope(model_, "advice", "study", 200000), 0.2);
     /* Not seen for hours, it is uncertain again. */
-    EXPECT_GT(jr_interference_slope(model_, "advice", "study", 36000000),
-              0.3);
+    EXPECT_GT(jr_interference_slope(model_, "advice", "study", 36000000), 0.3);
 }
 
 TEST_F(InterfereTest, ClassesThatAreGoneAreForgotten)
--- a/src/relay/pool_test.h
+++ b/src/relay/pool_test.h
@@ -34,6 +34,9 @@
     double idempotent = 0.5;
     bool sloppy_slots = false;  /* entries ignore shares: to go red */
     bool retry_blindly = false; /* all is told as not run: to go red */
+    bool match_nothing = false; /* late answers go to another call */
+    bool hear_forever = false;  /* news of leavers are not heard: to go red */
+    int deaf_entry = -1;        /* hears no announcement after a while */
     jr_route_policy_t route = {};
     jr_admit_kind_t admit = JR_ADMIT_DEADLINE;
     jr_retry_kind_t retry = JR_RETRY_BUDGET;
@@ -47,6 +50,7 @@
     long calls = 0, answered = 0, in_target = 0, unknown = 0, failed = 0;
     long refused = 0, attempts = 0, forwards = 0, over_slots = 0;
     long wrong_not_run = 0, doubled = 0, two_verdicts = 0;
+    long mixed = 0, after_leaving = 0;
     std::map<std::string, long> reasons;
 
     double
@@ -84,6 +88,7 @@
                                   Fault::kNone,
                                   false,
                                   0,
+                                  0,
                                   {}});
         }
         entries_.resize(names_.size());
@@ -119,6 +124,7 @@
     Leave(int executor)
     {
         executors_[(size_t)executor].leaving = true;
+        executors_[(size_t)executor].left_at = now_;
     }
 
     /* Cut a zone off from the others, or join it again. */
@@ -247,6 +253,7 @@
         int in_use;
         Fault fault;
         bool leaving;
+        int64_t left_at;
         uint64_t sequence;
         std::map<uint64_t, std::function<void()>> broken; /* by run */
     };
@@ -260,6 +267,8 @@
         std::vector<std::string> own_names;
         std::vector<const char *> pointers;
         uint64_t generation = 0;
+        uint64_t newest_call = 0;
+        uint64_t newest_attempt = 0;
     };
     struct Event {
         int64_t at;
@@ -408,6 +417,13 @@
             a.sequence = ++x.sequence;
             a.is_leaving = x.leaving;
             for (Entry &entry : entries_) {
+                if (entry.number == o_.deaf_entry && x.left_at > 0) {
+                    /* Cut off from all news; or fooled by old ones. */
+                    if (!o_.hear_forever) {
+                        continue;
+                    }
+                    a.is_leaving = false;
+                }
                 if (entry.relay != nullptr && ZoneOf(entry.number) == x.zone) {
                     jr_relay_announced(
                         entry.relay,
@@ -454,16 +470,27 @@
         RequestPtr request = *static_cast<RequestPtr *>(call->user);
         uint64_t id = call->id, attempt = call->attempt;
         uint64_t generation = entry->generation;
-        auto end = [p, entry, id, attempt, generation](jr_attempt_end_t how) {
-            if (entry->generation == generation) {
-                if (p->o_.retry_blindly && how != JR_END_ANSWERED) {
-                    how = JR_END_NOT_RUN;
-                }
-                jr_relay_ended(entry->relay, id, attempt, how, nullptr,
-                               p->now_);
+        auto end = [p, entry, id, attempt, generation,
+                    request](jr_attempt_end_t how) {
+            const void *token = &request->First();
+
+            if (entry->generation != generation) {
+                return;
+            }
+            if (p->o_.retry_blindly && how != JR_END_ANSWERED) {
+                how = JR_END_NOT_RUN;
+            }
+            if (!jr_relay_ended(entry->relay, id, attempt, how, token,
+                                p->now_) &&
+                p->o_.match_nothing && how == JR_END_ANSWERED) {
+                jr_relay_ended(entry->relay, entry->newest_call,
+                               entry->newest_attempt, how, token, p->now_);
             }
         };
 
+        entry->newest_call = id;
+        entry->newest_attempt = attempt;
+
         (call->upstream != nullptr ? p->metrics.attempts
                                    : p->metrics.forwards)++;
         p->At(timeout_us, [end] { end(JR_END_TIMEOUT); });
@@ -523,6 +550,7 @@
             o_.service_us * std::lognormal_distribution<>(-0.125, 0.5)(rng_);
         uint64_t run = ++next_run_;
 
+        metrics.after_leaving += x.left_at > 0 && now_ - x.left_at > 3000000;
         if (x.fault == Fault::kDead) {
             end(JR_END_NOT_CONNECTED);
             return;
@@ -577,6 +605,9 @@
         RequestPtr request = *held;
 
         entry->pool->held_.erase(held);
+        entry->pool->metrics.mixed +=
+            verdict->kind == JR_VERDICT_ANSWERED &&
+            verdict->as.answered.token != &request->First();
         if (request->forwarded_to) {
             switch (verdict->kind) {
             case JR_VERDICT_ANSWERED:
--- a/src/relay/relay_test.cc
+++ b/src/relay/relay_test.cc
@@ -56,6 +56,7 @@
         ASSERT_EQ(p.metrics.wrong_not_run, 0) << "seed " << seed;
         ASSERT_EQ(p.metrics.doubled, 0) << "seed " << seed;
         ASSERT_EQ(p.metrics.two_verdicts, 0) << "seed " << seed;
+        ASSERT_EQ(p.metrics.mixed, 0) << "seed " << seed;
         ASSERT_EQ(p.OpenCalls(), 0u) << "seed " << seed;
         ASSERT_EQ(p.metrics.calls, p.metrics.answered + p.metrics.refused +
                                        p.metrics.unknown + p.metrics.failed)
@@ -112,20 +113,49 @@
     EXPECT_GT(wrong, 0);
 }
 
-/* A leaving upstream gets no work once it was heard, a silent one after. */
-TEST(Relay, ALeavingUpstreamGetsNoNewWork)
+TEST(Relay, IsRedWhenAnswersAreNotMatched)
 {
-    Pool p(3, Small());
+    long mixed = 0;
+
+    for (uint32_t seed = 1; seed <= 5; seed++) {
+        Options options = Small();
+
+        options.match_nothing = true;
+        Pool p(seed, options);
+
+        RunTrouble(p, seed);
+        mixed += p.metrics.mixed;
+    }
+    EXPECT_GT(mixed, 0);
+}
+
+/* Most upstreams leave; one entry process is cut off from the news. */
+static long
+CallsAfterLeaving(bool hear_forever)
+{
+    Options options = Small();
+
+    options.deaf_entry = 0;
+    options.hear_forever = hear_forever;
+    Pool p(3, options);
 
     p.Run(1, 0.3 * p.Capacity());
     for (int x = 1; x < 12; x++) {
         p.Leave(x);
     }
-    p.Run(1, 0.05 * p.Capacity());
-    p.ForgetMetrics();
-    p.Run(1, 0.02 * p.Capacity());
+    p.Run(6, 0.05 * p.Capacity());
     EXPECT_GT(p.metrics.answered, 0);
-    EXPECT_EQ(p.metrics.over_slots, 0);
+    return p.metrics.after_leaving;
+}
+
+TEST(Relay, ALeavingUpstreamGetsNoNewWorkAfterThreeSeconds)
+{
+    EXPECT_EQ(CallsAfterLeaving(false), 0);
+}
+
+TEST(Relay, IsRedWhenLeavingUpstreamsAreHeardForever)
+{
+    EXPECT_GT(CallsAfterLeaving(true), 0);
 }
 
 TEST(Relay, ACutOffZoneGoesOnWithItsOwn)
