Large files of the consensus core and of the driver are split by idea

Change: elections and members have files of their own; the driver's loads and checks too; every curl line of the API page runs as a test. Conclusion: no behaviour changed.

--- /dev/null
+++ b/src/group/driver_check_test.cpp
@@ -0,0 +1,132 @@
+/* The model that each history is checked against. */
+#include "driver_test.h"
+
+namespace driver {
+
+/* No task runs in two places, and no host holds more than it has. */
+void
+World::CheckRuns()
+{
+    std::map<uint64_t, std::string> running;
+
+    for (Worker &worker : workers_) {
+        int64_t cpu = 0;
+
+        for (auto &item : worker.runs) {
+            const Run_ &run = item.second;
+
+            if (run.state != JR__WORKER_TASK__STATE__RUNNING ||
+                (Local(worker.rate) >= run.deadline &&
+                 !variant_.workers_ignore_leases)) {
+                continue;
+            }
+            cpu += run.cpu;
+            if (!running.emplace(item.first, worker.name).second) {
+                Fail("task " + std::to_string(item.first) + " runs on " +
+                     running[item.first] + " and " + worker.name);
+            }
+        }
+        if (cpu > 4000) {
+            Fail(worker.name + " holds " + std::to_string(cpu) + " of 4000");
+        }
+    }
+}
+
+/* Every replica shows every task as ended and the newest rules. */
+bool
+World::IsQuiet()
+{
+    for (Node &node : nodes_) {
+        jr_quorum_t *q =
+            node.alive ? jr_group_quorum(node.groups[1]) : nullptr;
+
+        if (q == nullptr || node.joining ||
+            jr_quorum_applied(q) != jr_quorum_last(q)) {
+            return false;
+        }
+        for (Client &client : clients_) {
+            jr_task_t *task =
+                jr_ledger_task(jr_group_ledger(node.groups[1]), client.task);
+
+            if (task == nullptr || task->state == JR_TASK_QUEUED ||
+                task->state == JR_TASK_LEASED) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+void
+World::CheckAgreement()
+{
+    uint64_t newest = accepted_.empty() ? 0 : accepted_.rbegin()->first;
+    std::string first;
+
+    for (int n = 0; n < kNodes; n++) {
+        Node &node = nodes_[n];
+        std::string state;
+
+        if (!node.alive) {
+            Fail("node " + std::to_string(n) + " is down after healing");
+            return;
+        }
+        if (jr_register_version(jr_group_register(node.groups[0])) < newest) {
+            Fail("node " + std::to_string(n) + " lost rules version " +
+                 std::to_string(newest));
+        }
+        for (auto &key : ids_of_key_) {
+            for (uint64_t id : key.second) {
+                jr_task_t *task =
+                    jr_ledger_task(jr_group_ledger(node.groups[1]), id);
+
+                state += std::to_string(id) + ":";
+                state += task == nullptr ? "lost"
+                                         : jr_task_state_name(task->state) +
+                                               std::to_string(task->epoch);
+                state += " ";
+            }
+        }
+        first = n == 0 ? state : first;
+        if (state != first) {
+            Fail("replicas differ: " + first + " / " + state);
+        }
+    }
+}
+
+void
+World::CheckEnd()
+{
+    CheckAgreement();
+    if (!violation.empty()) {
+        return;
+    }
+    jr_ledger_t *ledger = jr_group_ledger(nodes_[0].groups[1]);
+
+    for (Client &client : clients_) {
+        const std::set<uint64_t> &ids = ids_of_key_[client.key];
+        jr_task_t *task = jr_ledger_task(ledger, client.task);
+
+        if (ids.size() > 1) {
+            Fail(client.key + " became more than one task");
+        }
+        if (task == nullptr) {
+            Fail(client.key + " is lost");
+        }
+        else if (task->state == JR_TASK_QUEUED ||
+                 task->state == JR_TASK_LEASED) {
+            Fail(client.key +
+                 " has not ended: " + jr_task_state_name(task->state) +
+                 " on " + (task->worker != nullptr ? task->worker : "none"));
+        }
+    }
+    if (variant_.clients_change_keys &&
+        jr_ledger_count(ledger, JR_TASK_FINISHED) +
+                jr_ledger_count(ledger, JR_TASK_CANCELLED) +
+                jr_ledger_count(ledger, JR_TASK_FAILED) >
+            (uint64_t)kTasks) {
+        Fail("more tasks ran than were wanted");
+    }
+}
+
+} // namespace driver
--- a/src/quorum/core.h
+++ b/src/quorum/core.h
@@ -94,6 +94,17 @@
 /* Pack message for its receiver and queue it. */
 void jr_quorum_send(jr_quorum_t *q, const jr_member_t *to,
                     Jr__QuorumMsg *message);
+jr_entry_t *jr_quorum_append_own(jr_quorum_t *q, jr_entry_kind_t kind,
+                                 const uint8_t *data, size_t len);
+void jr_quorum_replicate_all(jr_quorum_t *q, bool is_probe);
+bool jr_quorum_is_voter(const jr_quorum_t *q);
+void jr_quorum_reset_timer(jr_quorum_t *q);
+/* Stand for election, or ask whether it would be of use (a pre-vote). */
+void jr_quorum_campaign(jr_quorum_t *q, bool is_pre);
+void jr_quorum_on_vote_request(jr_quorum_t *q, const Jr__QuorumMsg *m);
+void jr_quorum_on_vote_reply(jr_quorum_t *q, const Jr__QuorumMsg *m);
+/* The members as of an index. */
+jr_config_t jr_quorum_config_at(const jr_quorum_t *q, uint64_t index);
 /* Send entries, a snapshot or an empty probe to one member. */
 void jr_quorum_replicate(jr_quorum_t *q, size_t i, bool is_probe);
 /* Advance the commit index of a leader. */
--- /dev/null
+++ b/src/quorum/members.c
@@ -0,0 +1,123 @@
+/* The members of a group, and their changes. */
+#include "core.h"
+
+#include <string.h>
+
+int
+jr_quorum_find(const jr_quorum_t *q, uint64_t id)
+{
+    for (size_t i = 0; i < q->config.n; i++) {
+        if (q->config.members[i].id == id) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+void
+jr_quorum_reload_config(jr_quorum_t *q)
+{
+    jr_progress_t old[JR_MEMBERS_MAX];
+    jr_config_t before = q->config;
+
+    memcpy(old, q->progress, sizeof old);
+    q->config = q->log.base.config;
+    q->config_index = q->log.base.index;
+    for (size_t i = q->log.n; i > 0; i--) {
+        const jr_entry_t *entry = &q->log.entries[i - 1];
+
+        if (entry->kind == JR_ENTRY_CONFIG &&
+            jr_config_unpack(entry->data, entry->len, &q->config)) {
+            q->config_index = entry->index;
+            break;
+        }
+    }
+    for (size_t i = 0; i < q->config.n; i++) {
+        q->progress[i] = (jr_progress_t){
+            .id = q->config.members[i].id,
+            .next = jr_log_last(&q->log) + 1,
+            .acked_sent_at = INT64_MIN,
+        };
+        for (size_t k = 0; k < before.n; k++) {
+            if (old[k].id == q->progress[i].id) {
+                q->progress[i] = old[k];
+            }
+        }
+    }
+}
+
+jr_config_t
+jr_quorum_config_at(const jr_quorum_t *q, uint64_t index)
+{
+    jr_config_t config = q->log.base.config;
+
+    for (size_t i = 0; i < q->log.n; i++) {
+        const jr_entry_t *entry = &q->log.entries[i];
+
+        if (entry->index <= index && entry->kind == JR_ENTRY_CONFIG) {
+            jr_config_unpack(entry->data, entry->len, &config);
+        }
+    }
+    return config;
+}
+
+jr_result_t
+jr_quorum_propose_config(jr_quorum_t *q, const jr_config_t *config)
+{
+    uint8_t *bytes;
+    size_t len;
+
+    if (q->role != JR_LEADER) {
+        return jr_fail(q->ctx, JR_NOT_LEADER, "group %u is led elsewhere",
+                       q->options.group);
+    }
+    if (q->config_index > q->commit || q->commit < q->term_start) {
+        return jr_fail(q->ctx, JR_IN_PROGRESS,
+                       "group %u has a change of members in progress",
+                       q->options.group);
+    }
+    len = jr_config_pack(q->ctx, config, &bytes);
+    jr_quorum_append_own(q, JR_ENTRY_CONFIG, bytes, len);
+    jr_free(q->ctx, bytes);
+    jr_quorum_reload_config(q);
+    jr_quorum_replicate_all(q, true);
+    return JR_OK;
+}
+
+static bool
+is_replaced(const jr_config_t *config, size_t i)
+{
+    for (size_t k = i + 1; k < config->n; k++) {
+        if (config->members[k].voter &&
+            strcmp(config->members[k].name, config->members[i].name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+jr_quorum_next_config(const jr_quorum_t *q, jr_config_t *next)
+{
+    *next = q->config;
+    if (q->role != JR_LEADER || q->config_index > q->commit ||
+        q->commit < q->term_start) {
+        return false;
+    }
+    for (size_t i = 0; i < next->n; i++) {
+        if (is_replaced(next, i)) {
+            next->n--;
+            memmove(&next->members[i], &next->members[i + 1],
+                    (next->n - i) * sizeof next->members[0]);
+            return true;
+        }
+    }
+    for (size_t i = 0; i < next->n; i++) {
+        if (!next->members[i].voter && q->progress[i].match >= q->commit &&
+            q->progress[i].match > 0) {
+            next->members[i].voter = true;
+            return true;
+        }
+    }
+    return false;
+}
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -239,6 +239,28 @@
     grep -q '"message":"[^"]' <<< "$answer" || fail "no message: $answer"
 }
 
+# Every curl line of the API page works against the demo's rules.
+case_api_examples() {
+    local commands command answer n=0
+    up
+    commands=$(python3 -c '
+import re, sys
+for block in re.findall(r"(?:^    .*\n)+", open("docs/API.md").read(), re.M):
+    text = "".join(line[4:] for line in block.splitlines(True))
+    for command in re.split(r"^(?=curl)", text, flags=re.M):
+        if command.startswith("curl"):
+            print(re.sub(r"\s*\\?\n\s*", " ", command).strip())')
+    while read -r command; do
+        command=${command//127.0.0.1:8080/$http_a}
+        answer=$(bash -c "${command/curl/curl -s --noproxy \'*\'}") ||
+            fail "$command"
+        grep -Eq 'bad-request|no such path|no such service' <<< "$answer" &&
+            fail "$command: $answer"
+        n=$((n + 1))
+    done <<< "$commands"
+    [ "$n" -ge 8 ] || fail "only $n examples were found"
+}
+
 # Two operators with one number; a resend; a file edited in place.
 case_operators() {
     up
