Groups stand on some of the control processes

The operators' process test waits for rules to be in force before it tries a bad file: entry processes pull since the last change, and the trace shows them within one poll.

--- a/include/jayrelay/settings.h
+++ b/include/jayrelay/settings.h
@@ -12,7 +12,8 @@
 enum {
     JR_SETTING_BYTES = 64,
     JR_PATH_BYTES = 256,
-    JR_CONTROLS_MAX = 9,
+    JR_CONTROLS_MAX = 64,
+    JR_REPLICAS_MAX = 9,
     JR_ENTRIES_MAX = 64,
     JR_SETTING_ERRORS_MAX = 64,
 };
@@ -30,10 +31,10 @@
 
 /**
  * struct jr_settings_t - settings of one process
- * @controls: all control processes; the first of them are the members that
- *            a new system starts with
+ * @controls: all control processes
  * @entries: all entry processes
  * @groups: number of task groups; the same everywhere, fixed at the start
+ * @replicas: first members of each group
  */
 typedef struct {
     char name[JR_SETTING_BYTES];
@@ -43,6 +44,7 @@
     char data[JR_PATH_BYTES];
     char rules_file[JR_PATH_BYTES];
     int64_t groups;
+    int64_t replicas;
     int64_t lease_ms;
     int64_t drift_permille;
     int64_t election_ms;
@@ -57,6 +59,16 @@
     int64_t n_entries;
 } jr_settings_t;
 
+/**
+ * jr_settings_hosts - the control processes that start with a group
+ * @hosts: filled with indexes into @settings->controls
+ *
+ * By rendezvous hashing, spread over the zones; the same everywhere.
+ * Return: their number, at most @settings->replicas.
+ */
+size_t jr_settings_hosts(const jr_settings_t *settings, size_t group,
+                         size_t hosts[JR_REPLICAS_MAX]);
+
 /** struct jr_setting_errors_t - all that is wrong, "line N: what" each */
 typedef struct {
     size_t n;
--- a/scripts/local-set.sh
+++ b/scripts/local-set.sh
@@ -31,34 +31,40 @@
 }
 trap stop_all EXIT
 
+controls_per_zone=${controls_per_zone:-1}
+
+control_names() { # of a zone: control-a, control-a2, ...
+    local k
+    echo "control-$1"
+    for ((k = 2; k <= controls_per_zone; k++)); do
+        echo "control-$1$k"
+    done
+}
+
 write_settings() {
-    local ports zone controls="" entries="" i=0
-    read -r -a ports <<< "$(free_ports 24)"
+    local ports zone name controls="" entries="" i=0
+    read -r -a ports <<< "$(free_ports $((12 + 6 * controls_per_zone)))"
     entry_list=""
     for zone in $zones; do
         eval "bus_$zone=127.0.0.1:${ports[i]} http_$zone=127.0.0.1:${ports[i + 1]}"
-        eval "cbus_$zone=127.0.0.1:${ports[i + 2]} chttp_$zone=127.0.0.1:${ports[i + 3]}"
-        eval "exec_$zone='127.0.0.1:${ports[i + 4]} 127.0.0.1:${ports[i + 5]}'"
-        i=$((i + 6))
-        local b="bus_$zone" h="http_$zone" cb="cbus_$zone" ch="chttp_$zone"
-        controls+="  - {name: control-$zone, zone: $zone, bus: ${!cb}, http: ${!ch}}"$'\n'
+        eval "exec_$zone='127.0.0.1:${ports[i + 2]} 127.0.0.1:${ports[i + 3]}'"
+        i=$((i + 4))
+        local b="bus_$zone" h="http_$zone"
         entries+="  - {name: entry-$zone, zone: $zone, bus: ${!b}, http: ${!h}}"$'\n'
         entry_list+="${entry_list:+,}${!h}"
+        for name in $(control_names "$zone"); do
+            eval "cbus_${name#control-}=127.0.0.1:${ports[i]}"
+            eval "chttp_${name#control-}=127.0.0.1:${ports[i + 1]}"
+            i=$((i + 2))
+            local cb="cbus_${name#control-}" ch="chttp_${name#control-}"
+            controls+="  - {name: $name, zone: $zone, bus: ${!cb}, http: ${!ch}}"$'\n'
+        done
     done
     for zone in $zones; do
-        local b="bus_$zone" h="http_$zone" cb="cbus_$zone" ch="chttp_$zone"
-        cat > "$dir/control-$zone.yaml" <<Y
-name: control-$zone
-zone: $zone
-bus: ${!cb}
-http: ${!ch}
-data: $dir/data-$zone
-lease_ms: 2000
-election_ms: 600
-heartbeat_ms: 60
-controls:
-$controls
-Y
+        for name in $(control_names "$zone"); do
+            write_control "$name" "$zone"
+        done
+        local b="bus_$zone" h="http_$zone"
         cat > "$dir/entry-$zone.yaml" <<Y
 name: entry-$zone
 zone: $zone
@@ -74,7 +80,23 @@
     echo "rules_file: $dir/rules" >> "$dir/control-a.yaml"
 }
 
-start_control() { # ZONE
+write_control() { # NAME ZONE, in write_settings
+    local cb="cbus_${1#control-}" ch="chttp_${1#control-}"
+    cat > "$dir/$1.yaml" <<Y
+name: $1
+zone: $2
+bus: ${!cb}
+http: ${!ch}
+data: $dir/data-${1#control-}
+lease_ms: 2000
+election_ms: 600
+heartbeat_ms: 60
+controls:
+$controls
+Y
+}
+
+start_control() { # NAME without control-
     start "control-$1" "$bin/jayrelay-control" --settings "$dir/control-$1.yaml"
 }
 
@@ -97,10 +119,13 @@
 
 start_set() {
     local zone
+    local name
     for zone in $zones; do
-        "$bin/jayrelay-control" --settings "$dir/control-$zone.yaml" --init \
-            2>> "$dir/control-$zone.log"
-        start_control "$zone"
+        for name in $(control_names "$zone"); do
+            "$bin/jayrelay-control" --settings "$dir/$name.yaml" --init \
+                2>> "$dir/$name.log"
+            start_control "${name#control-}"
+        done
     done
     for zone in $zones; do
         start_entry "$zone"
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -10,6 +10,7 @@
 #include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 #include <yaml.h>
 
 typedef enum { TEXT, ADDRESS, PATH, NUMBER, PROCESSES } value_kind_t;
@@ -62,6 +63,13 @@
      .min = 1,
      .max = 1024,
      .standard = 3},
+    {.key = "replicas",
+     .kind = NUMBER,
+     .offset = AT(replicas),
+     .flags = FOR_CONTROL,
+     .min = 1,
+     .max = JR_REPLICAS_MAX,
+     .standard = 3},
     {.key = "lease_ms",
      .kind = NUMBER,
      .offset = AT(lease_ms),
@@ -395,8 +403,11 @@
         find_process(s->entries, s->n_entries, s->name) == NULL) {
         complain(r, NULL, "'entries' must name this process, '%s'", s->name);
     }
-    if (r->kind == JR_SETTINGS_CONTROL && s->n_controls % 2 == 0) {
-        complain(r, NULL, "'controls' must be an odd number of processes");
+    if (r->kind == JR_SETTINGS_CONTROL && s->replicas % 2 == 0) {
+        complain(r, NULL, "'replicas' must be odd");
+    }
+    if (r->kind == JR_SETTINGS_CONTROL && s->replicas > s->n_controls) {
+        complain(r, NULL, "'replicas' is more than there are 'controls'");
     }
     if (r->kind == JR_SETTINGS_CONTROL &&
         s->election_ms < 3 * s->heartbeat_ms) {
@@ -405,6 +416,64 @@
     }
 }
 
+typedef struct {
+    uint64_t rank;
+    size_t control;
+} candidate_t;
+
+static int
+by_rank(const void *a, const void *b)
+{
+    const candidate_t *x = a;
+    const candidate_t *y = b;
+
+    return x->rank != y->rank ? (x->rank < y->rank ? -1 : 1)
+                              : (int)x->control - (int)y->control;
+}
+
+/* How many of the chosen stand in the zone of a control process. */
+static size_t
+count_in_zone(const jr_settings_t *settings, const size_t *hosts, size_t n,
+              size_t control)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < n; i++) {
+        count += strcmp(settings->controls[hosts[i]].zone,
+                        settings->controls[control].zone) == 0;
+    }
+    return count;
+}
+
+size_t
+jr_settings_hosts(const jr_settings_t *settings, size_t group,
+                  size_t hosts[JR_REPLICAS_MAX])
+{
+    candidate_t ranked[JR_CONTROLS_MAX];
+    size_t n_controls = (size_t)settings->n_controls;
+    size_t wanted = MIN((size_t)settings->replicas, n_controls);
+    size_t n = 0;
+
+    for (size_t i = 0; i < n_controls; i++) {
+        const char *name = settings->controls[i].name;
+
+        ranked[i] = (candidate_t){XXH64(name, strlen(name), group), i};
+    }
+    qsort(ranked, n_controls, sizeof ranked[0], by_rank);
+    /* First one from each zone, then a second one, and so on. */
+    for (size_t round = 0; n < wanted; round++) {
+        for (size_t i = 0; i < n_controls && n < wanted; i++) {
+            if (count_in_zone(settings, hosts, n, ranked[i].control) ==
+                    round &&
+                ranked[i].rank != UINT64_MAX) {
+                hosts[n++] = ranked[i].control;
+                ranked[i].rank = UINT64_MAX;
+            }
+        }
+    }
+    return n;
+}
+
 static void
 set_standards(jr_settings_t *settings)
 {
--- a/src/base/settings_test.cc
+++ b/src/base/settings_test.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
+#include <vector>
 
 extern "C" {
 #include "jayrelay/settings.h"
@@ -111,6 +113,38 @@
               std::string::npos);
 }
 
+/* Each group stands in as many zones as it can, and groups are spread. */
+TEST_F(SettingsTest, GroupsAreSpreadOverZonesAndControls)
+{
+    std::vector<int> held(12, 0);
+    jr_settings_t s = {};
+
+    s.replicas = 3;
+    s.n_controls = 12;
+    for (int i = 0; i < 12; i++) {
+        snprintf(s.controls[i].name, sizeof s.controls[i].name, "c%d", i);
+        snprintf(s.controls[i].zone, sizeof s.controls[i].zone, "z%d", i % 4);
+    }
+    for (size_t group = 0; group < 200; group++) {
+        size_t hosts[JR_REPLICAS_MAX];
+        std::set<std::string> zones;
+
+        ASSERT_EQ(jr_settings_hosts(&s, group, hosts), 3u);
+        for (size_t i = 0; i < 3; i++) {
+            zones.insert(s.controls[hosts[i]].zone);
+            held[hosts[i]]++;
+        }
+        EXPECT_EQ(zones.size(), 3u);
+    }
+    for (int n : held) {
+        EXPECT_GT(n, 25);
+        EXPECT_LT(n, 80);
+    }
+    s.n_controls = 2;
+    size_t hosts[JR_REPLICAS_MAX];
+    EXPECT_EQ(jr_settings_hosts(&s, 0, hosts), 2u);
+}
+
 TEST_F(SettingsTest, TheExamplesAreValid)
 {
     static const struct {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -27,12 +27,16 @@
     jr_bus_t *bus;
     jr_asker_t *asker;
     jr_http_t *http;
-    jr_group_t **groups; /* 0 holds the rules, the others hold tasks */
+    /* 0 holds the rules, the others hold tasks; NULL: not here. */
+    jr_group_t **groups;
     jr_store_t **stores;
     size_t n_groups;
     jr_known_replica_t known[REPLICAS_KNOWN_MAX];
     size_t n_known;
     jr_rules_t *rules;
+    char *rules_text;
+    size_t next_rules_host;
+    ev_timer rules_poll;
     bool is_draining;
     int exit_status;
     ev_timer tick;
@@ -47,11 +51,19 @@
 
 /* Read or make the replica id; JR_IO when that fails. */
 jr_result_t jr_control_identify(jr_control_t *control);
+/* A rules version is in force here. */
+void jr_control_on_rules(void *user, uint64_t version, const char *text);
 /* Make the data folder of a first member. */
 jr_result_t jr_control_init(jr_control_t *control);
+/* Does this process hold a replica of the group? */
+bool jr_control_hosts(const jr_control_t *control, size_t group);
 jr_store_t *jr_control_open_store(jr_control_t *control, size_t group);
 
 void jr_control_watch_rules(jr_control_t *control);
+/* Without a replica of the rules group: ask those that have one. */
+void jr_control_poll_rules(jr_control_t *control);
+void jr_control_give_rules(jr_control_t *control, const jr_ticket_t *ticket,
+                           const Jr__RulesGet *get);
 void jr_control_on_http(void *user, jr_exchange_t *exchange);
 void jr_control_status(jr_control_t *control, const jr_ticket_t *ticket);
 void jr_control_reply(jr_control_t *control, const jr_ticket_t *ticket,
--- a/src/control/identity.c
+++ b/src/control/identity.c
@@ -92,19 +92,36 @@
 }
 
 static void
-first_members(const jr_settings_t *settings, jr_config_t *config)
+first_members(const jr_settings_t *settings, size_t group, jr_config_t *config)
 {
+    size_t hosts[JR_REPLICAS_MAX];
+    size_t n = jr_settings_hosts(settings, group, hosts);
+
     memset(config, 0, sizeof *config);
-    for (int64_t i = 0; i < settings->n_controls; i++) {
+    for (size_t i = 0; i < n; i++) {
+        const jr_process_t *host = &settings->controls[hosts[i]];
         jr_member_t *member = &config->members[config->n++];
 
-        member->id = first_id(settings->controls[i].name);
+        member->id = first_id(host->name);
         member->voter = true;
-        g_strlcpy(member->name, settings->controls[i].name,
-                  sizeof member->name);
-        g_strlcpy(member->address, settings->controls[i].bus,
-                  sizeof member->address);
+        g_strlcpy(member->name, host->name, sizeof member->name);
+        g_strlcpy(member->address, host->bus, sizeof member->address);
+    }
+}
+
+bool
+jr_control_hosts(const jr_control_t *control, size_t group)
+{
+    const jr_settings_t *settings = &control->settings;
+    size_t hosts[JR_REPLICAS_MAX];
+    size_t n = jr_settings_hosts(settings, group, hosts);
+
+    for (size_t i = 0; i < n; i++) {
+        if (strcmp(settings->controls[hosts[i]].name, settings->name) == 0) {
+            return true;
+        }
     }
+    return false;
 }
 
 static jr_result_t
@@ -137,9 +154,11 @@
     jr_config_t members;
     jr_result_t result = JR_OK;
 
-    first_members(&control->settings, &members);
     for (size_t g = 0; g < control->n_groups && result == JR_OK; g++) {
-        result = init_group(control, g, &members);
+        if (jr_control_hosts(control, g)) {
+            first_members(&control->settings, g, &members);
+            result = init_group(control, g, &members);
+        }
     }
     return result == JR_OK
                ? write_id(control, first_id(control->settings.name))
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -29,8 +29,11 @@
     int64_t now = jr_clock_ms();
 
     for (size_t g = 0; g < control->n_groups; g++) {
-        jr_result_t result = jr_group_pump(control->groups[g], now);
+        jr_result_t result = JR_OK;
 
+        if (control->groups[g] != NULL) {
+            result = jr_group_pump(control->groups[g], now);
+        }
         if (result != JR_OK) {
             jr_log(control->ctx, JR_EV_FATAL, "%s", control->ctx->error.text);
             stop(control, jr_result_exit(result));
@@ -48,7 +51,9 @@
     (void)loop;
     (void)events;
     for (size_t g = 0; g < control->n_groups; g++) {
-        jr_group_tick(control->groups[g], now);
+        if (control->groups[g] != NULL) {
+            jr_group_tick(control->groups[g], now);
+        }
     }
 }
 
@@ -124,8 +129,8 @@
     jr_control_reply(user, ticket, reply);
 }
 
-static void
-on_rules(void *user, uint64_t version, const char *text)
+void
+jr_control_on_rules(void *user, uint64_t version, const char *text)
 {
     jr_control_t *control = user;
     jr_rules_t *rules = jr_new_rules(control->ctx, text, NULL);
@@ -134,6 +139,8 @@
         return;
     }
     jr_drop_rules(control->rules);
+    jr_free(control->ctx, control->rules_text);
+    control->rules_text = jr_strdup(control->ctx, text);
     control->rules = rules;
     jr_log(control->ctx, JR_EV_RULES_IN_FORCE, "version %llu",
            (unsigned long long)version);
@@ -151,7 +158,8 @@
     size_t len = jr__quorum_msg__get_packed_size(message);
     uint8_t *bytes;
 
-    if (message->group >= control->n_groups) {
+    if (message->group >= control->n_groups ||
+        control->groups[message->group] == NULL) {
         jr_count(control->ctx, JR_C_BUS_BAD);
         return;
     }
@@ -163,6 +171,27 @@
     jr_free(control->ctx, bytes);
 }
 
+/* The group is not here: name a process that holds it. */
+static void
+on_request_elsewhere(jr_control_t *control, const jr_ticket_t *ticket,
+                     const Jr__Request *request)
+{
+    size_t hosts[JR_REPLICAS_MAX];
+    size_t n = jr_settings_hosts(&control->settings, request->group, hosts);
+    Jr__Reply reply = JR__REPLY__INIT;
+
+    if (request->body_case == JR__REQUEST__BODY_RULES_GET) {
+        jr_control_give_rules(control, ticket, request->rules_get);
+        return;
+    }
+    reply.id = ticket->id;
+    reply.code = JR_NOT_LEADER;
+    if (n > 0) {
+        reply.leader = control->settings.controls[hosts[ticket->id % n]].name;
+    }
+    jr_control_reply(control, ticket, &reply);
+}
+
 static void
 on_request(jr_control_t *control, const jr_route_t *route,
            const Jr__Request *request)
@@ -174,6 +203,10 @@
     if (request->body_case == JR__REQUEST__BODY_STATUS_GET) {
         jr_control_status(control, &ticket);
     }
+    else if (request->group < control->n_groups &&
+             control->groups[request->group] == NULL) {
+        on_request_elsewhere(control, &ticket, request);
+    }
     else if (request->group < control->n_groups) {
         jr_group_request(control->groups[request->group], &ticket, request,
                          jr_clock_ms());
@@ -186,6 +219,19 @@
     }
 }
 
+/* Questions about rules have the id 0; the asker's are never that. */
+static void
+take_polled_rules(jr_control_t *control, const Jr__Reply *reply)
+{
+    uint64_t own = control->rules != NULL ? control->rules->version : 0;
+
+    if (reply->body_case == JR__REPLY__BODY_RULES &&
+        reply->rules->version > own && *reply->rules->text != '\0') {
+        jr_control_on_rules(control, reply->rules->version,
+                            reply->rules->text);
+    }
+}
+
 static void
 on_envelope(void *user, const jr_route_t *route, const Jr__Envelope *envelope)
 {
@@ -198,6 +244,10 @@
              route != NULL) {
         on_request(control, route, envelope->request);
     }
+    else if (envelope->body_case == JR__ENVELOPE__BODY_REPLY &&
+             envelope->reply->id == 0) {
+        take_polled_rules(control, envelope->reply);
+    }
     else if (envelope->body_case == JR__ENVELOPE__BODY_REPLY) {
         jr_asker_reply(control->asker, envelope->reply);
     }
@@ -223,6 +273,17 @@
     return jr_config_find(config, control->replica_id) != NULL;
 }
 
+static bool
+lacks_membership(const jr_control_t *control)
+{
+    for (size_t g = 0; g < control->n_groups; g++) {
+        if (control->groups[g] != NULL && !is_member(control, g)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* A new replica asks each group to take it in, until they all have. */
 static void
 on_join_timer(struct ev_loop *loop, ev_timer *timer, int events)
@@ -236,7 +297,7 @@
         Jr__Join join = JR__JOIN__INIT;
         Jr__Request request = JR__REQUEST__INIT;
 
-        if (is_member(control, g)) {
+        if (control->groups[g] == NULL || is_member(control, g)) {
             continue;
         }
         is_done = false;
@@ -275,7 +336,9 @@
     control->is_draining = true;
     jr_log(control->ctx, JR_EV_DRAINING, "signal %d", signal->signum);
     for (size_t g = 0; g < control->n_groups; g++) {
-        jr_group_transfer(control->groups[g]);
+        if (control->groups[g] != NULL) {
+            jr_group_transfer(control->groups[g]);
+        }
     }
     ev_timer_init(&control->drain, on_drained, DRAIN_S, 0.0);
     control->drain.data = control;
@@ -312,7 +375,7 @@
         .wall_offset = jr_wall_ms() - jr_clock_ms(),
         .hooks = {.send = on_send,
                   .reply = on_reply,
-                  .rules = on_rules,
+                  .rules = jr_control_on_rules,
                   .user = control},
     };
 }
@@ -325,6 +388,9 @@
         size_t g = (k + 1) % control->n_groups;
         jr_group_options_t options = group_options(control, g);
 
+        if (!jr_control_hosts(control, g)) {
+            continue;
+        }
         control->stores[g] = jr_control_open_store(control, g);
         if (control->stores[g] == NULL) {
             return control->ctx->error.code;
@@ -403,7 +469,10 @@
     control->sigint.data = control;
     ev_signal_start(loop, &control->sigint);
     jr_control_watch_rules(control);
-    if (control->is_new_replica || !is_member(control, 0)) {
+    if (control->groups[0] == NULL) {
+        jr_control_poll_rules(control);
+    }
+    if (lacks_membership(control)) {
         jr_log(control->ctx, JR_EV_JOINING, "replica %016llx",
                (unsigned long long)control->replica_id);
         ev_timer_init(&control->join, on_join_timer, 0.0, JOIN_EVERY_S);
@@ -423,6 +492,7 @@
     }
     jr_drop_bus(control->bus);
     jr_drop_rules(control->rules);
+    jr_free(control->ctx, control->rules_text);
     jr_free(control->ctx, control->groups);
     jr_free(control->ctx, control->stores);
 }
--- a/src/control/rules_file.c
+++ b/src/control/rules_file.c
@@ -1,4 +1,4 @@
-/* The operators' rules file: an edit is taken up and offered. */
+/* The operators' rules file, and rules without a replica of their group. */
 #include "control.h"
 
 #include <glib.h>
@@ -113,3 +113,51 @@
     /* What was edited while this process was down counts as well. */
     ev_timer_again(control->loop, &control->rules_retry);
 }
+
+static void
+on_poll(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    jr_control_t *control = timer->data;
+    const jr_settings_t *settings = &control->settings;
+    size_t hosts[JR_REPLICAS_MAX];
+    size_t n = jr_settings_hosts(settings, 0, hosts);
+    const jr_process_t *host =
+        &settings->controls[hosts[control->next_rules_host++ % n]];
+    Jr__RulesGet get = JR__RULES_GET__INIT;
+    Jr__Request request = JR__REQUEST__INIT;
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+
+    (void)loop;
+    (void)events;
+    get.have = control->rules != NULL ? control->rules->version : 0;
+    request.body_case = JR__REQUEST__BODY_RULES_GET;
+    request.rules_get = &get;
+    envelope.body_case = JR__ENVELOPE__BODY_REQUEST;
+    envelope.request = &request;
+    jr_bus_send(control->bus, jr_bus_find(control->bus, host->name),
+                &envelope);
+}
+
+void
+jr_control_poll_rules(jr_control_t *control)
+{
+    ev_timer_init(&control->rules_poll, on_poll, 0.0, LOOK_EVERY_S);
+    control->rules_poll.data = control;
+    ev_timer_start(control->loop, &control->rules_poll);
+}
+
+void
+jr_control_give_rules(jr_control_t *control, const jr_ticket_t *ticket,
+                      const Jr__RulesGet *get)
+{
+    static char none[] = "";
+    Jr__RulesText text = JR__RULES_TEXT__INIT;
+    Jr__Reply reply = JR__REPLY__INIT;
+
+    text.version = control->rules != NULL ? control->rules->version : 0;
+    text.text = get->have < text.version ? control->rules_text : none;
+    reply.id = ticket->id;
+    reply.body_case = JR__REPLY__BODY_RULES;
+    reply.rules = &text;
+    jr_control_reply(control, ticket, &reply);
+}
--- a/src/control/status.c
+++ b/src/control/status.c
@@ -17,7 +17,8 @@
 knows_leaders(const jr_control_t *control)
 {
     for (size_t g = 0; g < control->n_groups; g++) {
-        if (jr_quorum_leader(jr_group_quorum(control->groups[g])) == 0) {
+        if (control->groups[g] != NULL &&
+            jr_quorum_leader(jr_group_quorum(control->groups[g])) == 0) {
             return false;
         }
     }
@@ -43,8 +44,12 @@
     char *text;
 
     for (size_t g = 0; g < control->n_groups; g++) {
-        jr_ledger_t *ledger = jr_group_ledger(control->groups[g]);
+        jr_ledger_t *ledger;
 
+        if (control->groups[g] == NULL) {
+            continue;
+        }
+        ledger = jr_group_ledger(control->groups[g]);
         gauges[1].value +=
             jr_quorum_role(jr_group_quorum(control->groups[g])) == JR_LEADER;
         if (ledger != NULL) {
@@ -148,14 +153,15 @@
     Jr__Reply reply = JR__REPLY__INIT;
 
     for (size_t g = 0; g < n; g++) {
-        fill_group(control, g, &spaces[g]);
-        pointers[g] = &spaces[g].status;
+        if (control->groups[g] != NULL) {
+            fill_group(control, g, &spaces[g]);
+            pointers[status.n_groups++] = &spaces[g].status;
+        }
     }
     status.name = control->settings.name;
     status.zone = control->settings.zone;
     status.rules_version =
         control->rules != NULL ? control->rules->version : 0;
-    status.n_groups = n;
     status.groups = pointers;
     reply.id = ticket->id;
     reply.body_case = JR__REPLY__BODY_STATUS;
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -267,6 +267,7 @@
     rules_text 2 > "$dir/one"
     { rules_text 2; echo "weight evictions 7 # asked for by B"; } > "$dir/two"
     cli rules apply "$dir/one" || fail "first"
+    wait_until 5 version_everywhere 2 || fail "not in force within 5 s"
     cli rules apply "$dir/two" 2> "$dir/conflict"
     [ $? -eq 5 ] || fail "the second got no conflict"
     grep -q '^version 2 ' "$dir/conflict" || fail "the winner is not shown"
@@ -287,6 +288,33 @@
     wait_until 20 version_everywhere 3 || fail "the rules reverted"
 }
 
+# Twice as many control processes as replicas: each holds some groups, and
+# those without the rules group still act on the rules.
+case_groups_on_some_controls() {
+    local name held id
+    controls_per_zone=2
+    up
+    held=$(ls -d "$dir"/data-*/group-* | wc -l)
+    [ "$held" -eq 12 ] || fail "$held replicas, not 12"
+    "$bin/demo-load" --entries "$entry_list" --logs "$dir" --rate 20 \
+        --seconds 6 --jobs 30 --limit 40 > "$dir/load.txt" &
+    local load=$!
+    name=$(leader_of 2) || fail "no leader"
+    kill -KILL "${pids[$name]}"
+    wait_until 20 leader_of 2 "$name" || fail "no new leader"
+    rm -rf "$dir/data-${name#control-}"
+    start_control "${name#control-}"
+    wait_until 30 all_whole || fail "the new replica was not taken in"
+    rules_text 2 > "$dir/rules.2"
+    cli rules apply "$dir/rules.2" || fail "rules 2"
+    wait_until 10 version_everywhere 2 || fail "rules 2 not in force"
+    for name in $(for zone in $zones; do control_names "$zone"; done); do
+        wait_until 10 grep -q 'E302 rules-in-force: version 2' \
+            "$dir/$name.log" || fail "$name does not know the rules"
+    done
+    wait "$load" || { cat "$dir/load.txt"; fail "lost or doubled"; }
+}
+
 # A torn tail written into a log, and a damaged record.
 case_torn_and_damaged_log() {
     local log zone
