Refusals carry their own code; unused codes and doubles are gone

Cause: read as a newcomer: every refusal of a call had the code 40, five codes, events and counters were never used, the message of a set of members was built in two places, and the core's test began alike six times. Conclusion: no behaviour changed but for the codes.

--- a/include/jayrelay/call.h
+++ b/include/jayrelay/call.h
@@ -14,7 +14,6 @@
     JR_REFUSE_OVERLOAD,
     JR_REFUSE_DEADLINE,
     JR_REFUSE_NO_UPSTREAM,
-    JR_REFUSE_DRAINING,
     JR_REFUSE_SHED,
     JR_REFUSE_UPSTREAM,
     JR_REFUSALS
@@ -23,6 +22,9 @@
 /** jr_refusal_name - "overload" and so on; never NULL */
 const char *jr_refusal_name(jr_refusal_t refusal);
 
+/** jr_refusal_code - the result code of a refusal */
+jr_result_t jr_refusal_code(jr_refusal_t refusal);
+
 /** enum jr_verdict_kind_t - how a call ends */
 typedef enum {
     JR_VERDICT_ANSWERED, /* the whole answer of one attempt */
--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -20,7 +20,6 @@
       "not run: deadline cannot be met")                                      \
     X(REFUSED_NO_UPSTREAM, "refused_no_upstream_total",                       \
       "not run: nothing offers the service")                                  \
-    X(REFUSED_DRAINING, "refused_draining_total", "not run: shutting down")   \
     X(REFUSED_NO_QUORUM, "refused_no_quorum_total",                           \
       "not run: key could not be claimed")                                    \
     X(REFUSED_KEY_REUSED, "refused_key_reused_total",                         \
--- a/include/jayrelay/error.h
+++ b/include/jayrelay/error.h
@@ -33,12 +33,10 @@
     X(OVERLOADED, 40, 8, "no slot is free in time")                           \
     X(NO_UPSTREAM, 41, 8, "no upstream offers this service")                  \
     X(DEADLINE, 42, 8, "deadline cannot be met")                              \
-    X(DRAINING, 43, 8, "process is shutting down")                            \
     X(IO, 50, 11, "input or output failed")                                   \
     X(DISK_FULL, 51, 11, "no space left in the data folder")                  \
     X(DAMAGED, 52, 12, "stored data is damaged")                              \
-    X(NETWORK, 53, 9, "network failure")                                      \
-    X(NOMEM, 54, 11, "out of memory")
+    X(NETWORK, 53, 9, "network failure")
 
 /** enum jr_result_t - result codes; the numbers are part of the interface */
 typedef enum {
--- a/include/jayrelay/event.h
+++ b/include/jayrelay/event.h
@@ -19,7 +19,6 @@
     X(BAD_MESSAGE, 110, 4, "bad-message")                                     \
     X(LEADER_ELECTED, 200, 5, "leader-elected")                               \
     X(LEADER_LOST, 201, 5, "leader-lost")                                     \
-    X(TERM_STARTED, 202, 6, "term-started")                                   \
     X(SNAPSHOT_TAKEN, 203, 6, "snapshot-taken")                               \
     X(SNAPSHOT_INSTALLED, 204, 5, "snapshot-installed")                       \
     X(TORN_TAIL, 205, 4, "torn-tail")                                         \
@@ -40,8 +39,7 @@
     X(WORKER_LAPSED, 501, 4, "worker-lapsed")                                 \
     X(WORKER_QUARANTINED, 502, 4, "worker-quarantined")                       \
     X(TASK_EVICTED, 503, 5, "task-evicted")                                   \
-    X(TASK_IMPOSSIBLE, 504, 4, "task-impossible")                             \
-    X(QUORUM_UNREACHABLE, 505, 4, "quorum-unreachable")
+    X(TASK_IMPOSSIBLE, 504, 4, "task-impossible")
 
 /** enum jr_event_t - log events; the numbers are part of the interface */
 typedef enum {
--- a/src/admit/queue.c
+++ b/src/admit/queue.c
@@ -13,9 +13,23 @@
 };
 
 static const char *const refusal_names[JR_REFUSALS] = {
-    "overload", "deadline", "no-upstream", "draining", "shed", "upstream",
+    "overload", "deadline", "no-upstream", "shed", "upstream",
 };
 
+static const jr_result_t refusal_codes[JR_REFUSALS] = {
+    [JR_REFUSE_OVERLOAD] = JR_OVERLOADED,
+    [JR_REFUSE_DEADLINE] = JR_DEADLINE,
+    [JR_REFUSE_NO_UPSTREAM] = JR_NO_UPSTREAM,
+    [JR_REFUSE_SHED] = JR_OVERLOADED,
+    [JR_REFUSE_UPSTREAM] = JR_OVERLOADED,
+};
+
+jr_result_t
+jr_refusal_code(jr_refusal_t refusal)
+{
+    return refusal < JR_REFUSALS ? refusal_codes[refusal] : JR_OVERLOADED;
+}
+
 const char *
 jr_refusal_name(jr_refusal_t refusal)
 {
--- a/src/control/status.c
+++ b/src/control/status.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "jayrelay/metrics.h"
+#include "quorum/convert.h"
 
 enum { OK = 200, NOT_FOUND = 404, UNAVAILABLE = 503 };
 
@@ -88,30 +89,9 @@
 
 typedef struct {
     Jr__GroupStatus status;
-    jr_config_t config;
-    Jr__Config members;
-    Jr__Member slots[JR_MEMBERS_MAX];
-    Jr__Member *pointers[JR_MEMBERS_MAX];
+    jr_config_message_t members;
 } group_space_t;
 
-static void
-fill_members(group_space_t *space, const jr_quorum_t *quorum)
-{
-    space->config = *jr_quorum_config(quorum);
-    jr__config__init(&space->members);
-    for (size_t i = 0; i < space->config.n; i++) {
-        jr__member__init(&space->slots[i]);
-        space->slots[i].id = space->config.members[i].id;
-        space->slots[i].name = space->config.members[i].name;
-        space->slots[i].address = space->config.members[i].address;
-        space->slots[i].voter = space->config.members[i].voter;
-        space->pointers[i] = &space->slots[i];
-    }
-    space->members.n_members = space->config.n;
-    space->members.members = space->pointers;
-    space->status.config = &space->members;
-}
-
 static void
 fill_group(jr_control_t *control, size_t g, group_space_t *space)
 {
@@ -123,8 +103,9 @@
     const jr_member_t *leader;
 
     jr__group_status__init(status);
-    fill_members(space, quorum);
-    leader = jr_config_find(&space->config, jr_quorum_leader(quorum));
+    jr_config_to_message(jr_quorum_config(quorum), &space->members);
+    status->config = &space->members.message;
+    leader = jr_config_find(&space->members.config, jr_quorum_leader(quorum));
     status->group = (uint32_t)g;
     status->role = (char *)role_names[jr_quorum_role(quorum)];
     status->term = jr_quorum_term(quorum);
--- a/src/entry/calls.c
+++ b/src/entry/calls.c
@@ -192,7 +192,7 @@
                            ? HTTP_TOO_MANY
                            : HTTP_UNAVAILABLE,
                        "not-run", jr_refusal_name(verdict->as.not_run.reason),
-                       JR_OVERLOADED,
+                       jr_refusal_code(verdict->as.not_run.reason),
                        verdict->as.not_run.retry_after_us / US_PER_MS);
         break;
     case JR_VERDICT_UNKNOWN:
--- a/src/quorum/config.c
+++ b/src/quorum/config.c
@@ -1,5 +1,5 @@
 /* Sets of members and their packed form. */
-#include "core.h"
+#include "convert.h"
 
 #include <string.h>
 
@@ -38,33 +38,30 @@
 }
 
 void
-jr_config_to_message(jr_config_t *config, Jr__Config *message,
-                     Jr__Member *slots, Jr__Member **pointers)
+jr_config_to_message(const jr_config_t *config, jr_config_message_t *room)
 {
-    jr__config__init(message);
+    room->config = *config;
+    jr__config__init(&room->message);
     for (size_t i = 0; i < config->n; i++) {
-        jr__member__init(&slots[i]);
-        slots[i].id = config->members[i].id;
-        slots[i].name = config->members[i].name;
-        slots[i].address = config->members[i].address;
-        slots[i].voter = config->members[i].voter;
-        pointers[i] = &slots[i];
+        jr__member__init(&room->slots[i]);
+        room->slots[i].id = room->config.members[i].id;
+        room->slots[i].name = room->config.members[i].name;
+        room->slots[i].address = room->config.members[i].address;
+        room->slots[i].voter = room->config.members[i].voter;
+        room->pointers[i] = &room->slots[i];
     }
-    message->n_members = config->n;
-    message->members = pointers;
+    room->message.n_members = config->n;
+    room->message.members = room->pointers;
 }
 
 size_t
 jr_config_pack(jr_ctx_t *ctx, const jr_config_t *config, uint8_t **bytes)
 {
-    jr_config_t copy = *config;
-    Jr__Member slots[JR_MEMBERS_MAX];
-    Jr__Member *pointers[JR_MEMBERS_MAX];
-    Jr__Config message;
+    jr_config_message_t room;
 
-    jr_config_to_message(&copy, &message, slots, pointers);
-    *bytes = jr_alloc(ctx, jr__config__get_packed_size(&message) + 1);
-    return jr__config__pack(&message, *bytes);
+    jr_config_to_message(config, &room);
+    *bytes = jr_alloc(ctx, jr__config__get_packed_size(&room.message) + 1);
+    return jr__config__pack(&room.message, *bytes);
 }
 
 bool
--- /dev/null
+++ b/src/quorum/convert.h
@@ -0,0 +1,22 @@
+/* Sets of members and their messages. */
+#ifndef JR_QUORUM_CONVERT_H
+#define JR_QUORUM_CONVERT_H
+
+#include "jayrelay/quorum.h"
+#include "quorum/quorum.pb-c.h"
+
+/* Room for the message of a set of members. */
+typedef struct {
+    jr_config_t config;
+    Jr__Config message;
+    Jr__Member slots[JR_MEMBERS_MAX];
+    Jr__Member *pointers[JR_MEMBERS_MAX];
+} jr_config_message_t;
+
+bool jr_config_unpack(const uint8_t *bytes, size_t len, jr_config_t *config);
+bool jr_config_from_message(const Jr__Config *message, jr_config_t *config);
+/* Copies config; the message borrows from the room. */
+void jr_config_to_message(const jr_config_t *config,
+                          jr_config_message_t *room);
+
+#endif
--- a/src/quorum/core.h
+++ b/src/quorum/core.h
@@ -5,8 +5,7 @@
 #include <glib.h>
 #include <sys/queue.h>
 
-#include "jayrelay/quorum.h"
-#include "quorum/quorum.pb-c.h"
+#include "convert.h"
 
 /* The log after a snapshot: entry i stands at index base + 1 + i. */
 typedef struct {
@@ -35,12 +34,6 @@
                       const jr_snapshot_t *from);
 void jr_snapshot_clear(jr_ctx_t *ctx, jr_snapshot_t *snapshot);
 
-bool jr_config_unpack(const uint8_t *bytes, size_t len, jr_config_t *config);
-bool jr_config_from_message(const Jr__Config *message, jr_config_t *config);
-/* Fill message and slots, which borrow from config. */
-void jr_config_to_message(jr_config_t *config, Jr__Config *message,
-                          Jr__Member *slots, Jr__Member **pointers);
-
 /* What a leader knows of another replica. */
 typedef struct {
     uint64_t id;
--- a/src/quorum/quorum_test.cc
+++ b/src/quorum/quorum_test.cc
@@ -68,6 +68,17 @@
         return q;
     }
 
+    void
+    StartThree()
+    {
+        jr_config_t members = Members({1, 2, 3});
+
+        for (uint64_t id = 1; id <= 3; id++) {
+            Add(id, &members);
+        }
+        Run(600);
+    }
+
     void
     Exchange(jr_quorum_t *q)
     {
@@ -147,12 +158,7 @@
 
 TEST_F(QuorumTest, ElectsOneLeaderAndCommits)
 {
-    jr_config_t members = Members({1, 2, 3});
-
-    for (uint64_t id = 1; id <= 3; id++) {
-        Add(id, &members);
-    }
-    Run(600);
+    StartThree();
     ASSERT_NE(Leader(), nullptr);
     Propose(Leader(), "hello");
     Run(100);
@@ -163,14 +169,10 @@
 
 TEST_F(QuorumTest, ACutOffLeaderStepsDownAndCannotCommit)
 {
-    jr_config_t members = Members({1, 2, 3});
     jr_quorum_t *old;
     uint64_t commit;
 
-    for (uint64_t id = 1; id <= 3; id++) {
-        Add(id, &members);
-    }
-    Run(600);
+    StartThree();
     old = Leader();
     ASSERT_NE(old, nullptr);
     cut_ = IdOf(old);
@@ -191,14 +193,10 @@
 /* A pre-vote keeps a replica that was cut off from unseating the leader. */
 TEST_F(QuorumTest, AReplicaThatComesBackDoesNotUnseatTheLeader)
 {
-    jr_config_t members = Members({1, 2, 3});
     uint64_t term;
     jr_quorum_t *leader;
 
-    for (uint64_t id = 1; id <= 3; id++) {
-        Add(id, &members);
-    }
-    Run(600);
+    StartThree();
     leader = Leader();
     ASSERT_NE(leader, nullptr);
     term = jr_quorum_term(leader);
@@ -212,13 +210,9 @@
 
 TEST_F(QuorumTest, LeadershipIsConfirmedFromTheRequestNotTheReply)
 {
-    jr_config_t members = Members({1, 2, 3});
     jr_quorum_t *leader;
 
-    for (uint64_t id = 1; id <= 3; id++) {
-        Add(id, &members);
-    }
-    Run(600);
+    StartThree();
     leader = Leader();
     ASSERT_NE(leader, nullptr);
     EXPECT_LE(jr_quorum_confirmed_at(leader), now_);
@@ -231,15 +225,11 @@
 
 TEST_F(QuorumTest, ANewReplicaIsALearnerUntilItHasCaughtUp)
 {
-    jr_config_t members = Members({1, 2, 3});
     jr_config_t next;
     jr_quorum_t *leader;
     uint8_t state[] = {1, 2, 3};
 
-    for (uint64_t id = 1; id <= 3; id++) {
-        Add(id, &members);
-    }
-    Run(600);
+    StartThree();
     leader = Leader();
     ASSERT_NE(leader, nullptr);
     for (int i = 0; i < 50; i++) {
@@ -277,13 +267,9 @@
 
 TEST_F(QuorumTest, LeadershipIsHandedOverAtOnce)
 {
-    jr_config_t members = Members({1, 2, 3});
     jr_quorum_t *old;
 
-    for (uint64_t id = 1; id <= 3; id++) {
-        Add(id, &members);
-    }
-    Run(600);
+    StartThree();
     old = Leader();
     ASSERT_NE(old, nullptr);
     jr_quorum_transfer(old);
--- a/src/quorum/record.c
+++ b/src/quorum/record.c
@@ -160,18 +160,15 @@
 void
 jr_snapshot_pack(const jr_snapshot_t *snapshot, GByteArray *to)
 {
-    jr_config_t config = snapshot->config;
-    Jr__Member slots[JR_MEMBERS_MAX];
-    Jr__Member *pointers[JR_MEMBERS_MAX];
-    Jr__Config members;
+    jr_config_message_t room;
     Jr__Snapshot message = JR__SNAPSHOT__INIT;
     uint8_t *bytes;
     size_t len;
 
-    jr_config_to_message(&config, &members, slots, pointers);
+    jr_config_to_message(&snapshot->config, &room);
     message.index = snapshot->index;
     message.term = snapshot->term;
-    message.config = &members;
+    message.config = &room.message;
     message.data.data = snapshot->data;
     message.data.len = snapshot->len;
     len = jr__snapshot__get_packed_size(&message);
--- a/src/quorum/replicate.c
+++ b/src/quorum/replicate.c
@@ -13,18 +13,15 @@
 send_install(jr_quorum_t *q, size_t i)
 {
     jr_snapshot_t *base = &q->log.base;
-    jr_config_t config = base->config;
-    Jr__Member slots[JR_MEMBERS_MAX];
-    Jr__Member *pointers[JR_MEMBERS_MAX];
-    Jr__Config members;
+    jr_config_message_t room;
     Jr__Snapshot snapshot = JR__SNAPSHOT__INIT;
     Jr__Install install = JR__INSTALL__INIT;
     Jr__QuorumMsg message = JR__QUORUM_MSG__INIT;
 
-    jr_config_to_message(&config, &members, slots, pointers);
+    jr_config_to_message(&base->config, &room);
     snapshot.index = base->index;
     snapshot.term = base->term;
-    snapshot.config = &members;
+    snapshot.config = &room.message;
     snapshot.data.data = base->data;
     snapshot.data.len = base->len;
     install.snapshot = &snapshot;
