Each module says what it is; tasks and workers have a file each

Cause: read as a newcomer: 19 files without a first line, 14 public items without a doc comment, and tasks, heartbeats and JSON in one file. Change: a line for each module, kernel-doc for each public item, and the entry's tasks.c split by idea. Conclusion: no behaviour changed.

--- a/fakes/load/report.c
+++ b/fakes/load/report.c
@@ -1,3 +1,4 @@
+/* What came of the load, from its own records and the logs. */
 #include "report.h"
 
 #include <stdio.h>
--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -80,6 +80,7 @@
     X(RULES_REFUSED, "rules_refused_total", "rules files refused")            \
     X(RULES_CONFLICT, "rules_conflict_total", "rules files in conflict")
 
+/** enum jr_counter_t - index of a counter */
 typedef enum {
 #define X(name, metric, help) JR_C_##name,
     JR_COUNTER_TABLE(X)
--- a/include/jayrelay/group.h
+++ b/include/jayrelay/group.h
@@ -105,6 +105,7 @@
 /** jr_group_transfer - hand leadership over, before a planned stop */
 void jr_group_transfer(jr_group_t *group);
 
+/** jr_group_quorum - the consensus core; borrowed */
 jr_quorum_t *jr_group_quorum(jr_group_t *group);
 /** jr_group_register - of a rules group, else NULL */
 jr_register_t *jr_group_register(jr_group_t *group);
--- a/include/jayrelay/lease.h
+++ b/include/jayrelay/lease.h
@@ -81,15 +81,22 @@
     int64_t drift_permille;
 } jr_lease_options_t;
 
+/**
+ * struct jr_lease_table_t - the workers of a group
+ * @renewals: live workers, the longest silent first
+ * @lapsed: workers whose lease lapsed, until their tasks are gone
+ * @rooms: workers that take work, by free whole cores
+ * @total: capacity of the live workers
+ */
 typedef struct jr_lease_table {
     jr_ctx_t *ctx;
     jr_lease_options_t options;
     jr_worker_t *by_name;
     jr_worker_t *by_host;
-    jr_worker_list_t renewals;               /* longest silent first */
-    jr_worker_list_t lapsed;                 /* until their tasks are gone */
-    jr_worker_list_t rooms[JR_FREE_BUCKETS]; /* by free whole cores */
-    jr_resources_t total;                    /* of live workers */
+    jr_worker_list_t renewals;
+    jr_worker_list_t lapsed;
+    jr_worker_list_t rooms[JR_FREE_BUCKETS];
+    jr_resources_t total;
 } jr_lease_table_t;
 
 /** jr_new_lease_table - an empty table */
--- a/include/jayrelay/ledger.h
+++ b/include/jayrelay/ledger.h
@@ -51,6 +51,7 @@
     JR_TASK_STATES
 } jr_task_state_t;
 
+/** enum jr_report_kind_t - what a worker says of a run */
 typedef enum {
     JR_REPORT_CHECKPOINT = 0,
     JR_REPORT_STOPPED = 1,
--- a/include/jayrelay/quorum.h
+++ b/include/jayrelay/quorum.h
@@ -36,11 +36,13 @@
     bool voter;
 } jr_member_t;
 
+/** struct jr_config_t - the members of a group */
 typedef struct {
     size_t n;
     jr_member_t members[JR_MEMBERS_MAX];
 } jr_config_t;
 
+/** enum jr_entry_kind_t - numbers as in the log */
 typedef enum {
     JR_ENTRY_COMMAND = 0,
     JR_ENTRY_NOOP = 1,
@@ -59,6 +61,7 @@
     size_t len;
 } jr_entry_t;
 
+/** enum jr_role_t - what a replica does in its term */
 typedef enum { JR_FOLLOWER, JR_CANDIDATE, JR_LEADER } jr_role_t;
 
 /**
@@ -224,15 +227,21 @@
  */
 bool jr_quorum_next_config(const jr_quorum_t *q, jr_config_t *next);
 
+/** jr_quorum_role - what this replica does now */
 jr_role_t jr_quorum_role(const jr_quorum_t *q);
+/** jr_quorum_term - the current term */
 uint64_t jr_quorum_term(const jr_quorum_t *q);
+/** jr_quorum_commit - the last index known to be committed */
 uint64_t jr_quorum_commit(const jr_quorum_t *q);
+/** jr_quorum_applied - the last index handed out to be applied */
 uint64_t jr_quorum_applied(const jr_quorum_t *q);
+/** jr_quorum_last - the last index of the log */
 uint64_t jr_quorum_last(const jr_quorum_t *q);
 /** jr_quorum_leader - replica id of the known leader, 0 for none */
 uint64_t jr_quorum_leader(const jr_quorum_t *q);
 /** jr_quorum_elected_at - when this leader was elected */
 int64_t jr_quorum_elected_at(const jr_quorum_t *q);
+/** jr_quorum_config - the members, also before they are committed */
 const jr_config_t *jr_quorum_config(const jr_quorum_t *q);
 /**
  * jr_config_pack - packed form, the data of a JR_ENTRY_CONFIG entry
--- a/include/jayrelay/route.h
+++ b/include/jayrelay/route.h
@@ -14,6 +14,7 @@
 
 #include "jayrelay/limit.h"
 
+/** enum jr_route_kind_t - how an upstream is chosen */
 typedef enum {
     JR_ROUTE_RANDOM,          /* baseline */
     JR_ROUTE_ROUND_ROBIN,     /* baseline */
--- a/src/admit/admit_test.cc
+++ b/src/admit/admit_test.cc
@@ -1,3 +1,4 @@
+/* Order of the queue, and who may wait. */
 #include <gtest/gtest.h>
 
 extern "C" {
--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -1,3 +1,4 @@
+/* The table of counters. */
 #include "jayrelay/counter.h"
 
 static const struct {
--- a/src/base/ctx.c
+++ b/src/base/ctx.c
@@ -1,3 +1,4 @@
+/* The context: memory, failures, log lines, counts. */
 #include "jayrelay/ctx.h"
 
 #include <stdlib.h>
--- a/src/base/error.c
+++ b/src/base/error.c
@@ -1,3 +1,4 @@
+/* The table of result codes. */
 #include "jayrelay/error.h"
 
 typedef struct {
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -1,3 +1,4 @@
+/* The table of log events. */
 #include "jayrelay/event.h"
 
 typedef struct {
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -1,3 +1,4 @@
+/* Counters and gauges in Prometheus' text format. */
 #include "jayrelay/metrics.h"
 
 #include <glib.h>
--- a/src/base/program.c
+++ b/src/base/program.c
@@ -1,3 +1,4 @@
+/* Command line, clocks, and what else the daemons share. */
 #include "jayrelay/program.h"
 
 #include <glib.h>
--- a/src/base/settings_test.cc
+++ b/src/base/settings_test.cc
@@ -1,3 +1,4 @@
+/* Checks of the YAML settings, and where groups stand. */
 #include <gtest/gtest.h>
 
 #include <set>
--- a/src/entry/answer.c
+++ b/src/entry/answer.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { MS_PER_S = 1000, JSON_DEPTH_FLAGS = JSON_REJECT_DUPLICATES };
+enum { MS_PER_S = 1000 };
 
 void
 jr_answer_json(jr_exchange_t *exchange, unsigned status, json_t *object,
@@ -91,38 +91,3 @@
         break;
     }
 }
-
-json_t *
-jr_read_json(jr_entry_t *entry, jr_exchange_t *exchange)
-{
-    size_t len;
-    const char *body = jr_exchange_body(exchange, &len);
-    json_error_t error;
-    json_t *object = json_loadb(body, len, JSON_DEPTH_FLAGS, &error);
-    char text[JSON_ERROR_TEXT_LENGTH + 64];
-
-    if (object == NULL) {
-        snprintf(text, sizeof text, "line %d, column %d: %s", error.line,
-                 error.column, error.text);
-        jr_answer_code(entry, exchange, JR_BAD_REQUEST, text);
-        return NULL;
-    }
-    if (!json_is_object(object)) {
-        json_decref(object);
-        jr_answer_code(entry, exchange, JR_BAD_REQUEST,
-                       "the body must be a JSON object");
-        return NULL;
-    }
-    return object;
-}
-
-const char *
-jr_json_text(const json_t *object, const char *key)
-{
-    const json_t *value = json_object_get(object, key);
-
-    if (value == NULL) {
-        return "";
-    }
-    return json_string_value(value);
-}
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -94,6 +94,8 @@
 /* tasks.c */
 void jr_entry_on_tasks(jr_entry_t *entry, jr_exchange_t *exchange,
                        const char *rest);
+
+/* workers.c */
 void jr_entry_on_heartbeat(jr_entry_t *entry, jr_exchange_t *exchange);
 
 /* upstreams.c */
@@ -129,9 +131,24 @@
 /* An error from the code of a reply. */
 void jr_answer_code(jr_entry_t *entry, jr_exchange_t *exchange,
                     jr_result_t code, const char *message);
+/* json.c */
 /* The body as a JSON object; answers 400 and returns NULL when it is not. */
 json_t *jr_read_json(jr_entry_t *entry, jr_exchange_t *exchange);
 /* A string member, or "" when it is missing; NULL when it is no string. */
 const char *jr_json_text(const json_t *object, const char *key);
+/* Members of the object; false when they are out of range. */
+bool jr_json_string(const json_t *object, const char *key, char **to,
+                    size_t max);
+bool jr_json_number(const json_t *object, const char *key, uint32_t *to);
+bool jr_json_resources(const json_t *object, Jr__Resources *to);
+
+/* An exchange that waits for a reply of a leader. */
+typedef struct {
+    jr_entry_t *entry;
+    jr_exchange_t *exchange;
+} jr_pending_t;
+
+jr_pending_t *jr_new_pending(jr_entry_t *entry, jr_exchange_t *exchange);
+void jr_drop_pending(jr_pending_t *pending);
 
 #endif
--- a/src/entry/rules.c
+++ b/src/entry/rules.c
@@ -3,11 +3,6 @@
 
 #include <string.h>
 
-typedef struct {
-    jr_entry_t *entry;
-    jr_exchange_t *exchange;
-} pending_t;
-
 enum { CONTROL_SILENT_MS = 1500 };
 
 /* The version that this process acts on never goes back. */
@@ -95,7 +90,7 @@
 static void
 on_applied(void *user, jr_result_t code, const Jr__Reply *reply)
 {
-    pending_t *pending = user;
+    jr_pending_t *pending = user;
     jr_entry_t *entry = pending->entry;
     const Jr__RulesText *rules =
         reply != NULL && reply->body_case == JR__REPLY__BODY_RULES
@@ -117,8 +112,7 @@
             0);
         jr_entry_take_rules(entry, rules->version, rules->text);
     }
-    entry->n_busy--;
-    jr_free(entry->ctx, pending);
+    jr_drop_pending(pending);
 }
 
 static void
@@ -149,7 +143,6 @@
     jr_rules_t *rules = jr_new_rules(entry->ctx, text, &problems);
     Jr__RulesApply body = JR__RULES_APPLY__INIT;
     Jr__Request request = JR__REQUEST__INIT;
-    pending_t *pending;
 
     if (rules == NULL) {
         jr_count(entry->ctx, JR_C_RULES_REFUSED);
@@ -160,11 +153,8 @@
     body.text = (char *)text;
     request.body_case = JR__REQUEST__BODY_RULES_APPLY;
     request.rules_apply = &body;
-    pending = jr_alloc(entry->ctx, sizeof *pending);
-    pending->entry = entry;
-    pending->exchange = exchange;
-    entry->n_busy++;
-    jr_ask(entry->asker, &request, ASK_TIMEOUT_MS, on_applied, pending);
+    jr_ask(entry->asker, &request, ASK_TIMEOUT_MS, on_applied,
+           jr_new_pending(entry, exchange));
     jr_drop_rules(rules);
 }
 
--- /dev/null
+++ b/src/entry/workers.c
@@ -0,0 +1,223 @@
+/* Workers' heartbeats: JSON outside, messages inside. */
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "jayrelay/interfere.h"
+#include "jayrelay/ledger.h"
+
+enum {
+    HEARTBEAT_TIMEOUT_MS = 2000,
+    TASK_ID_BYTES = 32,
+};
+
+static char empty[] = "";
+
+static const char *const action_names[] = {
+    [JR__ASSIGNMENT__ACTION__RUN] = "run",
+    [JR__ASSIGNMENT__ACTION__STOP] = "stop",
+    [JR__ASSIGNMENT__ACTION__FORGET] = "forget",
+    [JR__ASSIGNMENT__ACTION__THROTTLE] = "throttle",
+};
+
+static json_t *
+assignment_to_json(const Jr__Assignment *a)
+{
+    char id[TASK_ID_BYTES];
+    json_t *object;
+
+    snprintf(id, sizeof id, "%llu", (unsigned long long)a->task);
+    object =
+        json_pack("{s:s, s:I, s:s}", "id", id, "epoch", (json_int_t)a->epoch,
+                  "action", action_names[a->action]);
+    if (a->spec != NULL) {
+        json_object_set_new(
+            object, "spec",
+            json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:s}", "key",
+                      a->spec->key, "team", a->spec->team, "class",
+                      a->spec->class_name, "payload", a->spec->payload,
+                      "run_ms", (int)a->spec->run_ms, "cpu_milli",
+                      (int)a->spec->need->cpu_milli, "memory_mb",
+                      (int)a->spec->need->memory_mb, "accelerators",
+                      (int)a->spec->need->accelerators, "checkpoint",
+                      a->checkpoint));
+    }
+    return object;
+}
+
+static void
+on_heartbeat_reply(void *user, jr_result_t code, const Jr__Reply *reply)
+{
+    jr_pending_t *pending = user;
+    json_t *tasks;
+
+    if (code != JR_OK || reply->body_case != JR__REPLY__BODY_HEARTBEAT) {
+        jr_answer_code(pending->entry, pending->exchange, code,
+                       reply != NULL ? reply->message : NULL);
+        jr_drop_pending(pending);
+        return;
+    }
+    tasks = json_array();
+    for (size_t i = 0; i < reply->heartbeat->n_tasks; i++) {
+        json_array_append_new(tasks,
+                              assignment_to_json(reply->heartbeat->tasks[i]));
+    }
+    jr_answer_json(pending->exchange, HTTP_OK,
+                   json_pack("{s:I, s:o}", "lease_ms",
+                             (json_int_t)reply->heartbeat->lease_ms, "tasks",
+                             tasks),
+                   0);
+    jr_drop_pending(pending);
+}
+
+typedef struct {
+    Jr__WorkerTask task;
+    Jr__Resources used;
+} task_space_t;
+
+typedef struct {
+    Jr__ServiceSeen services[JR_HOST_SERVICES_MAX];
+    Jr__ServiceSeen *pointers[JR_HOST_SERVICES_MAX];
+} seen_space_t;
+
+static bool
+read_state(const json_t *object, Jr__WorkerTask__State *to)
+{
+    static const char *const names[] = {"running", "stopped", "done",
+                                        "broken"};
+    const char *text = jr_json_text(object, "state");
+
+    for (size_t i = 0; text != NULL && i < 4; i++) {
+        if (strcmp(text, names[i]) == 0) {
+            *to = (Jr__WorkerTask__State)i;
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+read_worker_task(const json_t *object, task_space_t *space)
+{
+    const char *id = jr_json_text(object, "id");
+    const json_t *epoch = json_object_get(object, "epoch");
+    Jr__WorkerTask *task = &space->task;
+
+    jr__worker_task__init(task);
+    task->used = &space->used;
+    if (id == NULL || !json_is_integer(epoch) ||
+        json_integer_value(epoch) < 0) {
+        return false;
+    }
+    task->task = strtoull(id, NULL, 10);
+    task->epoch = (uint64_t)json_integer_value(epoch);
+    return read_state(object, &task->state) &&
+           jr_json_string(object, "checkpoint", &task->checkpoint,
+                     JR_CHECKPOINT_MAX_BYTES) &&
+           jr_json_string(object, "result", &task->result,
+                     JR_CHECKPOINT_MAX_BYTES) &&
+           jr_json_resources(json_object_get(object, "used"), &space->used);
+}
+
+/* Slowdowns of the services on the host, as many as are looked at. */
+static bool
+read_services(const json_t *object, seen_space_t *seen,
+              Jr__Heartbeat *heartbeat)
+{
+    const json_t *list = json_object_get(object, "services_seen");
+
+    heartbeat->services_seen = seen->pointers;
+    for (size_t i = 0; i < json_array_size(list) && i < JR_HOST_SERVICES_MAX;
+         i++) {
+        const json_t *item = json_array_get(list, i);
+
+        jr__service_seen__init(&seen->services[i]);
+        if (!jr_json_string(item, "service", &seen->services[i].service,
+                       JR_PAIR_NAME_BYTES - 1) ||
+            !jr_json_number(item, "slowdown_permille",
+                         &seen->services[i].slowdown_permille)) {
+            return false;
+        }
+        seen->pointers[i] = &seen->services[i];
+        heartbeat->n_services_seen++;
+    }
+    return true;
+}
+
+static bool
+read_heartbeat(const json_t *object, Jr__Heartbeat *heartbeat,
+               Jr__Resources *capacity, Jr__Resources *services,
+               seen_space_t *seen, task_space_t *spaces)
+{
+    const json_t *tasks = json_object_get(object, "tasks");
+
+    heartbeat->capacity = capacity;
+    heartbeat->services = services;
+    if (!jr_json_string(object, "worker", &heartbeat->worker, JR_KEY_BYTES) ||
+        *heartbeat->worker == '\0' ||
+        !jr_json_string(object, "zone", &heartbeat->zone, JR_KEY_BYTES) ||
+        !jr_json_string(object, "rack", &heartbeat->rack, JR_KEY_BYTES) ||
+        !jr_json_resources(json_object_get(object, "capacity"), capacity) ||
+        !jr_json_resources(json_object_get(object, "services"), services) ||
+        !read_services(object, seen, heartbeat)) {
+        return false;
+    }
+    heartbeat->leaving = json_is_true(json_object_get(object, "leaving"));
+    for (size_t i = 0; i < json_array_size(tasks); i++) {
+        if (!read_worker_task(json_array_get(tasks, i), &spaces[i])) {
+            return false;
+        }
+        heartbeat->tasks[heartbeat->n_tasks++] = &spaces[i].task;
+    }
+    return true;
+}
+
+/* The group of a worker is that of its host, whatever its incarnation. */
+static uint32_t
+group_of_worker(const jr_entry_t *entry, const char *worker)
+{
+    char host[JR_KEY_BYTES + 1];
+
+    snprintf(host, sizeof host, "%s", worker);
+    host[strcspn(host, "/")] = '\0';
+    return jr_group_of(host, entry->settings.groups);
+}
+
+void
+jr_entry_on_heartbeat(jr_entry_t *entry, jr_exchange_t *exchange)
+{
+    json_t *object = jr_read_json(entry, exchange);
+    Jr__Heartbeat heartbeat = JR__HEARTBEAT__INIT;
+    Jr__Request request = JR__REQUEST__INIT;
+    Jr__Resources capacity, services;
+    seen_space_t seen;
+    task_space_t *spaces;
+    size_t n;
+
+    if (object == NULL) {
+        jr_count(entry->ctx, JR_C_HEARTBEAT_BAD);
+        return;
+    }
+    n = json_array_size(json_object_get(object, "tasks"));
+    spaces = jr_alloc(entry->ctx, n * sizeof *spaces);
+    heartbeat.tasks = jr_alloc(entry->ctx, n * sizeof(Jr__WorkerTask *));
+    heartbeat.worker = heartbeat.zone = heartbeat.rack = empty;
+    if (read_heartbeat(object, &heartbeat, &capacity, &services, &seen,
+                       spaces)) {
+        request.group = group_of_worker(entry, heartbeat.worker);
+        request.body_case = JR__REQUEST__BODY_HEARTBEAT;
+        request.heartbeat = &heartbeat;
+        jr_ask(entry->asker, &request, HEARTBEAT_TIMEOUT_MS,
+               on_heartbeat_reply, jr_new_pending(entry, exchange));
+    }
+    else {
+        jr_count(entry->ctx, JR_C_HEARTBEAT_BAD);
+        jr_answer_code(entry, exchange, JR_BAD_REQUEST,
+                       "a heartbeat needs worker, zone, rack, capacity, and "
+                       "for each task id, epoch and state");
+    }
+    jr_free(entry->ctx, heartbeat.tasks);
+    jr_free(entry->ctx, spaces);
+    json_decref(object);
+}
--- a/src/group/driver_test.cpp
+++ b/src/group/driver_test.cpp
@@ -1,3 +1,4 @@
+/* Replicas, network and faults of the histories. */
 #include "driver_test.h"
 
 namespace driver {
--- a/src/interfere/interfere_test.cc
+++ b/src/interfere/interfere_test.cc
@@ -1,3 +1,4 @@
+/* The model of interference learns and forgets. */
 #include <gtest/gtest.h>
 
 #include <cstring>
--- a/src/ledger/convert.c
+++ b/src/ledger/convert.c
@@ -1,3 +1,4 @@
+/* The ledger's structs as messages. */
 #include "convert.h"
 
 static char empty[] = "";
--- a/src/ledger/ledger_test.cc
+++ b/src/ledger/ledger_test.cc
@@ -1,3 +1,4 @@
+/* The state machine of tasks and of claimed keys. */
 #include <gtest/gtest.h>
 
 #include <string>
--- a/src/limit/limit_test.cc
+++ b/src/limit/limit_test.cc
@@ -1,3 +1,4 @@
+/* Shares and loans of slots. */
 #include <gtest/gtest.h>
 
 #include <string>
--- a/src/member/upstream_test.cc
+++ b/src/member/upstream_test.cc
@@ -1,3 +1,4 @@
+/* Announcements: age, order, silence. */
 #include <gtest/gtest.h>
 
 extern "C" {
--- a/src/net/ask.c
+++ b/src/net/ask.c
@@ -1,3 +1,4 @@
+/* Requests to the leaders of groups, with retries. */
 #include "jayrelay/ask.h"
 
 #include <glib.h>
--- a/src/quorum/quorum_test.cc
+++ b/src/quorum/quorum_test.cc
@@ -1,3 +1,4 @@
+/* The consensus core: elections, replication, members. */
 #include <gtest/gtest.h>
 
 #include <map>
--- a/src/quorum/store_test.cc
+++ b/src/quorum/store_test.cc
@@ -1,3 +1,4 @@
+/* The store in files: what survives, what is damage. */
 #include <gtest/gtest.h>
 
 #include <fstream>
--- a/src/rules/rules_test.cc
+++ b/src/rules/rules_test.cc
@@ -1,3 +1,4 @@
+/* The rules file and the register of versions. */
 #include <gtest/gtest.h>
 
 #include <string>
