Keys for the bus

Cause: whoever reached a bus port could speak as a control process. Change: with 'key_file' the bus is encrypted (CURVE) and only processes with the shared pair are heard; 'jayrelay keys new' makes it, for its owner alone; half a pair is an error with its place. Also shown: a borrower that was frozen past a loan's end does not use it. Conclusion: the cost of encryption is not measured; HTTP stays plain, the balancer ends TLS.

--- a/include/jayrelay/bus.h
+++ b/include/jayrelay/bus.h
@@ -32,15 +32,36 @@
 typedef void jr_bus_handler_t(void *user, const jr_route_t *route,
                               const Jr__Envelope *envelope);
 
+enum { JR_BUS_KEY_BYTES = 41 };
+
+/**
+ * struct jr_bus_keys_t - the key pair that all processes of a system share
+ *
+ * With keys the bus is encrypted (CURVE), and only who has the public key
+ * can talk to a process at all, so both are kept secret. Empty: no keys.
+ */
+typedef struct {
+    char public_key[JR_BUS_KEY_BYTES];
+    char secret_key[JR_BUS_KEY_BYTES];
+} jr_bus_keys_t;
+
+/** jr_bus_keys_write - make a new key pair in a file of its own */
+jr_result_t jr_bus_keys_write(jr_ctx_t *ctx, const char *path);
+
+/** jr_bus_keys_read - read a key pair; an empty path gives no keys */
+jr_result_t jr_bus_keys_read(jr_ctx_t *ctx, const char *path,
+                             jr_bus_keys_t *keys);
+
 /**
  * jr_new_bus - bind @address ("host:port")
  * @name: name of this process, in each envelope; copied
+ * @keys: copied
  *
  * Return: the bus, or NULL with JR_NETWORK in the context.
  */
 jr_bus_t *jr_new_bus(jr_ctx_t *ctx, struct ev_loop *loop, const char *name,
-                     const char *address, jr_bus_handler_t *handler,
-                     void *user);
+                     const char *address, const jr_bus_keys_t *keys,
+                     jr_bus_handler_t *handler, void *user);
 
 /** jr_drop_bus - close; NULL is accepted */
 void jr_drop_bus(jr_bus_t *bus);
--- a/include/jayrelay/settings.h
+++ b/include/jayrelay/settings.h
@@ -43,6 +43,7 @@
     char http[JR_SETTING_BYTES];
     char data[JR_PATH_BYTES];
     char rules_file[JR_PATH_BYTES];
+    char key_file[JR_PATH_BYTES];
     int64_t groups;
     int64_t replicas;
     int64_t lease_ms;
--- a/scripts/local-set.sh
+++ b/scripts/local-set.sh
@@ -32,6 +32,7 @@
 trap stop_all EXIT
 
 controls_per_zone=${controls_per_zone:-1}
+key_file=${key_file:-}
 
 control_names() { # of a zone: control-a, control-a2, ...
     local k
@@ -71,6 +72,7 @@
 bus: ${!b}
 http: ${!h}
 drain_ms: 500
+${key_file:+key_file: $key_file}
 controls:
 $controls
 entries:
@@ -91,6 +93,7 @@
 lease_ms: 2000
 election_ms: 600
 heartbeat_ms: 60
+${key_file:+key_file: $key_file}
 controls:
 $controls
 Y
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -33,5 +33,6 @@
 int jr_cli_task_show(jr_cli_t *cli, char **arguments);
 int jr_cli_task_cancel(jr_cli_t *cli, char **arguments);
 int jr_cli_settings_check(jr_cli_t *cli, char **arguments);
+int jr_cli_keys_new(jr_cli_t *cli, char **arguments);
 
 #endif
--- a/src/cli/rules.c
+++ b/src/cli/rules.c
@@ -1,8 +1,9 @@
-/* rules check, apply and show; settings check. */
+/* rules check, apply and show; settings check; keys new. */
 #include <glib.h>
 #include <string.h>
 
 #include "cli.h"
+#include "jayrelay/bus.h"
 #include "jayrelay/rules.h"
 #include "jayrelay/settings.h"
 
@@ -147,3 +148,17 @@
     jr_free(cli->ctx, settings);
     return jr_result_exit(result);
 }
+
+int
+jr_cli_keys_new(jr_cli_t *cli, char **arguments)
+{
+    jr_result_t result = jr_bus_keys_write(cli->ctx, arguments[0]);
+
+    if (result != JR_OK) {
+        fprintf(stderr, "jayrelay: %s\n", cli->ctx->error.text);
+        return jr_result_exit(result);
+    }
+    printf("%s: a new key pair; give the same file to every process\n",
+           arguments[0]);
+    return 0;
+}
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -429,8 +429,12 @@
 open_control(jr_control_t *control)
 {
     const jr_settings_t *s = &control->settings;
-    jr_result_t result = jr_control_identify(control);
+    jr_bus_keys_t keys;
+    jr_result_t result = jr_bus_keys_read(control->ctx, s->key_file, &keys);
 
+    if (result == JR_OK) {
+        result = jr_control_identify(control);
+    }
     if (result == JR_OK) {
         result = open_groups(control);
     }
@@ -438,7 +442,7 @@
         return result;
     }
     control->bus = jr_new_bus(control->ctx, control->loop, s->name, s->bus,
-                              on_envelope, control);
+                              &keys, on_envelope, control);
     if (control->bus == NULL) {
         return JR_NETWORK;
     }
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -255,12 +255,16 @@
 open_entry(jr_entry_t *entry)
 {
     const jr_settings_t *s = &entry->settings;
-    jr_result_t result;
+    jr_bus_keys_t keys;
+    jr_result_t result = jr_bus_keys_read(entry->ctx, s->key_file, &keys);
 
+    if (result != JR_OK) {
+        return result;
+    }
     entry->instance = (uint64_t)jr_wall_ms() << 16 | (g_random_int() & 0xffff);
     entry->upstreams = jr_new_upstreams(entry->ctx, s->zone);
     entry->client = jr_new_client(entry->ctx, entry->loop);
-    entry->bus = jr_new_bus(entry->ctx, entry->loop, s->name, s->bus,
+    entry->bus = jr_new_bus(entry->ctx, entry->loop, s->name, s->bus, &keys,
                             on_envelope, entry);
     if (entry->client == NULL || entry->bus == NULL) {
         return JR_NETWORK;
--- a/src/entry/workers.c
+++ b/src/entry/workers.c
@@ -114,9 +114,9 @@
     task->epoch = (uint64_t)json_integer_value(epoch);
     return read_state(object, &task->state) &&
            jr_json_string(object, "checkpoint", &task->checkpoint,
-                     JR_CHECKPOINT_MAX_BYTES) &&
+                          JR_CHECKPOINT_MAX_BYTES) &&
            jr_json_string(object, "result", &task->result,
-                     JR_CHECKPOINT_MAX_BYTES) &&
+                          JR_CHECKPOINT_MAX_BYTES) &&
            jr_json_resources(json_object_get(object, "used"), &space->used);
 }
 
@@ -134,9 +134,9 @@
 
         jr__service_seen__init(&seen->services[i]);
         if (!jr_json_string(item, "service", &seen->services[i].service,
-                       JR_PAIR_NAME_BYTES - 1) ||
+                            JR_PAIR_NAME_BYTES - 1) ||
             !jr_json_number(item, "slowdown_permille",
-                         &seen->services[i].slowdown_permille)) {
+                            &seen->services[i].slowdown_permille)) {
             return false;
         }
         seen->pointers[i] = &seen->services[i];
--- a/src/limit/limit_test.cc
+++ b/src/limit/limit_test.cc
@@ -4,7 +4,7 @@
 #include <string>
 
 extern "C" {
-#include "jayrelay/limit.h"
+#include "jayrelay/route.h"
 }
 
 TEST(Limit, SharesAddUpToAllSlots)
@@ -95,3 +95,29 @@
     borrower_.in_use = 4;
     EXPECT_EQ(jr_limit_free_until(&borrower_), 9000);
 }
+
+/* A borrower that was frozen past the end must not use the loan. */
+TEST_F(LoanTest, AnEndedLoanIsNotUsedEvenBeforeItIsSwept)
+{
+    jr_route_policy_t policy = {};
+    jr_service_t service = {};
+    jr_upstream_t *all[] = {&borrower_};
+    GRand *rng = g_rand_new_with_seed(1);
+
+    policy.kind = JR_ROUTE_SCORED;
+    policy.as.scored.candidates = 4;
+    service.upstreams = all;
+    service.n = 1;
+    borrower_.service = &service;
+    borrower_.in_use = 4;
+    borrower_.heard_at = 1000000;
+    jr_limit_borrow(ctx_, &borrower_, 2, 1200000);
+    EXPECT_EQ(jr_route_choose(&policy, &service, nullptr, rng, 1100000, 50000),
+              &borrower_);
+    EXPECT_EQ(
+        jr_route_choose(&policy, &service, nullptr, rng, 1100000, 150000),
+        nullptr);
+    EXPECT_EQ(jr_route_choose(&policy, &service, nullptr, rng, 1300000, 50000),
+              nullptr);
+    g_rand_free(rng);
+}
--- a/src/net/bus.c
+++ b/src/net/bus.c
@@ -33,6 +33,7 @@
     jr_ctx_t *ctx;
     struct ev_loop *loop;
     char *name;
+    jr_bus_keys_t keys;
     jr_bus_handler_t *handler;
     void *user;
     void *zmq;
@@ -51,6 +52,22 @@
     zmq_setsockopt(socket, option, &value, sizeof value);
 }
 
+/* All have the same pair: each is a server to the others, and a client. */
+static void
+set_keys(const jr_bus_t *bus, void *socket, int type)
+{
+    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, bus->keys.secret_key,
+                   JR_BUS_KEY_BYTES - 1);
+    if (type == ZMQ_ROUTER) {
+        set_option(socket, ZMQ_CURVE_SERVER, 1);
+        return;
+    }
+    zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, bus->keys.public_key,
+                   JR_BUS_KEY_BYTES - 1);
+    zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, bus->keys.public_key,
+                   JR_BUS_KEY_BYTES - 1);
+}
+
 static void *
 new_socket(jr_bus_t *bus, int type)
 {
@@ -70,6 +87,9 @@
     /* Nothing is queued for a peer that is not there. */
     set_option(socket, ZMQ_IMMEDIATE, 1);
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof max);
+    if (bus->keys.public_key[0] != '\0') {
+        set_keys(bus, socket, type);
+    }
     return socket;
 }
 
@@ -230,7 +250,8 @@
 
 jr_bus_t *
 jr_new_bus(jr_ctx_t *ctx, struct ev_loop *loop, const char *name,
-           const char *address, jr_bus_handler_t *handler, void *user)
+           const char *address, const jr_bus_keys_t *keys,
+           jr_bus_handler_t *handler, void *user)
 {
     jr_bus_t *bus = jr_alloc(ctx, sizeof *bus);
     char endpoint[256];
@@ -238,6 +259,7 @@
     bus->ctx = ctx;
     bus->loop = loop;
     bus->name = jr_strdup(ctx, name);
+    bus->keys = *keys;
     bus->handler = handler;
     bus->user = user;
     ev_prepare_init(&bus->prepare, on_prepare);
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -315,6 +315,34 @@
     wait "$load" || { cat "$dir/load.txt"; fail "lost or doubled"; }
 }
 
+# With keys all works; a process with other keys is not heard.
+case_bus_keys() {
+    key_file=$dir/keys
+    "$bin/jayrelay" keys new "$key_file" || fail "no keys"
+    "$bin/jayrelay" keys new "$key_file" 2> "$dir/again" &&
+        fail "the keys were overwritten"
+    [ "$(stat -c %a "$key_file")" = 600 ] || fail "the keys can be read"
+    up
+    "$bin/jayrelay" keys new "$dir/other" || fail "no other keys"
+    kill -KILL "${pids[entry-c]}"
+    sed "s#^key_file: .*#key_file: $dir/other#" "$dir/entry-c.yaml" \
+        > "$dir/entry-x.yaml"
+    start entry-x "$bin/jayrelay-entry" --settings "$dir/entry-x.yaml"
+    wait_until 20 curl -sf --noproxy '*' "http://$http_c/healthz" ||
+        fail "it did not start"
+    curl -sf --noproxy '*' "http://$http_c/readyz" &&
+        fail "it got rules with other keys"
+    head -1 "$dir/other" > "$dir/half"
+    sed "s#^key_file: .*#key_file: $dir/half#" "$dir/entry-c.yaml" \
+        > "$dir/entry-y.yaml"
+    "$bin/jayrelay-entry" --settings "$dir/entry-y.yaml" 2> "$dir/y.err"
+    [ $? -eq 3 ] || fail "half a key pair was taken"
+    grep -q 'lines 1 and 2' "$dir/y.err" || fail "no clear error"
+    kill -KILL "${pids[entry-x]}"
+    start_entry c
+    wait_until 20 ready || fail "entry-c did not come back"
+}
+
 # A torn tail written into a log, and a damaged record.
 case_torn_and_damaged_log() {
     local log zone
