Time to recover and the paid-for rate are measured

Change: the scenarios end with the time until no call goes without an answer; placement has a scenario with twice the load.

--- a/bench/placement.cc
+++ b/bench/placement.cc
@@ -41,6 +41,7 @@
     {"jobs that can never run", 0.8, 0, 0.05, 0, 0, 0, 180, false},
     {"a worker that fails all", 0.6, 0, 0, 0, 1, 0, 180, false},
     {"rack lost", 0.6, 0, 0, 0, 0, 8, 180, false},
+    {"paid rate at 200 %", 2.0, 0, 0, 0, 0, 0, 180, false},
     {"noisy beside services", 0.5, 0, 0, 0, 0, 0, 400, true},
 };
 
@@ -61,6 +62,7 @@
     long submitted = 0, finished = 0, failed = 0, over_host = 0;
     double lost_work_s = 0; /* processor seconds done again */
     double study_share = 0; /* of the processors given to batch work */
+    double study_rate = 0;  /* of all processors, while tasks arrive */
     long impossible_found = 0, impossible_made = 0;
     uint64_t evictions = 0, throttles = 0;
     std::vector<double> slowdowns; /* of each host with a service, each step */
@@ -131,6 +133,7 @@
         double cores = (double)workers_.size() * cores_;
         double per_step = s_.load * cores * kStepMs / (double)kRunMs / 1.5;
         double due = 0, busy = 0, study = 0;
+        double window_study = 0, window_all = 0;
 
         for (; now_ < s_.seconds * 1000; now_ += kStepMs) {
             if (now_ < s_.seconds * 1000 - 2 * kRunMs) {
@@ -148,6 +151,11 @@
                     Step(worker);
                     busy += Busy(worker, "");
                     study += Busy(worker, "study");
+                    if (now_ > 40000 &&
+                        now_ < s_.seconds * 1000 - 2 * kRunMs) {
+                        window_study += Busy(worker, "study");
+                        window_all += cores_ * 1000.0;
+                    }
                 }
             }
             jr_coord_tick(coord_, now_);
@@ -159,6 +167,7 @@
             (long)jr_ledger_count(ledger_, JR_TASK_IMPOSSIBLE);
         result_.evictions = ctx_->counters[JR_C_EVICTIONS];
         result_.throttles = ctx_->counters[JR_C_THROTTLES];
+        result_.study_rate = window_all > 0 ? window_study / window_all : 0;
         result_.study_share = busy > 0 ? study / busy : 0;
         return result_;
     }
@@ -516,6 +525,11 @@
 
             Check(site.name, scenario.name, "hosts over their processors", 0,
                   (double)r.over_host, r.over_host == 0);
+            if (scenario.load > 1) {
+                /* 60 % are paid for, by the class of the lower priority. */
+                Check(site.name, scenario.name, "share of the paid-for rate",
+                      0.95, r.study_rate / 0.6, r.study_rate >= 0.95 * 0.6);
+            }
             if (scenario.failing > 0) {
                 double share = (double)r.failed / (double)r.submitted;
 
--- a/bench/scenarios.cc
+++ b/bench/scenarios.cc
@@ -217,6 +217,93 @@
     return missed;
 }
 
+/* A fault begins or ends; how long until calls are as before? */
+struct Recovery {
+    const char *name;
+    void (*change)(Pool &p);
+};
+
+const Recovery kRecoveries[] = {
+    {"surge to 150 % ended", [](Pool &p) { p.Run(2, 1.5 * p.Capacity()); }},
+    {"an upstream fails all",
+     [](Pool &p) { p.SetFault(0, Fault::kFastFail); }},
+    {"an upstream is slow", [](Pool &p) { p.SetFault(1, Fault::kSlow); }},
+    {"an entry host is lost", [](Pool &p) { p.KillEntry(4); }},
+    {"a rack is lost",
+     [](Pool &p) {
+         for (int x = 0; x < 8; x++) {
+             p.SetFault(3 * x, Fault::kDead);
+         }
+     }},
+};
+
+/* Milliseconds until two windows in a row have no call without answer. */
+double
+TimeToRecover(const Site &site, const Recovery &recovery, const Policy &policy,
+              uint32_t seed)
+{
+    constexpr int kWindows = 100;
+    constexpr double kWindowMs = 100;
+    Options options;
+    int good = 0;
+
+    options.executors = site.executors;
+    options.crossing_us = site.crossing_us;
+    options.deadline_us = site.deadline_us;
+    options.route.kind = policy.route;
+    options.admit = policy.admit;
+    options.retry = policy.retry;
+    Pool p(seed, options);
+
+    p.Run(2, 0.5 * p.Capacity());
+    recovery.change(p);
+    for (int w = 0; w < kWindows; w++) {
+        p.ForgetMetrics();
+        p.Run(kWindowMs / 1000, 0.5 * p.Capacity());
+        bool ok =
+            p.metrics.refused + p.metrics.unknown + p.metrics.failed == 0;
+
+        good = ok ? good + 1 : 0;
+        if (good == 2) {
+            return (w - 1) * kWindowMs;
+        }
+    }
+    return kWindows * kWindowMs;
+}
+
+void
+PrintRecoveries(int seeds, FILE *json)
+{
+    printf("\ntime to recover, ms (median of %d seeds)\n  %-10s %-26s", seeds,
+           "site", "change");
+    for (const Policy &policy : kPolicies) {
+        printf(" %16s", policy.name);
+    }
+    printf("\n");
+    for (const Site &site : kSites) {
+        for (const Recovery &recovery : kRecoveries) {
+            printf("  %-10s %-26s", site.name, recovery.name);
+            for (const Policy &policy : kPolicies) {
+                Spread times;
+
+                for (int seed = 1; seed <= seeds; seed++) {
+                    times.values.push_back(
+                        TimeToRecover(site, recovery, policy, (uint32_t)seed));
+                }
+                printf(" %16.0f", times.Median());
+                if (json != nullptr) {
+                    fprintf(json,
+                            "{\"site\":\"%s\",\"recovery\":\"%s\","
+                            "\"policy\":\"%s\",\"ms\":%.0f}\n",
+                            site.name, recovery.name, policy.name,
+                            times.Median());
+                }
+            }
+            printf("\n");
+        }
+    }
+}
+
 } // namespace
 
 int
@@ -269,6 +356,7 @@
             missed += Judge(site, scenario, c);
         }
     }
+    PrintRecoveries(seeds, json);
     if (json != nullptr) {
         fclose(json);
     }
