A task that used a whole host runs again

Cause: found in reading: a task that was seen to use as much as a host has was reckoned with that for good, and never found room again. Ruled out: the check for impossible tasks, which looks at what is declared. Change: beyond what it declares a task is reckoned with three quarters of an average host at most, an unseen one with half. Before: the new test was red (the task stays queued). Conclusion: such a task can overload its host until its eviction; listed.

--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -12,6 +12,10 @@
     IMPOSSIBLE_CHECK_MS = 1000,
     /* Queued tasks of a class that are looked at for one that fits. */
     LOOK_AHEAD = 32,
+    /* Of an average host, what a task is reckoned to need at most. */
+    MEASURED_PERCENT_MAX = 75,
+    EXPECTED_PERCENT_MAX = 50,
+    PERCENT = 100,
     /* Measurements of use lag behind by up to. */
     MEASURED_AFTER_MS = 12000,
 };
@@ -250,40 +254,56 @@
     }
 }
 
-/* A host's average processors, or INT64_MAX without a host. */
-static int64_t
-average_host(const jr_coord_t *coord)
+/* A part of what an average host has, in per cent. */
+static jr_resources_t
+part_of_host(const jr_coord_t *coord, int percent)
 {
-    unsigned n = HASH_COUNT(coord->table->by_name);
+    int64_t n = MAX((int64_t)HASH_COUNT(coord->table->by_name), 1) * PERCENT;
+    const jr_resources_t *total = &coord->table->total;
 
-    return n > 0 ? coord->table->total.cpu_milli / n : INT64_MAX;
+    return (jr_resources_t){
+        .cpu_milli = total->cpu_milli * percent / n,
+        .memory_mb = total->memory_mb * percent / n,
+        .accelerators = total->accelerators * PERCENT / n,
+    };
+}
+
+static double
+use_ratio(const jr_coord_t *coord, const jr_task_t *task)
+{
+    jr_class_queue_t *queue;
+
+    HASH_FIND_STR(jr_ledger_classes(coord->ledger), task->spec.class_name,
+                  queue);
+    return queue != NULL && queue->generation == coord->generation
+               ? queue->use_ratio
+               : 1.0;
 }
 
 /*
  * What a task will use: what it was seen to use or, before that, what
- * others of its class use for what they declare. An expectation never
- * keeps a task from a host that its declared size fits.
+ * others of its class use for what they declare. Beyond what it declares it
+ * is reckoned with a part of a host at most, or it might never find one.
  */
 jr_resources_t
 jr_coord_expected_size(const jr_coord_t *coord, const jr_task_t *task)
 {
-    jr_resources_t size = jr_task_size(task);
-    jr_class_queue_t *queue;
-    int64_t expected;
+    bool is_measured = task->measured.cpu_milli > 0;
+    jr_resources_t size = task->measured;
+    jr_resources_t most = part_of_host(
+        coord, is_measured ? MEASURED_PERCENT_MAX : EXPECTED_PERCENT_MAX);
 
     if (coord->options.policy.kind == JR_PLACE_FIRST_FIT) {
         return task->spec.need;
     }
-    HASH_FIND_STR(jr_ledger_classes(coord->ledger), task->spec.class_name,
-                  queue);
-    if (task->measured.cpu_milli > 0 || queue == NULL ||
-        queue->generation != coord->generation) {
-        return size;
-    }
-    expected = (int64_t)((double)size.cpu_milli * queue->use_ratio);
-    expected = MIN(expected, average_host(coord) / 2);
-    size.cpu_milli = MAX(size.cpu_milli, expected);
-    return size;
+    if (!is_measured) {
+        size.cpu_milli = (int64_t)((double)task->spec.need.cpu_milli *
+                                   use_ratio(coord, task));
+    }
+    size.cpu_milli = MIN(size.cpu_milli, most.cpu_milli);
+    size.memory_mb = MIN(size.memory_mb, most.memory_mb);
+    size.accelerators = MIN(size.accelerators, most.accelerators);
+    return jr_resources_max(&size, &task->spec.need);
 }
 
 static bool
--- a/src/coord/coord_test.cc
+++ b/src/coord/coord_test.cc
@@ -312,6 +312,22 @@
     EXPECT_EQ(Task(victim)->epoch, 1u);
 }
 
+/* It used a whole host, where it could; it must still find one. */
+TEST_F(CoordTest, ATaskThatUsedAWholeHostRunsAgain)
+{
+    uint64_t id = Submit("study", 1000);
+
+    Heartbeat("h1/1", 4000);
+    Tick(10);
+    Heartbeat("h1/1", 4000, {{id, 1, kRunning, 4500}});
+    Heartbeat("h1/1", 4000, {{id, 1, kStopped, 4500}});
+    EXPECT_EQ(Task(id)->state, JR_TASK_QUEUED);
+    EXPECT_EQ(Task(id)->measured.cpu_milli, 4500);
+    Heartbeat("h1/1", 4000);
+    Tick(10);
+    EXPECT_EQ(Task(id)->state, JR_TASK_LEASED);
+}
+
 /* Throttle, wait for the lag, evict, and ease again when it is quiet. */
 TEST_F(CoordTest, TheGuardThrottlesBeforeItEvicts)
 {
