--- a/src/cli/ask.c
+++ b/src/cli/ask.c
@@ -94,3 +94,18 @@
             jr_cli_text(answer, "message"));
     return code != JR_OK ? jr_result_exit(code) : 1;
 }
+
+int
+jr_cli_check(jr_cli_t *cli)
+{
+    json_t *answer;
+    long status = jr_cli_ask(cli, "GET", "/readyz", NULL, &answer);
+
+    json_decref(answer);
+    if (status == 0) {
+        return jr_cli_fail(cli, status, NULL);
+    }
+    printf("an entry process answers and is %s\n",
+           status <= HTTP_OK_MAX ? "ready" : "not ready");
+    return status <= HTTP_OK_MAX ? 0 : jr_result_exit(JR_NO_QUORUM);
+}
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -25,6 +25,9 @@
 long long jr_cli_number(const json_t *object, const char *key);
 void jr_cli_print_json(const json_t *answer);
 
+/* Does an entry process answer, and is it ready? */
+int jr_cli_check(jr_cli_t *cli);
+
 int jr_cli_rules_check(jr_cli_t *cli, char **arguments);
 int jr_cli_rules_apply(jr_cli_t *cli, char **arguments);
 int jr_cli_rules_show(jr_cli_t *cli, char **arguments);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -90,10 +90,13 @@
     gchar *entry = NULL;
     gboolean json = FALSE;
     gboolean version = FALSE;
+    gboolean check = FALSE;
     GOptionEntry entries[] = {
         {"entry", 'e', 0, G_OPTION_ARG_STRING, &entry,
          "Entry processes to ask, in turn", "IP:PORT[,IP:PORT...]"},
         {"json", 'j', 0, G_OPTION_ARG_NONE, &json, "Print JSON", NULL},
+        {"check", 'c', 0, G_OPTION_ARG_NONE, &check,
+         "Check that an entry process answers and is ready, and exit", NULL},
         {"version", 0, 0, G_OPTION_ARG_NONE, &version,
          "Print the version and exit", NULL},
         {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
@@ -121,7 +124,7 @@
         }
         cli.entries = g_strsplit(entry, ",", -1);
         cli.is_json = json;
-        status = run_command(&cli, argc, argv);
+        status = check ? jr_cli_check(&cli) : run_command(&cli, argc, argv);
         g_strfreev(cli.entries);
     }
     g_free(description);
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -543,6 +543,8 @@
 
     control->ctx = ctx;
     signal(SIGPIPE, SIG_IGN);
+    /* A file at its limit is an error of the write, not the end. */
+    signal(SIGXFSZ, SIG_IGN);
     status = jr_program_start(ctx, &program, argc, argv, &control->settings);
     if (status < 0) {
         control->loop = ev_default_loop(EVFLAG_AUTO);
--- a/src/net/keys.c
+++ b/src/net/keys.c
@@ -21,10 +21,8 @@
     if (zmq_curve_keypair(keys.public_key, keys.secret_key) != 0) {
         return jr_fail(ctx, JR_IO, "no keys: %s", zmq_strerror(errno));
     }
-    snprintf(text, sizeof text, "%s\n%s\n", keys.public_key,
-             keys.secret_key);
-    fd = open(path, O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC,
-              SECRET_FILE_MODE);
+    snprintf(text, sizeof text, "%s\n%s\n", keys.public_key, keys.secret_key);
+    fd = open(path, O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, SECRET_FILE_MODE);
     if (fd < 0) {
         return jr_fail(ctx, JR_IO, "%s: %s", path, strerror(errno));
     }
--- a/src/quorum/store_file.c
+++ b/src/quorum/store_file.c
@@ -15,6 +15,12 @@
 
 enum { FILE_MODE = 0640, FOLDER_MODE = 0750 };
 
+static bool
+is_full(int error)
+{
+    return error == ENOSPC || error == EDQUOT || error == EFBIG;
+}
+
 static jr_result_t
 io_failed(jr_store_t *store, const char *what, const char *path)
 {
@@ -23,7 +29,7 @@
     store->as.file.is_failed = true;
     jr_log(store->ctx, JR_EV_DISK_FAILED, "%s %s: %s", what, path,
            strerror(error));
-    return jr_fail(store->ctx, error == ENOSPC ? JR_DISK_FULL : JR_IO,
+    return jr_fail(store->ctx, is_full(error) ? JR_DISK_FULL : JR_IO,
                    "%s %s: %s", what, path, strerror(error));
 }
 
--- a/src/relay/pool_test.h
+++ b/src/relay/pool_test.h
@@ -17,56 +17,10 @@
 #include <string>
 #include <vector>
 
-extern "C" {
-#include "jayrelay/relay.h"
-}
+#include "pool_metrics_test.h"
 
 namespace pool {
 
-struct Options {
-    int zones = 3;
-    int entries_per_zone = 3;
-    int executors = 50;
-    int slots = 8;
-    double service_us = 40000; /* mean service time */
-    int64_t crossing_us = 4000;
-    int64_t deadline_us = 250000;
-    double idempotent = 0.5;
-    bool sloppy_slots = false;  /* entries ignore shares: to go red */
-    bool retry_blindly = false; /* all is told as not run: to go red */
-    bool match_nothing = false; /* late answers go to another call */
-    bool hear_forever = false;  /* news of leavers are not heard: to go red */
-    int deaf_entry = -1;        /* hears no announcement after a while */
-    jr_route_policy_t route = {};
-    jr_admit_kind_t admit = JR_ADMIT_DEADLINE;
-    jr_retry_kind_t retry = JR_RETRY_BUDGET;
-};
-
-enum class Fault { kNone, kFastFail, kSlow, kDead };
-
-struct Metrics {
-    std::vector<double> latency_us; /* of answered calls */
-    std::vector<double> refusal_us; /* from arrival to refusal */
-    long calls = 0, answered = 0, in_target = 0, unknown = 0, failed = 0;
-    long refused = 0, attempts = 0, forwards = 0, over_slots = 0;
-    long wrong_not_run = 0, doubled = 0, two_verdicts = 0;
-    long mixed = 0, after_leaving = 0;
-    std::map<std::string, long> reasons;
-
-    double
-    Percentile(double p)
-    {
-        if (latency_us.empty()) {
-            return 0;
-        }
-        size_t k = (size_t)(p * (double)(latency_us.size() - 1));
-
-        std::nth_element(latency_us.begin(), latency_us.begin() + (long)k,
-                         latency_us.end());
-        return latency_us[k];
-    }
-};
-
 class Pool {
   public:
     Pool(uint32_t seed, Options options) : o_(options), rng_(seed)
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -343,6 +343,34 @@
     wait_until 20 ready || fail "entry-c did not come back"
 }
 
+# A control process whose disk is full ends with a clear error; the others
+# go on, and it comes back when there is room. A limit on the size of files
+# stands in for the disk.
+case_full_disk() {
+    local pid id n
+    up
+    kill -TERM "${pids[control-b]}"
+    wait_until 10 gone "${pids[control-b]}"
+    start control-b bash -c 'ulimit -f 64; exec "$@"' limited \
+        "$bin/jayrelay-control" --settings "$dir/control-b.yaml"
+    pid=${pids[control-b]}
+    wait_until 20 all_whole || fail "control-b did not come back"
+    for n in 1 2 3 4 5 6 7 8 9 10; do
+        "$bin/bare" client "http://$http_a/v1/tasks" 32 1 \
+            '{"key":"k","team":"demo","class":"watch","need":{"cpu_milli":1000,"memory_mb":512}}' > /dev/null
+        gone "$pid" && break
+    done
+    wait_until 5 gone "$pid" || fail "it went on with a full disk"
+    grep -q 'E207 disk-failed' "$dir/control-b.log" || fail "no E207"
+    grep -q 'E103 fatal' "$dir/control-b.log" || fail "no E103"
+    id=$(echo '{"key":"after","team":"demo","class":"watch","run_ms":100,
+        "need":{"cpu_milli":1000,"memory_mb":64}}' |
+        cli --json task submit - | field id) || fail "the others stopped"
+    start_control b
+    wait_until 20 all_whole || fail "it did not come back with room"
+    cli --json task show "$id" | grep -q '"key": "after"' || fail "lost"
+}
+
 # A torn tail written into a log, and a damaged record.
 case_torn_and_damaged_log() {
     local log zone
