Noisy tasks with real processes; the fake worker lags and throttles

Cause: the fake worker measured at once and never throttled, and no test with real processes evicted anything. Written, that test was red: half of the tasks never ran, since none of its three workers fell on one of the three groups. Ruled out: evictions (the tasks that ran were evicted and finished), lapsed leases. Conclusion: workers fall on groups by hash; a group can be empty.

--- a/fakes/worker/main.c
+++ b/fakes/worker/main.c
@@ -30,6 +30,8 @@
     long long checkpoint_ms;
     int64_t deadline; /* of the lease, by this worker's clock */
     int64_t stepped_at;
+    int64_t started_at;
+    bool is_throttled;
     int cpu_milli, memory_mb, accelerators;
 } task_t;
 
@@ -42,6 +44,8 @@
     size_t next_entry;
     gchar *name, *zone, *rack, *log_path, *fault;
     gint cpu_milli, memory_mb, accelerators, every_ms;
+    /* What tasks really use of what they declare, and the lag of that. */
+    gint use_percent, lag_ms;
     FILE *log;
     uint64_t incarnation;
     int64_t sent_at;
@@ -111,7 +115,8 @@
             end(worker, task, STOPPED);
             continue;
         }
-        task->done_ms += now - task->stepped_at;
+        task->done_ms +=
+            (now - task->stepped_at) / (task->is_throttled ? 2 : 1);
         task->stepped_at = now;
         if (task->done_ms - task->checkpoint_ms >= CHECKPOINT_EVERY_MS) {
             task->checkpoint_ms = task->done_ms;
@@ -154,6 +159,7 @@
     task->checkpoint_ms = task->done_ms;
     task->deadline = deadline;
     task->stepped_at = jr_clock_ms();
+    task->started_at = task->stepped_at;
     note(worker, "start", task);
     if (g_strcmp0(worker->fault, "fail") == 0) {
         end(worker, task, BROKEN);
@@ -186,6 +192,7 @@
     }
     else if ((strcmp(action, "run") == 0 || strcmp(action, "throttle") == 0) &&
              task != NULL) {
+        task->is_throttled = strcmp(action, "throttle") == 0;
         task->deadline = MAX(task->deadline, deadline);
     }
     else if (strcmp(action, "run") == 0 && spec != NULL) {
@@ -219,6 +226,16 @@
     json_decref(reply);
 }
 
+/* Measurements lag: before that only what is declared is known. */
+static int
+measured_cpu(const worker_t *worker, const task_t *task)
+{
+    bool is_seen = jr_clock_ms() - task->started_at >= worker->lag_ms;
+
+    return is_seen ? task->cpu_milli * worker->use_percent / 100
+                   : task->cpu_milli;
+}
+
 static json_t *
 tasks_to_json(worker_t *worker)
 {
@@ -234,8 +251,9 @@
             json_pack("{s:s, s:I, s:s, s:s, s:{s:i, s:i, s:i}}", "id",
                       task->id, "epoch", (json_int_t)task->epoch, "state",
                       state_names[task->state], "checkpoint", checkpoint,
-                      "used", "cpu_milli", task->cpu_milli, "memory_mb",
-                      task->memory_mb, "accelerators", task->accelerators));
+                      "used", "cpu_milli", measured_cpu(worker, task),
+                      "memory_mb", task->memory_mb, "accelerators",
+                      task->accelerators));
     }
     return tasks;
 }
@@ -320,6 +338,10 @@
         {"fault", 0, 0, G_OPTION_ARG_STRING, &worker->fault, "", ""},
         {"cpu", 0, 0, G_OPTION_ARG_INT, &worker->cpu_milli, "", ""},
         {"memory", 0, 0, G_OPTION_ARG_INT, &worker->memory_mb, "", ""},
+        {"accelerators", 0, 0, G_OPTION_ARG_INT, &worker->accelerators, "",
+         ""},
+        {"use-percent", 0, 0, G_OPTION_ARG_INT, &worker->use_percent, "", ""},
+        {"lag-ms", 0, 0, G_OPTION_ARG_INT, &worker->lag_ms, "", ""},
         {"every-ms", 0, 0, G_OPTION_ARG_INT, &worker->every_ms, "", ""},
         {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
     GOptionContext *context = g_option_context_new(NULL);
@@ -349,8 +371,11 @@
 int
 main(int argc, char **argv)
 {
-    worker_t worker = {
-        .cpu_milli = 16000, .memory_mb = 60000, .every_ms = 200};
+    worker_t worker = {.cpu_milli = 16000,
+                       .memory_mb = 60000,
+                       .every_ms = 200,
+                       .use_percent = 100,
+                       .lag_ms = 2000};
 
     signal(SIGPIPE, SIG_IGN);
     worker.zone = g_strdup("a");
--- a/scripts/local-set.sh
+++ b/scripts/local-set.sh
@@ -33,6 +33,7 @@
 
 controls_per_zone=${controls_per_zone:-1}
 key_file=${key_file:-}
+groups=${groups:-3}
 
 control_names() { # of a zone: control-a, control-a2, ...
     local k
@@ -72,6 +73,7 @@
 bus: ${!b}
 http: ${!h}
 drain_ms: 500
+groups: $groups
 ${key_file:+key_file: $key_file}
 controls:
 $controls
@@ -93,6 +95,7 @@
 lease_ms: 2000
 election_ms: 600
 heartbeat_ms: 60
+groups: $groups
 ${key_file:+key_file: $key_file}
 controls:
 $controls
