Tests take ports that outgoing connections don't use

Cause: ports were taken from the kernel's range for outgoing connections; a process that restarts in a test could find its port in use by one of the test's own connections: with some 50 open, one start in 500. Change: free ports are looked for below that range.

--- a/scripts/local-set.sh
+++ b/scripts/local-set.sh
@@ -5,13 +5,23 @@
 zones="a b c"
 declare -A pids
 
-free_ports() { # N ports that are free now
+# N ports that are free now, below those that the kernel gives to outgoing
+# connections: a restarted process must find its port again.
+free_ports() {
     python3 -c '
-import socket, sys
-sockets = [socket.socket() for _ in range(int(sys.argv[1]))]
-for s in sockets:
-    s.bind(("127.0.0.1", 0))
-print(*[s.getsockname()[1] for s in sockets])' "$1"
+import random, socket, sys
+low = int(open("/proc/sys/net/ipv4/ip_local_port_range").read().split()[0])
+ports = []
+for port in random.sample(range(10000, max(low, 20000)), 2000):
+    with socket.socket() as s:
+        try:
+            s.bind(("127.0.0.1", port))
+            ports.append(port)
+        except OSError:
+            pass
+    if len(ports) == int(sys.argv[1]):
+        break
+print(*ports)' "$1"
 }
 
 start() { # NAME COMMAND...
