Silent upstreams and hundreds of rules changes with real processes

Change: a frozen and a leaving executor get nothing new in any zone; 301 changes, then every process is killed, and the last version is in force, with a resend answered; the p99 of each scenario has its range over seeds.

--- a/bench/scenarios.cc
+++ b/bench/scenarios.cc
@@ -120,6 +120,18 @@
 struct Spread {
     std::vector<double> values;
 
+    double
+    Least()
+    {
+        return *std::min_element(values.begin(), values.end());
+    }
+
+    double
+    Most()
+    {
+        return *std::max_element(values.begin(), values.end());
+    }
+
     double
     Median()
     {
@@ -313,19 +325,21 @@
     FILE *json = argc > 2 ? fopen(argv[2], "w") : nullptr;
     int missed = 0;
 
-    printf("%-10s %-26s %-16s %7s %7s %8s %8s %8s %8s %8s %8s %7s %7s\n",
-           "site", "scenario", "policy", "p50 ms", "p99 ms", "p99.9 ms",
-           "goodput", "attempts", "forwards", "refused", "refusal", "failed",
-           "unknown");
+    printf("%-10s %-26s %-16s %7s %7s %13s %8s %8s %8s %8s %8s %8s %7s %7s\n",
+           "site", "scenario", "policy", "p50 ms", "p99 ms", "p99 spread",
+           "p99.9 ms", "goodput", "attempts", "forwards", "refused", "refusal",
+           "failed", "unknown");
     for (const Site &site : kSites) {
         for (const Scenario &scenario : kScenarios) {
             for (const Policy &policy : kPolicies) {
                 Cell c = RunCell(site, scenario, policy, seeds);
 
-                printf("%-10s %-26s %-16s %7.1f %7.1f %8.1f %8.3f %8.3f %8.3f "
+                printf("%-10s %-26s %-16s %7.1f %7.1f %6.1f-%-6.1f %8.1f "
+                       "%8.3f %8.3f %8.3f "
                        "%8.3f %8.1f %7ld %7ld\n",
                        site.name, scenario.name, policy.name, c.p50.Median(),
-                       c.p99.Median(), c.p999.Median(), c.goodput.Median(),
+                       c.p99.Median(), c.p99.Least(), c.p99.Most(),
+                       c.p999.Median(), c.goodput.Median(),
                        c.amplification.Median(), c.forwards.Median(),
                        c.refused.Median(), c.refusal_p99.Median(), c.failed,
                        c.unknown);
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -263,6 +263,7 @@
 
 # Two operators with one number; a resend; a file edited in place.
 case_operators() {
+    local zone n answer
     up
     rules_text 2 > "$dir/one"
     { rules_text 2; echo "weight evictions 7 # asked for by B"; } > "$dir/two"
@@ -278,6 +279,11 @@
     version_everywhere 2 || fail "bad rules changed something"
     rules_text 3 > "$dir/rules"
     wait_until 10 version_everywhere 3 || fail "the edit was not taken up"
+    # Hundreds of changes, then every process is killed at once.
+    for n in $(seq 4 303); do
+        answer=$(post "$http_a" /v1/rules "$(rules_text "$n")")
+        [ "$(tail -1 <<< "$answer")" = 200 ] || fail "change $n: $answer"
+    done
     for zone in $zones; do
         kill -KILL "${pids[control-$zone]}" "${pids[entry-$zone]}"
     done
@@ -285,7 +291,8 @@
         start_control "$zone"
         start_entry "$zone"
     done
-    wait_until 20 version_everywhere 3 || fail "the rules reverted"
+    wait_until 20 version_everywhere 303 || fail "the rules reverted"
+    cli rules apply "$dir/one" || fail "a resend after 301 changes"
 }
 
 # Twice as many control processes as replicas: each holds some groups, and
@@ -416,6 +423,49 @@
     done
 }
 
+# An upstream that fell silent, and one that leaves, get nothing new, in
+# every zone.
+case_silent_upstream() {
+    local runs n zone h
+    up
+    kill -STOP "${pids[executor-a1]}"
+    wait_until 20 closed_in_all executor-a1 || fail "a1 is still open"
+    kill -TERM "${pids[executor-b1]}"
+    wait_until 20 closed_in_all executor-b1 || fail "b1 is still open"
+    runs=$(cat "$dir"/executor-a1.runs "$dir"/executor-b1.runs |
+        grep -c '^run')
+    for n in 1 2 3 4 5 6 7 8 9 10 11 12; do
+        for zone in $zones; do
+            h="http_$zone"
+            [ "$(post "${!h}" /v1/call/advice "after-$n" | tail -1)" = 200 ] ||
+                fail "a call was not answered"
+        done
+    done
+    kill -CONT "${pids[executor-a1]}"
+    wait_until 20 open_somewhere executor-a1 || fail "a1 did not come back"
+    [ "$(cat "$dir"/executor-a1.runs "$dir"/executor-b1.runs |
+        grep -c '^run')" -eq "$runs" ] || fail "they got new work"
+}
+
+open_in() { # ENTRY NAME: how many upstreams of the name are open there
+    "$bin/jayrelay" --entry "$1" --json status | python3 -c '
+import json, sys
+print(sum(u["open"] for u in json.load(sys.stdin)["upstreams"]
+          if u["name"] == sys.argv[1]))' "$2"
+}
+
+closed_in_all() { # NAME
+    local zone h
+    for zone in $zones; do
+        h="http_$zone"
+        [ "$(open_in "${!h}" "$1")" = 0 ] || return 1
+    done
+}
+
+open_somewhere() { # NAME
+    ! closed_in_all "$1"
+}
+
 # A torn tail written into a log, and a damaged record.
 case_torn_and_damaged_log() {
     local log zone
