A stall of one's own process is no silence of the others

A process that had stood in a sync, or had waited for a processor, ran its timers before it read its sockets: a follower stood for election although heartbeats were waiting for it, a leader stepped down although the acknowledgements were.

Ruled out: longer timeouts (the stalls have no bound, and recovery would be slower everywhere); reading the sockets before the timers (the order of libev's watchers in one turn doesn't help when several turns are needed).

Change: the core notices a gap of more than a heartbeat between two of its steps. It moves the time of the next election by the gap, and lets a leader that stood for up to two election timeouts ask its followers once more before it steps down. What a leader may do still needs a confirmation sent after the stall.

--- a/src/quorum/core.c
+++ b/src/quorum/core.c
@@ -4,6 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum {
+    /* A follower waits for 1.25 to 2.25 election timeouts. */
+    STALL_ELECTIONS_MAX = 2,
+};
+
 void
 jr_quorum_send(jr_quorum_t *q, const jr_member_t *to, Jr__QuorumMsg *message)
 {
@@ -132,11 +137,38 @@
     }
 }
 
+/*
+ * Messages wait in the sockets while this process stands still: in a sync, or
+ * for a processor. That time says nothing about the leader, and nothing about
+ * the followers until a leader has asked them again. A leader that stood for
+ * longer than followers wait has a successor by now.
+ */
+static void
+note_stall(jr_quorum_t *q, int64_t stall_ms)
+{
+    q->election_at += stall_ms;
+    if (stall_ms <= STALL_ELECTIONS_MAX * q->options.election_ms) {
+        q->grace_until = q->now + q->options.election_ms;
+        q->heartbeat_at = MIN(q->heartbeat_at, q->now);
+    }
+}
+
+static void
+advance(jr_quorum_t *q, int64_t now)
+{
+    int64_t gap_ms = now - q->now;
+
+    q->now = MAX(q->now, now);
+    if (gap_ms > q->options.heartbeat_ms) {
+        note_stall(q, gap_ms);
+    }
+}
+
 /* Leadership that no majority confirms ends after an election timeout. */
 static void
 check_quorum(jr_quorum_t *q)
 {
-    if (q->role == JR_LEADER &&
+    if (q->role == JR_LEADER && q->now >= q->grace_until &&
         q->now - jr_quorum_confirmed_at(q) > q->options.election_ms) {
         jr_quorum_become_follower(q, q->term, 0);
     }
@@ -209,7 +241,7 @@
 void
 jr_quorum_tick(jr_quorum_t *q, int64_t now)
 {
-    q->now = MAX(q->now, now);
+    advance(q, now);
     check_quorum(q);
     if (q->role == JR_LEADER) {
         if (q->now >= q->heartbeat_at) {
@@ -242,7 +274,7 @@
         jr_count(q->ctx, JR_C_BUS_BAD);
         return jr_fail(q->ctx, JR_BAD_REQUEST, "not a message of this group");
     }
-    q->now = MAX(q->now, now);
+    advance(q, now);
     /* A process that was frozen must not act on old leadership. */
     check_quorum(q);
     if (check_term(q, m)) {
--- a/src/quorum/core.h
+++ b/src/quorum/core.h
@@ -83,6 +83,7 @@
     int64_t heard_leader_at;
     int64_t campaign_at;
     int64_t elected_at;
+    int64_t grace_until; /* a leader that stood still may be confirmed again */
     STAILQ_HEAD(, jr_out) out;
 };
 
--- a/src/quorum/quorum_test.cc
+++ b/src/quorum/quorum_test.cc
@@ -193,6 +193,71 @@
     EXPECT_EQ(jr_quorum_applied(old), jr_quorum_last(Leader()));
 }
 
+/* All processes of an overloaded machine stand still at the same time. */
+TEST_F(QuorumTest, ALeaderSurvivesAStallOfAllProcesses)
+{
+    jr_quorum_t *leader;
+    uint64_t term;
+
+    StartThree();
+    leader = Leader();
+    ASSERT_NE(leader, nullptr);
+    term = jr_quorum_term(leader);
+    now_ += 3 * kElectionMs / 2;
+    Run(400);
+    EXPECT_EQ(Leader(), leader);
+    for (auto &item : replicas_) {
+        EXPECT_EQ(jr_quorum_term(item.second), term);
+        EXPECT_EQ(jr_quorum_leader(item.second), IdOf(leader));
+    }
+}
+
+/* It stood still, so what it missed is not the leader's silence. */
+TEST_F(QuorumTest, AFollowerThatStoodStillListensBeforeItStands)
+{
+    jr_quorum_t *leader;
+    jr_quorum_t *follower;
+
+    StartThree();
+    leader = Leader();
+    ASSERT_NE(leader, nullptr);
+    follower = replicas_[IdOf(leader) % 3 + 1];
+    jr_quorum_tick(follower, now_ + 20 * kElectionMs);
+    EXPECT_EQ(jr_quorum_role(follower), JR_FOLLOWER);
+    EXPECT_EQ(jr_quorum_leader(follower), IdOf(leader));
+}
+
+/* What a stalled leader may do needs a confirmation after its stall. */
+TEST_F(QuorumTest, AStallConfirmsNothing)
+{
+    jr_quorum_t *leader;
+    int64_t before;
+
+    StartThree();
+    leader = Leader();
+    ASSERT_NE(leader, nullptr);
+    before = jr_quorum_confirmed_at(leader);
+    jr_quorum_tick(leader, now_ + kElectionMs + kHeartbeatMs);
+    EXPECT_EQ(jr_quorum_role(leader), JR_LEADER);
+    EXPECT_EQ(jr_quorum_confirmed_at(leader), before);
+    for (int64_t ms = 0; ms <= 2 * kElectionMs; ms += 5) {
+        jr_quorum_tick(leader, now_ + kElectionMs + kHeartbeatMs + ms);
+    }
+    EXPECT_NE(jr_quorum_role(leader), JR_LEADER);
+}
+
+/* Followers have elected another by then. */
+TEST_F(QuorumTest, ALongStallEndsLeadership)
+{
+    jr_quorum_t *leader;
+
+    StartThree();
+    leader = Leader();
+    ASSERT_NE(leader, nullptr);
+    jr_quorum_tick(leader, now_ + 10 * kElectionMs);
+    EXPECT_NE(jr_quorum_role(leader), JR_LEADER);
+}
+
 /* A pre-vote keeps a replica that was cut off from unseating the leader. */
 TEST_F(QuorumTest, AReplicaThatComesBackDoesNotUnseatTheLeader)
 {
