Fillers are paced by the headroom of the services beside them

Cause: the model of tails took their logarithm as linear in the fillers' shares and every swing of a service's own calls as noise. So pairs were learnt slowly, fillers were kept away at the wrong times, and stopped, with their work, instead of slowed down.

Change: curve.c follows the headroom of each job (level and trend), tail.c learns a slope a pair of images by least squares; guard.c plans paces so that services keep 1.1 of headroom, and orders them (JR_ORDER_PACE); a new leader sets them again, one without an answer is repeated while it may arrive late. Stops are left for services that stay over their target for 2 s. Room kept for short tasks is counted beside services, and services wait 4.5 s (2 s while no short task runs) before they take it.

--- a/include/jayrelay/dispatch.h
+++ b/include/jayrelay/dispatch.h
@@ -22,6 +22,7 @@
     JR_ORDER_START,
     JR_ORDER_STOP,
     JR_ORDER_HOLD, /* renew the lease, list runs and ends */
+    JR_ORDER_PACE, /* let a run work at a part of its full pace */
 } jr_order_kind_t;
 
 /**
@@ -33,6 +34,7 @@
  *              clock; 0 for none
  * @ends_seen: of holds: ends up to this number are in the log
  * @wait_ms: of holds: how long the worker may wait for an end
+ * @percent: of paces: of the run's full pace
  */
 typedef struct {
     jr_order_kind_t kind;
@@ -53,6 +55,9 @@
             uint64_t ends_seen;
             int64_t wait_ms;
         } hold;
+        struct {
+            uint32_t percent;
+        } pace;
     } as;
 } jr_order_t;
 
--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -1,22 +1,20 @@
 /* Where a task runs best now. */
 #include "dispatch.h"
 
-#include <math.h>
 #include <string.h>
 
 enum {
     /* Costs, in thousandths of a whole worker. */
     FIRST_IMAGE_COST = 600,
     MIX_COST = 3000,
-    SERVICE_WEIGHT = 2,      /* of a tail at its target, against a tight fit */
-    HARM_WEIGHT = 4,         /* of a tail longer by its target */
+    SERVICE_WEIGHT = 1,      /* of headroom that fillers there would take */
+    HARM_WEIGHT = 2,         /* of headroom that lacks at the highest load */
     SERVICE_USE = 450,       /* thousandths of its processors a service uses */
     FAILED_HERE_COST = 8000, /* its latest run failed on this worker */
     STREAK_COST = 1500,      /* runs of other jobs failed here lately */
     SHORTAGE_WEIGHT = 6,     /* a slow filler costs more than a far one */
     SHORTAGE_MAX = 250,
     PATIENCE_MS = 1200,
-    KEPT_FREE_MS = 2000, /* a service that waits longer goes anywhere */
     MS_PER_S = 1000,
     FAR_WEIGHT = 2,
     PERMILLE = 1000,
@@ -28,13 +26,14 @@
     const Jr__JobStep *step;
     const jr_need_t *need;
     jr_image_t image;
-    double ratio_limit;   /* of the tails beside a filler */
+    double headroom_kept; /* by each service beside a filler */
     int64_t shortage_max; /* of a filler's processors */
 } request_t;
 
-/* Expected tail, as a share of the target, that still bears a filler. */
-static const double RATIO_LIMIT = 0.6;
-static const double HARMLESS = 0.04;
+/* Headroom that services keep beside a new filler; 1 is at the target. */
+static const double HEADROOM_KEPT = 1.1;
+static const double LEAST_WANTED = 1.05; /* at its highest load */
+static const double HARMLESS = 0.05;     /* headroom taken by a filler */
 static const double RELAX_PER_S = 0.5;
 
 static bool
@@ -120,8 +119,8 @@
     if (!has_room || !jr_lead_worker_is_usable(d, w)) {
         return false;
     }
-    if (step->service && w->is_kept_free &&
-        d->wall_ms - request->task->waiting_since < KEPT_FREE_MS) {
+    if (step->service &&
+        d->wall_ms - request->task->waiting_since < w->kept_free_ms) {
         return false;
     }
     return jr_may_run_there(w, request->task);
@@ -145,30 +144,38 @@
     return wanted > left ? PERMILLE * (wanted - MAX(left, 0)) / wanted : 0;
 }
 
+/* It works on while the load of the service swings. */
+static double
+headroom_for(const jr_worker_tail_t *tail)
+{
+    return MIN(tail->headroom, (tail->headroom + tail->least) / 2.0);
+}
+
 /*
- * What a filler would add to the tails of the services there, as a share of
- * their targets; -1 when one would be too long. What hardly lengthens a tail
- * is let in however long that is.
+ * Headroom that the services there will lack at their highest load beside a
+ * filler; -1 when one would lack it before. What takes hardly any is let in
+ * however little there is.
  */
 static double
 added_harm(jr_dispatch_t *d, jr_lead_worker_t *w, const request_t *request)
 {
-    double share = jr_guard_share(w, request->step);
+    jr_tail_load_t load = {.image = request->image,
+                           .share = jr_loads_share(w, request->step)};
     double sum = 0.0;
 
     if (!jr_guard_allows(d, w)) {
         return -1.0;
     }
-    jr_guard_refresh(d, w);
+    jr_loads_refresh(d, w);
     for (size_t i = 0; i < w->n_tails; i++) {
-        double growth = jr_tails_growth(d->tails, w->tails[i].image,
-                                        request->image, share);
-        double ratio = w->tails[i].ratio * exp(growth);
+        const jr_worker_tail_t *tail = &w->tails[i];
+        double taken = jr_tails_taken(d->tails, tail->image, &load, 1);
 
-        if (growth > HARMLESS && ratio > request->ratio_limit) {
+        if (taken > HARMLESS &&
+            headroom_for(tail) - taken < request->headroom_kept) {
             return -1.0;
         }
-        sum += ratio - w->tails[i].ratio;
+        sum += MIN(taken, MAX(LEAST_WANTED - tail->least + taken, 0.0));
     }
     return sum;
 }
@@ -197,11 +204,11 @@
                   share(w->filler_milli, info->cpu_milli) / 2;
 
     if (step->service && step->tail_target_ms > 0) {
-        jr_guard_refresh(d, w);
+        jr_loads_refresh(d, w);
         sum += mix_cost(w, request->image);
         sum += (int64_t)(SERVICE_WEIGHT * PERMILLE *
-                         jr_tails_expected(d->tails, request->image, w->loads,
-                                           w->n_loads));
+                         jr_tails_taken(d->tails, request->image, w->loads,
+                                        w->n_loads));
     }
     return sum;
 }
@@ -263,10 +270,10 @@
     const jr_job_t *job = request->task->job;
     int64_t idle_ms = d->wall_ms - job->idle_since - PATIENCE_MS;
 
-    request->ratio_limit = RATIO_LIMIT;
+    request->headroom_kept = HEADROOM_KEPT;
     request->shortage_max = SHORTAGE_MAX;
     if (job->n_runs == 0 && idle_ms > 0 && d->is_half_empty) {
-        request->ratio_limit += RELAX_PER_S * (double)idle_ms / MS_PER_S;
+        request->headroom_kept -= RELAX_PER_S * (double)idle_ms / MS_PER_S;
         request->shortage_max = PERMILLE;
     }
 }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -24,11 +24,12 @@
 
 typedef struct jr_lead_worker jr_lead_worker_t;
 
-/* The services of one image on a worker: the longer of the tail that they
- * had and the one that the model expects, as a share of the target. */
+/* The services of one image on a worker: the headroom that the model expects
+ * of the worst of them, soon and when its own load is at its highest. */
 typedef struct {
     jr_image_t image;
-    double ratio;
+    double headroom;
+    double least;
 } jr_worker_tail_t;
 
 /* A granted task, as the leader knows it. */
@@ -55,6 +56,11 @@
     uint32_t percent;
     int64_t percent_at; /* when it last grew */
     uint32_t gauge;
+    double tail_error;    /* headroom that the model expected in vain */
+    uint32_t pace;        /* as the worker confirmed it, JR_PACE_UNKNOWN */
+    uint32_t pace_sent;   /* in the order under way */
+    uint32_t pace_wanted; /* percent of its full pace */
+    int64_t pace_unsure_until; /* an earlier order may still arrive */
     int64_t granted_at;
     char *checkpoint; /* the latest that the worker listed */
 } jr_run_t;
@@ -97,16 +103,14 @@
     int64_t quarantine_ms;
     int64_t full_until; /* it refused for want of room */
 
-    uint32_t rank;      /* from its id, the same for every leader */
-    bool is_kept_free;  /* from services, for short tasks */
-    bool is_load_stale; /* the loads and tails below */
-    jr_tail_load_t loads[JR_TAIL_LOADS_MAX];
+    uint32_t rank;        /* from its id, the same for every leader */
+    int64_t kept_free_ms; /* for short tasks: services wait so long */
+    bool is_load_stale;   /* the loads and tails below */
+    int64_t loads_at;
+    jr_tail_load_t loads[JR_TAIL_LOADS_MAX]; /* at the paces wanted */
     size_t n_loads;
-    jr_tail_load_t recent[JR_TAIL_LOADS_MAX]; /* averages, as tails lag */
-    size_t n_recent;
-    int64_t recent_at;
-    int64_t relieved_at; /* fillers were stopped there */
-    int64_t over_since;  /* a service, over its target beside fillers, or 0 */
+    int64_t over_since;    /* a service is over its target, or 0 */
+    int64_t beside_since;  /* the same, beside fillers */
     int64_t cleared_until; /* no fillers before */
     jr_worker_tail_t tails[JR_TAIL_LOADS_MAX];
     size_t n_tails;
@@ -144,6 +148,7 @@
     int64_t scheduled_at;
     double short_milli; /* recent peak of processors for short tasks */
     int64_t short_at;
+    bool has_short;     /* such tasks run, or wait */
     bool is_half_empty; /* most of the workers' processors are free */
     struct jr_lead_worker_list workers; /* by rank */
     jr_lead_worker_t *next_worker; /* to be looked at for orders, or NULL */
@@ -191,10 +196,20 @@
 bool jr_guard_allows(const jr_dispatch_t *d, const jr_lead_worker_t *w);
 /* May fillers there disturb services? */
 bool jr_guard_is_needed(const jr_lead_worker_t *w);
+
+/* loads.c: what fillers and services do to each other. */
 /* Bring the lists of loads and tails up to date. */
-void jr_guard_refresh(jr_dispatch_t *d, jr_lead_worker_t *w);
-/* Share of a worker's processors that a filler would use. */
-double jr_guard_share(const jr_lead_worker_t *w, const Jr__JobStep *filler);
+void jr_loads_refresh(jr_dispatch_t *d, jr_lead_worker_t *w);
+/* Share of a worker's processors that a filler asks for. */
+double jr_loads_share(const jr_lead_worker_t *w, const Jr__JobStep *filler);
+/* What fillers used lately; loads has room for JR_TAIL_LOADS_MAX. */
+size_t jr_loads_seen(const jr_lead_worker_t *w, jr_tail_load_t *loads);
+bool jr_loads_has_target(const jr_run_t *run);
+bool jr_loads_is_at_work(const jr_run_t *run);
+/* Tail of a service as a share of its target. */
+double jr_loads_ratio(const jr_run_t *run);
+/* Headroom of a service without fillers, soon. */
+double jr_loads_alone(const jr_dispatch_t *d, const jr_run_t *service);
 
 /* run.c: one run from its grant to its end. */
 jr_run_t *jr_run_new(jr_dispatch_t *d, jr_job_task_t *task,
@@ -202,6 +217,8 @@
 void jr_run_free(jr_dispatch_t *d, jr_run_t *run);
 void jr_run_set_due(jr_dispatch_t *d, jr_run_t *run);
 void jr_run_stop(jr_dispatch_t *d, jr_run_t *run);
+/* Let a filler work at this percentage of its full pace. */
+void jr_run_set_pace(jr_dispatch_t *d, jr_run_t *run, uint32_t percent);
 /* The run is over, without an end that the worker listed. */
 void jr_run_release(jr_dispatch_t *d, jr_run_t *run, const char *why);
 bool jr_run_order(jr_dispatch_t *d, jr_run_t *run, jr_order_t *order);
@@ -235,6 +252,9 @@
     JR_RUN_TEXT_BYTES = 80,
     JR_ANSWER_TIMEOUT_MS = 600, /* of an order that does not wait */
     JR_RETRY_MS = 250,
+    JR_LATE_ORDER_MS = 15000, /* a lost order may be carried out this late */
+    JR_PACE_WHOLE = 100,
+    JR_PACE_UNKNOWN = 101, /* an earlier leader may have set it */
 };
 
 #endif
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -305,10 +305,13 @@
         sent.fence = order.fence;
         sent.run = order.run;
         sent.sent_at = now;
-        sent.expires_ms =
-            is_hold ? order.as.hold.expires_ms : order.as.start.expires_ms;
+        sent.expires_ms = is_hold ? order.as.hold.expires_ms
+                          : order.kind == JR_ORDER_START
+                              ? order.as.start.expires_ms
+                              : 0;
         sent.ends_seen = is_hold ? order.as.hold.ends_seen : 0;
         sent.wait_ms = is_hold ? order.as.hold.wait_ms : 0;
+        sent.pace = order.kind == JR_ORDER_PACE ? order.as.pace.percent : 0;
         sent.due = now + 1 + static_cast<int64_t>(rng_() % 8);
         sent.is_answered = true;
         if (Chance(faults.late)) {
@@ -413,6 +416,15 @@
             worker.ended.pop_front();
         }
         return JR_ANSWER_DONE;
+    case JR_ORDER_PACE: {
+        auto found = worker.running.find(task);
+
+        if (found != worker.running.end() &&
+            found->second.attempt == sent.run.attempt) {
+            found->second.pace = sent.pace;
+        }
+        return JR_ANSWER_DONE;
+    }
     }
     return JR_ANSWER_DONE;
 }
@@ -441,7 +453,7 @@
                 ? percent
                 : static_cast<uint32_t>(100 * (now - run.began_at) /
                                         (run.ends_at - run.began_at + 1));
-        row.gauge = gauge;
+        row.gauge = gauge_of ? gauge_of(worker, name) : gauge;
         running.push_back(row);
     }
     for (const FleetEnd &end : worker.ended) {
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -35,6 +36,7 @@
     bool fails;
     int64_t cpu;
     int64_t began_at;
+    uint32_t pace = 100;
 };
 
 struct FleetEnd {
@@ -96,6 +98,8 @@
     int64_t log_delay_ms = 20;
     uint32_t percent = 0; /* that every run shows; 0: what it has done */
     uint32_t gauge = 0;
+    /* What a run shows instead, when set. */
+    std::function<uint32_t(const FleetWorker &, const TaskName &)> gauge_of;
     /* Turns a mechanism off, to see the checks red. */
     bool ignores_fences = false;
     bool ignores_leases = false;
@@ -116,6 +120,7 @@
         int64_t expires_ms;
         uint64_t ends_seen;
         int64_t wait_ms;
+        uint32_t pace;
         int64_t held_since;
         bool is_carried_out;
         int64_t sent_at;
--- a/src/dispatch/guard.c
+++ b/src/dispatch/guard.c
@@ -1,39 +1,36 @@
 /*
  * Fillers beside services. The tails that workers list teach the model of
- * tails; a service that is over its limit has those fillers stopped that
- * the model blames most, and they run elsewhere. Where that doesn't help in
- * time, all of them leave for a while.
+ * tails. Fillers are slowed down as far as the services beside them need,
+ * and work on at full pace as these have headroom again. Where that doesn't
+ * help in time, all fillers leave for a while.
  */
 #include "dispatch.h"
 
 #include <math.h>
-#include <string.h>
 
 enum {
-    WORKING_PERCENT = 100,  /* of a service that serves */
-    RELIEF_PAUSE_MS = 1300, /* for stops and lagging tails to show */
-    OVERDUE_MS = 2000,      /* over a target beside fillers: they all go */
-    CLEARED_MS = 2000,      /* and stay away, to see whether it helped */
+    OVERDUE_MS = 2000,  /* over a target beside fillers: they all go */
+    CLEARED_MS = 2000,  /* and stay away, to see whether it helped */
+    PACE_DOWN_STEP = 8, /* smaller changes are not worth an order */
+    PACE_UP_STEP = 15,
+    FILLERS_MAX = 64, /* on one worker, that are slowed down */
 };
 
-static const double TAIL_LAG_MS = 400.0;
-static const double SMALL_SHARE = 0.005;
-
 static const double TARGET = 1.0;
-static const double LIMIT = 0.95; /* of the target: act */
-/* A filler with less to blame makes no difference. */
-static const double LEAST_BLAME = 0.1;
-/* What can't resume from a checkpoint loses all of its work. */
-static const double NO_CHECKPOINT_WEIGHT = 0.5;
-static const double RELIEF = 0.75; /* of the target: enough was done */
-
-double
-jr_guard_share(const jr_lead_worker_t *w, const Jr__JobStep *filler)
-{
-    uint32_t whole = w->worker->info->cpu_milli;
-
-    return whole > 0 ? (double)filler->cpu_milli / whole : 0.0;
-}
+/* Headroom that a service is to keep: of its target over its tail. */
+static const double HEADROOM_KEPT = 1.1;
+/* A filler that takes less from a service, as a whole worker, is let be. */
+static const double LEAST_SLOPE = 0.2;
+/* How fast an error of the model at one task is believed. */
+static const double ERROR_GAIN = 0.3;
+static const double ERROR_MAX = 1.0;
+
+/* A filler whose pace is being planned. */
+typedef struct {
+    jr_run_t *run;
+    jr_tail_load_t load; /* at its planned pace */
+    double whole;        /* share at full pace */
+} paced_t;
 
 bool
 jr_guard_is_needed(const jr_lead_worker_t *w)
@@ -41,191 +38,150 @@
     return w->n_services > 0 && w->filler_milli > 0;
 }
 
-static bool
-has_target(const jr_run_t *run)
+static size_t
+collect_fillers(const jr_lead_worker_t *w, paced_t *fillers)
 {
-    const Jr__JobStep *step = jr_task_step(run->task);
-
-    return step->service && step->tail_target_ms > 0;
-}
+    jr_run_t *run;
+    size_t n = 0;
 
-static double
-ratio_of(const jr_run_t *run)
-{
-    return (double)run->gauge / jr_task_step(run->task)->tail_target_ms;
-}
+    TAILQ_FOREACH (run, &w->runs, link) {
+        const Jr__JobStep *step = jr_task_step(run->task);
 
-static void
-add_load(jr_lead_worker_t *w, const jr_run_t *run)
-{
-    double share = jr_guard_share(w, jr_task_step(run->task));
+        if (step->filler && n < FILLERS_MAX) {
+            double share = jr_loads_share(w, step);
 
-    for (size_t i = 0; i < w->n_loads; i++) {
-        if (w->loads[i].image == run->image) {
-            w->loads[i].share += share;
-            return;
+            fillers[n++] = (paced_t){
+                .run = run, .load = {run->image, share}, .whole = share};
         }
     }
-    if (w->n_loads < JR_TAIL_LOADS_MAX) {
-        w->loads[w->n_loads++] =
-            (jr_tail_load_t){.image = run->image, .share = share};
-    }
+    return n;
 }
 
-static void
-add_tail(jr_lead_worker_t *w, const jr_run_t *run)
+/* Headroom that the planned fillers leave to a service. */
+static double
+headroom_left(const jr_dispatch_t *d, const jr_run_t *service,
+              const paced_t *fillers, size_t n)
 {
-    double ratio = ratio_of(run);
+    double left = jr_loads_alone(d, service);
 
-    for (size_t i = 0; i < w->n_tails; i++) {
-        if (w->tails[i].image == run->image) {
-            w->tails[i].ratio = MAX(w->tails[i].ratio, ratio);
-            return;
-        }
-    }
-    if (w->n_tails < JR_TAIL_LOADS_MAX) {
-        w->tails[w->n_tails++] =
-            (jr_worker_tail_t){.image = run->image, .ratio = ratio};
+    for (size_t i = 0; i < n; i++) {
+        left -= jr_tails_taken(d->tails, service->image, &fillers[i].load, 1);
     }
+    return left;
 }
 
 static double
-share_of(const jr_lead_worker_t *w, jr_image_t image)
+slope_of(const jr_dispatch_t *d, const jr_run_t *service, jr_image_t filler)
 {
-    for (size_t i = 0; i < w->n_loads; i++) {
-        if (w->loads[i].image == image) {
-            return w->loads[i].share;
-        }
-    }
-    return 0.0;
+    jr_tail_load_t whole = {.image = filler, .share = 1.0};
+
+    return jr_tails_taken(d->tails, service->image, &whole, 1);
 }
 
-static void
-ensure_recent(jr_lead_worker_t *w, jr_image_t image)
+/* The one that takes most for what it gets done; NULL when none matters. */
+static paced_t *
+find_worst(const jr_dispatch_t *d, const jr_run_t *service, paced_t *fillers,
+           size_t n)
 {
-    for (size_t i = 0; i < w->n_recent; i++) {
-        if (w->recent[i].image == image) {
-            return;
+    paced_t *worst = NULL;
+    double most = LEAST_SLOPE;
+
+    for (size_t i = 0; i < n; i++) {
+        double slope = slope_of(d, service, fillers[i].load.image);
+
+        if (fillers[i].load.share > 0.0 && slope > most) {
+            most = slope;
+            worst = &fillers[i];
         }
     }
-    if (w->n_recent < JR_TAIL_LOADS_MAX) {
-        w->recent[w->n_recent++] = (jr_tail_load_t){.image = image};
-    }
+    return worst;
 }
 
-/* Before the loads change: what they were until now counts. */
 static void
-average_loads(const jr_dispatch_t *d, jr_lead_worker_t *w)
+slow_down_for(const jr_dispatch_t *d, const jr_run_t *service,
+              paced_t *fillers, size_t n)
 {
-    double kept = exp(-(double)(d->now - w->recent_at) / TAIL_LAG_MS);
-    size_t n = 0;
+    double lacking = HEADROOM_KEPT - headroom_left(d, service, fillers, n);
+    paced_t *filler;
 
-    for (size_t i = 0; i < w->n_loads; i++) {
-        ensure_recent(w, w->loads[i].image);
-    }
-    for (size_t i = 0; i < w->n_recent; i++) {
-        jr_tail_load_t *recent = &w->recent[i];
-        double share = share_of(w, recent->image);
+    while (lacking > 0.0 &&
+           (filler = find_worst(d, service, fillers, n)) != NULL) {
+        double slope = slope_of(d, service, filler->load.image);
 
-        recent->share = share + (recent->share - share) * kept;
-        if (recent->share > SMALL_SHARE) {
-            w->recent[n++] = *recent;
+        if (filler->load.share * slope > lacking) {
+            filler->load.share -= lacking / slope;
+            return;
         }
+        lacking -= filler->load.share * slope;
+        filler->load.share = 0.0;
     }
-    w->n_recent = n;
-    w->recent_at = d->now;
 }
 
-void
-jr_guard_refresh(jr_dispatch_t *d, jr_lead_worker_t *w)
+static void
+plan_paces(const jr_dispatch_t *d, const jr_lead_worker_t *w, paced_t *fillers,
+           size_t n)
 {
     const jr_run_t *run;
 
-    if (!w->is_load_stale) {
-        return;
-    }
-    w->is_load_stale = false;
-    average_loads(d, w);
-    w->n_loads = 0;
-    w->n_tails = 0;
     TAILQ_FOREACH (run, &w->runs, link) {
-        if (jr_task_step(run->task)->filler) {
-            add_load(w, run);
-        }
-        else if (has_target(run)) {
-            add_tail(w, run);
+        if (jr_loads_has_target(run) && jr_loads_is_at_work(run)) {
+            slow_down_for(d, run, fillers, n);
         }
     }
-    for (size_t i = 0; i < w->n_tails; i++) {
-        w->tails[i].ratio = MAX(w->tails[i].ratio,
-                                jr_tails_expected(d->tails, w->tails[i].image,
-                                                  w->loads, w->n_loads));
-    }
 }
 
-/* The running filler that the model blames most for a service's tail. */
-static jr_run_t *
-find_worst(const jr_dispatch_t *d, const jr_lead_worker_t *w,
-           jr_image_t service, double *blame)
+static void
+set_pace(jr_dispatch_t *d, jr_run_t *run, uint32_t pace)
 {
-    jr_run_t *worst = NULL;
-    jr_run_t *run;
-    double most = 0.0;
+    char text[JR_RUN_TEXT_BYTES];
 
-    TAILQ_FOREACH (run, &w->runs, link) {
-        const Jr__JobStep *step = jr_task_step(run->task);
-        double weight;
-        double own;
+    jr_count(d->ctx, JR_C_PACES);
+    jr_log(d->ctx, JR_EV_FILLER_PACED,
+           "task=%s worker=%s image=%s percent=%u was=%u",
+           jr_run_text(run, text, sizeof text), run->worker->worker->info->id,
+           jr_task_step(run->task)->image, pace, run->pace_wanted);
+    jr_run_set_pace(d, run, pace);
+}
 
-        if (!step->filler || run->state != JR_RUN_RUNNING) {
-            continue;
-        }
-        own = jr_tails_growth(d->tails, service, run->image,
-                              jr_guard_share(w, step));
-        weight = step->checkpoints ? own : own * NO_CHECKPOINT_WEIGHT;
-        if (worst == NULL || weight > most) {
-            most = weight;
-            *blame = own;
-            worst = run;
+static void
+order_paces(jr_dispatch_t *d, jr_lead_worker_t *w)
+{
+    paced_t fillers[FILLERS_MAX];
+    size_t n = collect_fillers(w, fillers);
+
+    plan_paces(d, w, fillers, n);
+    for (size_t i = 0; i < n; i++) {
+        int pace = fillers[i].whole > 0.0
+                       ? (int)(JR_PACE_WHOLE * fillers[i].load.share /
+                               fillers[i].whole)
+                       : JR_PACE_WHOLE;
+        int change = pace - (int)fillers[i].run->pace_wanted;
+
+        if (fillers[i].run->pace == JR_PACE_UNKNOWN ||
+            change <= -PACE_DOWN_STEP || change >= PACE_UP_STEP ||
+            (change > 0 && pace == JR_PACE_WHOLE)) {
+            set_pace(d, fillers[i].run, (uint32_t)pace);
         }
     }
-    return worst;
 }
 
 static void
 stop_filler(jr_dispatch_t *d, jr_lead_worker_t *w, jr_run_t *run,
-            const jr_run_t *service, double blame)
+            const jr_run_t *service)
 {
     char text[JR_RUN_TEXT_BYTES];
 
     jr_log(
         d->ctx, JR_EV_FILLER_STOPPED,
-        "task=%s worker=%s image=%s service=%s ratio=%.2f "
-        "expected=%.2f blame=%.2f ran_ms=%lld",
+        "task=%s worker=%s image=%s service=%s ratio=%.2f alone=%.2f "
+        "slope=%.2f pace=%u ran_ms=%lld",
         jr_run_text(run, text, sizeof text), w->worker->info->id,
         jr_task_step(run->task)->image, jr_task_step(service->task)->image,
-        ratio_of(service),
-        jr_tails_expected(d->tails, service->image, w->loads, w->n_loads),
-        blame,
+        jr_loads_ratio(service), jr_loads_alone(d, service),
+        slope_of(d, service, run->image), run->pace_wanted,
         (long long)(run->confirmed_at > 0 ? d->now - run->confirmed_at : 0));
     jr_count(d->ctx, JR_C_EVICTIONS);
     jr_run_stop(d, run);
-    w->relieved_at = d->now;
-}
-
-static void
-relieve(jr_dispatch_t *d, jr_lead_worker_t *w, const jr_run_t *service)
-{
-    double excess = log(ratio_of(service) / RELIEF);
-    double blame = 0.0;
-    jr_run_t *run;
-
-    while (excess > 0.0 &&
-           (run = find_worst(d, w, service->image, &blame)) != NULL &&
-           blame >= LEAST_BLAME) {
-        stop_filler(d, w, run, service, blame);
-        excess -= blame;
-    }
 }
 
 /*
@@ -238,23 +194,13 @@
     jr_run_t *run;
 
     TAILQ_FOREACH (run, &w->runs, link) {
-        const Jr__JobStep *step = jr_task_step(run->task);
-
-        if (step->filler && !run->is_stop_wanted) {
-            stop_filler(d, w, run, service,
-                        jr_tails_growth(d->tails, service->image, run->image,
-                                        jr_guard_share(w, step)));
+        if (jr_task_step(run->task)->filler && !run->is_stop_wanted) {
+            stop_filler(d, w, run, service);
         }
     }
     w->cleared_until = d->now + CLEARED_MS;
 }
 
-static bool
-is_at_work(const jr_run_t *run)
-{
-    return run->state == JR_RUN_RUNNING && run->percent >= WORKING_PERCENT;
-}
-
 /* The service that is furthest over its target, NULL for none. */
 static const jr_run_t *
 find_over_target(const jr_lead_worker_t *w)
@@ -263,8 +209,9 @@
     const jr_run_t *run;
 
     TAILQ_FOREACH (run, &w->runs, link) {
-        if (has_target(run) && is_at_work(run) && ratio_of(run) > TARGET &&
-            (worst == NULL || ratio_of(run) > ratio_of(worst))) {
+        if (jr_loads_has_target(run) && jr_loads_is_at_work(run) &&
+            jr_loads_ratio(run) > TARGET &&
+            (worst == NULL || jr_loads_ratio(run) > jr_loads_ratio(worst))) {
             worst = run;
         }
     }
@@ -276,42 +223,79 @@
 {
     const jr_run_t *service = find_over_target(w);
 
-    if (service == NULL || w->n_loads == 0) {
+    if (service == NULL) {
         w->over_since = 0;
+        w->beside_since = 0;
+        return;
     }
-    else if (w->over_since == 0) {
-        w->over_since = d->now;
+    w->over_since = w->over_since != 0 ? w->over_since : d->now;
+    if (w->filler_milli == 0) {
+        w->beside_since = 0;
     }
-    else if (d->now - w->over_since >= OVERDUE_MS) {
+    else if (w->beside_since == 0) {
+        w->beside_since = d->now;
+    }
+    else if (d->now - w->beside_since >= OVERDUE_MS) {
         clear_fillers(d, w, service);
-        w->over_since = 0;
+        w->beside_since = 0;
     }
 }
 
+/* What stays over its target without fillers does not need their absence. */
 bool
 jr_guard_allows(const jr_dispatch_t *d, const jr_lead_worker_t *w)
 {
-    return d->now >= w->cleared_until;
+    return d->now >= w->cleared_until &&
+           (w->over_since == 0 ||
+            d->now - w->over_since >= OVERDUE_MS + CLEARED_MS);
 }
 
-void
-jr_guard_worker(jr_dispatch_t *d, jr_lead_worker_t *w)
+/* What the model expected at this task, less what was listed. */
+static void
+note_error(jr_dispatch_t *d, jr_run_t *run, const jr_tail_load_t *loads,
+           size_t n)
 {
-    bool is_relieved = d->now - w->relieved_at < RELIEF_PAUSE_MS;
+    double expected = jr_tails_alone(d->tails, run->task->job->id, d->now) -
+                      jr_tails_taken(d->tails, run->image, loads, n);
+    double error =
+        CLAMP(expected - 1.0 / jr_loads_ratio(run), -ERROR_MAX, ERROR_MAX);
+
+    run->tail_error += ERROR_GAIN * (error - run->tail_error);
+}
+
+static void
+learn(jr_dispatch_t *d, jr_lead_worker_t *w)
+{
+    jr_tail_load_t loads[JR_TAIL_LOADS_MAX];
+    size_t n = jr_loads_seen(w, loads);
     jr_run_t *run;
 
-    w->is_load_stale = true;
-    jr_guard_refresh(d, w);
     TAILQ_FOREACH (run, &w->runs, link) {
-        if (!has_target(run) || !is_at_work(run)) {
+        jr_tail_seen_t seen;
+
+        if (!jr_loads_has_target(run) || !jr_loads_is_at_work(run) ||
+            run->gauge == 0) {
             continue;
         }
-        jr_tails_learn(d->tails, run->image, ratio_of(run), w->recent,
-                       w->n_recent);
-        if (ratio_of(run) > LIMIT && w->n_loads > 0 && !is_relieved) {
-            relieve(d, w, run);
-        }
+        seen = (jr_tail_seen_t){
+            .service = run->image,
+            .job = run->task->job->id,
+            .tail_ms = run->gauge,
+            .target_ms = jr_task_step(run->task)->tail_target_ms,
+            .loads = loads,
+            .n_loads = n,
+            .at_ms = d->now,
+        };
+        jr_tails_learn(d->tails, &seen);
+        note_error(d, run, loads, n);
     }
+}
+
+void
+jr_guard_worker(jr_dispatch_t *d, jr_lead_worker_t *w)
+{
+    learn(d, w);
+    order_paces(d, w);
     watch_target(d, w);
     w->is_load_stale = true;
 }
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -81,6 +81,9 @@
         run->percent_at = d->now;
     }
     run->gauge = row->gauge;
+    if (run->pace_wanted < JR_PACE_WHOLE) {
+        run->percent_at = d->now; /* slow by order is not stalled */
+    }
     if (g_strcmp0(run->checkpoint, row->checkpoint) != 0) {
         jr_free(d->ctx, run->checkpoint);
         run->checkpoint = jr_strdup(d->ctx, row->checkpoint);
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -14,8 +14,11 @@
 #include <math.h>
 
 enum {
-    WAITED_MS = 3500, /* then room is held for a service */
+    WAITED_MS = 4500, /* then room is held for a service */
     HELD_MAX = 16,    /* services at once */
+    /* How long services stay away from room that short tasks use, or may. */
+    KEPT_USED_MS = 4500,
+    KEPT_SPARE_MS = 2000,
 };
 
 static const double HALF_LIFE_MS = 15000.0;
@@ -72,6 +75,7 @@
 
     d->short_milli = MAX(now, d->short_milli * exp2(-age / HALF_LIFE_MS));
     d->short_at = d->now;
+    d->has_short = now > 0.0;
 }
 
 void
@@ -80,7 +84,7 @@
     jr_lead_worker_t *w;
     double all = 0.0;
     double used = 0.0;
-    double wanted;
+    double wanted, spare;
 
     note_peak(d);
     TAILQ_FOREACH (w, &d->workers, link) {
@@ -90,12 +94,23 @@
         }
     }
     d->is_half_empty = 2.0 * used < all;
-    wanted =
-        CLAMP(HEADROOM * d->short_milli, LEAST_SHARE * all, MOST_SHARE * all);
+    wanted = MIN(HEADROOM * d->short_milli, MOST_SHARE * all);
+    spare = MAX(LEAST_SHARE * all - wanted, 0.0);
     TAILQ_FOREACH (w, &d->workers, link) {
-        w->is_kept_free = wanted > 0.0 && jr_lead_worker_is_usable(d, w);
-        if (w->is_kept_free) {
-            wanted -= w->worker->info->cpu_milli;
+        double room =
+            (double)(w->worker->info->cpu_milli - w->services.cpu_milli);
+
+        w->kept_free_ms = 0;
+        if (!jr_lead_worker_is_usable(d, w)) {
+            continue;
+        }
+        if (wanted > 0.0) {
+            w->kept_free_ms = d->has_short ? KEPT_USED_MS : KEPT_SPARE_MS;
+            wanted -= room;
+        }
+        else if (spare > 0.0) {
+            w->kept_free_ms = KEPT_SPARE_MS;
+            spare -= room;
         }
     }
 }
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -6,6 +6,7 @@
 enum {
     UNREACHED_TRIES_MAX = 3, /* then the task goes to another worker */
     FULL_PAUSE_MS = 300,     /* until the worker is tried again for room */
+    PACE_AGAIN_MS = 500,
 };
 
 void
@@ -57,6 +58,8 @@
     run->born = w->born;
     run->granted_at = d->now;
     run->percent_at = d->now;
+    run->pace = state == JR_RUN_PROPOSED ? JR_PACE_WHOLE : JR_PACE_UNKNOWN;
+    run->pace_wanted = JR_PACE_WHOLE;
     jr_need_of(jr_task_step(task), &run->need);
     task->run = run;
     task->job->n_runs++;
@@ -135,6 +138,23 @@
     }
 }
 
+static bool
+needs_pace(const jr_dispatch_t *d, const jr_run_t *run)
+{
+    return run->state == JR_RUN_RUNNING && jr_task_step(run->task)->filler &&
+           (run->pace != run->pace_wanted || d->now < run->pace_unsure_until);
+}
+
+void
+jr_run_set_pace(jr_dispatch_t *d, jr_run_t *run, uint32_t percent)
+{
+    run->pace_wanted = percent;
+    run->worker->is_load_stale = true;
+    if (needs_pace(d, run)) {
+        jr_run_set_due(d, run);
+    }
+}
+
 void
 jr_run_release(jr_dispatch_t *d, jr_run_t *run, const char *why)
 {
@@ -176,6 +196,14 @@
     case JR_RUN_STOPPING:
         order->kind = JR_ORDER_STOP;
         break;
+    case JR_RUN_RUNNING:
+        if (!needs_pace(d, run)) {
+            return false;
+        }
+        order->kind = JR_ORDER_PACE;
+        order->as.pace.percent = run->pace_wanted;
+        run->pace_sent = run->pace_wanted;
+        return true;
     default:
         return false;
     }
@@ -288,6 +316,36 @@
     }
 }
 
+/*
+ * One without an answer may arrive late, after others: the wanted pace is
+ * sent again until none of them can.
+ */
+static void
+on_pace_answer(jr_dispatch_t *d, jr_run_t *run, const jr_answer_t *answer)
+{
+    switch (answer->kind) {
+    case JR_ANSWER_DONE:
+        run->pace = run->pace_sent;
+        break;
+    case JR_ANSWER_OTHER_LIFE:
+        jr_lead_worker_life_over(d, run->worker);
+        return;
+    case JR_ANSWER_UNREACHED:
+        break;
+    case JR_ANSWER_UNCLEAR:
+        run->pace = JR_PACE_UNKNOWN;
+        run->pace_unsure_until = d->now + JR_LATE_ORDER_MS;
+        break;
+    default:
+        run->pace = run->pace_wanted; /* the lists tell what became of it */
+        break;
+    }
+    if (needs_pace(d, run)) {
+        run->try_at = d->now + PACE_AGAIN_MS;
+        jr_run_set_due(d, run);
+    }
+}
+
 void
 jr_run_answer(jr_dispatch_t *d, jr_run_t *run, jr_order_kind_t kind,
               const jr_answer_t *answer)
@@ -306,4 +364,10 @@
     else if (kind == JR_ORDER_STOP && run->state == JR_RUN_STOPPING) {
         on_stop_answer(d, run, answer);
     }
+    else if (kind == JR_ORDER_PACE && run->state == JR_RUN_RUNNING) {
+        on_pace_answer(d, run, answer);
+    }
+    else if (kind == JR_ORDER_PACE && run->state == JR_RUN_STOPPING) {
+        jr_run_set_due(d, run);
+    }
 }
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -7,7 +7,6 @@
 enum {
     ANSWER_AGE_MAX_MS = 3000, /* a worker that is silent longer gets nothing */
     LAPSE_MARGIN_MS = 50,
-    LATE_ORDER_MS = 15000, /* a lost order may be carried out this late */
     FORGET_SILENT_MS = 20000,
     PERMILLE = 1000,
 };
@@ -158,7 +157,7 @@
     w->clock_at = 0;
     w->is_taken = false;
     w->inherited_until = 0;
-    w->reborn_until = d->now + LATE_ORDER_MS + d->options.lease_ms;
+    w->reborn_until = d->now + JR_LATE_ORDER_MS + d->options.lease_ms;
     w->failure_streak = 0;
     w->quarantined_until = 0;
     w->quarantine_ms = 0;
--- a/src/interfere/tail.c
+++ b/src/interfere/tail.c
@@ -1,29 +1,27 @@
 /*
- * The model of tails: recursive least squares, one regression a service.
- *
- * A tail grows by a factor for each share of fillers, so the model is linear
- * in logarithms: log(ratio) = base + sum of slope * share.
+ * The model of tails. The slopes are learnt by recursive least squares, one
+ * regression a service: alone - headroom = sum of slope * share. What the
+ * service would have alone comes from the curve of its job.
  */
 #include "jayrelay/tail.h"
 
 #include <glib.h>
 #include <math.h>
 #include <string.h>
-#include <uthash.h>
-
-enum { TERMS_MAX = JR_TAIL_IMAGES_MAX + 1 }; /* the base is term 0 */
-
-/* Ratios beyond these say no more than "too much" and "calm". */
-static const double RATIO_MAX = 20.0;
-static const double RATIO_MIN = 0.1;
-static const double BASE_STANDARD = 0.45;
-static const double BASE_VARIANCE = 0.05;
-static const double SLOPE_STANDARD = 1.2;
-static const double SLOPE_VARIANCE = 9.0;
-/* A service's own load makes its tail swing, for many lists in a row. */
-static const double NOISE_VARIANCE = 2.0;
+
+#include "curve.h"
+
+/* Headroom that a whole worker of an unknown filler is reckoned to take. */
+static const double SLOPE_STANDARD = 2.0;
+static const double SLOPE_VARIANCE = 6.0;
+/* Of a listed tail, beside the rounding to whole milliseconds. */
+static const double NOISE_VARIANCE = 0.04;
+static const double ROUNDING_DEVIATION = 0.29; /* ms */
 /* Pairs change: what was learnt is trusted a little less each time. */
 static const double VARIANCE_GROWTH = 0.002;
+/* Tails outside of these say no more than "calm" and "too long". */
+static const double HEADROOM_MAX = 6.0;
+static const double HEADROOM_MIN = 0.25;
 
 typedef struct {
     char *name;
@@ -31,10 +29,10 @@
     UT_hash_handle hh;
 } image_t;
 
-/* The regression of one service. */
+/* The regression of one service: a slope for each image of fillers. */
 typedef struct {
-    double values[TERMS_MAX];
-    double variances[TERMS_MAX][TERMS_MAX];
+    double slopes[JR_TAIL_IMAGES_MAX];
+    double variances[JR_TAIL_IMAGES_MAX][JR_TAIL_IMAGES_MAX];
 } regression_t;
 
 struct jr_tails {
@@ -42,6 +40,7 @@
     image_t *images;
     jr_image_t n;
     regression_t *regressions[JR_TAIL_IMAGES_MAX]; /* NULL: no such service */
+    jr_curves_t curves;
 };
 
 jr_tails_t *
@@ -69,6 +68,7 @@
     for (jr_image_t i = 0; i < JR_TAIL_IMAGES_MAX; i++) {
         jr_free(tails->ctx, tails->regressions[i]);
     }
+    jr_curves_clear(tails->ctx, &tails->curves);
     jr_free(tails->ctx, tails);
 }
 
@@ -93,88 +93,121 @@
 }
 
 static regression_t *
-new_regression(jr_ctx_t *ctx)
+regression_of(jr_tails_t *tails, jr_image_t service)
 {
-    regression_t *r = jr_alloc(ctx, sizeof *r);
+    regression_t *r = tails->regressions[service];
 
-    r->values[0] = log(BASE_STANDARD);
-    r->variances[0][0] = BASE_VARIANCE;
-    for (size_t i = 1; i < TERMS_MAX; i++) {
-        r->values[i] = SLOPE_STANDARD;
-        r->variances[i][i] = SLOPE_VARIANCE;
+    if (r == NULL) {
+        r = jr_alloc(tails->ctx, sizeof *r);
+        for (size_t i = 0; i < JR_TAIL_IMAGES_MAX; i++) {
+            r->slopes[i] = SLOPE_STANDARD;
+            r->variances[i][i] = SLOPE_VARIANCE;
+        }
+        tails->regressions[service] = r;
     }
     return r;
 }
 
-/* The terms of an observation: 1 for the base, then the shares. */
-static void
-fill_terms(double *x, const jr_tail_load_t *loads, size_t n)
+/* Variance of the headroom taken, from what is not known of the slopes. */
+static double
+variance_of(const regression_t *r, const jr_tail_load_t *loads, size_t n)
 {
-    memset(x, 0, TERMS_MAX * sizeof *x);
-    x[0] = 1.0;
+    double sum = 0.0;
+
     for (size_t i = 0; i < n; i++) {
-        x[loads[i].image + 1] += loads[i].share;
+        for (size_t k = 0; k < n; k++) {
+            sum += loads[i].share * loads[k].share *
+                   r->variances[loads[i].image][loads[k].image];
+        }
     }
+    return sum;
 }
 
+/* One step of recursive least squares. */
 static void
-update(regression_t *r, const double *x, size_t terms, double seen)
+update(regression_t *r, const jr_tail_load_t *loads, size_t n, size_t images,
+       double taken, double noise)
 {
-    double px[TERMS_MAX] = {0.0};
-    double expected = 0.0;
-    double scale = NOISE_VARIANCE;
+    double px[JR_TAIL_IMAGES_MAX] = {0.0};
+    double scale = noise;
 
-    for (size_t i = 0; i < terms; i++) {
-        for (size_t k = 0; k < terms; k++) {
-            px[i] += r->variances[i][k] * x[k];
+    for (size_t i = 0; i < images; i++) {
+        for (size_t k = 0; k < n; k++) {
+            px[i] += r->variances[i][loads[k].image] * loads[k].share;
         }
-        expected += r->values[i] * x[i];
-        scale += px[i] * x[i];
     }
-    for (size_t i = 0; i < terms; i++) {
-        r->values[i] += px[i] * (seen - expected) / scale;
-        for (size_t k = 0; k < terms; k++) {
+    for (size_t k = 0; k < n; k++) {
+        taken -= r->slopes[loads[k].image] * loads[k].share;
+        scale += px[loads[k].image] * loads[k].share;
+    }
+    for (size_t i = 0; i < images; i++) {
+        r->slopes[i] += px[i] * taken / scale;
+        for (size_t k = 0; k < images; k++) {
             r->variances[i][k] -= px[i] * px[k] / scale;
         }
-        if (i > 0 && x[i] > 0.0 && r->variances[i][i] < SLOPE_VARIANCE) {
-            r->variances[i][i] += VARIANCE_GROWTH;
-        }
+    }
+    for (size_t k = 0; k < n; k++) {
+        double *variance = &r->variances[loads[k].image][loads[k].image];
+
+        *variance = MIN(*variance + VARIANCE_GROWTH, SLOPE_VARIANCE);
     }
 }
 
 void
-jr_tails_learn(jr_tails_t *tails, jr_image_t service, double ratio,
-               const jr_tail_load_t *loads, size_t n)
+jr_tails_learn(jr_tails_t *tails, const jr_tail_seen_t *seen)
 {
-    double x[TERMS_MAX];
-
-    if (tails->regressions[service] == NULL) {
-        tails->regressions[service] = new_regression(tails->ctx);
+    regression_t *r = regression_of(tails, seen->service);
+    jr_curve_t *curve =
+        jr_curves_get(tails->ctx, &tails->curves, seen->job, seen->at_ms);
+    double taken =
+        jr_tails_taken(tails, seen->service, seen->loads, seen->n_loads);
+    double headroom, rounding, noise;
+
+    if (seen->tail_ms == 0 || seen->target_ms == 0) {
+        return;
+    }
+    headroom = (double)seen->target_ms / seen->tail_ms;
+    rounding = ROUNDING_DEVIATION * headroom / seen->tail_ms;
+    noise = NOISE_VARIANCE + rounding * rounding;
+    headroom = CLAMP(headroom, HEADROOM_MIN, HEADROOM_MAX);
+    /* Beyond saturation a tail is as long as it gets. */
+    if (headroom == HEADROOM_MIN &&
+        jr_curve_at(curve, seen->at_ms) - taken < HEADROOM_MIN) {
+        return;
+    }
+    jr_curve_update(curve, headroom + taken,
+                    noise + variance_of(r, seen->loads, seen->n_loads),
+                    seen->at_ms);
+    if (seen->n_loads > 0) {
+        update(r, seen->loads, seen->n_loads, tails->n,
+               jr_curve_at(curve, seen->at_ms) - headroom,
+               noise + jr_curve_variance(curve));
     }
-    fill_terms(x, loads, n);
-    update(tails->regressions[service], x, (size_t)tails->n + 1,
-           log(CLAMP(ratio, RATIO_MIN, RATIO_MAX)));
 }
 
 double
-jr_tails_growth(const jr_tails_t *tails, jr_image_t service, jr_image_t filler,
-                double share)
+jr_tails_alone(const jr_tails_t *tails, uint64_t job, int64_t at_ms)
 {
-    const regression_t *r = tails->regressions[service];
-    double slope = r != NULL ? r->values[filler + 1] : SLOPE_STANDARD;
+    return jr_curve_at(jr_curves_find(&tails->curves, job), at_ms);
+}
 
-    return share * MAX(slope, 0.0);
+double
+jr_tails_least(const jr_tails_t *tails, uint64_t job)
+{
+    return jr_curve_least(jr_curves_find(&tails->curves, job));
 }
 
 double
-jr_tails_expected(const jr_tails_t *tails, jr_image_t service,
-                  const jr_tail_load_t *loads, size_t n)
+jr_tails_taken(const jr_tails_t *tails, jr_image_t service,
+               const jr_tail_load_t *loads, size_t n)
 {
     const regression_t *r = tails->regressions[service];
-    double sum = r != NULL ? r->values[0] : log(BASE_STANDARD);
+    double sum = 0.0;
 
     for (size_t i = 0; i < n; i++) {
-        sum += jr_tails_growth(tails, service, loads[i].image, loads[i].share);
+        double slope = r != NULL ? r->slopes[loads[i].image] : SLOPE_STANDARD;
+
+        sum += MAX(slope, 0.0) * loads[i].share;
     }
-    return exp(sum);
+    return sum;
 }
