A filler that hardly works beside services moves to where they have room

Change: what a filler lost by its pace is counted; after 0.7 s (2 s without a checkpoint) at less than 40 % it is stopped when another worker would take it.

The test fails without the move.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -72,6 +72,7 @@
     X(EXPIRIES, "expiries_total", "leases expired")                           \
     X(THROTTLES, "throttles_total", "tasks throttled")                        \
     X(EVICTIONS, "evictions_total", "tasks evicted")                          \
+    X(MOVES, "moves_total", "fillers moved away from services")               \
     X(PACES, "paces_total", "changes of the pace of a filler")                \
     X(QUARANTINES, "quarantines_total", "workers quarantined")                \
     X(IMPOSSIBLE, "impossible_total", "tasks that can never run")             \
--- a/include/jayrelay/event.h
+++ b/include/jayrelay/event.h
@@ -50,6 +50,7 @@
     X(RUN_ENDED, 513, 6, "run-ended")                                         \
     X(RUN_STALLED, 516, 5, "run-stalled")                                     \
     X(FILLER_STOPPED, 515, 6, "filler-stopped")                               \
+    X(FILLER_MOVED, 518, 6, "filler-moved")                                   \
     X(FILLER_PACED, 517, 6, "filler-paced")                                   \
     X(ORDER_FAILED, 514, 5, "order-failed")                                   \
     X(JOB_ANSWERED, 520, 6, "job-answered")                                   \
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -61,6 +61,7 @@
     uint32_t pace_sent;   /* in the order under way */
     uint32_t pace_wanted; /* percent of its full pace */
     int64_t pace_unsure_until; /* an earlier order may still arrive */
+    int64_t slowed_ms;         /* lost by working below its full pace */
     int64_t granted_at;
     char *checkpoint; /* the latest that the worker listed */
 } jr_run_t;
@@ -112,6 +113,7 @@
     int64_t over_since;    /* a service is over its target, or 0 */
     int64_t beside_since;  /* the same, beside fillers */
     int64_t cleared_until; /* no fillers before */
+    int64_t guarded_at;
     jr_worker_tail_t tails[JR_TAIL_LOADS_MAX];
     size_t n_tails;
 };
--- a/src/dispatch/dispatch_test.cc
+++ b/src/dispatch/dispatch_test.cc
@@ -400,6 +400,35 @@
     EXPECT_EQ(fleet.StartsOf({2, 0, 0, 0}), 1u);
 }
 
+/*
+ * Pattern: a service's own load stays high, so that the fillers beside it
+ * hardly work. They go on where there is room.
+ */
+TEST_F(PaceTest, FillersThatStandMoveToAWorkerWithRoom)
+{
+    Fleet fleet(1, 2);
+    size_t with_service = 0;
+
+    alone_ = 4.5;
+    fleet.Cut(1, true);
+    Start(fleet);
+    fleet.Run(4000);
+    ASSERT_EQ(fleet.Running(2), 4u);
+    fleet.Cut(1, false);
+    fleet.CheckIn(1);
+    fleet.Run(1000);
+    alone_ = 1.15;
+    fleet.Run(12000);
+    EXPECT_EQ(fleet.Running(2), 4u);
+    for (const FleetWorker &worker : fleet.workers) {
+        if (worker.running.count({1, 0, 0, 0}) == 1) {
+            with_service = worker.running.size();
+        }
+    }
+    EXPECT_EQ(with_service, 1u);
+    EXPECT_EQ(Pace(fleet), 400u);
+}
+
 /* Pattern: services already fill the workers that come first. */
 TEST(DispatchTest, RoomThatServicesHaveIsNotKeptForShortTasks)
 {
--- a/src/dispatch/guard.c
+++ b/src/dispatch/guard.c
@@ -14,6 +14,10 @@
     PACE_DOWN_STEP = 8, /* smaller changes are not worth an order */
     PACE_UP_STEP = 15,
     FILLERS_MAX = 64, /* on one worker, that are slowed down */
+    SLOWED_STEP_MAX_MS = 1000,
+    MOVED_PACE_MAX = 40,         /* what works faster stays */
+    MOVED_AFTER_MS = 700,        /* of lost time, with a checkpoint */
+    MOVED_WHOLE_AFTER_MS = 2000, /* when all of its work would be lost */
 };
 
 static const double TARGET = 1.0;
@@ -165,6 +169,63 @@
     }
 }
 
+static void
+count_slowed(const jr_dispatch_t *d, jr_lead_worker_t *w)
+{
+    int64_t gap_ms = MIN(d->now - w->guarded_at, SLOWED_STEP_MAX_MS);
+    jr_run_t *run;
+
+    w->guarded_at = d->now;
+    TAILQ_FOREACH (run, &w->runs, link) {
+        if (run->state == JR_RUN_RUNNING) {
+            run->slowed_ms +=
+                gap_ms * (JR_PACE_WHOLE - run->pace_wanted) / JR_PACE_WHOLE;
+        }
+    }
+}
+
+static bool
+is_worth_moving(const jr_run_t *run)
+{
+    const Jr__JobStep *step = jr_task_step(run->task);
+
+    return step->filler && !step->gang && run->state == JR_RUN_RUNNING &&
+           run->pace_wanted < MOVED_PACE_MAX &&
+           run->slowed_ms >
+               (step->checkpoints ? MOVED_AFTER_MS : MOVED_WHOLE_AFTER_MS);
+}
+
+/* A filler that stands beside services for long, while others have room. */
+static void
+move_slowed(jr_dispatch_t *d, jr_lead_worker_t *w)
+{
+    char text[JR_RUN_TEXT_BYTES];
+    jr_run_t *run;
+
+    TAILQ_FOREACH (run, &w->runs, link) {
+        jr_lead_worker_t *other;
+        jr_need_t need;
+
+        if (!is_worth_moving(run)) {
+            continue;
+        }
+        run->slowed_ms = 0;
+        jr_need_of(jr_task_step(run->task), &need);
+        other = jr_choose_worker(d, run->task, &need);
+        if (other == NULL || other == w) {
+            continue;
+        }
+        jr_count(d->ctx, JR_C_MOVES);
+        jr_log(d->ctx, JR_EV_FILLER_MOVED,
+               "task=%s worker=%s image=%s percent=%u pace=%u to=%s",
+               jr_run_text(run, text, sizeof text), w->worker->info->id,
+               jr_task_step(run->task)->image, run->percent, run->pace_wanted,
+               other->worker->info->id);
+        jr_run_stop(d, run);
+        return;
+    }
+}
+
 static void
 stop_filler(jr_dispatch_t *d, jr_lead_worker_t *w, jr_run_t *run,
             const jr_run_t *service)
@@ -295,7 +356,9 @@
 jr_guard_worker(jr_dispatch_t *d, jr_lead_worker_t *w)
 {
     learn(d, w);
+    count_slowed(d, w);
     order_paces(d, w);
+    move_slowed(d, w);
     watch_target(d, w);
     w->is_load_stale = true;
 }
