What may still meet its objective goes before what is late

By the earliest objective alone the oldest went first, and everybody was late.

Change: jobs of a priority are ordered by prospect: in time, late, lost; then by the earliest objective. What is left of a job counts, with half of its estimate, as estimates are off by that much.

The test fails without the order.

--- a/src/dispatch/dispatch_test.cc
+++ b/src/dispatch/dispatch_test.cc
@@ -483,6 +483,35 @@
     ExpectClean(fleet);
 }
 
+/*
+ * Pattern: a burst of short jobs, more than there is room for. The oldest
+ * can't meet their objectives any more; those that can go first, so that not
+ * all are late.
+ */
+TEST(DispatchTest, WhatMayMeetItsObjectiveGoesBeforeWhatIsLate)
+{
+    Fleet fleet(1, 1);
+    Jr__JobStep step = MakeStep(1, 4000);
+
+    step.estimate_ms = 500;
+    fleet.Submit(1, {step});
+    fleet.Run(400);
+    ASSERT_EQ(fleet.Running(1), 1u);
+    fleet.task_ms = 3000;
+    fleet.Submit(2, {step});
+    fleet.Run(600);
+    ASSERT_EQ(fleet.Running(2), 1u);
+    fleet.Submit(3, {step}); /* late when there is room again */
+    fleet.Run(2300);
+    fleet.Submit(4, {step});
+    fleet.Run(1000);
+    EXPECT_EQ(fleet.Running(4), 1u);
+    EXPECT_EQ(fleet.Running(3), 0u);
+    fleet.Run(3300);
+    EXPECT_EQ(fleet.Running(3), 1u); /* late, and still of use */
+    ExpectClean(fleet);
+}
+
 /* A worker whose services fail now and then is sound. */
 TEST(DispatchTest, RareFailuresOfServicesBringNoQuarantine)
 {
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -8,16 +8,24 @@
     PERMILLE = 1000,
     GRANTS_MAX = 512, /* in one command */
     LATE_FACTOR = 3,  /* a job this much later than its objective is lost */
+    SHORTEST_PERMILLE = 500, /* estimates are off: a chain may be so short */
     SHAPES_MAX = 64,
 };
 
+/* What a job's work is still worth to whoever waits for it. */
+typedef enum {
+    IN_TIME, /* it may meet its objective */
+    LATE,
+    LOST, /* nobody waits for it as a good answer any more */
+} prospect_t;
+
 /* An occurrence of a job with tasks that may start. */
 typedef struct {
     jr_job_t *job;
     uint32_t occurrence;
     uint32_t priority;
     bool is_service; /* its first step */
-    bool is_lost;    /* nobody waits for it as a good answer any more */
+    prospect_t prospect;
     int64_t due_ms;
 } candidate_t;
 
@@ -33,40 +41,60 @@
     size_t n;
 } full_t;
 
-/* Longest chain of estimated work of one occurrence. */
+/*
+ * Longest chain of estimated work of one occurrence: all of it, or what is
+ * left when progress of the steps is given.
+ */
 static int64_t
-chain_ms(const jr_job_t *job)
+chain_ms(const jr_job_t *job, const jr_step_run_t *progress)
 {
     int64_t ends[JR_JOB_STEPS_MAX];
     int64_t longest = 0;
 
     for (size_t s = 0; s < job->spec->n_steps; s++) {
         const Jr__JobStep *step = job->spec->steps[s];
+        bool is_over = progress != NULL && progress[s].done == step->count;
         int64_t start = 0;
 
         for (size_t i = 0; i < step->n_after; i++) {
             start = MAX(start, ends[step->after[i]]);
         }
-        ends[s] = start + step->estimate_ms;
+        ends[s] = start + (is_over ? 0 : step->estimate_ms);
         longest = MAX(longest, ends[s]);
     }
     return longest;
 }
 
+static prospect_t
+prospect_of(const jr_dispatch_t *d, const jr_job_t *job, uint32_t occurrence,
+            int64_t allowed_ms)
+{
+    const jr_step_run_t *progress =
+        &job->steps[occurrence * job->spec->n_steps];
+    int64_t begin = jr_job_due_ms(job, occurrence);
+    int64_t left_ms = chain_ms(job, progress) * SHORTEST_PERMILLE / PERMILLE;
+
+    if (d->wall_ms > begin + LATE_FACTOR * allowed_ms) {
+        return LOST;
+    }
+    return d->wall_ms + left_ms > begin + allowed_ms ? LATE : IN_TIME;
+}
+
 static candidate_t
 make_candidate(const jr_dispatch_t *d, jr_job_t *job, uint32_t occurrence)
 {
     const Jr__JobQueue *config = job->queue->last;
     int64_t begin = jr_job_due_ms(job, occurrence);
-    int64_t allowed = config->objective_ms +
-                      chain_ms(job) * config->stretch_permille / PERMILLE;
+    int64_t allowed = config->objective_ms + chain_ms(job, NULL) *
+                                                 config->stretch_permille /
+                                                 PERMILLE;
 
     return (candidate_t){
         .job = job,
         .occurrence = occurrence,
         .priority = config->priority,
         .is_service = job->spec->steps[0]->service,
-        .is_lost = d->wall_ms > begin + LATE_FACTOR * allowed,
+        .prospect = prospect_of(d, job, occurrence, allowed),
         .due_ms = begin + allowed,
     };
 }
@@ -118,8 +146,8 @@
     if (x->is_service != y->is_service) {
         return x->is_service ? 1 : -1;
     }
-    if (x->is_lost != y->is_lost) {
-        return x->is_lost ? 1 : -1;
+    if (x->prospect != y->prospect) {
+        return x->prospect < y->prospect ? -1 : 1;
     }
     return (x->due_ms > y->due_ms) - (x->due_ms < y->due_ms);
 }
