--- a/bench/dispatch.cc
+++ b/bench/dispatch.cc
@@ -46,16 +46,23 @@
     void
     Submit(uint32_t tasks, bool gang)
     {
-        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
-        Jr__JobSubmit submit = JR__JOB_SUBMIT__INIT;
-        Jr__JobSpec spec = JR__JOB_SPEC__INIT;
         Jr__JobStep step = JR__JOB_STEP__INIT;
-        Jr__JobStep *steps[] = {&step};
 
         step.count = tasks;
         step.cpu_milli = 100;
         step.estimate_ms = 1000;
         step.gang = gang;
+        SubmitStep(&step);
+    }
+
+    void
+    SubmitStep(Jr__JobStep *step)
+    {
+        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+        Jr__JobSubmit submit = JR__JOB_SUBMIT__INIT;
+        Jr__JobSpec spec = JR__JOB_SPEC__INIT;
+        Jr__JobStep *steps[] = {step};
+
         spec.id = ++last_id_;
         spec.host = const_cast<char *>("h");
         spec.prefix = const_cast<char *>("/q/");
@@ -67,6 +74,35 @@
         Apply(&command);
     }
 
+    /* Services of five images, and fillers of nine, with a tail target. */
+    void
+    SubmitMixed(uint64_t jobs, uint32_t kind)
+    {
+        for (uint64_t i = 0; i < jobs; i++) {
+            Jr__JobStep step = JR__JOB_STEP__INIT;
+            std::string image = "image-" + std::to_string(kind) + "-" +
+                                std::to_string(i % (kind == 0 ? 5 : 9));
+
+            step.count = 8;
+            step.estimate_ms = 2000;
+            step.memory_mb = 10;
+            step.image = const_cast<char *>(image.c_str());
+            step.cpu_milli = kind == 0 ? 12000 : 6000 + i % 7 * 500;
+            step.service = kind == 0;
+            step.tail_target_ms = kind == 0 ? 45 : 0;
+            step.filler = kind == 1;
+            SubmitStep(&step);
+        }
+    }
+
+    void
+    Pass()
+    {
+        now_ += 100;
+        jr_dispatch_tick(dispatch_, now_, now_);
+        Place();
+    }
+
     /* Choose workers for all that waits, and take it into the log. */
     void
     Place()
@@ -219,8 +255,34 @@
     state.SetComplexityN(state.range(0));
 }
 
+/* One pass over all that waits, where hardly anything has room. */
+void
+PassWithABacklog(benchmark::State &state)
+{
+    uint64_t n = static_cast<uint64_t>(state.range(0));
+    Leader leader(n);
+
+    leader.SubmitMixed(n, 0);
+    leader.Pass();
+    leader.AnswerOrders();
+    leader.SubmitMixed(n, 1);
+    for (int i = 0; i < 100; i++) {
+        leader.Pass();
+    }
+    for (auto _ : state) {
+        leader.Pass();
+    }
+    state.SetComplexityN(state.range(0));
+}
+
 } // namespace
 
+BENCHMARK(PassWithABacklog)
+    ->Arg(50)
+    ->Arg(500)
+    ->Arg(2000)
+    ->Complexity()
+    ->Unit(benchmark::kMicrosecond);
 BENCHMARK(PlaceAStepOf100Tasks)
     ->Arg(50)
     ->Arg(500)
--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -116,7 +116,7 @@
     bool has_room = step->service ? jr_need_fits(request->need, w)
                                   : fits_beside_held(request->need, w);
 
-    if (!has_room || !jr_lead_worker_is_usable(d, w)) {
+    if (!has_room || !w->is_usable || !jr_health_allows(d, w)) {
         return false;
     }
     if (step->service &&
@@ -264,6 +264,13 @@
  * task in after a while, wherever it does the least harm; the guard looks
  * after the services.
  */
+bool
+jr_choose_is_relaxed(const jr_dispatch_t *d, const jr_job_t *job)
+{
+    return job->n_runs == 0 && d->is_half_empty &&
+           d->wall_ms - job->idle_since > PATIENCE_MS;
+}
+
 static void
 set_limits(const jr_dispatch_t *d, request_t *request)
 {
@@ -272,7 +279,7 @@
 
     request->headroom_kept = HEADROOM_KEPT;
     request->shortage_max = SHORTAGE_MAX;
-    if (job->n_runs == 0 && idle_ms > 0 && d->is_half_empty) {
+    if (jr_choose_is_relaxed(d, job)) {
         request->headroom_kept -= RELAX_PER_S * (double)idle_ms / MS_PER_S;
         request->shortage_max = PERMILLE;
     }
--- a/src/dispatch/command.c
+++ b/src/dispatch/command.c
@@ -86,7 +86,7 @@
     if (d->releases->len > 0) {
         propose_releases(d);
     }
-    if (STAILQ_EMPTY(&d->commands) && d->is_dirty) {
+    if (STAILQ_EMPTY(&d->commands) && jr_dispatch_is_pass_due(d)) {
         d->is_dirty = false;
         d->scheduled_at = d->now;
         jr_schedule(d);
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -7,6 +7,9 @@
     INHERITED_MARGIN_MS = 500, /* for orders that an earlier leader sent */
     PERMILLE = 1000,
     SCHEDULE_EVERY_MS = 100, /* without another cause */
+    /* Least time between two passes, which cost in proportion to workers. */
+    PASS_MS_PER_1000_WORKERS = 20,
+    PER_1000 = 1000,
 };
 
 static void
@@ -430,3 +433,12 @@
         jr_log(d->ctx, JR_EV_WORKER_LIFE, "worker=%s left=1", worker);
     }
 }
+
+bool
+jr_dispatch_is_pass_due(const jr_dispatch_t *d)
+{
+    int64_t gap_ms = (int64_t)HASH_COUNT(d->jobs->workers) *
+                     PASS_MS_PER_1000_WORKERS / PER_1000;
+
+    return d->is_dirty && d->now - d->scheduled_at >= gap_ms;
+}
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -105,6 +105,7 @@
     int64_t full_until; /* it refused for want of room */
 
     uint32_t rank;        /* from its id, the same for every leader */
+    bool is_usable;       /* as of the latest pass */
     int64_t kept_free_ms; /* for short tasks: services wait so long */
     bool is_load_stale;   /* the loads and tails below */
     int64_t loads_at;
@@ -239,6 +240,8 @@
 /* choose.c: the best worker for a task now, or NULL. */
 jr_lead_worker_t *jr_choose_worker(jr_dispatch_t *d, const jr_job_task_t *task,
                                    const jr_need_t *need);
+/* Has the job waited for so long, with room about, that it may disturb? */
+bool jr_choose_is_relaxed(const jr_dispatch_t *d, const jr_job_t *job);
 void jr_need_of(const Jr__JobStep *step, jr_need_t *need);
 bool jr_need_fits(const jr_need_t *need, const jr_lead_worker_t *w);
 /* Would the task fit if only services were there? */
@@ -247,6 +250,9 @@
 /* Do the rules of the step let the task run there, room apart? */
 bool jr_may_run_there(const jr_lead_worker_t *w, const jr_job_task_t *task);
 
+/* Has something changed, and is it time to look for workers again? */
+bool jr_dispatch_is_pass_due(const jr_dispatch_t *d);
+
 /* command.c: commands for the log. */
 void jr_queue_command(jr_dispatch_t *d, Jr__JobCommand *command);
 
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -5,7 +5,7 @@
 
 enum {
     ENDED_ROWS_MAX = 500, /* a worker lists no more ends at a time */
-    GUARD_WAIT_MS = 500,  /* services report the last half second */
+    GUARD_WAIT_MS = 500,  /* and 1 ms a worker, to bound the load of all */
     FIRST_PAUSE_MS = 250,
     LAST_PAUSE_MS = 2000,
     INHERITED_MARGIN_MS = 500, /* leases of an earlier leader may be longer */
@@ -22,8 +22,9 @@
 jr_hold_order(jr_dispatch_t *d, jr_lead_worker_t *w, jr_order_t *order)
 {
     bool may_wait = w->is_taken && w->suspect_at == 0;
+    int64_t guard_ms = GUARD_WAIT_MS + (int64_t)HASH_COUNT(d->jobs->workers);
     int64_t longest = jr_guard_is_needed(w)
-                          ? MIN(GUARD_WAIT_MS, d->options.hold_wait_ms)
+                          ? MIN(guard_ms, d->options.hold_wait_ms)
                           : d->options.hold_wait_ms;
     int64_t wait_ms = may_wait ? longest : 0;
     bool is_known_life = w->worker->info->born == w->born;
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -88,7 +88,8 @@
 
     note_peak(d);
     TAILQ_FOREACH (w, &d->workers, link) {
-        if (jr_lead_worker_is_usable(d, w)) {
+        w->is_usable = jr_lead_worker_is_usable(d, w);
+        if (w->is_usable) {
             all += w->worker->info->cpu_milli;
             used += (double)w->used.cpu_milli;
         }
@@ -101,7 +102,7 @@
             (double)(w->worker->info->cpu_milli - w->services.cpu_milli);
 
         w->kept_free_ms = 0;
-        if (!jr_lead_worker_is_usable(d, w)) {
+        if (!w->is_usable) {
             continue;
         }
         if (wanted > 0.0) {
@@ -128,9 +129,8 @@
         int64_t room =
             w->worker->info->cpu_milli - w->used.cpu_milli - w->held.cpu_milli;
 
-        if ((best == NULL || room > most_free) &&
-            jr_lead_worker_is_usable(d, w) && jr_need_fits_services(need, w) &&
-            jr_may_run_there(w, task)) {
+        if ((best == NULL || room > most_free) && w->is_usable &&
+            jr_need_fits_services(need, w) && jr_may_run_there(w, task)) {
             best = w;
             most_free = room;
         }
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -29,11 +29,19 @@
     int64_t due_ms;
 } candidate_t;
 
+typedef enum {
+    SHORT,
+    SERVICE,
+    FILLER,
+} task_kind_t;
+
 /* A need that no worker of the service has room for now. */
 typedef struct {
     const char *service;
+    task_kind_t kind;
     jr_need_t need;
     const char *image; /* of a filler, else "" */
+    int64_t waited_ms; /* of a service: rooms are kept from newer ones */
 } full_shape_t;
 
 typedef struct {
@@ -171,16 +179,34 @@
     return wish;
 }
 
-static bool
-is_known_full(const full_t *full, const char *service, const Jr__JobStep *step,
-              const jr_need_t *need)
+static full_shape_t
+shape_of(const jr_dispatch_t *d, const jr_job_task_t *task,
+         const jr_need_t *need)
 {
-    const char *image = step->filler ? step->image : "";
+    const Jr__JobStep *step = jr_task_step(task);
 
+    return (full_shape_t){
+        .service = task->job->queue->last->service,
+        .kind = step->service  ? SERVICE
+                : step->filler ? FILLER
+                               : SHORT,
+        .need = wish_of(step, need),
+        .image = step->filler ? step->image : "",
+        .waited_ms = step->service ? d->wall_ms - task->waiting_since : 0,
+    };
+}
+
+static bool
+is_known_full(const full_t *full, const full_shape_t *shape)
+{
     for (size_t i = 0; i < full->n; i++) {
-        if (strcmp(full->shapes[i].image, image) == 0 &&
-            strcmp(full->shapes[i].service, service) == 0 &&
-            is_at_least(need, &full->shapes[i].need)) {
+        const full_shape_t *other = &full->shapes[i];
+
+        if (other->kind == shape->kind &&
+            shape->waited_ms <= other->waited_ms &&
+            is_at_least(&shape->need, &other->need) &&
+            strcmp(other->image, shape->image) == 0 &&
+            strcmp(other->service, shape->service) == 0) {
             return true;
         }
     }
@@ -189,16 +215,11 @@
 
 /* Only what any worker might run says something about other tasks. */
 static void
-note_full(full_t *full, const jr_job_task_t *task, const jr_need_t *need)
+note_full(full_t *full, const Jr__JobStep *step, const full_shape_t *shape)
 {
-    const Jr__JobStep *step = jr_task_step(task);
-
     if (full->n < SHAPES_MAX && *step->label == '\0' &&
         step->per_worker == 0) {
-        full->shapes[full->n++] =
-            (full_shape_t){.service = task->job->queue->last->service,
-                           .need = wish_of(step, need),
-                           .image = step->filler ? step->image : ""};
+        full->shapes[full->n++] = *shape;
     }
 }
 
@@ -221,32 +242,34 @@
 place_each(jr_dispatch_t *d, jr_job_t *job, const jr_step_run_t *progress,
            const Jr__JobStep *step, full_t *full)
 {
+    int64_t failed_ms = -1; /* waited by a service that found no room */
     jr_need_t need;
-    jr_need_t wish;
 
     jr_need_of(step, &need);
-    wish = wish_of(step, &need);
     for (uint32_t i = 0; i < step->count; i++) {
         jr_job_task_t *task = &job->tasks[progress->first + i];
+        full_shape_t shape;
         jr_lead_worker_t *w;
 
         if (!is_free(task) || d->proposed->len >= GRANTS_MAX) {
             continue;
         }
-        /* Room is kept for services, and held: they look for themselves. */
-        if (!step->service && job->n_runs > 0 &&
-            is_known_full(full, job->queue->last->service, step, &wish)) {
-            return;
+        shape = shape_of(d, task, &need);
+        if (shape.waited_ms <= failed_ms) {
+            continue;
         }
-        w = jr_choose_worker(d, task, &need);
-        if (w == NULL && step->service) {
-            continue; /* others of the step may have waited longer */
+        w = !jr_choose_is_relaxed(d, job) && is_known_full(full, &shape)
+                ? NULL
+                : jr_choose_worker(d, task, &need);
+        if (w != NULL) {
+            g_ptr_array_add(d->proposed, propose(d, task, w));
+            continue;
         }
-        if (w == NULL) {
-            note_full(full, task, &need);
+        note_full(full, step, &shape);
+        if (!step->service) {
             return;
         }
-        g_ptr_array_add(d->proposed, propose(d, task, w));
+        failed_ms = shape.waited_ms; /* others may have waited longer */
     }
 }
 
