What a turn decides is written with what came in: one sync a turn

Cause: a leader wrote the entries that had arrived, applied what was committed, decided, and wrote again: up to four syncs of 6 to 9 ms in each turn of its loop, and three turns lie between a job's arrival and its first start.

Change: a turn applies and decides first, then writes once.

--- a/src/group/group.c
+++ b/src/group/group.c
@@ -323,8 +323,12 @@
     group->now = MAX(group->now, now);
     for (int round = 0; round < PUMP_ROUNDS; round++) {
         jr_ready_t ready;
-        bool did = false;
+        bool did = apply_committed(group);
 
+        /* What is decided now is written with what came in: one sync. */
+        follow_leadership(group);
+        jr_group_serve_reads(group);
+        did |= propose_decisions(group);
         if (jr_quorum_ready(group->quorum, &ready)) {
             jr_result_t result;
 
@@ -341,10 +345,6 @@
             did = true;
         }
         send_messages(group);
-        did |= apply_committed(group);
-        follow_leadership(group);
-        jr_group_serve_reads(group);
-        did |= propose_decisions(group);
         if (!did) {
             break;
         }
