A start without an answer is given up when its worker drains

Ruled out: bytes held up by the cut (connections that are given up are reset in a trial: DRAIN again); a new leader that did not know (one leader all the time).

Change: a start that is due for a draining worker is stopped, or released when it was never sent. The test fails without it.

--- a/src/dispatch/dispatch_test.cc
+++ b/src/dispatch/dispatch_test.cc
@@ -138,6 +138,29 @@
     EXPECT_EQ(fleet.workers[1].running.size(), 4u);
 }
 
+/*
+ * Pattern: starts have no clear answer, as the worker resets connections, and
+ * it says that it leaves meanwhile. They are not sent again.
+ */
+TEST(DispatchTest, AStartWithoutAnAnswerIsGivenUpWhenItsWorkerDrains)
+{
+    Fleet fleet(1, 1);
+
+    fleet.Run(1000);
+    fleet.Submit(1, {MakeStep(2)});
+    fleet.Run(25);
+    fleet.Cut(0, true);
+    fleet.Run(700);
+    ASSERT_EQ(fleet.StartsOf({1, 0, 0, 0}), 0u);
+    fleet.CheckIn(0, true);
+    fleet.Run(300);
+    fleet.Cut(0, false);
+    fleet.Run(5000);
+    EXPECT_EQ(fleet.StartsOf({1, 0, 0, 0}), 0u);
+    EXPECT_EQ(fleet.StartsOf({1, 0, 0, 1}), 0u);
+    ExpectClean(fleet);
+}
+
 TEST(DispatchTest, ANewLeaderTakesRunsOver)
 {
     Fleet fleet(1, 3);
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -171,6 +171,18 @@
            why);
 }
 
+/* A worker that drains gets no start, not even one that was sent before. */
+static void
+give_up_start(jr_dispatch_t *d, jr_run_t *run)
+{
+    if (run->tries == 0) {
+        jr_run_release(d, run, "draining");
+        return;
+    }
+    run->is_stop_wanted = true;
+    run->state = JR_RUN_STOPPING;
+}
+
 bool
 jr_run_order(jr_dispatch_t *d, jr_run_t *run, jr_order_t *order)
 {
@@ -180,6 +192,9 @@
     if (run->serial != 0) {
         return false;
     }
+    if (run->state == JR_RUN_STARTING && w->worker->info->draining) {
+        give_up_start(d, run);
+    }
     *order = (jr_order_t){.timeout_ms = JR_ANSWER_TIMEOUT_MS};
     jr_run_name(run, &order->run);
     switch (run->state) {
