A request that is given up is reset, not closed

Change: sockets of the client close with a reset, and are taken for cut after 2 s without acknowledgement. The test sees the end of the connection from the other side; it fails without the change.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -2,13 +2,17 @@
 #include "jayrelay/http.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 
 enum {
     CONNECT_TIMEOUT_MS = 500,
+    UNACKED_MAX_MS = 2000, /* then a connection is taken for cut */
     CACHED_CONNECTIONS = 3000,
     HEADER_TEXT_BYTES = 256,
     SPARE_HANDLES = 256,
@@ -109,6 +113,26 @@
     return CURL_PREREQFUNC_OK;
 }
 
+/*
+ * A request that was given up must not arrive later, as when a partition
+ * heals: closing its connection drops the bytes that are still under way.
+ */
+static int
+on_new_socket(void *user, curl_socket_t fd, curlsocktype purpose)
+{
+    struct linger reset = {.l_onoff = 1, .l_linger = 0};
+    unsigned unacked_ms = UNACKED_MAX_MS;
+
+    (void)user;
+    (void)purpose;
+    if (setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset) != 0 ||
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
+                   sizeof unacked_ms) != 0) {
+        return CURL_SOCKOPT_ERROR;
+    }
+    return CURL_SOCKOPT_OK;
+}
+
 /* What is the same for all requests is set once for each handle. */
 static CURL *
 new_handle(void)
@@ -121,6 +145,7 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_connected);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_new_socket);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)CONNECT_TIMEOUT_MS);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -161,6 +162,55 @@
     close(fd);
 }
 
+/*
+ * Pattern: a worker is cut off while orders are under way, and the cut heals
+ * seconds later. What was given up must not be carried out then, so its
+ * connection is reset, which also drops what the network still holds.
+ */
+TEST_F(HttpTest, ARequestThatIsGivenUpIsResetNotClosed)
+{
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = Address(0);
+    socklen_t len = sizeof address;
+    jr_client_t *client = jr_new_client(ctx_, loop_);
+    char bytes[1024];
+    ssize_t last = 1;
+    int error = 0;
+    Seen seen;
+    std::string url;
+    jr_fetch_t fetch = {};
+
+    ASSERT_NE(client, nullptr);
+    bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof address);
+    listen(listener, 1);
+    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &len);
+    url = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port)) + "/";
+    fetch.method = "POST";
+    fetch.url = url.c_str();
+    fetch.body = "x";
+    fetch.len = 1;
+    fetch.timeout_ms = 100;
+    fetch.user = &seen;
+    fetch.handler = [](void *user, const jr_fetched_t *fetched) {
+        *static_cast<Seen *>(user) = {true, fetched->outcome};
+    };
+    ASSERT_EQ(jr_client_fetch(client, &fetch), JR_OK);
+    while (!seen.is_over) {
+        ev_run(loop_, EVRUN_ONCE);
+    }
+    EXPECT_EQ(seen.outcome, JR_FETCH_TIMEOUT);
+    int fd = accept(listener, nullptr, nullptr);
+    while (last > 0) {
+        last = recv(fd, bytes, sizeof bytes, 0);
+        error = errno;
+    }
+    EXPECT_EQ(last, -1); /* 0: closed in order */
+    EXPECT_EQ(error, ECONNRESET);
+    close(fd);
+    close(listener);
+    jr_drop_client(client);
+}
+
 /*
  * Pattern: a zone is cut off while an order is under way on a connection that
  * was used before. The library tries a new connection, which fails; the
