--- a/src/control/control.h
+++ b/src/control/control.h
@@ -57,6 +57,17 @@
     ev_signal sigint;
 } jr_control_t;
 
+/* messages.c: handlers for the groups and the bus. */
+void jr_control_on_send(void *user, const jr_member_t *to,
+                        const uint8_t *bytes, size_t len);
+void jr_control_on_reply(void *user, const jr_ticket_t *ticket,
+                         Jr__Reply *reply);
+void jr_control_on_envelope(void *user, const jr_route_t *route,
+                            const Jr__Envelope *envelope);
+
+/* Ask each group that lacks this replica to take it in, until all have. */
+void jr_control_start_joining(jr_control_t *control);
+
 /* Read or make the replica id; JR_IO when that fails. */
 jr_result_t jr_control_identify(jr_control_t *control);
 /* A rules version is in force here. */
--- /dev/null
+++ b/src/control/join.c
@@ -0,0 +1,78 @@
+/* A new replica becomes a member of its groups. */
+#include "control.h"
+
+enum { JOIN_ASK_MS = 2000 };
+
+static const double JOIN_EVERY_S = 1.0;
+
+static void
+on_joined(void *user, jr_result_t code, const Jr__Reply *reply)
+{
+    (void)user;
+    (void)code;
+    (void)reply;
+}
+
+static bool
+is_member(const jr_control_t *control, size_t g)
+{
+    const jr_config_t *config =
+        jr_quorum_config(jr_group_quorum(control->groups[g]));
+
+    return jr_config_find(config, control->replica_id) != NULL;
+}
+
+static bool
+lacks_membership(const jr_control_t *control)
+{
+    for (size_t g = 0; g < control->n_groups; g++) {
+        if (control->groups[g] != NULL && !is_member(control, g)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A new replica asks each group to take it in, until they all have. */
+static void
+on_join_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    jr_control_t *control = timer->data;
+    bool is_done = true;
+
+    (void)events;
+    for (size_t g = 0; g < control->n_groups; g++) {
+        Jr__Member member = JR__MEMBER__INIT;
+        Jr__Join join = JR__JOIN__INIT;
+        Jr__Request request = JR__REQUEST__INIT;
+
+        if (control->groups[g] == NULL || is_member(control, g)) {
+            continue;
+        }
+        is_done = false;
+        member.id = control->replica_id;
+        member.name = control->settings.name;
+        member.address = control->settings.bus;
+        join.member = &member;
+        request.group = (uint32_t)g;
+        request.body_case = JR__REQUEST__BODY_JOIN;
+        request.join = &join;
+        jr_ask(control->asker, &request, JOIN_ASK_MS, on_joined, control);
+    }
+    if (is_done) {
+        ev_timer_stop(loop, timer);
+    }
+}
+
+void
+jr_control_start_joining(jr_control_t *control)
+{
+    if (!lacks_membership(control)) {
+        return;
+    }
+    jr_log(control->ctx, JR_EV_JOINING, "replica %016llx",
+           (unsigned long long)control->replica_id);
+    ev_timer_init(&control->join, on_join_timer, 0.0, JOIN_EVERY_S);
+    control->join.data = control;
+    ev_timer_start(control->loop, &control->join);
+}
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -7,12 +7,10 @@
 
 enum {
     TICK_MS = 10,
-    JOIN_ASK_MS = 2000,
     MAX_GRANTS = 256,
     CANDIDATES = 16,
 };
 
-static const double JOIN_EVERY_S = 1.0;
 static const double DRAIN_S = 0.4;
 
 static void
@@ -83,70 +81,6 @@
     control->turn_began = jr_clock_ms();
 }
 
-static void
-remember(jr_control_t *control, uint64_t id, const char *name)
-{
-    size_t i = 0;
-
-    while (i < control->n_known && control->known[i].id != id) {
-        i++;
-    }
-    if (i == REPLICAS_KNOWN_MAX || strlen(name) >= JR_NAME_BYTES) {
-        return;
-    }
-    if (i == control->n_known) {
-        control->n_known++;
-    }
-    control->known[i].id = id;
-    g_strlcpy(control->known[i].name, name, sizeof control->known[i].name);
-}
-
-static int
-peer_of(jr_control_t *control, const jr_member_t *to)
-{
-    if (to->address[0] != '\0') {
-        return jr_bus_connect(control->bus, to->name, to->address);
-    }
-    for (size_t i = 0; i < control->n_known; i++) {
-        if (control->known[i].id == to->id) {
-            return jr_bus_reach(control->bus, control->known[i].name);
-        }
-    }
-    return -1;
-}
-
-static void
-on_send(void *user, const jr_member_t *to, const uint8_t *bytes, size_t len)
-{
-    jr_control_t *control = user;
-    Jr__Envelope envelope = JR__ENVELOPE__INIT;
-    Jr__QuorumMsg *message = jr__quorum_msg__unpack(NULL, len, bytes);
-
-    envelope.body_case = JR__ENVELOPE__BODY_QUORUM;
-    envelope.quorum = message;
-    jr_bus_send(control->bus, peer_of(control, to), &envelope);
-    jr__quorum_msg__free_unpacked(message, NULL);
-}
-
-void
-jr_control_reply(jr_control_t *control, const jr_ticket_t *ticket,
-                 Jr__Reply *reply)
-{
-    Jr__Envelope envelope = JR__ENVELOPE__INIT;
-    jr_route_t route = {.len = ticket->route_len};
-
-    memcpy(route.bytes, ticket->route, ticket->route_len);
-    envelope.body_case = JR__ENVELOPE__BODY_REPLY;
-    envelope.reply = reply;
-    jr_bus_reply(control->bus, &route, &envelope);
-}
-
-static void
-on_reply(void *user, const jr_ticket_t *ticket, Jr__Reply *reply)
-{
-    jr_control_reply(user, ticket, reply);
-}
-
 void
 jr_control_on_rules(void *user, uint64_t version, const char *text)
 {
@@ -169,170 +103,6 @@
     }
 }
 
-static void
-on_quorum(jr_control_t *control, const Jr__Envelope *envelope)
-{
-    Jr__QuorumMsg *message = envelope->quorum;
-    size_t len = jr__quorum_msg__get_packed_size(message);
-    uint8_t *bytes;
-
-    if (message->group >= control->n_groups ||
-        control->groups[message->group] == NULL) {
-        jr_count(control->ctx, JR_C_BUS_BAD);
-        return;
-    }
-    remember(control, message->from, envelope->from);
-    bytes = jr_alloc(control->ctx, len);
-    jr__quorum_msg__pack(message, bytes);
-    jr_group_receive(control->groups[message->group], bytes, len,
-                     jr_clock_ms());
-    jr_free(control->ctx, bytes);
-}
-
-/* The group is not here: name a process that holds it. */
-static void
-on_request_elsewhere(jr_control_t *control, const jr_ticket_t *ticket,
-                     const Jr__Request *request)
-{
-    size_t hosts[JR_REPLICAS_MAX];
-    size_t n = jr_settings_hosts(&control->settings, request->group, hosts);
-    Jr__Reply reply = JR__REPLY__INIT;
-
-    if (request->body_case == JR__REQUEST__BODY_RULES_GET) {
-        jr_control_give_rules(control, ticket, request->rules_get);
-        return;
-    }
-    reply.id = ticket->id;
-    reply.code = JR_NOT_LEADER;
-    if (n > 0) {
-        reply.leader = control->settings.controls[hosts[ticket->id % n]].name;
-    }
-    jr_control_reply(control, ticket, &reply);
-}
-
-static void
-on_request(jr_control_t *control, const jr_route_t *route,
-           const Jr__Request *request)
-{
-    jr_ticket_t ticket = {.route_len = route->len, .id = request->id};
-    Jr__Reply reply = JR__REPLY__INIT;
-
-    memcpy(ticket.route, route->bytes, route->len);
-    if (request->body_case == JR__REQUEST__BODY_STATUS_GET) {
-        jr_control_status(control, &ticket);
-    }
-    else if (request->group < control->n_groups &&
-             control->groups[request->group] == NULL) {
-        on_request_elsewhere(control, &ticket, request);
-    }
-    else if (request->group < control->n_groups) {
-        jr_group_request(control->groups[request->group], &ticket, request,
-                         jr_clock_ms());
-    }
-    else {
-        jr_count(control->ctx, JR_C_BUS_BAD);
-        reply.id = request->id;
-        reply.code = JR_BAD_REQUEST;
-        jr_control_reply(control, &ticket, &reply);
-    }
-}
-
-/* Questions about rules have the id 0; the asker's are never that. */
-static void
-take_polled_rules(jr_control_t *control, const Jr__Reply *reply)
-{
-    uint64_t own = control->rules != NULL ? control->rules->version : 0;
-
-    if (reply->body_case == JR__REPLY__BODY_RULES &&
-        reply->rules->version > own && *reply->rules->text != '\0') {
-        jr_control_on_rules(control, reply->rules->version,
-                            reply->rules->text);
-    }
-}
-
-static void
-on_envelope(void *user, const jr_route_t *route, const Jr__Envelope *envelope)
-{
-    jr_control_t *control = user;
-
-    if (envelope->body_case == JR__ENVELOPE__BODY_QUORUM) {
-        on_quorum(control, envelope);
-    }
-    else if (envelope->body_case == JR__ENVELOPE__BODY_REQUEST &&
-             route != NULL) {
-        on_request(control, route, envelope->request);
-    }
-    else if (envelope->body_case == JR__ENVELOPE__BODY_REPLY &&
-             envelope->reply->id == 0) {
-        take_polled_rules(control, envelope->reply);
-    }
-    else if (envelope->body_case == JR__ENVELOPE__BODY_REPLY) {
-        jr_asker_reply(control->asker, envelope->reply);
-    }
-    else {
-        jr_count(control->ctx, JR_C_BUS_BAD);
-    }
-}
-
-static void
-on_joined(void *user, jr_result_t code, const Jr__Reply *reply)
-{
-    (void)user;
-    (void)code;
-    (void)reply;
-}
-
-static bool
-is_member(const jr_control_t *control, size_t g)
-{
-    const jr_config_t *config =
-        jr_quorum_config(jr_group_quorum(control->groups[g]));
-
-    return jr_config_find(config, control->replica_id) != NULL;
-}
-
-static bool
-lacks_membership(const jr_control_t *control)
-{
-    for (size_t g = 0; g < control->n_groups; g++) {
-        if (control->groups[g] != NULL && !is_member(control, g)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* A new replica asks each group to take it in, until they all have. */
-static void
-on_join_timer(struct ev_loop *loop, ev_timer *timer, int events)
-{
-    jr_control_t *control = timer->data;
-    bool is_done = true;
-
-    (void)events;
-    for (size_t g = 0; g < control->n_groups; g++) {
-        Jr__Member member = JR__MEMBER__INIT;
-        Jr__Join join = JR__JOIN__INIT;
-        Jr__Request request = JR__REQUEST__INIT;
-
-        if (control->groups[g] == NULL || is_member(control, g)) {
-            continue;
-        }
-        is_done = false;
-        member.id = control->replica_id;
-        member.name = control->settings.name;
-        member.address = control->settings.bus;
-        join.member = &member;
-        request.group = (uint32_t)g;
-        request.body_case = JR__REQUEST__BODY_JOIN;
-        request.join = &join;
-        jr_ask(control->asker, &request, JOIN_ASK_MS, on_joined, control);
-    }
-    if (is_done) {
-        ev_timer_stop(loop, timer);
-    }
-}
-
 static void
 on_drained(struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -398,8 +168,8 @@
                      .far_permille = s->far_permille},
         .snapshot_every = (uint64_t)s->snapshot_every,
         .wall_offset = jr_wall_ms() - jr_clock_ms(),
-        .hooks = {.send = on_send,
-                  .reply = on_reply,
+        .hooks = {.send = jr_control_on_send,
+                  .reply = jr_control_on_reply,
                   .rules = jr_control_on_rules,
                   .user = control},
     };
@@ -470,7 +240,7 @@
         return result;
     }
     control->bus = jr_new_bus(control->ctx, control->loop, s->name, s->bus,
-                              &keys, on_envelope, control);
+                              &keys, jr_control_on_envelope, control);
     if (control->bus == NULL) {
         return JR_NETWORK;
     }
@@ -536,13 +306,7 @@
     if (control->groups[0] == NULL) {
         jr_control_poll_rules(control);
     }
-    if (lacks_membership(control)) {
-        jr_log(control->ctx, JR_EV_JOINING, "replica %016llx",
-               (unsigned long long)control->replica_id);
-        ev_timer_init(&control->join, on_join_timer, 0.0, JOIN_EVERY_S);
-        control->join.data = control;
-        ev_timer_start(loop, &control->join);
-    }
+    jr_control_start_joining(control);
 }
 
 static void
--- /dev/null
+++ b/src/control/messages.c
@@ -0,0 +1,176 @@
+/* Messages from other processes, and to them. */
+#include "control.h"
+
+#include <glib.h>
+#include <string.h>
+
+static void
+remember(jr_control_t *control, uint64_t id, const char *name)
+{
+    size_t i = 0;
+
+    while (i < control->n_known && control->known[i].id != id) {
+        i++;
+    }
+    if (i == REPLICAS_KNOWN_MAX || strlen(name) >= JR_NAME_BYTES) {
+        return;
+    }
+    if (i == control->n_known) {
+        control->n_known++;
+    }
+    control->known[i].id = id;
+    g_strlcpy(control->known[i].name, name, sizeof control->known[i].name);
+}
+
+static int
+peer_of(jr_control_t *control, const jr_member_t *to)
+{
+    if (to->address[0] != '\0') {
+        return jr_bus_connect(control->bus, to->name, to->address);
+    }
+    for (size_t i = 0; i < control->n_known; i++) {
+        if (control->known[i].id == to->id) {
+            return jr_bus_reach(control->bus, control->known[i].name);
+        }
+    }
+    return -1;
+}
+
+void
+jr_control_on_send(void *user, const jr_member_t *to, const uint8_t *bytes,
+                   size_t len)
+{
+    jr_control_t *control = user;
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+    Jr__QuorumMsg *message = jr__quorum_msg__unpack(NULL, len, bytes);
+
+    envelope.body_case = JR__ENVELOPE__BODY_QUORUM;
+    envelope.quorum = message;
+    jr_bus_send(control->bus, peer_of(control, to), &envelope);
+    jr__quorum_msg__free_unpacked(message, NULL);
+}
+
+void
+jr_control_reply(jr_control_t *control, const jr_ticket_t *ticket,
+                 Jr__Reply *reply)
+{
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+    jr_route_t route = {.len = ticket->route_len};
+
+    memcpy(route.bytes, ticket->route, ticket->route_len);
+    envelope.body_case = JR__ENVELOPE__BODY_REPLY;
+    envelope.reply = reply;
+    jr_bus_reply(control->bus, &route, &envelope);
+}
+
+void
+jr_control_on_reply(void *user, const jr_ticket_t *ticket, Jr__Reply *reply)
+{
+    jr_control_reply(user, ticket, reply);
+}
+
+static void
+on_quorum(jr_control_t *control, const Jr__Envelope *envelope)
+{
+    Jr__QuorumMsg *message = envelope->quorum;
+    size_t len = jr__quorum_msg__get_packed_size(message);
+    uint8_t *bytes;
+
+    if (message->group >= control->n_groups ||
+        control->groups[message->group] == NULL) {
+        jr_count(control->ctx, JR_C_BUS_BAD);
+        return;
+    }
+    remember(control, message->from, envelope->from);
+    bytes = jr_alloc(control->ctx, len);
+    jr__quorum_msg__pack(message, bytes);
+    jr_group_receive(control->groups[message->group], bytes, len,
+                     jr_clock_ms());
+    jr_free(control->ctx, bytes);
+}
+
+/* The group is not here: name a process that holds it. */
+static void
+on_request_elsewhere(jr_control_t *control, const jr_ticket_t *ticket,
+                     const Jr__Request *request)
+{
+    size_t hosts[JR_REPLICAS_MAX];
+    size_t n = jr_settings_hosts(&control->settings, request->group, hosts);
+    Jr__Reply reply = JR__REPLY__INIT;
+
+    if (request->body_case == JR__REQUEST__BODY_RULES_GET) {
+        jr_control_give_rules(control, ticket, request->rules_get);
+        return;
+    }
+    reply.id = ticket->id;
+    reply.code = JR_NOT_LEADER;
+    if (n > 0) {
+        reply.leader = control->settings.controls[hosts[ticket->id % n]].name;
+    }
+    jr_control_reply(control, ticket, &reply);
+}
+
+static void
+on_request(jr_control_t *control, const jr_route_t *route,
+           const Jr__Request *request)
+{
+    jr_ticket_t ticket = {.route_len = route->len, .id = request->id};
+    Jr__Reply reply = JR__REPLY__INIT;
+
+    memcpy(ticket.route, route->bytes, route->len);
+    if (request->body_case == JR__REQUEST__BODY_STATUS_GET) {
+        jr_control_status(control, &ticket);
+    }
+    else if (request->group < control->n_groups &&
+             control->groups[request->group] == NULL) {
+        on_request_elsewhere(control, &ticket, request);
+    }
+    else if (request->group < control->n_groups) {
+        jr_group_request(control->groups[request->group], &ticket, request,
+                         jr_clock_ms());
+    }
+    else {
+        jr_count(control->ctx, JR_C_BUS_BAD);
+        reply.id = request->id;
+        reply.code = JR_BAD_REQUEST;
+        jr_control_reply(control, &ticket, &reply);
+    }
+}
+
+/* Questions about rules have the id 0; the asker's are never that. */
+static void
+take_polled_rules(jr_control_t *control, const Jr__Reply *reply)
+{
+    uint64_t own = control->rules != NULL ? control->rules->version : 0;
+
+    if (reply->body_case == JR__REPLY__BODY_RULES &&
+        reply->rules->version > own && *reply->rules->text != '\0') {
+        jr_control_on_rules(control, reply->rules->version,
+                            reply->rules->text);
+    }
+}
+
+void
+jr_control_on_envelope(void *user, const jr_route_t *route,
+                       const Jr__Envelope *envelope)
+{
+    jr_control_t *control = user;
+
+    if (envelope->body_case == JR__ENVELOPE__BODY_QUORUM) {
+        on_quorum(control, envelope);
+    }
+    else if (envelope->body_case == JR__ENVELOPE__BODY_REQUEST &&
+             route != NULL) {
+        on_request(control, route, envelope->request);
+    }
+    else if (envelope->body_case == JR__ENVELOPE__BODY_REPLY &&
+             envelope->reply->id == 0) {
+        take_polled_rules(control, envelope->reply);
+    }
+    else if (envelope->body_case == JR__ENVELOPE__BODY_REPLY) {
+        jr_asker_reply(control->asker, envelope->reply);
+    }
+    else {
+        jr_count(control->ctx, JR_C_BUS_BAD);
+    }
+}
