--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -200,6 +200,15 @@
 /* May fillers there disturb services? */
 bool jr_guard_is_needed(const jr_lead_worker_t *w);
 
+/* pace.c: how fast fillers work, and where. */
+/* Plan the paces of a worker's fillers, and order what changed. */
+void jr_pace_order(jr_dispatch_t *d, jr_lead_worker_t *w);
+/* Stop one that lost much time, when another worker would take it. */
+void jr_pace_move_slowed(jr_dispatch_t *d, jr_lead_worker_t *w);
+/* Headroom that a whole worker of this image would take from a service. */
+double jr_pace_slope(const jr_dispatch_t *d, const jr_run_t *service,
+                     jr_image_t filler);
+
 /* loads.c: what fillers and services do to each other. */
 /* Bring the lists of loads and tails up to date. */
 void jr_loads_refresh(jr_dispatch_t *d, jr_lead_worker_t *w);
