--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -144,7 +144,7 @@
     return wanted > left ? PERMILLE * (wanted - MAX(left, 0)) / wanted : 0;
 }
 
-/* It works on while the load of the service swings. */
+/* A filler works on while the load of the service swings: half way counts. */
 static double
 headroom_for(const jr_worker_tail_t *tail)
 {
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -56,7 +56,7 @@
     uint32_t percent;
     int64_t percent_at; /* when it last grew */
     uint32_t gauge;
-    double tail_error;    /* headroom that the model expected in vain */
+    double tail_error;    /* headroom expected there, less what was listed */
     uint32_t pace;        /* as the worker confirmed it, JR_PACE_UNKNOWN */
     uint32_t pace_sent;   /* in the order under way */
     uint32_t pace_wanted; /* percent of its full pace */
@@ -121,7 +121,7 @@
     int64_t over_since;    /* a service is over its target, or 0 */
     int64_t beside_since;  /* the same, beside fillers */
     int64_t cleared_until; /* no fillers before */
-    int64_t guarded_at;
+    int64_t guarded_at;    /* its latest list was looked at */
     jr_worker_tail_t tails[JR_TAIL_LOADS_MAX];
     size_t n_tails;
 };
--- a/src/dispatch/guard.c
+++ b/src/dispatch/guard.c
@@ -13,7 +13,7 @@
 };
 
 static const double TARGET = 1.0;
-/* How fast an error of the model at one task is believed. */
+/* Weight of the newest error in the average of a task's errors. */
 static const double ERROR_GAIN = 0.3;
 static const double ERROR_MAX = 1.0;
 
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -2,8 +2,8 @@
  * Room for short tasks and for services.
  *
  * Services stay for long, so what they take is gone for whatever comes next.
- * As many workers as the short tasks of late needed at their peak are kept
- * free from services for a while; fillers may use them meanwhile.
+ * As much room as the short tasks of late needed at their peak is kept from
+ * services for a while; fillers may use it meanwhile.
  *
  * Short tasks come before services, and would take each bit of room that
  * opens. A service that has waited for long gets a worker held for it, on
