A learner is silent since it joined, not since the election

Change: a member's silence counts from when it was added. The test fails without it: the learner is removed at once; with it, after 15 s.

--- a/src/quorum/core.h
+++ b/src/quorum/core.h
@@ -44,6 +44,7 @@
     int64_t acked_sent_at; /* when the newest acknowledged probe was sent */
     int64_t busy_until;    /* entries are under way until then */
     int64_t resent_at;     /* what was sent before was refused */
+    int64_t added_at;      /* to the members, while this replica led */
     bool granted;          /* its vote, for a candidate */
 } jr_progress_t;
 
--- a/src/quorum/members.c
+++ b/src/quorum/members.c
@@ -42,6 +42,7 @@
             .id = q->config.members[i].id,
             .next = jr_log_last(&q->log) + 1,
             .acked_sent_at = INT64_MIN,
+            .added_at = q->now,
         };
         for (size_t k = 0; k < before.n; k++) {
             if (old[k].id == q->progress[i].id) {
@@ -115,9 +116,12 @@
 static int64_t
 silence_of(const jr_quorum_t *q, size_t i)
 {
+    const jr_progress_t *progress = &q->progress[i];
+    int64_t heard_at = MAX(progress->acked_sent_at, progress->added_at);
+
     return q->config.members[i].id == q->options.self
                ? 0
-               : q->now - MAX(q->progress[i].acked_sent_at, q->elected_at);
+               : q->now - MAX(heard_at, q->elected_at);
 }
 
 /*
--- a/src/quorum/quorum_test.cc
+++ b/src/quorum/quorum_test.cc
@@ -333,6 +333,32 @@
     EXPECT_EQ(jr_quorum_applied(replicas_[9]), jr_quorum_last(leader));
 }
 
+/*
+ * Pattern: a host comes back with an empty disk long after the election. Its
+ * replica has time to answer before it is given up, and is given up then.
+ */
+TEST_F(QuorumTest, ANewLearnerIsSilentSinceItJoinedNotSinceTheElection)
+{
+    jr_config_t next;
+    jr_quorum_t *leader;
+
+    voters_ = 3;
+    StartThree();
+    Run(20000);
+    leader = Leader();
+    ASSERT_NE(leader, nullptr);
+    next = *jr_quorum_config(leader);
+    next.members[next.n].id = 9;
+    snprintf(next.members[next.n].name, JR_NAME_BYTES, "elsewhere");
+    next.n++;
+    ASSERT_EQ(jr_quorum_propose_config(leader, &next), JR_OK);
+    Run(5000);
+    EXPECT_FALSE(jr_quorum_next_config(leader, &next));
+    Run(11000);
+    EXPECT_TRUE(jr_quorum_next_config(leader, &next));
+    EXPECT_EQ(jr_config_find(&next, 9), nullptr);
+}
+
 /* A machine is replaced by one with another name: the silent voter goes. */
 TEST_F(QuorumTest, AReplacementTakesThePlaceOfTheSilentVoter)
 {
