Services that ran before go before new ones

A service that began long ago has no prospect of its objective, so each newer one went first and took the room.

Ruled out: a late release (the log shows it in time); a change of leader (none).

Change: services have no prospect; the earliest objective goes first, so those that ran before. The test fails without it.

--- a/src/dispatch/dispatch_test.cc
+++ b/src/dispatch/dispatch_test.cc
@@ -310,6 +310,29 @@
     ExpectClean(fleet);
 }
 
+/*
+ * Pattern: workers are lost while new services keep coming, and there is room
+ * for some. Those that ran before come first, however long ago they began.
+ */
+TEST(DispatchTest, AServiceThatRanBeforeGoesBeforeNewOnes)
+{
+    Fleet fleet(1, 1);
+    Jr__JobStep service = MakeStep(1, 3000);
+
+    service.service = 1;
+    fleet.task_ms = 60000;
+    fleet.Submit(1, {service});
+    fleet.Run(8000);
+    ASSERT_EQ(fleet.Running(1), 1u);
+    fleet.Submit(2, {service});
+    fleet.Run(2200);
+    fleet.Restart(0);
+    fleet.Run(8000);
+    EXPECT_EQ(fleet.Running(1), 1u);
+    EXPECT_EQ(fleet.Running(2), 0u);
+    ExpectClean(fleet);
+}
+
 /* Pattern: services already fill the workers that come first. */
 TEST(DispatchTest, RoomThatServicesHaveIsNotKeptForShortTasks)
 {
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -102,7 +102,10 @@
         .occurrence = occurrence,
         .priority = config->priority,
         .is_service = job->spec->steps[0]->service,
-        .prospect = prospect_of(d, job, occurrence, allowed),
+        /* Who waits for a service waits for as long as it is to run. */
+        .prospect = job->spec->steps[0]->service
+                        ? IN_TIME
+                        : prospect_of(d, job, occurrence, allowed),
         .due_ms = begin + allowed,
     };
 }
