process_bad_input: the metrics are read before they are searched

The script has pipefail, and grep -q ends at its first match: curl then fails to write the rest. The page of metrics has grown.

Change: a here string, here and in two more places with the same shape. The checks are the same.

--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -162,7 +162,7 @@
 }
 
 task_shown() {
-    cli --json task show "$1" | grep -q '"key": "keep"'
+    grep -q '"key": "keep"' <<< "$(cli --json task show "$1")"
 }
 
 # Without a quorum: calls go on, keyed ones are refused at once.
@@ -227,8 +227,9 @@
         tail -1)
     [ "$big" = 400 ] || fail "a bad deadline got $big"
     served || fail "calls stopped"
-    curl -s --noproxy '*' "http://$http_a/metrics" |
-        grep -q '^jayrelay_refused_bad_request_total [1-9]' ||
+    # Not by a pipe: grep -q ends it early, and curl then fails.
+    grep -q '^jayrelay_refused_bad_request_total [1-9]' \
+        <<< "$(curl -s --noproxy '*' "http://$http_a/metrics")" ||
         fail "bad requests were not counted"
 }
 
@@ -375,7 +376,8 @@
         cli --json task submit - | field id) || fail "the others stopped"
     start_control b
     wait_until 20 all_whole || fail "it did not come back with room"
-    cli --json task show "$id" | grep -q '"key": "after"' || fail "lost"
+    grep -q '"key": "after"' <<< "$(cli --json task show "$id")" ||
+        fail "lost"
 }
 
 # Three workers whose tasks use four times what they declare, seen late.
