Process tests wait for what they have killed before they start it again

A process that is killed in a sync holds its ports until the sync ends; the script started the next one at once.

Change: the script waits until a killed process is gone, as whoever restarts one must; the checks are the same.

--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -122,6 +122,11 @@
     ! kill -0 "$1"
 }
 
+kill_hard() { # NAME: and wait; one that is in a sync keeps its ports till then
+    kill -KILL "${pids[$1]}"
+    wait_until 10 gone "${pids[$1]}" || fail "$1 was not killed"
+}
+
 # A frozen leader wakes up after its lease and must not act on old terms.
 case_frozen_leader() {
     local leader
@@ -147,7 +152,7 @@
     id=$(echo '{"key":"keep","team":"demo","class":"watch","run_ms":100,
         "need":{"cpu_milli":1000,"memory_mb":64}}' |
         cli --json task submit - | field id) || fail "submit"
-    kill -KILL "${pids[control-b]}"
+    kill_hard control-b
     rm -rf "$dir/data-b"
     start_control b
     wait_until 30 all_whole || fail "the new replica was not taken in"
@@ -288,6 +293,10 @@
     for zone in $zones; do
         kill -KILL "${pids[control-$zone]}" "${pids[entry-$zone]}"
     done
+    for zone in $zones; do
+        wait_until 10 gone "${pids[control-$zone]}" || fail "not killed"
+        wait_until 10 gone "${pids[entry-$zone]}" || fail "not killed"
+    done
     for zone in $zones; do
         start_control "$zone"
         start_entry "$zone"
@@ -332,7 +341,7 @@
     [ "$(stat -c %a "$key_file")" = 600 ] || fail "the keys can be read"
     up
     "$bin/jayrelay" keys new "$dir/other" || fail "no other keys"
-    kill -KILL "${pids[entry-c]}"
+    kill_hard entry-c
     sed "s#^key_file: .*#key_file: $dir/other#" "$dir/entry-c.yaml" \
         > "$dir/entry-x.yaml"
     start entry-x "$bin/jayrelay-entry" --settings "$dir/entry-x.yaml"
@@ -346,7 +355,7 @@
     "$bin/jayrelay-entry" --settings "$dir/entry-y.yaml" > "$dir/y.err" 2>&1
     [ $? -eq 3 ] || fail "half a key pair was taken"
     grep -q 'lines 1 and 2' "$dir/y.err" || fail "no clear error"
-    kill -KILL "${pids[entry-x]}"
+    kill_hard entry-x
     start_entry c
     wait_until 20 ready || fail "entry-c did not come back"
 }
@@ -483,14 +492,14 @@
     up
     rules_text 2 > "$dir/rules.2"
     cli rules apply "$dir/rules.2" || fail "rules 2"
-    kill -KILL "${pids[control-b]}"
+    kill_hard control-b
     log=$(ls "$dir"/data-b/group-0/log-*)
     printf '\100\0\0\0half a record' >> "$log"
     start_control b
     wait_until 20 grep -q 'event=205 name=torn-tail' "$dir/control-b.log" ||
         fail "the torn tail was not cut"
     wait_until 20 all_whole || fail "b did not come back"
-    kill -KILL "${pids[control-b]}"
+    kill_hard control-b
     printf '\377\377' | dd of="$log" bs=1 seek=14 conv=notrunc 2> /dev/null
     start_control b
     wait_until 20 grep -q 'event=206 name=damage' "$dir/control-b.log" ||
