Histories of members and of the dispatcher run on all processors

Change: seeds are spread over threads; JR_SEED and JR_HISTORIES as before. One header for both programs in place of two readers of the environment.

--- a/src/dispatch/dispatch_history_test.cc
+++ b/src/dispatch/dispatch_history_test.cc
@@ -6,8 +6,7 @@
  */
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-
+#include "base/histories_test.h"
 #include "fleet_test.h"
 
 enum {
@@ -23,15 +22,6 @@
 
 typedef void setup_t(Fleet *fleet);
 
-static uint32_t
-FromEnvironment(const char *name, uint32_t default_value)
-{
-    const char *text = std::getenv(name);
-
-    return text != nullptr ? static_cast<uint32_t>(std::atoi(text))
-                           : default_value;
-}
-
 /* Workers crash, come back, are replaced, or drain and leave. */
 static void
 ChangeWorkers(Fleet *fleet, std::mt19937 *rng, size_t i)
@@ -220,40 +210,30 @@
     fleet->faults.slow_answer = 10;
 }
 
-static size_t
-CountViolations(uint32_t histories, setup_t *setup, bool expects_violations)
+static void
+ExpectNoViolations(setup_t *setup)
 {
-    size_t n = 0;
-
-    for (uint32_t seed = 1; seed <= histories; seed++) {
-        std::vector<std::string> found = RunHistory(seed, setup);
-
-        n += found.size();
-        if (!found.empty() && !expects_violations) {
-            ADD_FAILURE() << "seed " << seed << ": " << found[0] << " and "
-                          << found.size() - 1 << " more";
-        }
-        if (n > 0 && expects_violations) {
-            break;
-        }
+    violations_t found =
+        RunHistories(DEFAULT_HISTORIES, [setup](uint32_t seed) {
+            return RunHistory(seed, setup);
+        });
+
+    for (const auto &[seed, violations] : found) {
+        ADD_FAILURE() << "seed " << seed << ": " << violations[0] << " and "
+                      << violations.size() - 1 << " more";
     }
-    return n;
 }
 
-/* Runs all histories, or only the seed given in JR_SEED. */
+/* With a mechanism disabled, some history must have a violation. */
 static void
-ExpectNoViolations(setup_t *setup)
+ExpectViolation(setup_t *setup)
 {
-    uint32_t seed = FromEnvironment("JR_SEED", 0);
-
-    if (seed != 0) {
-        for (const std::string &what : RunHistory(seed, setup)) {
-            ADD_FAILURE() << what;
+    for (uint32_t seed = 1; seed <= NEGATIVE_HISTORIES; seed++) {
+        if (!RunHistory(seed, setup).empty()) {
+            return;
         }
-        return;
     }
-    CountViolations(FromEnvironment("JR_HISTORIES", DEFAULT_HISTORIES), setup,
-                    false);
+    ADD_FAILURE() << "no violation in " << NEGATIVE_HISTORIES << " histories";
 }
 
 TEST(DispatchHistoryTest, TasksAreNotDuplicatedLostOrOvercommitted)
@@ -299,27 +279,17 @@
 
 TEST(DispatchHistoryTest, FindsViolationsWhenWorkersIgnoreFences)
 {
-    EXPECT_GT(CountViolations(
-                  NEGATIVE_HISTORIES,
-                  [](Fleet *fleet) { fleet->ignores_fences = true; }, true),
-              0u);
+    ExpectViolation([](Fleet *fleet) { fleet->ignores_fences = true; });
 }
 
 TEST(DispatchHistoryTest, FindsViolationsWhenWorkersIgnoreLeases)
 {
-    EXPECT_GT(CountViolations(
-                  NEGATIVE_HISTORIES,
-                  [](Fleet *fleet) { fleet->ignores_leases = true; }, true),
-              0u);
+    ExpectViolation([](Fleet *fleet) { fleet->ignores_leases = true; });
 }
 
 TEST(DispatchHistoryTest, FindsViolationsWhenWorkersKeepNoTombstones)
 {
-    EXPECT_GT(CountViolations(
-                  NEGATIVE_HISTORIES,
-                  [](Fleet *fleet) { fleet->ignores_tombstones = true; },
-                  true),
-              0u);
+    ExpectViolation([](Fleet *fleet) { fleet->ignores_tombstones = true; });
 }
 
 TEST(DispatchHistoryTest, FailingTasksAreNotStartedTooOften)
--- a/src/quorum/members_test.cc
+++ b/src/quorum/members_test.cc
@@ -16,6 +16,8 @@
 #include <string>
 #include <vector>
 
+#include "base/histories_test.h"
+
 extern "C" {
 #include "jayrelay/quorum.h"
 }
@@ -31,6 +33,7 @@
 constexpr int64_t kSettleMs = 10000;
 constexpr int64_t kFaultMs = 40000;
 constexpr int64_t kRecoveryMs = 15000;
+constexpr uint32_t kHistories = 100;
 constexpr int kSeeds = 3; /* machines whose addresses all are told */
 
 using Bytes = std::vector<uint8_t>;
@@ -71,8 +74,8 @@
 
 class History {
   public:
-    History(uint32_t seed, int machines, int tolerate)
-        : rng_(seed), tolerate_((size_t)tolerate), machines_((size_t)machines)
+    History(uint32_t seed, size_t machines, size_t tolerate)
+        : rng_(seed), tolerate_(tolerate), machines_(machines)
     {
         ctx_ = jr_new_ctx("members", getenv("JR_LOG") ? stdout : nullptr);
         for (size_t m = 0; m < machines_.size(); m++) {
@@ -571,45 +574,35 @@
     std::string violation_;
 };
 
-int
-EnvNumber(const char *name, int default_value)
-{
-    const char *text = getenv(name);
-
-    return text != nullptr ? atoi(text) : default_value;
-}
-
 void
-RunHistories(int machines, int tolerate)
+ExpectNoViolation(size_t machines, size_t tolerate)
 {
-    int single_seed = EnvNumber("JR_SEED", 0);
-    int n = single_seed > 0 ? 1 : EnvNumber("JR_HISTORIES", 100);
-    int first = single_seed > 0 ? single_seed : 1;
-    int violations = 0;
+    violations_t found = RunHistories(kHistories, [=](uint32_t seed) {
+        std::string violation = History(seed, machines, tolerate).Run();
 
-    for (int seed = first; seed < first + n; seed++) {
-        History history((uint32_t)seed, machines, tolerate);
-        std::string violation = history.Run();
+        return violation.empty() ? std::vector<std::string>()
+                                 : std::vector<std::string>{violation};
+    });
 
-        violations += !violation.empty();
-        EXPECT_EQ(violation, "") << "replay with JR_SEED=" << seed;
+    for (const auto &[seed, violations] : found) {
+        ADD_FAILURE() << "replay with JR_SEED=" << seed << ": "
+                      << violations[0];
     }
-    printf("%d histories, %d violations\n", n, violations);
 }
 
 TEST(Members, ThreeOfWhichOneMayLoseItsDisk)
 {
-    RunHistories(3, 1);
+    ExpectNoViolation(3, 1);
 }
 
 TEST(Members, FiveOfWhichTwoMayLoseTheirDisks)
 {
-    RunHistories(5, 2);
+    ExpectNoViolation(5, 2);
 }
 
 TEST(Members, EightOfWhichTwoMayLoseTheirDisks)
 {
-    RunHistories(8, 2);
+    ExpectNoViolation(8, 2);
 }
 
 } // namespace
