What a leader knows of a leaving worker is in the log

Change: the request is acknowledged once it is in the log; a new leader treats the worker as leaving, so a refused connection or 3 s of silence end it.

--- a/include/jayrelay/dispatch.h
+++ b/include/jayrelay/dispatch.h
@@ -193,8 +193,11 @@
 /**
  * jr_dispatch_left - a worker announced that it shuts down
  * @incarnation: start time of the incarnation that leaves, 0 when not given
+ *
+ * Return: true when a JobWorkerLeaving of its present incarnation must be
+ * written to the log, so that later leaders know.
  */
-void jr_dispatch_left(jr_dispatch_t *d, const char *worker,
+bool jr_dispatch_left(jr_dispatch_t *d, const char *worker,
                       int64_t incarnation, int64_t now);
 
 #endif
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -111,6 +111,9 @@
     if (worker->info->born > w->incarnation) {
         jr_tracked_worker_restart(d, w, worker->info->born);
     }
+    if (worker->info->leaving && worker->info->born == w->incarnation) {
+        jr_tracked_worker_leave(d, w);
+    }
     w->is_end_pending = false;
     d->is_dirty = true;
 }
@@ -206,6 +209,9 @@
     jr_job_task_t *task;
 
     w->inherited_until = d->now + jr_inherited_lease_ms(d);
+    if (worker->info->leaving) {
+        jr_tracked_worker_leave(d, w);
+    }
     TAILQ_FOREACH (task, &worker->granted, worker_link) {
         jr_run_t *run = jr_run_new(d, task, w, JR_RUN_UNCONFIRMED);
 
@@ -469,7 +475,7 @@
     return info->draining && info->born == w->incarnation;
 }
 
-void
+bool
 jr_dispatch_left(jr_dispatch_t *d, const char *worker, int64_t incarnation,
                  int64_t now)
 {
@@ -478,17 +484,18 @@
 
     d->now = MAX(d->now, now);
     if (w == NULL) {
-        return;
+        return false;
     }
     jr_log(d->ctx, JR_EV_WORKER_LIFE, "worker=%s born=%lld known=%lld left=1",
            worker, (long long)incarnation, (long long)w->incarnation);
     if (incarnation == 0 || incarnation >= w->incarnation) {
         w->left_at = d->now;
     }
-    if (is_leave_current(w, incarnation)) {
-        w->is_leaving = true;
-        w->renewal_at = d->now;
+    if (!is_leave_current(w, incarnation)) {
+        return false;
     }
+    jr_tracked_worker_leave(d, w);
+    return known->info->born == w->incarnation && !known->info->leaving;
 }
 
 bool
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -207,6 +207,8 @@
                                  const jr_tracked_worker_t *w);
 void jr_tracked_worker_restart(jr_dispatch_t *d, jr_tracked_worker_t *w,
                                int64_t incarnation);
+/* It announced that it shuts down now. */
+void jr_tracked_worker_leave(jr_dispatch_t *d, jr_tracked_worker_t *w);
 void jr_tracked_worker_end(jr_dispatch_t *d, jr_tracked_worker_t *w);
 void jr_tracked_worker_tick(jr_dispatch_t *d, jr_tracked_worker_t *w);
 void jr_tracked_worker_suspect(jr_dispatch_t *d, jr_tracked_worker_t *w);
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -309,9 +309,17 @@
         worker.leaves_at = 0;
         worker.exits_at =
             now + static_cast<int64_t>(rng_() % (EXIT_MAX_MS + 1));
-        if (!worker.is_partitioned) {
+        if (!worker.is_partitioned &&
             jr_dispatch_left(dispatch, worker.id.c_str(), worker.incarnation,
-                             now);
+                             now)) {
+            Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+            Jr__JobWorkerLeaving leaving = JR__JOB_WORKER_LEAVING__INIT;
+
+            leaving.id = worker.id.data();
+            leaving.born = worker.incarnation;
+            command.body_case = JR__JOB_COMMAND__BODY_WORKER_LEAVING;
+            command.worker_leaving = &leaving;
+            Propose(&command);
         }
     }
     if (worker.exits_at != 0 && worker.exits_at <= now) {
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -206,6 +206,19 @@
     return d->options.order_age_ms + lease_ms * PERMILLE / rate;
 }
 
+void
+jr_tracked_worker_leave(jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    if (w->is_leaving) {
+        return;
+    }
+    w->is_leaving = true;
+    if (w->left_at == 0) {
+        w->left_at = d->now;
+    }
+    w->renewal_at = d->now;
+}
+
 /*
  * Orders that are still under way name the ended incarnation, so its runs can
  * be released.
--- a/src/dispatch/worker_test.cc
+++ b/src/dispatch/worker_test.cc
@@ -367,6 +367,30 @@
     EXPECT_FALSE(worker_.HasLapsed(now_));
 }
 
+/*
+ * Guards against tasks that wait for a whole lease when a worker leaves and
+ * the leader that it told is lost: the next one must know.
+ */
+TEST_F(WorkerTest, ANewLeaderKnowsAWorkerThatLeaves)
+{
+    Jr__JobWorkerLeaving leaving = JR__JOB_WORKER_LEAVING__INIT;
+    Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+
+    StartTask();
+    EXPECT_TRUE(jr_dispatch_left(first_.dispatch, "w0", kBorn, now_));
+    leaving.id = worker_.id.data();
+    leaving.born = kBorn;
+    command.body_case = JR__JOB_COMMAND__BODY_WORKER_LEAVING;
+    command.worker_leaving = &leaving;
+    Apply(&command);
+    EXPECT_FALSE(jr_dispatch_left(first_.dispatch, "w0", kBorn, now_));
+    CheckIn(true); /* a delayed one does not take it back */
+    jr_dispatch_resign(first_.dispatch);
+    jr_dispatch_lead(second_.dispatch, 2, now_);
+    LoseConnections(second_, 100, true);
+    EXPECT_FALSE(IsGranted());
+}
+
 /* Guards against a late leave request ending a worker that has restarted
  * since. */
 TEST_F(WorkerTest, ALeaveRequestOfAnEarlierIncarnationIsIgnored)
--- a/src/gen/job/job.pb-c.c
+++ b/src/gen/job/job.pb-c.c
@@ -682,6 +682,51 @@
   assert(message->base.descriptor == &jr__job_releases__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jr__job_worker_leaving__init
+                     (Jr__JobWorkerLeaving         *message)
+{
+  static const Jr__JobWorkerLeaving init_value = JR__JOB_WORKER_LEAVING__INIT;
+  *message = init_value;
+}
+size_t jr__job_worker_leaving__get_packed_size
+                     (const Jr__JobWorkerLeaving *message)
+{
+  assert(message->base.descriptor == &jr__job_worker_leaving__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jr__job_worker_leaving__pack
+                     (const Jr__JobWorkerLeaving *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jr__job_worker_leaving__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jr__job_worker_leaving__pack_to_buffer
+                     (const Jr__JobWorkerLeaving *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jr__job_worker_leaving__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jr__JobWorkerLeaving *
+       jr__job_worker_leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jr__JobWorkerLeaving *)
+     protobuf_c_message_unpack (&jr__job_worker_leaving__descriptor,
+                                allocator, len, data);
+}
+void   jr__job_worker_leaving__free_unpacked
+                     (Jr__JobWorkerLeaving *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jr__job_worker_leaving__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jr__job_worker_gone__init
                      (Jr__JobWorkerGone         *message)
 {
@@ -1758,7 +1803,7 @@
   (ProtobufCMessageInit) jr__job_config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_worker__field_descriptors[12] =
+static const ProtobufCFieldDescriptor jr__job_worker__field_descriptors[13] =
 {
   {
     "id",
@@ -1904,6 +1949,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobWorker, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_worker__field_indices_by_name[] = {
   8,   /* field[8] = accelerators */
@@ -1914,6 +1971,7 @@
   11,   /* field[11] = ends_seen */
   0,   /* field[0] = id */
   9,   /* field[9] = labels */
+  12,   /* field[12] = leaving */
   5,   /* field[5] = machine */
   7,   /* field[7] = memory_mb */
   4,   /* field[4] = service */
@@ -1922,7 +1980,7 @@
 static const ProtobufCIntRange jr__job_worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor jr__job_worker__descriptor =
 {
@@ -1932,7 +1990,7 @@
   "Jr__JobWorker",
   "jr",
   sizeof(Jr__JobWorker),
-  12,
+  13,
   jr__job_worker__field_descriptors,
   jr__job_worker__field_indices_by_name,
   1,  jr__job_worker__number_ranges,
@@ -2512,6 +2570,57 @@
   (ProtobufCMessageInit) jr__job_releases__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor jr__job_worker_leaving__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobWorkerLeaving, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobWorkerLeaving, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jr__job_worker_leaving__field_indices_by_name[] = {
+  1,   /* field[1] = born */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange jr__job_worker_leaving__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor jr__job_worker_leaving__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.JobWorkerLeaving",
+  "JobWorkerLeaving",
+  "Jr__JobWorkerLeaving",
+  "jr",
+  sizeof(Jr__JobWorkerLeaving),
+  2,
+  jr__job_worker_leaving__field_descriptors,
+  jr__job_worker_leaving__field_indices_by_name,
+  1,  jr__job_worker_leaving__number_ranges,
+  (ProtobufCMessageInit) jr__job_worker_leaving__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor jr__job_worker_gone__field_descriptors[2] =
 {
   {
@@ -2563,7 +2672,7 @@
   (ProtobufCMessageInit) jr__job_worker_gone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_command__field_descriptors[9] =
+static const ProtobufCFieldDescriptor jr__job_command__field_descriptors[10] =
 {
   {
     "at_ms",
@@ -2673,6 +2782,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "worker_leaving",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__JobCommand, body_case),
+    offsetof(Jr__JobCommand, worker_leaving),
+    &jr__job_worker_leaving__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_command__field_indices_by_name[] = {
   0,   /* field[0] = at_ms */
@@ -2684,11 +2805,12 @@
   2,   /* field[2] = submit */
   7,   /* field[7] = worker */
   8,   /* field[8] = worker_gone */
+  9,   /* field[9] = worker_leaving */
 };
 static const ProtobufCIntRange jr__job_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor jr__job_command__descriptor =
 {
@@ -2698,7 +2820,7 @@
   "Jr__JobCommand",
   "jr",
   sizeof(Jr__JobCommand),
-  9,
+  10,
   jr__job_command__field_descriptors,
   jr__job_command__field_indices_by_name,
   1,  jr__job_command__number_ranges,
--- a/src/gen/job/job.pb-c.h
+++ b/src/gen/job/job.pb-c.h
@@ -30,6 +30,7 @@
 typedef struct Jr__JobEnds Jr__JobEnds;
 typedef struct Jr__JobRelease Jr__JobRelease;
 typedef struct Jr__JobReleases Jr__JobReleases;
+typedef struct Jr__JobWorkerLeaving Jr__JobWorkerLeaving;
 typedef struct Jr__JobWorkerGone Jr__JobWorkerGone;
 typedef struct Jr__JobCommand Jr__JobCommand;
 typedef struct Jr__JobAsk Jr__JobAsk;
@@ -249,10 +250,14 @@
    * run ends up to this number are in the log
    */
   uint64_t ends_seen;
+  /*
+   * announced that it shuts down now
+   */
+  protobuf_c_boolean leaving;
 };
 #define JR__JOB_WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__job_worker__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -380,6 +385,20 @@
     , 0,NULL }
 
 
+/*
+ * The worker announced that it shuts down.
+ */
+struct  Jr__JobWorkerLeaving
+{
+  ProtobufCMessage base;
+  char *id;
+  int64_t born;
+};
+#define JR__JOB_WORKER_LEAVING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jr__job_worker_leaving__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Jr__JobWorkerGone
 {
   ProtobufCMessage base;
@@ -400,7 +419,8 @@
   JR__JOB_COMMAND__BODY_ENDS = 6,
   JR__JOB_COMMAND__BODY_RELEASES = 7,
   JR__JOB_COMMAND__BODY_WORKER = 8,
-  JR__JOB_COMMAND__BODY_WORKER_GONE = 9
+  JR__JOB_COMMAND__BODY_WORKER_GONE = 9,
+  JR__JOB_COMMAND__BODY_WORKER_LEAVING = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JR__JOB_COMMAND__BODY__CASE)
 } Jr__JobCommand__BodyCase;
 
@@ -421,6 +441,7 @@
     Jr__JobReleases *releases;
     Jr__JobWorker *worker;
     Jr__JobWorkerGone *worker_gone;
+    Jr__JobWorkerLeaving *worker_leaving;
   };
 };
 #define JR__JOB_COMMAND__INIT \
@@ -846,6 +867,25 @@
 void   jr__job_releases__free_unpacked
                      (Jr__JobReleases *message,
                       ProtobufCAllocator *allocator);
+/* Jr__JobWorkerLeaving methods */
+void   jr__job_worker_leaving__init
+                     (Jr__JobWorkerLeaving         *message);
+size_t jr__job_worker_leaving__get_packed_size
+                     (const Jr__JobWorkerLeaving   *message);
+size_t jr__job_worker_leaving__pack
+                     (const Jr__JobWorkerLeaving   *message,
+                      uint8_t             *out);
+size_t jr__job_worker_leaving__pack_to_buffer
+                     (const Jr__JobWorkerLeaving   *message,
+                      ProtobufCBuffer     *buffer);
+Jr__JobWorkerLeaving *
+       jr__job_worker_leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jr__job_worker_leaving__free_unpacked
+                     (Jr__JobWorkerLeaving *message,
+                      ProtobufCAllocator *allocator);
 /* Jr__JobWorkerGone methods */
 void   jr__job_worker_gone__init
                      (Jr__JobWorkerGone         *message);
@@ -1064,6 +1104,9 @@
 typedef void (*Jr__JobReleases_Closure)
                  (const Jr__JobReleases *message,
                   void *closure_data);
+typedef void (*Jr__JobWorkerLeaving_Closure)
+                 (const Jr__JobWorkerLeaving *message,
+                  void *closure_data);
 typedef void (*Jr__JobWorkerGone_Closure)
                  (const Jr__JobWorkerGone *message,
                   void *closure_data);
@@ -1113,6 +1156,7 @@
 extern const ProtobufCMessageDescriptor jr__job_ends__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_release__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_releases__descriptor;
+extern const ProtobufCMessageDescriptor jr__job_worker_leaving__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_worker_gone__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_command__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_ask__descriptor;
--- a/src/group/job_request.c
+++ b/src/group/job_request.c
@@ -235,6 +235,26 @@
     propose_command(group, reply_to, &command);
 }
 
+/* Acknowledged once it is in the log: the worker does not say it again. */
+static void
+on_leave(jr_group_t *group, const jr_reply_address_t *reply_to,
+         const Jr__JobLeave *leave)
+{
+    Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+    Jr__JobWorkerLeaving leaving = JR__JOB_WORKER_LEAVING__INIT;
+
+    if (!jr_dispatch_left(group->as.jobs.dispatch, leave->id, leave->born,
+                          group->now)) {
+        reply_code(group, reply_to, JR_OK);
+        return;
+    }
+    leaving.id = leave->id;
+    leaving.born = jr_jobs_worker(group->as.jobs.jobs, leave->id)->info->born;
+    command.body_case = JR__JOB_COMMAND__BODY_WORKER_LEAVING;
+    command.worker_leaving = &leaving;
+    propose_command(group, reply_to, &command);
+}
+
 void
 jr_group_serve_config(jr_group_t *group, const jr_reply_address_t *reply_to)
 {
@@ -276,9 +296,7 @@
         on_worker(group, reply_to, request->job_worker);
         return true;
     case JR__REQUEST__BODY_JOB_LEAVE:
-        jr_dispatch_left(group->as.jobs.dispatch, request->job_leave->id,
-                         request->job_leave->born, group->now);
-        reply_code(group, reply_to, JR_OK);
+        on_leave(group, reply_to, request->job_leave);
         return true;
     default:
         return false;
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -493,6 +493,7 @@
     if (known != NULL && known->info->born == info->born) {
         info->ends_seen = known->info->ends_seen;
         info->draining |= known->info->draining;
+        info->leaving |= known->info->leaving;
     }
     command->body_case = JR__JOB_COMMAND__BODY__NOT_SET;
     command->worker = NULL;
@@ -500,6 +501,18 @@
     return JR_OK;
 }
 
+static jr_result_t
+apply_worker_leaving(jr_jobs_t *jobs, const Jr__JobWorkerLeaving *leaving)
+{
+    jr_job_worker_t *worker = jr_jobs_worker(jobs, leaving->id);
+
+    if (worker != NULL && worker->info->born == leaving->born) {
+        worker->info->leaving = true;
+        notify_worker(jobs, worker);
+    }
+    return JR_OK;
+}
+
 static jr_result_t
 apply_worker_removal(jr_jobs_t *jobs, const Jr__JobWorkerGone *removal)
 {
@@ -532,6 +545,8 @@
         return apply_worker(jobs, command);
     case JR__JOB_COMMAND__BODY_WORKER_GONE:
         return apply_worker_removal(jobs, command->worker_gone);
+    case JR__JOB_COMMAND__BODY_WORKER_LEAVING:
+        return apply_worker_leaving(jobs, command->worker_leaving);
     default:
         return JR_BAD_REQUEST;
     }
