--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -106,6 +106,12 @@
     X(ORDERS_UNREACHED, "orders_unreached_total",                             \
       "orders that could not be sent")                                        \
     X(ORDERS_UNCLEAR, "orders_unclear_total", "orders without an answer")     \
+    X(ORDERS_CARRIED, "orders_carried_total",                                 \
+      "orders sent to workers for the leader")                                \
+    X(CARRY_REFUSED, "carry_refused_total",                                   \
+      "orders not sent for the leader: too many are open")                    \
+    X(CARRY_EXPIRED, "carry_expired_total",                                   \
+      "orders of which a carrier gave no answer in time")                     \
     X(RUNS_ENDED_DONE, "runs_done_total", "runs that ended as done")          \
     X(RUNS_ENDED_FAILED, "runs_failed_total", "runs that failed")             \
     X(RUNS_ENDED_OTHER, "runs_cut_total",                                     \
--- a/include/jayrelay/dispatch.h
+++ b/include/jayrelay/dispatch.h
@@ -29,6 +29,7 @@
 /**
  * struct jr_order_t - one order; texts are borrowed until the next call
  * @serial: identifies the order when it is answered
+ * @zone: availability zone of the worker
  * @fence: fencing token, the same for all orders of a leader
  * @run: the run concerned; unset for renewals
  * @expires_ms: of starts and renewals: end of the lease on the worker's
@@ -43,6 +44,7 @@
     uint64_t serial;
     const char *worker;
     const char *address;
+    const char *zone;
     uint64_t fence;
     int64_t timeout_ms;
     Jr__JobRun run;
--- /dev/null
+++ b/src/carrier/carrier_test.cc
@@ -0,0 +1,321 @@
+/* The choice of a carrier for an order, and the messages between them. */
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "jayrelay/carrier.h"
+}
+
+namespace {
+
+constexpr size_t kFew = 10;
+constexpr size_t kMany = 1100;
+constexpr int64_t kTickMs = 10;
+constexpr int64_t kSilentMs = 700;
+
+class CarrierTest : public ::testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        ctx_ = jr_new_ctx("test", nullptr);
+        carriers_ = jr_new_carriers(ctx_, "a");
+    }
+
+    void
+    TearDown() override
+    {
+        jr_drop_carriers(carriers_);
+        jr_drop_ctx(ctx_);
+    }
+
+    void
+    Hear(const char *name, const char *zone)
+    {
+        jr_carriers_heard(carriers_, name, zone, now_);
+    }
+
+    /* Time passes in the leader's loop. */
+    void
+    Pass(int64_t ms)
+    {
+        for (int64_t end = now_ + ms; now_ < end;) {
+            now_ += kTickMs;
+            jr_carriers_tick(carriers_, now_);
+        }
+    }
+
+    std::string
+    Choose(const std::string &worker, const char *zone, size_t n_workers)
+    {
+        int carrier = jr_carriers_choose(carriers_, worker.c_str(), zone,
+                                         n_workers, now_);
+
+        return carrier == JR_CARRIER_SELF
+                   ? "self"
+                   : jr_carriers_name(carriers_, carrier);
+    }
+
+    jr_ctx_t *ctx_;
+    jr_carriers_t *carriers_;
+    int64_t now_ = 1000;
+};
+
+TEST_F(CarrierTest, WithoutCarriersTheLeaderSendsItself)
+{
+    EXPECT_EQ(Choose("w", "b", kMany), "self");
+}
+
+TEST_F(CarrierTest, AWorkerIsServedFromItsZone)
+{
+    Hear("b1", "b");
+    Hear("c1", "c");
+    for (int i = 0; i < 20; i++) {
+        std::string worker = "w" + std::to_string(i);
+
+        EXPECT_EQ(Choose(worker, "b", kMany), "b1");
+        EXPECT_EQ(Choose(worker, "c", kMany), "c1");
+        EXPECT_EQ(Choose(worker, "a", kFew), "self");
+    }
+}
+
+/*
+ * Load: 1,100 workers in five zones, one control process in each. The leader's
+ * own zone goes to the others too, and none of them gets much more than its
+ * share.
+ */
+TEST_F(CarrierTest, ManyWorkersAreSpreadOverAllCarriers)
+{
+    const char *zones[] = {"a", "b", "c", "d", "e"};
+    std::map<std::string, size_t> n;
+
+    for (size_t i = 1; i < 5; i++) {
+        Hear((std::string(zones[i]) + "1").c_str(), zones[i]);
+    }
+    for (size_t i = 0; i < kMany; i++) {
+        n[Choose("i-" + std::to_string(i * 7919), zones[i % 5], kMany)]++;
+    }
+    EXPECT_EQ(n.count("self"), 0u);
+    ASSERT_EQ(n.size(), 4u);
+    for (const auto &[name, workers] : n) {
+        EXPECT_LT(workers, kMany / 4 * 5 / 4) << name;
+    }
+}
+
+TEST_F(CarrierTest, OnlyTheWorkersOfALostCarrierMove)
+{
+    std::map<std::string, std::string> before;
+    std::vector<std::string> names = {"b1", "b2", "b3"};
+
+    for (const std::string &name : names) {
+        Hear(name.c_str(), "b");
+    }
+    for (int i = 0; i < 100; i++) {
+        std::string worker = "w" + std::to_string(i);
+
+        before[worker] = Choose(worker, "b", kMany);
+    }
+    Pass(kSilentMs);
+    Hear("b1", "b");
+    Hear("b3", "b");
+    for (const auto &[worker, carrier] : before) {
+        std::string after = Choose(worker, "b", kMany);
+
+        EXPECT_NE(after, "b2");
+        EXPECT_TRUE(after == carrier || carrier == "b2") << worker;
+    }
+}
+
+TEST_F(CarrierTest, ASilentCarrierGetsNoOrders)
+{
+    Hear("b1", "b");
+    Pass(kSilentMs);
+    EXPECT_EQ(Choose("w", "b", kMany), "self");
+    EXPECT_EQ(jr_carriers_count(carriers_, now_), 0u);
+    Hear("b1", "b");
+    EXPECT_EQ(Choose("w", "b", kMany), "b1");
+}
+
+/*
+ * Guards against a leader that was paused, or had one long turn, and then
+ * takes all carriers for silent.
+ */
+TEST_F(CarrierTest, AStallOfTheLeaderIsNotSilenceOfItsCarriers)
+{
+    Hear("b1", "b");
+    Pass(100);
+    now_ += 5000;
+    jr_carriers_tick(carriers_, now_);
+    EXPECT_EQ(Choose("w", "b", kMany), "b1");
+    Pass(kSilentMs);
+    EXPECT_EQ(Choose("w", "b", kMany), "self");
+}
+
+/* Guards against retries through the one carrier that is cut off. */
+TEST_F(CarrierTest, AWorkerThatACarrierDoesNotReachGetsAnother)
+{
+    Hear("b1", "b");
+    Hear("c1", "c");
+    ASSERT_EQ(Choose("w", "b", kMany), "b1");
+    jr_carriers_failed(carriers_, jr_carriers_find(carriers_, "b1"), "w",
+                       now_);
+    EXPECT_EQ(Choose("w", "b", kMany), "c1");
+    EXPECT_EQ(Choose("other", "b", kMany), "b1");
+    jr_carriers_failed(carriers_, jr_carriers_find(carriers_, "c1"), "w",
+                       now_);
+    EXPECT_EQ(Choose("w", "b", kMany), "self");
+    for (int i = 0; i < 40; i++) {
+        Pass(100);
+        Hear("b1", "b");
+    }
+    EXPECT_EQ(Choose("w", "b", kMany), "b1");
+}
+
+/* Bad input: names that are too long, and more carriers than there may be. */
+TEST_F(CarrierTest, TheTableOfCarriersIsBounded)
+{
+    std::string longest(JR_NAME_BYTES, 'x');
+
+    Hear(longest.c_str(), "b");
+    Hear("b", longest.c_str());
+    EXPECT_EQ(jr_carriers_count(carriers_, now_), 0u);
+    for (int i = 0; i < 2 * JR_CARRIERS_MAX; i++) {
+        Hear(("n" + std::to_string(i)).c_str(), "b");
+    }
+    EXPECT_EQ(jr_carriers_count(carriers_, now_), (size_t)JR_CARRIERS_MAX);
+    Pass(kSilentMs);
+    Hear("new", "b");
+    EXPECT_EQ(jr_carriers_count(carriers_, now_), 1u);
+}
+
+jr_order_t
+MakeOrder(jr_order_kind_t kind)
+{
+    jr_order_t order = {};
+
+    order.kind = kind;
+    order.serial = 7;
+    order.worker = "i-1";
+    order.address = "10.0.0.1:80";
+    order.zone = "a";
+    order.fence = 5;
+    order.timeout_ms = 600;
+    jr__job_run__init(&order.run);
+    order.run.job = 0x5c0e7a21d94b36f8;
+    order.run.attempt = 3;
+    return order;
+}
+
+TEST_F(CarrierTest, AnOrderArrivesAsItWasSent)
+{
+    jr_order_t order = MakeOrder(JR_ORDER_START);
+    Jr__Order message;
+    jr_order_t read;
+
+    order.as.start.payload = "spec";
+    order.as.start.checkpoint = "abc";
+    order.as.start.expires_ms = 486000;
+    jr_order_pack(&order, &message);
+    ASSERT_EQ(jr_order_unpack(ctx_, &message, &read), JR_OK);
+    EXPECT_EQ(read.kind, JR_ORDER_START);
+    EXPECT_EQ(read.serial, order.serial);
+    EXPECT_STREQ(read.worker, order.worker);
+    EXPECT_STREQ(read.address, order.address);
+    EXPECT_EQ(read.fence, order.fence);
+    EXPECT_EQ(read.timeout_ms, order.timeout_ms);
+    EXPECT_EQ(read.run.job, order.run.job);
+    EXPECT_EQ(read.run.attempt, order.run.attempt);
+    EXPECT_STREQ(read.as.start.payload, "spec");
+    EXPECT_STREQ(read.as.start.checkpoint, "abc");
+    EXPECT_EQ(read.as.start.expires_ms, 486000);
+    order = MakeOrder(JR_ORDER_RENEW);
+    order.as.renew.expires_ms = 486000;
+    order.as.renew.ends_seen = 57;
+    order.as.renew.wait_ms = 1000;
+    jr_order_pack(&order, &message);
+    ASSERT_EQ(jr_order_unpack(ctx_, &message, &read), JR_OK);
+    EXPECT_EQ(read.kind, JR_ORDER_RENEW);
+    EXPECT_EQ(read.as.renew.expires_ms, 486000);
+    EXPECT_EQ(read.as.renew.ends_seen, 57u);
+    EXPECT_EQ(read.as.renew.wait_ms, 1000);
+    order = MakeOrder(JR_ORDER_PACE);
+    order.as.pace.percent = 40;
+    jr_order_pack(&order, &message);
+    ASSERT_EQ(jr_order_unpack(ctx_, &message, &read), JR_OK);
+    EXPECT_EQ(read.as.pace.percent, 40u);
+}
+
+TEST_F(CarrierTest, AnOrderWithoutARunOrOfAnUnknownKindIsRefused)
+{
+    jr_order_t order = MakeOrder(JR_ORDER_STOP);
+    Jr__Order message;
+    jr_order_t read;
+
+    jr_order_pack(&order, &message);
+    EXPECT_EQ(jr_order_unpack(ctx_, &message, &read), JR_OK);
+    message.run = nullptr;
+    EXPECT_EQ(jr_order_unpack(ctx_, &message, &read), JR_BAD_REQUEST);
+    message.kind = static_cast<Jr__Order__Kind>(9);
+    message.run = &order.run;
+    EXPECT_EQ(jr_order_unpack(ctx_, &message, &read), JR_BAD_REQUEST);
+}
+
+TEST_F(CarrierTest, AnAnswerArrivesAsItWasSent)
+{
+    jr_running_t running[2] = {};
+    jr_ended_t ended[1] = {};
+    jr_answer_t answer = {};
+    jr_answer_t read;
+    jr_answer_rows_t rows;
+    Jr__OrderAnswer *message;
+    uint8_t *bytes;
+    size_t len;
+
+    running[0].run = MakeOrder(JR_ORDER_STOP).run;
+    running[0].checkpoint = "c";
+    running[0].percent = 41;
+    running[0].gauge = 1200;
+    running[1].run = running[0].run;
+    ended[0].number = 58;
+    ended[0].run = running[0].run;
+    ended[0].how = JR__JOB_END__HOW__LAPSED;
+    answer.kind = JR_ANSWER_DONE;
+    answer.clock_ms = 482113;
+    answer.incarnation = 9;
+    answer.running = running;
+    answer.n_running = 2;
+    answer.ended = ended;
+    answer.n_ended = 1;
+    bytes = jr_answer_pack(ctx_, 7, &answer, &len);
+    message = jr__order_answer__unpack(nullptr, len, bytes);
+    ASSERT_NE(message, nullptr);
+    ASSERT_EQ(jr_answer_unpack(ctx_, message, &read, &rows), JR_OK);
+    EXPECT_EQ(message->serial, 7u);
+    EXPECT_EQ(read.kind, JR_ANSWER_DONE);
+    EXPECT_EQ(read.clock_ms, 482113);
+    EXPECT_EQ(read.incarnation, 9);
+    ASSERT_EQ(read.n_running, 2u);
+    EXPECT_STREQ(read.running[0].checkpoint, "c");
+    EXPECT_EQ(read.running[0].percent, 41u);
+    EXPECT_EQ(read.running[0].gauge, 1200u);
+    EXPECT_EQ(read.running[0].run.attempt, 3u);
+    EXPECT_EQ(read.running[1].checkpoint, nullptr);
+    ASSERT_EQ(read.n_ended, 1u);
+    EXPECT_EQ(read.ended[0].number, 58u);
+    EXPECT_EQ(read.ended[0].how, JR__JOB_END__HOW__LAPSED);
+    jr_answer_rows_clear(ctx_, &rows);
+    /* Guards against a list cut short, by which a run would count as ended. */
+    jr__job_run__free_unpacked(message->running[0]->run, nullptr);
+    message->running[0]->run = nullptr;
+    EXPECT_EQ(jr_answer_unpack(ctx_, message, &read, &rows), JR_BAD_REQUEST);
+    EXPECT_EQ(read.kind, JR_ANSWER_UNKNOWN);
+    EXPECT_EQ(read.n_running, 0u);
+    jr_answer_rows_clear(ctx_, &rows);
+    jr__order_answer__free_unpacked(message, nullptr);
+    jr_free(ctx_, bytes);
+}
+
+} // namespace
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -8,6 +8,7 @@
 
 #include "jayrelay/ask.h"
 #include "jayrelay/bus.h"
+#include "jayrelay/carrier.h"
 #include "jayrelay/group.h"
 #include "jayrelay/http.h"
 #include "jayrelay/program.h"
@@ -22,6 +23,9 @@
     char name[JR_NAME_BYTES];
 } jr_known_replica_t;
 
+typedef struct jr_carry jr_carry_t;
+typedef struct jr_carry_session jr_carry_session_t;
+
 /**
  * struct jr_control_t - a control process
  * @is_new_replica: no replica id was stored, so it is new and must join
@@ -34,6 +38,8 @@
  * @rules_text: source of @rules
  * @next_rules_host: counts rules polls, to ask the hosts in turn
  * @client: sends orders to workers
+ * @carry: orders that other processes send for this one, and this for others;
+ *         NULL unless this is a job process
  * @n_open_joins: requests for membership without an outcome
  * @is_joining: a replica of this process requests membership
  * @join_tickets: of @groups, as their leaders last issued them
@@ -72,6 +78,7 @@
     ev_prepare prepare;
     ev_stat rules_stat;
     jr_client_t *client;
+    jr_carry_t *carry;
     bool is_stopping;
     char *settings_path;
     jr_watch_t *watch;
@@ -139,8 +146,36 @@
 
 /** jr_control_on_job_http - HTTP handler of a job process */
 void jr_control_on_job_http(void *user, jr_exchange_t *exchange);
-/** jr_control_send_orders - send queued orders of the job group to workers */
+/** jr_control_send_orders - send queued orders of the job group to workers,
+ *                           through carriers where there are any */
 void jr_control_send_orders(jr_control_t *control);
+/**
+ * jr_control_send_order - send an order to its worker from this process
+ * @session: of the leader that gets the answer; NULL: the group in this
+ * process
+ */
+void jr_control_send_order(jr_control_t *control, const jr_order_t *order,
+                           jr_carry_session_t *session);
+/** jr_control_carry_answer - an order of another leader was answered */
+void jr_control_carry_answer(jr_carry_session_t *session, uint64_t serial,
+                             const jr_answer_t *answer);
+/** jr_control_find_peer - bus peer of a member, by its id if it has no
+ *                         address; -1 for none */
+int jr_control_find_peer(jr_control_t *control, const jr_member_t *member);
+
+/** jr_new_carry - state of the carriers of this process */
+jr_carry_t *jr_new_carry(jr_control_t *control);
+/** jr_drop_carry - free; NULL is accepted */
+void jr_drop_carry(jr_carry_t *carry);
+/** jr_carry_tick - ask carriers for receipts, give up on late answers */
+void jr_carry_tick(jr_carry_t *carry, int64_t now);
+/** jr_carry_on_orders - send the orders of another leader */
+void jr_carry_on_orders(jr_carry_t *carry, const jr_route_t *route,
+                        const Jr__OrderBatch *batch);
+/** jr_carry_on_answers - a carrier answered */
+void jr_carry_on_answers(jr_carry_t *carry, const Jr__AnswerBatch *batch);
+/** jr_carry_flush - send the answers for other leaders */
+void jr_carry_flush(jr_carry_t *carry);
 
 /** jr_control_on_http - HTTP handler for health, readiness and metrics */
 void jr_control_on_http(void *user, jr_exchange_t *exchange);
--- a/src/control/jobs.c
+++ b/src/control/jobs.c
@@ -1,4 +1,4 @@
-/* The job group in this process: HTTP requests, and orders to workers. */
+/* HTTP requests to the job group in this process. */
 #include "control.h"
 
 #include <glib.h>
@@ -11,7 +11,6 @@
     HTTP_OK = 200,
     HTTP_UNAVAILABLE = 503,
     HTTP_NOT_FOUND = 404,
-    ORDERS_PER_ITERATION = 128, /* more would delay elections */
 };
 
 /* A client request that waits for the reply of the leader. */
@@ -22,15 +21,6 @@
     uint64_t version; /* of the submitted configuration */
 } pending_request_t;
 
-/* An order that was sent to a worker and not answered yet. */
-typedef struct {
-    jr_control_t *control;
-    uint64_t serial;
-    jr_order_kind_t kind;
-    Jr__JobRun run;
-    char *worker;
-} sent_order_t;
-
 static void
 answer_status(jr_exchange_t *exchange, unsigned status, const char *text)
 {
@@ -110,100 +100,3 @@
     }
     jr_platform_request_clear(&request);
 }
-
-static void
-log_failed_order(jr_control_t *control, const sent_order_t *sent,
-                 const jr_answer_t *answer, const jr_fetched_t *fetched)
-{
-    if (answer->kind == JR_ANSWER_DONE) {
-        return;
-    }
-    jr_log(control->ctx, JR_EV_ORDER_FAILED,
-           "task=%016llx.%u.%u.%u attempt=%u worker=%s order=%d answer=%d "
-           "status=%u error=%s body=%.80s",
-           (unsigned long long)sent->run.job, sent->run.occurrence,
-           sent->run.step, sent->run.index, sent->run.attempt, sent->worker,
-           (int)sent->kind, (int)answer->kind, fetched->status, fetched->error,
-           fetched->body);
-}
-
-static void
-drop_sent_order(sent_order_t *sent)
-{
-    jr_ctx_t *ctx = sent->control->ctx;
-
-    jr_free(ctx, sent->worker);
-    jr_free(ctx, sent);
-}
-
-static void
-on_order_answered(void *user, const jr_fetched_t *fetched)
-{
-    sent_order_t *sent = user;
-    jr_control_t *control = sent->control;
-    jr_platform_listing_t *listing;
-    jr_answer_t answer;
-
-    if (!control->is_stopping) {
-        listing = jr_platform_decode_answer(control->ctx, sent->kind, fetched,
-                                            &answer);
-        log_failed_order(control, sent, &answer, fetched);
-        jr_group_answer(control->groups[0], sent->serial, &answer,
-                        jr_clock_ms());
-        jr_platform_drop_listing(listing);
-    }
-    drop_sent_order(sent);
-}
-
-static void
-send_order(jr_control_t *control, const jr_order_t *order)
-{
-    jr_platform_order_t encoded;
-    sent_order_t *sent = jr_alloc(control->ctx, sizeof *sent);
-    jr_fetch_t fetch;
-
-    sent->control = control;
-    sent->serial = order->serial;
-    sent->kind = order->kind;
-    sent->run = order->run;
-    sent->worker = jr_strdup(control->ctx, order->worker);
-    jr_platform_encode_order(order, &encoded);
-    fetch = (jr_fetch_t){
-        .method = "POST",
-        .url = encoded.url,
-        .headers = encoded.headers,
-        .n_headers = JR_PLATFORM_HEADERS,
-        .body = encoded.body,
-        .len = strlen(encoded.body),
-        .timeout_ms = order->timeout_ms,
-        .handler = on_order_answered,
-        .user = sent,
-    };
-    if (jr_client_fetch(control->client, &fetch) != JR_OK) {
-        jr_answer_t answer = {.kind = JR_ANSWER_UNREACHED};
-
-        jr_log(control->ctx, JR_EV_ORDER_FAILED,
-               "order %d for task %016llx.%u.%u.%u was not sent to worker %s: "
-               "%s",
-               (int)order->kind, (unsigned long long)order->run.job,
-               order->run.occurrence, order->run.step, order->run.index,
-               order->worker, control->ctx->error.text);
-        jr_group_answer(control->groups[0], order->serial, &answer,
-                        jr_clock_ms());
-        drop_sent_order(sent);
-    }
-    jr_platform_order_clear(&encoded);
-}
-
-void
-jr_control_send_orders(jr_control_t *control)
-{
-    int64_t now = jr_clock_ms(); /* the log sync may have taken long */
-    jr_order_t order;
-
-    for (int i = 0; i < ORDERS_PER_ITERATION &&
-                    jr_group_take_order(control->groups[0], now, &order);
-         i++) {
-        send_order(control, &order);
-    }
-}
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -42,7 +42,7 @@
             return;
         }
     }
-    if (control->settings.jobs) {
+    if (control->carry != NULL) {
         jr_control_send_orders(control);
     }
 }
@@ -60,6 +60,9 @@
             jr_group_tick(control->groups[g], now);
         }
     }
+    if (control->carry != NULL) {
+        jr_carry_tick(control->carry, now);
+    }
 }
 
 static void
@@ -71,6 +74,9 @@
     (void)events;
 
     pump_groups(control);
+    if (control->carry != NULL) {
+        jr_carry_flush(control->carry);
+    }
     jr_log_flush(control->ctx);
     jr_observe(control->ctx, JR_H_LOOP,
                jr_clock_ms() - control->iteration_start_ms);
@@ -257,6 +263,9 @@
         return result;
     }
     control->client = jr_new_client(control->ctx, control->loop);
+    if (s->jobs) {
+        control->carry = jr_new_carry(control);
+    }
     control->http = jr_new_http(
         control->ctx, control->loop, s->http,
         s->jobs ? jr_control_on_job_http : jr_control_on_http, control);
@@ -323,6 +332,7 @@
     control->is_stopping = true;
     jr_drop_watch(control->watch);
     jr_drop_client(control->client);
+    jr_drop_carry(control->carry);
     jr_requester_abandon_all(control->requester); /* answers callers */
     jr_drop_http(control->http);
     jr_drop_http(control->metrics_http);
--- a/src/control/messages.c
+++ b/src/control/messages.c
@@ -47,9 +47,8 @@
     g_strlcpy(known->name, name, sizeof known->name);
 }
 
-/* The bus peer of a member, found by its id if it has no address; else -1. */
-static int
-find_peer(jr_control_t *control, const jr_member_t *to)
+int
+jr_control_find_peer(jr_control_t *control, const jr_member_t *to)
 {
     const jr_known_replica_t *known;
 
@@ -71,7 +70,7 @@
 
     envelope.body_case = JR__ENVELOPE__BODY_QUORUM;
     envelope.quorum = message;
-    jr_bus_send(control->bus, find_peer(control, to), &envelope);
+    jr_bus_send(control->bus, jr_control_find_peer(control, to), &envelope);
     jr__quorum_msg__free_unpacked(message, NULL);
 }
 
@@ -223,6 +222,14 @@
     else if (envelope->body_case == JR__ENVELOPE__BODY_REPLY) {
         jr_requester_handle_reply(control->requester, envelope->reply);
     }
+    else if (envelope->body_case == JR__ENVELOPE__BODY_ORDER_BATCH &&
+             control->carry != NULL && route != NULL) {
+        jr_carry_on_orders(control->carry, route, envelope->order_batch);
+    }
+    else if (envelope->body_case == JR__ENVELOPE__BODY_ANSWER_BATCH &&
+             control->carry != NULL) {
+        jr_carry_on_answers(control->carry, envelope->answer_batch);
+    }
     else {
         jr_count(control->ctx, JR_C_BUS_BAD);
     }
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -280,6 +280,7 @@
     order->serial = ++d->next_serial;
     order->worker = w->worker->info->id;
     order->address = w->worker->info->address;
+    order->zone = w->worker->info->zone;
     order->fence = jr_tracked_worker_fence(d, w);
     sent->serial = order->serial;
     sent->kind = order->kind;
--- a/src/gen/net/wire.pb-c.c
+++ b/src/gen/net/wire.pb-c.c
@@ -592,6 +592,231 @@
   assert(message->base.descriptor == &jr__config_read__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jr__order__init
+                     (Jr__Order         *message)
+{
+  static const Jr__Order init_value = JR__ORDER__INIT;
+  *message = init_value;
+}
+size_t jr__order__get_packed_size
+                     (const Jr__Order *message)
+{
+  assert(message->base.descriptor == &jr__order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jr__order__pack
+                     (const Jr__Order *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jr__order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jr__order__pack_to_buffer
+                     (const Jr__Order *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jr__order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jr__Order *
+       jr__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jr__Order *)
+     protobuf_c_message_unpack (&jr__order__descriptor,
+                                allocator, len, data);
+}
+void   jr__order__free_unpacked
+                     (Jr__Order *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jr__order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jr__order_batch__init
+                     (Jr__OrderBatch         *message)
+{
+  static const Jr__OrderBatch init_value = JR__ORDER_BATCH__INIT;
+  *message = init_value;
+}
+size_t jr__order_batch__get_packed_size
+                     (const Jr__OrderBatch *message)
+{
+  assert(message->base.descriptor == &jr__order_batch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jr__order_batch__pack
+                     (const Jr__OrderBatch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jr__order_batch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jr__order_batch__pack_to_buffer
+                     (const Jr__OrderBatch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jr__order_batch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jr__OrderBatch *
+       jr__order_batch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jr__OrderBatch *)
+     protobuf_c_message_unpack (&jr__order_batch__descriptor,
+                                allocator, len, data);
+}
+void   jr__order_batch__free_unpacked
+                     (Jr__OrderBatch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jr__order_batch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jr__running_run__init
+                     (Jr__RunningRun         *message)
+{
+  static const Jr__RunningRun init_value = JR__RUNNING_RUN__INIT;
+  *message = init_value;
+}
+size_t jr__running_run__get_packed_size
+                     (const Jr__RunningRun *message)
+{
+  assert(message->base.descriptor == &jr__running_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jr__running_run__pack
+                     (const Jr__RunningRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jr__running_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jr__running_run__pack_to_buffer
+                     (const Jr__RunningRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jr__running_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jr__RunningRun *
+       jr__running_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jr__RunningRun *)
+     protobuf_c_message_unpack (&jr__running_run__descriptor,
+                                allocator, len, data);
+}
+void   jr__running_run__free_unpacked
+                     (Jr__RunningRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jr__running_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jr__order_answer__init
+                     (Jr__OrderAnswer         *message)
+{
+  static const Jr__OrderAnswer init_value = JR__ORDER_ANSWER__INIT;
+  *message = init_value;
+}
+size_t jr__order_answer__get_packed_size
+                     (const Jr__OrderAnswer *message)
+{
+  assert(message->base.descriptor == &jr__order_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jr__order_answer__pack
+                     (const Jr__OrderAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jr__order_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jr__order_answer__pack_to_buffer
+                     (const Jr__OrderAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jr__order_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jr__OrderAnswer *
+       jr__order_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jr__OrderAnswer *)
+     protobuf_c_message_unpack (&jr__order_answer__descriptor,
+                                allocator, len, data);
+}
+void   jr__order_answer__free_unpacked
+                     (Jr__OrderAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jr__order_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jr__answer_batch__init
+                     (Jr__AnswerBatch         *message)
+{
+  static const Jr__AnswerBatch init_value = JR__ANSWER_BATCH__INIT;
+  *message = init_value;
+}
+size_t jr__answer_batch__get_packed_size
+                     (const Jr__AnswerBatch *message)
+{
+  assert(message->base.descriptor == &jr__answer_batch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jr__answer_batch__pack
+                     (const Jr__AnswerBatch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jr__answer_batch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jr__answer_batch__pack_to_buffer
+                     (const Jr__AnswerBatch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jr__answer_batch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jr__AnswerBatch *
+       jr__answer_batch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jr__AnswerBatch *)
+     protobuf_c_message_unpack (&jr__answer_batch__descriptor,
+                                allocator, len, data);
+}
+void   jr__answer_batch__free_unpacked
+                     (Jr__AnswerBatch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jr__answer_batch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jr__reply__init
                      (Jr__Reply         *message)
 {
@@ -1991,168 +2216,715 @@
   (ProtobufCMessageInit) jr__config_read__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__reply__field_descriptors[10] =
+static const ProtobufCEnumValue jr__order__kind__enum_values_by_number[4] =
+{
+  { "START", "JR__ORDER__KIND__START", 0 },
+  { "STOP", "JR__ORDER__KIND__STOP", 1 },
+  { "RENEW", "JR__ORDER__KIND__RENEW", 2 },
+  { "PACE", "JR__ORDER__KIND__PACE", 3 },
+};
+static const ProtobufCIntRange jr__order__kind__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex jr__order__kind__enum_values_by_name[4] =
+{
+  { "PACE", 3 },
+  { "RENEW", 2 },
+  { "START", 0 },
+  { "STOP", 1 },
+};
+const ProtobufCEnumDescriptor jr__order__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "jr.Order.Kind",
+  "Kind",
+  "Jr__Order__Kind",
+  "jr",
+  4,
+  jr__order__kind__enum_values_by_number,
+  4,
+  jr__order__kind__enum_values_by_name,
+  1,
+  jr__order__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor jr__order__field_descriptors[13] =
 {
   {
-    "id",
+    "serial",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Jr__Reply, id),
+    offsetof(Jr__Order, serial),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "code",
+    "kind",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(Jr__Reply, code),
-    NULL,
+    offsetof(Jr__Order, kind),
+    &jr__order__kind__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "message",
+    "worker",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Jr__Reply, message),
+    offsetof(Jr__Order, worker),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leader",
+    "address",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Jr__Reply, leader),
+    offsetof(Jr__Order, address),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ledger",
+    "fence",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jr__Reply, body_case),
-    offsetof(Jr__Reply, ledger),
-    &jr__ledger_result__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Order, fence),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "heartbeat",
+    "timeout_ms",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jr__Reply, body_case),
-    offsetof(Jr__Reply, heartbeat),
-    &jr__heartbeat_reply__descriptor,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Order, timeout_ms),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rules",
+    "run",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jr__Reply, body_case),
-    offsetof(Jr__Reply, rules),
-    &jr__rules_text__descriptor,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Order, run),
+    &jr__job_run__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
+    "payload",
     8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jr__Reply, body_case),
-    offsetof(Jr__Reply, status),
-    &jr__status_reply__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Order, payload),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "job",
+    "checkpoint",
     9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jr__Reply, body_case),
-    offsetof(Jr__Reply, job),
-    &jr__job_answer__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Order, checkpoint),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "join_ticket",
+    "expires_ms",
     10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jr__Reply, body_case),
-    offsetof(Jr__Reply, join_ticket),
-    &jr__join_ticket__descriptor,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Order, expires_ms),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned jr__reply__field_indices_by_name[] = {
-  1,   /* field[1] = code */
-  5,   /* field[5] = heartbeat */
-  0,   /* field[0] = id */
-  8,   /* field[8] = job */
-  9,   /* field[9] = join_ticket */
-  3,   /* field[3] = leader */
-  4,   /* field[4] = ledger */
-  2,   /* field[2] = message */
-  6,   /* field[6] = rules */
-  7,   /* field[7] = status */
-};
-static const ProtobufCIntRange jr__reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 10 }
-};
-const ProtobufCMessageDescriptor jr__reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jr.Reply",
-  "Reply",
-  "Jr__Reply",
-  "jr",
-  sizeof(Jr__Reply),
-  10,
-  jr__reply__field_descriptors,
-  jr__reply__field_indices_by_name,
-  1,  jr__reply__number_ranges,
-  (ProtobufCMessageInit) jr__reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jr__announce__field_descriptors[11] =
-{
   {
-    "name",
-    1,
+    "ends_seen",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Order, ends_seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Order, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Order, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jr__order__field_indices_by_name[] = {
+  3,   /* field[3] = address */
+  8,   /* field[8] = checkpoint */
+  10,   /* field[10] = ends_seen */
+  9,   /* field[9] = expires_ms */
+  4,   /* field[4] = fence */
+  1,   /* field[1] = kind */
+  7,   /* field[7] = payload */
+  12,   /* field[12] = percent */
+  6,   /* field[6] = run */
+  0,   /* field[0] = serial */
+  5,   /* field[5] = timeout_ms */
+  11,   /* field[11] = wait_ms */
+  2,   /* field[2] = worker */
+};
+static const ProtobufCIntRange jr__order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor jr__order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.Order",
+  "Order",
+  "Jr__Order",
+  "jr",
+  sizeof(Jr__Order),
+  13,
+  jr__order__field_descriptors,
+  jr__order__field_indices_by_name,
+  1,  jr__order__number_ranges,
+  (ProtobufCMessageInit) jr__order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jr__order_batch__field_descriptors[2] =
+{
+  {
+    "session",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__OrderBatch, session),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "orders",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Jr__OrderBatch, n_orders),
+    offsetof(Jr__OrderBatch, orders),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jr__order_batch__field_indices_by_name[] = {
+  1,   /* field[1] = orders */
+  0,   /* field[0] = session */
+};
+static const ProtobufCIntRange jr__order_batch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor jr__order_batch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.OrderBatch",
+  "OrderBatch",
+  "Jr__OrderBatch",
+  "jr",
+  sizeof(Jr__OrderBatch),
+  2,
+  jr__order_batch__field_descriptors,
+  jr__order_batch__field_indices_by_name,
+  1,  jr__order_batch__number_ranges,
+  (ProtobufCMessageInit) jr__order_batch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jr__running_run__field_descriptors[4] =
+{
+  {
+    "run",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Jr__RunningRun, run),
+    &jr__job_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jr__RunningRun, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jr__RunningRun, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gauge",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jr__RunningRun, gauge),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jr__running_run__field_indices_by_name[] = {
+  1,   /* field[1] = checkpoint */
+  3,   /* field[3] = gauge */
+  2,   /* field[2] = percent */
+  0,   /* field[0] = run */
+};
+static const ProtobufCIntRange jr__running_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor jr__running_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.RunningRun",
+  "RunningRun",
+  "Jr__RunningRun",
+  "jr",
+  sizeof(Jr__RunningRun),
+  4,
+  jr__running_run__field_descriptors,
+  jr__running_run__field_indices_by_name,
+  1,  jr__running_run__number_ranges,
+  (ProtobufCMessageInit) jr__running_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jr__order_answer__field_descriptors[7] =
+{
+  {
+    "serial",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__OrderAnswer, serial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jr__OrderAnswer, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jr__OrderAnswer, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__OrderAnswer, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__OrderAnswer, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__OrderAnswer, n_running),
+    offsetof(Jr__OrderAnswer, running),
+    &jr__running_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__OrderAnswer, n_ended),
+    offsetof(Jr__OrderAnswer, ended),
+    &jr__job_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jr__order_answer__field_indices_by_name[] = {
+  3,   /* field[3] = clock_ms */
+  6,   /* field[6] = ended */
+  4,   /* field[4] = incarnation */
+  1,   /* field[1] = kind */
+  2,   /* field[2] = refused */
+  5,   /* field[5] = running */
+  0,   /* field[0] = serial */
+};
+static const ProtobufCIntRange jr__order_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor jr__order_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.OrderAnswer",
+  "OrderAnswer",
+  "Jr__OrderAnswer",
+  "jr",
+  sizeof(Jr__OrderAnswer),
+  7,
+  jr__order_answer__field_descriptors,
+  jr__order_answer__field_indices_by_name,
+  1,  jr__order_answer__number_ranges,
+  (ProtobufCMessageInit) jr__order_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jr__answer_batch__field_descriptors[4] =
+{
+  {
+    "session",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__AnswerBatch, session),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jr__AnswerBatch, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jr__AnswerBatch, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Jr__AnswerBatch, n_answers),
+    offsetof(Jr__AnswerBatch, answers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jr__answer_batch__field_indices_by_name[] = {
+  3,   /* field[3] = answers */
+  1,   /* field[1] = name */
+  0,   /* field[0] = session */
+  2,   /* field[2] = zone */
+};
+static const ProtobufCIntRange jr__answer_batch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor jr__answer_batch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.AnswerBatch",
+  "AnswerBatch",
+  "Jr__AnswerBatch",
+  "jr",
+  sizeof(Jr__AnswerBatch),
+  4,
+  jr__answer_batch__field_descriptors,
+  jr__answer_batch__field_indices_by_name,
+  1,  jr__answer_batch__number_ranges,
+  (ProtobufCMessageInit) jr__answer_batch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jr__reply__field_descriptors[10] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Reply, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Reply, code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "message",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Reply, message),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Reply, leader),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ledger",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__Reply, body_case),
+    offsetof(Jr__Reply, ledger),
+    &jr__ledger_result__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__Reply, body_case),
+    offsetof(Jr__Reply, heartbeat),
+    &jr__heartbeat_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rules",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__Reply, body_case),
+    offsetof(Jr__Reply, rules),
+    &jr__rules_text__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__Reply, body_case),
+    offsetof(Jr__Reply, status),
+    &jr__status_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__Reply, body_case),
+    offsetof(Jr__Reply, job),
+    &jr__job_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "join_ticket",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__Reply, body_case),
+    offsetof(Jr__Reply, join_ticket),
+    &jr__join_ticket__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jr__reply__field_indices_by_name[] = {
+  1,   /* field[1] = code */
+  5,   /* field[5] = heartbeat */
+  0,   /* field[0] = id */
+  8,   /* field[8] = job */
+  9,   /* field[9] = join_ticket */
+  3,   /* field[3] = leader */
+  4,   /* field[4] = ledger */
+  2,   /* field[2] = message */
+  6,   /* field[6] = rules */
+  7,   /* field[7] = status */
+};
+static const ProtobufCIntRange jr__reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor jr__reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.Reply",
+  "Reply",
+  "Jr__Reply",
+  "jr",
+  sizeof(Jr__Reply),
+  10,
+  jr__reply__field_descriptors,
+  jr__reply__field_indices_by_name,
+  1,  jr__reply__number_ranges,
+  (ProtobufCMessageInit) jr__reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jr__announce__field_descriptors[11] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
     offsetof(Jr__Announce, name),
     NULL,
@@ -2480,7 +3252,7 @@
   (ProtobufCMessageInit) jr__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__envelope__field_descriptors[8] =
+static const ProtobufCFieldDescriptor jr__envelope__field_descriptors[10] =
 {
   {
     "quorum",
@@ -2578,13 +3350,39 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "order_batch",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__Envelope, body_case),
+    offsetof(Jr__Envelope, order_batch),
+    &jr__order_batch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_batch",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__Envelope, body_case),
+    offsetof(Jr__Envelope, answer_batch),
+    &jr__answer_batch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__envelope__field_indices_by_name[] = {
   3,   /* field[3] = announce */
+  9,   /* field[9] = answer_batch */
   6,   /* field[6] = from */
   7,   /* field[7] = hello */
   4,   /* field[4] = loan_ask */
   5,   /* field[5] = loan_give */
+  8,   /* field[8] = order_batch */
   0,   /* field[0] = quorum */
   2,   /* field[2] = reply */
   1,   /* field[1] = request */
@@ -2593,7 +3391,7 @@
 {
   { 1, 0 },
   { 8, 6 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor jr__envelope__descriptor =
 {
@@ -2603,7 +3401,7 @@
   "Jr__Envelope",
   "jr",
   sizeof(Jr__Envelope),
-  8,
+  10,
   jr__envelope__field_descriptors,
   jr__envelope__field_indices_by_name,
   2,  jr__envelope__number_ranges,
--- a/src/gen/net/wire.pb-c.h
+++ b/src/gen/net/wire.pb-c.h
@@ -32,6 +32,11 @@
 typedef struct Jr__Join Jr__Join;
 typedef struct Jr__Request Jr__Request;
 typedef struct Jr__ConfigRead Jr__ConfigRead;
+typedef struct Jr__Order Jr__Order;
+typedef struct Jr__OrderBatch Jr__OrderBatch;
+typedef struct Jr__RunningRun Jr__RunningRun;
+typedef struct Jr__OrderAnswer Jr__OrderAnswer;
+typedef struct Jr__AnswerBatch Jr__AnswerBatch;
 typedef struct Jr__Reply Jr__Reply;
 typedef struct Jr__Announce Jr__Announce;
 typedef struct Jr__LoanAsk Jr__LoanAsk;
@@ -56,6 +61,13 @@
   JR__ASSIGNMENT__ACTION__THROTTLE = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JR__ASSIGNMENT__ACTION)
 } Jr__Assignment__Action;
+typedef enum _Jr__Order__Kind {
+  JR__ORDER__KIND__START = 0,
+  JR__ORDER__KIND__STOP = 1,
+  JR__ORDER__KIND__RENEW = 2,
+  JR__ORDER__KIND__PACE = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JR__ORDER__KIND)
+} Jr__Order__Kind;
 
 /* --- messages --- */
 
@@ -271,6 +283,117 @@
      }
 
 
+/*
+ * An order of the leader of a job group to a worker. Which fields are set
+ * depends on the kind.
+ */
+struct  Jr__Order
+{
+  ProtobufCMessage base;
+  uint64_t serial;
+  Jr__Order__Kind kind;
+  char *worker;
+  char *address;
+  uint64_t fence;
+  /*
+   * for the answer of the worker
+   */
+  int64_t timeout_ms;
+  Jr__JobRun *run;
+  char *payload;
+  char *checkpoint;
+  /*
+   * lease end on the clock of the worker
+   */
+  int64_t expires_ms;
+  uint64_t ends_seen;
+  int64_t wait_ms;
+  uint32_t percent;
+};
+#define JR__ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jr__order__descriptor) \
+    , 0, JR__ORDER__KIND__START, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * Orders that the receiver sends to the workers. A batch without orders only
+ * asks for a receipt.
+ */
+struct  Jr__OrderBatch
+{
+  ProtobufCMessage base;
+  /*
+   * of the sender's process; returned unchanged
+   */
+  uint64_t session;
+  /*
+   * each a packed Order
+   */
+  size_t n_orders;
+  ProtobufCBinaryData *orders;
+};
+#define JR__ORDER_BATCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jr__order_batch__descriptor) \
+    , 0, 0,NULL }
+
+
+struct  Jr__RunningRun
+{
+  ProtobufCMessage base;
+  Jr__JobRun *run;
+  char *checkpoint;
+  uint32_t percent;
+  uint32_t gauge;
+};
+#define JR__RUNNING_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jr__running_run__descriptor) \
+    , NULL, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Jr__OrderAnswer
+{
+  ProtobufCMessage base;
+  uint64_t serial;
+  /*
+   * jr_answer_kind_t
+   */
+  uint32_t kind;
+  protobuf_c_boolean refused;
+  int64_t clock_ms;
+  int64_t incarnation;
+  size_t n_running;
+  Jr__RunningRun **running;
+  size_t n_ended;
+  Jr__JobEnd **ended;
+};
+#define JR__ORDER_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jr__order_answer__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * Also the receipt of a batch of orders.
+ */
+struct  Jr__AnswerBatch
+{
+  ProtobufCMessage base;
+  uint64_t session;
+  /*
+   * of the process that sends the orders to the workers
+   */
+  char *name;
+  char *zone;
+  /*
+   * each a packed OrderAnswer
+   */
+  size_t n_answers;
+  ProtobufCBinaryData *answers;
+};
+#define JR__ANSWER_BATCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jr__answer_batch__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL }
+
+
 typedef enum {
   JR__REPLY__BODY__NOT_SET = 0,
   JR__REPLY__BODY_LEDGER = 5,
@@ -379,7 +502,9 @@
   JR__ENVELOPE__BODY_ANNOUNCE = 4,
   JR__ENVELOPE__BODY_LOAN_ASK = 5,
   JR__ENVELOPE__BODY_LOAN_GIVE = 6,
-  JR__ENVELOPE__BODY_HELLO = 9
+  JR__ENVELOPE__BODY_HELLO = 9,
+  JR__ENVELOPE__BODY_ORDER_BATCH = 10,
+  JR__ENVELOPE__BODY_ANSWER_BATCH = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JR__ENVELOPE__BODY__CASE)
 } Jr__Envelope__BodyCase;
 
@@ -396,6 +521,8 @@
     Jr__LoanAsk *loan_ask;
     Jr__LoanGive *loan_give;
     Jr__Hello *hello;
+    Jr__OrderBatch *order_batch;
+    Jr__AnswerBatch *answer_batch;
   };
 };
 #define JR__ENVELOPE__INIT \
@@ -650,6 +777,101 @@
 void   jr__config_read__free_unpacked
                      (Jr__ConfigRead *message,
                       ProtobufCAllocator *allocator);
+/* Jr__Order methods */
+void   jr__order__init
+                     (Jr__Order         *message);
+size_t jr__order__get_packed_size
+                     (const Jr__Order   *message);
+size_t jr__order__pack
+                     (const Jr__Order   *message,
+                      uint8_t             *out);
+size_t jr__order__pack_to_buffer
+                     (const Jr__Order   *message,
+                      ProtobufCBuffer     *buffer);
+Jr__Order *
+       jr__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jr__order__free_unpacked
+                     (Jr__Order *message,
+                      ProtobufCAllocator *allocator);
+/* Jr__OrderBatch methods */
+void   jr__order_batch__init
+                     (Jr__OrderBatch         *message);
+size_t jr__order_batch__get_packed_size
+                     (const Jr__OrderBatch   *message);
+size_t jr__order_batch__pack
+                     (const Jr__OrderBatch   *message,
+                      uint8_t             *out);
+size_t jr__order_batch__pack_to_buffer
+                     (const Jr__OrderBatch   *message,
+                      ProtobufCBuffer     *buffer);
+Jr__OrderBatch *
+       jr__order_batch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jr__order_batch__free_unpacked
+                     (Jr__OrderBatch *message,
+                      ProtobufCAllocator *allocator);
+/* Jr__RunningRun methods */
+void   jr__running_run__init
+                     (Jr__RunningRun         *message);
+size_t jr__running_run__get_packed_size
+                     (const Jr__RunningRun   *message);
+size_t jr__running_run__pack
+                     (const Jr__RunningRun   *message,
+                      uint8_t             *out);
+size_t jr__running_run__pack_to_buffer
+                     (const Jr__RunningRun   *message,
+                      ProtobufCBuffer     *buffer);
+Jr__RunningRun *
+       jr__running_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jr__running_run__free_unpacked
+                     (Jr__RunningRun *message,
+                      ProtobufCAllocator *allocator);
+/* Jr__OrderAnswer methods */
+void   jr__order_answer__init
+                     (Jr__OrderAnswer         *message);
+size_t jr__order_answer__get_packed_size
+                     (const Jr__OrderAnswer   *message);
+size_t jr__order_answer__pack
+                     (const Jr__OrderAnswer   *message,
+                      uint8_t             *out);
+size_t jr__order_answer__pack_to_buffer
+                     (const Jr__OrderAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Jr__OrderAnswer *
+       jr__order_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jr__order_answer__free_unpacked
+                     (Jr__OrderAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Jr__AnswerBatch methods */
+void   jr__answer_batch__init
+                     (Jr__AnswerBatch         *message);
+size_t jr__answer_batch__get_packed_size
+                     (const Jr__AnswerBatch   *message);
+size_t jr__answer_batch__pack
+                     (const Jr__AnswerBatch   *message,
+                      uint8_t             *out);
+size_t jr__answer_batch__pack_to_buffer
+                     (const Jr__AnswerBatch   *message,
+                      ProtobufCBuffer     *buffer);
+Jr__AnswerBatch *
+       jr__answer_batch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jr__answer_batch__free_unpacked
+                     (Jr__AnswerBatch *message,
+                      ProtobufCAllocator *allocator);
 /* Jr__Reply methods */
 void   jr__reply__init
                      (Jr__Reply         *message);
@@ -805,6 +1027,21 @@
 typedef void (*Jr__ConfigRead_Closure)
                  (const Jr__ConfigRead *message,
                   void *closure_data);
+typedef void (*Jr__Order_Closure)
+                 (const Jr__Order *message,
+                  void *closure_data);
+typedef void (*Jr__OrderBatch_Closure)
+                 (const Jr__OrderBatch *message,
+                  void *closure_data);
+typedef void (*Jr__RunningRun_Closure)
+                 (const Jr__RunningRun *message,
+                  void *closure_data);
+typedef void (*Jr__OrderAnswer_Closure)
+                 (const Jr__OrderAnswer *message,
+                  void *closure_data);
+typedef void (*Jr__AnswerBatch_Closure)
+                 (const Jr__AnswerBatch *message,
+                  void *closure_data);
 typedef void (*Jr__Reply_Closure)
                  (const Jr__Reply *message,
                   void *closure_data);
@@ -844,6 +1081,12 @@
 extern const ProtobufCMessageDescriptor jr__join__descriptor;
 extern const ProtobufCMessageDescriptor jr__request__descriptor;
 extern const ProtobufCMessageDescriptor jr__config_read__descriptor;
+extern const ProtobufCMessageDescriptor jr__order__descriptor;
+extern const ProtobufCEnumDescriptor    jr__order__kind__descriptor;
+extern const ProtobufCMessageDescriptor jr__order_batch__descriptor;
+extern const ProtobufCMessageDescriptor jr__running_run__descriptor;
+extern const ProtobufCMessageDescriptor jr__order_answer__descriptor;
+extern const ProtobufCMessageDescriptor jr__answer_batch__descriptor;
 extern const ProtobufCMessageDescriptor jr__reply__descriptor;
 extern const ProtobufCMessageDescriptor jr__announce__descriptor;
 extern const ProtobufCMessageDescriptor jr__loan_ask__descriptor;
