Any replica acknowledges a check-in that says nothing new

Change: gates ask the replicas in turn; a follower acknowledges a check-in that matches its state and names the leader otherwise. A worker counts as silent only when neither check-ins nor renewals came, so the leader misses nothing.

--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -244,6 +244,14 @@
 /** jr_jobs_worker - find a worker by id; NULL if unknown */
 jr_job_worker_t *jr_jobs_worker(jr_jobs_t *jobs, const char *id);
 
+/**
+ * jr_worker_is_unchanged - does @info say nothing that is not in the log?
+ *
+ * False for another incarnation of the worker.
+ */
+bool jr_worker_is_unchanged(const jr_job_worker_t *worker,
+                            const Jr__JobWorker *info);
+
 /** jr_jobs_task - find the task of a run; NULL if unknown or freed */
 jr_job_task_t *jr_jobs_task(jr_jobs_t *jobs, const Jr__JobRun *run);
 
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -423,23 +423,6 @@
     jr_free(d->ctx, sent);
 }
 
-static bool
-is_same_info(const Jr__JobWorker *a, const Jr__JobWorker *b)
-{
-    if (a->n_labels != b->n_labels || strcmp(a->address, b->address) != 0 ||
-        strcmp(a->service, b->service) != 0 || strcmp(a->zone, b->zone) != 0 ||
-        strcmp(a->machine, b->machine) != 0) {
-        return false;
-    }
-    for (size_t i = 0; i < a->n_labels; i++) {
-        if (strcmp(a->labels[i], b->labels[i]) != 0) {
-            return false;
-        }
-    }
-    return a->cpu_milli == b->cpu_milli && a->memory_mb == b->memory_mb &&
-           a->accelerators == b->accelerators;
-}
-
 bool
 jr_dispatch_checked_in(jr_dispatch_t *d, const Jr__JobWorker *info,
                        int64_t now)
@@ -459,8 +442,7 @@
             known->local->left_at = 0; /* of an earlier incarnation */
         }
     }
-    return (info->draining && !known->info->draining) ||
-           !is_same_info(known->info, info);
+    return !jr_worker_is_unchanged(known, info);
 }
 
 /* A leave request may be delayed until a later incarnation has started. */
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -10,10 +10,11 @@
      * task.
      */
     ANSWER_AGE_MAX_MS = 3000,
-    LAPSE_MARGIN_MS = 50,     /* after the end of a lease */
-    LEFT_SILENT_MS = 3000,    /* longer than a worker that leaves runs on */
-    FENCE_EPOCH_BITS = 20,    /* leaves 33 bits of 53 for the term */
-    REMOVE_SILENT_MS = 20000, /* without check-in, of an idle worker */
+    LAPSE_MARGIN_MS = 50,  /* after the end of a lease */
+    LEFT_SILENT_MS = 3000, /* longer than a worker that leaves runs on */
+    FENCE_EPOCH_BITS = 20, /* leaves 33 bits of 53 for the term */
+    /* Without check-in or answered renewal, of an idle worker. */
+    REMOVE_SILENT_MS = 20000,
     PERMILLE = 1000,
 };
 
@@ -368,7 +369,8 @@
 void
 jr_tracked_worker_tick(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
-    bool is_silent = d->now - w->checked_in_at > REMOVE_SILENT_MS;
+    int64_t heard_at = MAX(w->checked_in_at, w->answered_at);
+    bool is_silent = d->now - heard_at > REMOVE_SILENT_MS;
 
     if (has_left(d, w)) {
         jr_tracked_worker_end(d, w);
--- a/src/group/job_request.c
+++ b/src/group/job_request.c
@@ -271,6 +271,23 @@
     jr_group_send_reply(group, reply_to, &reply);
 }
 
+/*
+ * Most check-ins repeat what is in the log. Any replica acknowledges those, so
+ * that the leader gets only what is new. It learns from renewals who is alive.
+ */
+static bool
+is_known_check_in(const jr_group_t *group, const Jr__Request *request)
+{
+    const jr_job_worker_t *worker;
+
+    if (request->body_case != JR__REQUEST__BODY_JOB_WORKER) {
+        return false;
+    }
+    worker = jr_jobs_worker(group->as.jobs.jobs, request->job_worker->id);
+    return worker != NULL &&
+           jr_worker_is_unchanged(worker, request->job_worker);
+}
+
 bool
 jr_group_job_request(jr_group_t *group, const jr_reply_address_t *reply_to,
                      const Jr__Request *request)
@@ -278,6 +295,11 @@
     if (request->body_case == JR__REQUEST__BODY_JOIN) {
         return false;
     }
+    if (!group->is_leading && is_known_check_in(group, request)) {
+        jr_count(group->ctx, JR_C_HEARTBEATS);
+        reply_code(group, reply_to, JR_OK);
+        return true;
+    }
     if (!group->is_leading) {
         reply_code(group, reply_to, JR_NOT_LEADER);
         return true;
--- a/src/job/jobs.c
+++ b/src/job/jobs.c
@@ -459,6 +459,32 @@
     return worker;
 }
 
+static bool
+is_same_info(const Jr__JobWorker *a, const Jr__JobWorker *b)
+{
+    if (a->n_labels != b->n_labels || strcmp(a->address, b->address) != 0 ||
+        strcmp(a->service, b->service) != 0 || strcmp(a->zone, b->zone) != 0 ||
+        strcmp(a->machine, b->machine) != 0) {
+        return false;
+    }
+    for (size_t i = 0; i < a->n_labels; i++) {
+        if (strcmp(a->labels[i], b->labels[i]) != 0) {
+            return false;
+        }
+    }
+    return a->cpu_milli == b->cpu_milli && a->memory_mb == b->memory_mb &&
+           a->accelerators == b->accelerators;
+}
+
+bool
+jr_worker_is_unchanged(const jr_job_worker_t *worker,
+                       const Jr__JobWorker *info)
+{
+    return worker->info->born == info->born &&
+           (worker->info->draining || !info->draining) &&
+           is_same_info(worker->info, info);
+}
+
 jr_job_task_t *
 jr_jobs_task(jr_jobs_t *jobs, const Jr__JobRun *run)
 {
--- a/src/net/ask.c
+++ b/src/net/ask.c
@@ -22,6 +22,7 @@
     int64_t attempt_at;       /* when the next attempt is due */
     bool is_awaiting_reply;   /* to the latest attempt */
     bool has_unknown_attempt; /* an earlier one got no definite reply */
+    bool is_for_any;          /* replica, until one names the leader */
     size_t next_peer;
     jr_reply_handler_t *handler;
     void *user;
@@ -70,6 +71,15 @@
              NULL);
 }
 
+/* The replica that an attempt failed at may not lead any more. */
+static void
+forget_leader(jr_requester_t *requester, const pending_t *pending)
+{
+    if (!pending->is_for_any) {
+        requester->leaders[pending->request->group % GROUPS_MAX] = 0;
+    }
+}
+
 static void
 send_attempt(jr_requester_t *requester, pending_t *pending, int64_t now)
 {
@@ -77,7 +87,7 @@
     Jr__Envelope envelope = JR__ENVELOPE__INIT;
     int peer = requester->leaders[group] - 1;
 
-    if (peer < 0) {
+    if (peer < 0 || pending->is_for_any) {
         peer = requester->peers[pending->next_peer++ % requester->n_peers];
     }
     envelope.body_case = JR__ENVELOPE__BODY_REQUEST;
@@ -87,7 +97,7 @@
         pending->attempt_at = now + ATTEMPT_TIMEOUT_MS;
     }
     else {
-        requester->leaders[group] = 0;
+        forget_leader(requester, pending);
         pending->attempt_at = now + RETRY_DELAY_MS;
     }
 }
@@ -109,7 +119,7 @@
             if (pending->is_awaiting_reply) {
                 pending->is_awaiting_reply = false;
                 pending->has_unknown_attempt = true;
-                requester->leaders[pending->request->group % GROUPS_MAX] = 0;
+                forget_leader(requester, pending);
                 requester->first_peer =
                     MAX(requester->first_peer, pending->next_peer);
             }
@@ -197,7 +207,9 @@
     request->id = pending->id;
     pending->request = copy_request(requester, request);
     pending->deadline = now + timeout_ms;
-    pending->next_peer = requester->first_peer;
+    pending->is_for_any = request->body_case == JR__REQUEST__BODY_JOB_WORKER;
+    pending->next_peer =
+        pending->is_for_any ? requester->next_id : requester->first_peer;
     pending->handler = handler;
     pending->user = user;
     HASH_ADD(hh, requester->requests, id, sizeof pending->id, pending);
@@ -217,6 +229,14 @@
                      : -1;
 
     pending->is_awaiting_reply = false;
+    if (pending->is_for_any) {
+        pending->is_for_any = false;
+        if (leader >= 0) {
+            requester->leaders[group] = leader + 1;
+        }
+        send_attempt(requester, pending, now);
+        return;
+    }
     if (leader >= 0 && requester->leaders[group] != leader + 1) {
         requester->leaders[group] = leader + 1;
         send_attempt(requester, pending, now);
@@ -289,7 +309,7 @@
     case JR_UNKNOWN:
         pending->is_awaiting_reply = false;
         pending->has_unknown_attempt = true;
-        requester->leaders[pending->request->group % GROUPS_MAX] = 0;
+        forget_leader(requester, pending);
         pending->attempt_at = now + RETRY_DELAY_MS;
         break;
     default:
