The tasks of a step are placed from one evaluation of the workers

Change: tasks of a step that did not fail are equal, so the workers are weighed once; each choice re-evaluates only the worker that it took. Choices are the same as one by one (choose_test, for short and best-effort tasks).

--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -303,9 +303,9 @@
     }
 }
 
-jr_tracked_worker_t *
-jr_choose_worker(jr_dispatch_t *d, const jr_job_task_t *task,
-                 const jr_need_t *need)
+static request_t
+make_request(jr_dispatch_t *d, const jr_job_task_t *task,
+             const jr_need_t *need)
 {
     request_t request = {
         .task = task,
@@ -313,18 +313,31 @@
         .need = need,
         .image = jr_tails_image(d->tails, jr_task_step(task)->image),
     };
+
+    set_limits(d, &request);
+    return request;
+}
+
+/* Cost of the task on a worker, or -1 if it can't be placed there now. */
+static int64_t
+candidate_cost(jr_dispatch_t *d, jr_tracked_worker_t *w,
+               const request_t *request)
+{
+    return is_candidate(d, w, request) ? cost(d, w, request) : -1;
+}
+
+jr_tracked_worker_t *
+jr_choose_worker(jr_dispatch_t *d, const jr_job_task_t *task,
+                 const jr_need_t *need)
+{
+    request_t request = make_request(d, task, need);
     jr_tracked_worker_t *best = NULL;
     jr_tracked_worker_t *w;
     int64_t best_cost = 0;
 
-    set_limits(d, &request);
     TAILQ_FOREACH (w, &d->workers, link) {
-        int64_t own;
+        int64_t own = candidate_cost(d, w, &request);
 
-        if (!is_candidate(d, w, &request)) {
-            continue;
-        }
-        own = cost(d, w, &request);
         if (own >= 0 && (best == NULL || own < best_cost)) {
             best = w;
             best_cost = own;
@@ -332,3 +345,97 @@
     }
     return best;
 }
+
+typedef struct {
+    jr_tracked_worker_t *w;
+    int64_t cost;
+} ranked_t;
+
+struct jr_ranking {
+    jr_dispatch_t *d;
+    request_t request;
+    bool is_relaxed;
+    bool has_last; /* the last choice was used: its cost has changed */
+    size_t last;
+    GArray *workers; /* of ranked_t, by rank */
+};
+
+static void
+rank_workers(jr_ranking_t *ranking)
+{
+    jr_tracked_worker_t *w;
+
+    g_array_set_size(ranking->workers, 0);
+    TAILQ_FOREACH (w, &ranking->d->workers, link) {
+        ranked_t ranked = {
+            .w = w,
+            .cost = candidate_cost(ranking->d, w, &ranking->request),
+        };
+
+        if (ranked.cost >= 0) {
+            g_array_append_val(ranking->workers, ranked);
+        }
+    }
+}
+
+jr_ranking_t *
+jr_new_ranking(jr_dispatch_t *d, const jr_job_task_t *task,
+               const jr_need_t *need)
+{
+    jr_ranking_t *ranking = jr_alloc(d->ctx, sizeof *ranking);
+
+    ranking->d = d;
+    ranking->request = make_request(d, task, need);
+    ranking->is_relaxed = jr_choose_is_relaxed(d, task->job);
+    ranking->workers = g_array_new(FALSE, FALSE, sizeof(ranked_t));
+    rank_workers(ranking);
+    return ranking;
+}
+
+void
+jr_drop_ranking(jr_ranking_t *ranking)
+{
+    if (ranking != NULL) {
+        g_array_unref(ranking->workers);
+        jr_free(ranking->d->ctx, ranking);
+    }
+}
+
+/* Limits that were relaxed for the first run of a job apply again. */
+static void
+update_ranking(jr_ranking_t *ranking, const jr_job_task_t *task)
+{
+    bool is_relaxed = jr_choose_is_relaxed(ranking->d, task->job);
+
+    ranking->request.task = task;
+    if (is_relaxed != ranking->is_relaxed) {
+        ranking->is_relaxed = is_relaxed;
+        set_limits(ranking->d, &ranking->request);
+        rank_workers(ranking);
+    }
+    else if (ranking->has_last) {
+        ranked_t *last =
+            &g_array_index(ranking->workers, ranked_t, ranking->last);
+
+        last->cost = candidate_cost(ranking->d, last->w, &ranking->request);
+    }
+    ranking->has_last = false;
+}
+
+jr_tracked_worker_t *
+jr_ranking_next(jr_ranking_t *ranking, const jr_job_task_t *task)
+{
+    const ranked_t *best = NULL;
+
+    update_ranking(ranking, task);
+    for (guint i = 0; i < ranking->workers->len; i++) {
+        const ranked_t *ranked = &g_array_index(ranking->workers, ranked_t, i);
+
+        if (ranked->cost >= 0 && (best == NULL || ranked->cost < best->cost)) {
+            best = ranked;
+            ranking->last = i;
+        }
+    }
+    ranking->has_last = best != NULL;
+    return best != NULL ? best->w : NULL;
+}
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -299,6 +299,18 @@
 jr_tracked_worker_t *jr_choose_worker(jr_dispatch_t *d,
                                       const jr_job_task_t *task,
                                       const jr_need_t *need);
+/*
+ * The workers by their cost for the tasks of one step, which do not differ:
+ * each choice costs one worker's evaluation, not that of all. It is valid
+ * within a pass, while only its own choices change the workers.
+ */
+typedef struct jr_ranking jr_ranking_t;
+jr_ranking_t *jr_new_ranking(jr_dispatch_t *d, const jr_job_task_t *task,
+                             const jr_need_t *need);
+void jr_drop_ranking(jr_ranking_t *ranking);
+/* As jr_choose_worker(); the task is placed there before the next call. */
+jr_tracked_worker_t *jr_ranking_next(jr_ranking_t *ranking,
+                                     const jr_job_task_t *task);
 /* Has the job waited so long that interference limits are relaxed? */
 bool jr_choose_is_relaxed(const jr_dispatch_t *d, const jr_job_t *job);
 void jr_need_of(const Jr__JobStep *step, jr_need_t *need);
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -254,11 +254,32 @@
            !jr_task_has_orphan(d, task);
 }
 
+/*
+ * Tasks that failed avoid some workers, and what services may use depends on
+ * their wait: these are chosen for one by one, the others of a step alike.
+ */
+static jr_tracked_worker_t *
+choose(jr_dispatch_t *d, const jr_job_task_t *task, const jr_need_t *need,
+       jr_ranking_t **ranking)
+{
+    if (jr_task_step(task)->service || task->failures > 0 ||
+        task->failed_on != NULL) {
+        jr_drop_ranking(*ranking);
+        *ranking = NULL;
+        return jr_choose_worker(d, task, need);
+    }
+    if (*ranking == NULL) {
+        *ranking = jr_new_ranking(d, task, need);
+    }
+    return jr_ranking_next(*ranking, task);
+}
+
 static void
 place_each(jr_dispatch_t *d, jr_job_t *job, const jr_step_progress_t *progress,
            const Jr__JobStep *step, unplaceable_t *unplaceable)
 {
     int64_t failed_ms = -1; /* waited by a service that was not placed */
+    jr_ranking_t *ranking = NULL;
     jr_need_t need;
 
     jr_need_of(step, &need);
@@ -277,17 +298,18 @@
         w = !jr_choose_is_relaxed(d, job) &&
                     is_known_unplaceable(unplaceable, &shape)
                 ? NULL
-                : jr_choose_worker(d, task, &need);
+                : choose(d, task, &need, &ranking);
         if (w != NULL) {
             g_ptr_array_add(d->proposed, propose(d, task, w));
             continue;
         }
         note_unplaceable(unplaceable, step, &shape);
         if (!step->service) {
-            return;
+            break;
         }
         failed_ms = shape.waited_ms; /* others may have waited longer */
     }
+    jr_drop_ranking(ranking);
 }
 
 static void
