A leader syncs its own log at most every 20 ms

Change: with two followers or more, which commit without it, the leader puts the write off for up to 20 ms, and does not count itself until then. Histograms of the parts of a turn: loop_events_ms, loop_groups_ms, loop_orders_ms.

--- a/include/jayrelay/histogram.h
+++ b/include/jayrelay/histogram.h
@@ -20,7 +20,12 @@
       "tasks of other priorities: from their turn to a grant")                \
     X(START, "start_ms", "from a grant to the worker's word that it runs")    \
     X(LOG_SYNC, "log_sync_ms", "writing and syncing the log")                 \
-    X(LOOP, "loop_ms", "one turn of the loop")
+    X(LOOP, "loop_ms", "one turn of the loop")                                \
+    X(LOOP_EVENTS, "loop_events_ms",                                          \
+      "messages, answers and timers of a turn")                               \
+    X(LOOP_GROUPS, "loop_groups_ms",                                          \
+      "state machines, decisions and the log in a turn")                      \
+    X(LOOP_ORDERS, "loop_orders_ms", "sending orders to workers in a turn")
 
 /** enum jr_histogram_t - index of a histogram */
 typedef enum {
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -42,9 +42,6 @@
             return;
         }
     }
-    if (control->carry != NULL) {
-        jr_control_send_orders(control);
-    }
 }
 
 static void
@@ -69,14 +66,22 @@
 on_prepare(struct ev_loop *loop, ev_prepare *prepare, int events)
 {
     jr_control_t *control = prepare->data;
+    int64_t pumped_at, sent_at;
+    int64_t began_at = jr_clock_ms();
 
     (void)loop;
     (void)events;
-
     pump_groups(control);
+    pumped_at = jr_clock_ms();
     if (control->carry != NULL) {
+        jr_control_send_orders(control);
         jr_carry_flush(control->carry);
     }
+    sent_at = jr_clock_ms();
+    jr_observe(control->ctx, JR_H_LOOP_EVENTS,
+               began_at - control->iteration_start_ms);
+    jr_observe(control->ctx, JR_H_LOOP_GROUPS, pumped_at - began_at);
+    jr_observe(control->ctx, JR_H_LOOP_ORDERS, sent_at - pumped_at);
     jr_log_flush(control->ctx);
     jr_observe(control->ctx, JR_H_LOOP,
                jr_clock_ms() - control->iteration_start_ms);
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -9,7 +9,16 @@
 #include "ledger/convert.h"
 
 /* Rounds in one call of jr_group_pump(); the next call continues. */
-enum { PUMP_ROUNDS = 4 };
+enum {
+    PUMP_ROUNDS = 4,
+    /*
+     * A sync stops the loop of a leader, on which all others wait, and the
+     * followers commit without it: so it syncs its own log less often.
+     */
+    LEADER_SYNC_GAP_MS = 20,
+    /* Fewer followers are no majority without their leader. */
+    MIN_FOLLOWERS_TO_DEFER = 2,
+};
 
 jr_result_t
 jr_group_init(jr_ctx_t *ctx, jr_store_t *store, const jr_config_t *members)
@@ -192,6 +201,37 @@
            !ready->hard_state_changed && ready->install == NULL;
 }
 
+static bool
+is_compaction_due(const jr_group_t *group)
+{
+    return jr_quorum_applied(group->quorum) >=
+           jr_quorum_snapshot(group->quorum)->index +
+               group->options.snapshot_every;
+}
+
+static size_t
+count_other_voters(const jr_group_t *group)
+{
+    const jr_config_t *config = jr_quorum_config(group->quorum);
+    size_t n = 0;
+
+    for (size_t i = 0; i < config->n; i++) {
+        n += config->members[i].voter &&
+             config->members[i].id != group->options.quorum.self;
+    }
+    return n;
+}
+
+/* A later sync covers the entries; until then the leader does not count. */
+static bool
+may_defer_sync(const jr_group_t *group, const jr_ready_t *ready)
+{
+    return may_send_early(group, ready) &&
+           group->now - group->synced_at < LEADER_SYNC_GAP_MS &&
+           !is_compaction_due(group) &&
+           count_other_voters(group) >= MIN_FOLLOWERS_TO_DEFER;
+}
+
 static bool
 apply_committed(jr_group_t *group)
 {
@@ -309,8 +349,7 @@
     uint8_t *state;
     size_t len, n;
 
-    if (jr_quorum_applied(q) <
-        jr_quorum_snapshot(q)->index + group->options.snapshot_every) {
+    if (!is_compaction_due(group)) {
         return JR_OK;
     }
     state = jr_group_save(group, &len);
@@ -338,7 +377,8 @@
         update_leadership(group);
         jr_group_serve_reads(group);
         progressed |= propose_commands(group);
-        if (jr_quorum_ready(group->quorum, &ready)) {
+        if (jr_quorum_ready(group->quorum, &ready) &&
+            !may_defer_sync(group, &ready)) {
             jr_result_t result;
 
             /* Followers write in parallel with the leader. */
@@ -350,6 +390,7 @@
             if (result != JR_OK) {
                 return result;
             }
+            group->synced_at = group->now;
             jr_quorum_persisted(group->quorum, group->now);
             progressed = true;
         }
