Renewals and starts take turns; carriers collect answers for 4 ms

A carrier sent its answers once a turn, some 2,600 messages a second for the leader in all. Change: orders alternate between workers (renewals) and runs, and workers are scanned at most once a millisecond; a carrier sends its answers at most every 4 ms; a leader syncs at most every 40 ms.

--- a/src/control/carry.c
+++ b/src/control/carry.c
@@ -15,6 +15,8 @@
     CARRIED_MAX = 4096,  /* orders of others that are open in this process */
     CROSSING_MS = 400,   /* to a carrier and back, beside the order itself */
     SESSION_IDLE_MS = 10000,
+    /* Answers are collected for so long: a message costs a leader more. */
+    FLUSH_GAP_MS = 4,
 };
 
 /* A leader that uses this process as a carrier. */
@@ -25,6 +27,7 @@
     jr_route_t route;
     size_t n_open;
     int64_t used_at;
+    int64_t flushed_at;
     GPtrArray *answers; /* of GBytes, packed OrderAnswers to send */
 };
 
@@ -364,15 +367,18 @@
     jr_bus_reply(control->bus, &session->route, &envelope);
     jr_free(control->ctx, batch.answers);
     g_ptr_array_set_size(session->answers, 0);
+    session->flushed_at = jr_clock_ms();
 }
 
 void
 jr_carry_flush(jr_carry_t *carry)
 {
     jr_carry_session_t *session;
+    int64_t now = jr_clock_ms();
 
     TAILQ_FOREACH (session, &carry->sessions, link) {
-        if (session->answers->len > 0) {
+        if (session->answers->len > 0 &&
+            now - session->flushed_at >= FLUSH_GAP_MS) {
             send_answers(session);
         }
     }
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -249,6 +249,7 @@
     }
     g_ptr_array_unref(workers);
     d->next_worker = TAILQ_FIRST(&d->workers);
+    d->scanned_at = INT64_MIN;
 }
 
 void
@@ -334,12 +335,18 @@
     return false;
 }
 
-/* Continues where the last call stopped; false at the end of the list. */
+/*
+ * Continues where the last call stopped; false at the end of the list, and
+ * until time has passed since.
+ */
 static bool
 take_worker_order(jr_dispatch_t *d, jr_order_t *order)
 {
     jr_tracked_worker_t *w;
 
+    if (d->scanned_at == d->now) {
+        return false;
+    }
     for (w = d->next_worker; w != NULL; w = TAILQ_NEXT(w, link)) {
         if (order_for_worker(d, w, order)) {
             d->next_worker = w;
@@ -347,14 +354,24 @@
         }
     }
     d->next_worker = TAILQ_FIRST(&d->workers);
+    d->scanned_at = d->now;
     return false;
 }
 
+/*
+ * By turns, so that starts and renewals can't starve each other: a lease that
+ * expires costs all runs on a worker.
+ */
 bool
 jr_dispatch_take_order(jr_dispatch_t *d, jr_order_t *order)
 {
-    return d->is_leading &&
-           (take_run_order(d, order) || take_worker_order(d, order));
+    if (!d->is_leading) {
+        return false;
+    }
+    d->is_workers_turn = !d->is_workers_turn;
+    return d->is_workers_turn
+               ? take_worker_order(d, order) || take_run_order(d, order)
+               : take_run_order(d, order) || take_worker_order(d, order);
 }
 
 static void
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -178,6 +178,8 @@
     bool is_mostly_idle;  /* more than half of the processors are free */
     struct jr_tracked_worker_list workers; /* by rank */
     jr_tracked_worker_t *next_worker; /* next to scan for orders, or NULL */
+    bool is_workers_turn; /* the latest order was to be a renewal */
+    int64_t scanned_at;   /* when no worker had an order, last */
     struct jr_run_list due;
     size_t n_listed_orphans; /* of all workers */
     jr_sent_t *sent;
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -15,7 +15,7 @@
      * A sync stops the loop of a leader, on which all others wait, and the
      * followers commit without it: so it syncs its own log less often.
      */
-    LEADER_SYNC_GAP_MS = 20,
+    LEADER_SYNC_GAP_MS = 40,
     /* Fewer followers are no majority without their leader. */
     MIN_FOLLOWERS_TO_DEFER = 2,
 };
