--- a/src/carrier/carrier.c
+++ b/src/carrier/carrier.c
@@ -1,6 +1,7 @@
 /* The table of carriers, and the choice of one for an order. */
 #include "jayrelay/carrier.h"
 
+#include <glib.h>
 #include <string.h>
 #include <uthash.h>
 #include <xxhash.h>
@@ -48,7 +49,7 @@
     jr_carriers_t *carriers = jr_alloc(ctx, sizeof *carriers);
 
     carriers->ctx = ctx;
-    snprintf(carriers->zone, sizeof carriers->zone, "%s", zone);
+    g_strlcpy(carriers->zone, zone, sizeof carriers->zone);
     return carriers;
 }
 
@@ -142,8 +143,8 @@
         strlen(zone) >= sizeof carrier->zone) {
         return;
     }
-    strcpy(carrier->name, name);
-    strcpy(carrier->zone, zone);
+    g_strlcpy(carrier->name, name, sizeof carrier->name);
+    g_strlcpy(carrier->zone, zone, sizeof carrier->zone);
     carrier->heard_at = now;
 }
 
@@ -223,9 +224,9 @@
     bool is_own_zone = strcmp(zone, carriers->zone) == 0;
     int best = JR_CARRIER_SELF;
     uint32_t best_weight = 0;
-    bool best_is_near = is_own_zone && n_workers <= OWN_WORKERS_MAX;
+    bool best_is_near = false;
 
-    if (best_is_near) {
+    if (is_own_zone && n_workers <= OWN_WORKERS_MAX) {
         return JR_CARRIER_SELF;
     }
     for (size_t i = 0; i < carriers->n; i++) {
--- a/src/control/messages.c
+++ b/src/control/messages.c
@@ -48,14 +48,14 @@
 }
 
 int
-jr_control_find_peer(jr_control_t *control, const jr_member_t *to)
+jr_control_find_peer(jr_control_t *control, const jr_member_t *member)
 {
     const jr_known_replica_t *known;
 
-    if (to->address[0] != '\0') {
-        return jr_bus_connect(control->bus, to->name, to->address);
+    if (member->address[0] != '\0') {
+        return jr_bus_connect(control->bus, member->name, member->address);
     }
-    known = find_known_replica(control, to->id);
+    known = find_known_replica(control, member->id);
     return known != NULL ? jr_bus_find_or_connect(control->bus, known->name)
                          : -1;
 }
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -42,7 +42,7 @@
     uint64_t leading_term; /* valid while is_leading */
     bool is_handing_over;  /* the leadership, to another replica */
     int64_t now;
-    int64_t synced_at; /* the log, last */
+    int64_t synced_at;                              /* the log, last */
     TAILQ_HEAD(, jr_pending_reply) pending_replies; /* by index */
     TAILQ_HEAD(, jr_read) reads;                    /* by arrival time */
 };
