--- a/include/jayrelay/quorum.h
+++ b/include/jayrelay/quorum.h
@@ -289,6 +289,14 @@
  */
 bool jr_quorum_next_config(const jr_quorum_t *q, jr_config_t *next);
 
+/**
+ * jr_quorum_whole_voters - count the voters that hold every committed entry
+ *
+ * As the leader knows from those that answered it lately; 0 elsewhere. After a
+ * host was replaced, the copies are whole when this is the number of voters.
+ */
+size_t jr_quorum_whole_voters(const jr_quorum_t *q);
+
 /** jr_quorum_role - get the current role */
 jr_role_t jr_quorum_role(const jr_quorum_t *q);
 /** jr_quorum_term - get the current term */
--- a/src/control/status.c
+++ b/src/control/status.c
@@ -45,10 +45,16 @@
         {"jobs_live", "jobs that have not ended", 0.0},
         {"workers_known", "workers that announced themselves", 0.0},
         {"config_version", "configuration in force", 0.0},
+        {"voters_whole",
+         "of group 0, on its leader: voters with every committed entry", 0.0},
     };
     jr_jobs_t *jobs =
         control->groups[0] != NULL ? jr_group_jobs(control->groups[0]) : NULL;
 
+    if (control->groups[0] != NULL) {
+        gauges[7].value = (double)jr_quorum_whole_voters(
+            jr_group_quorum(control->groups[0]));
+    }
     if (jobs != NULL) {
         const jr_job_t *job;
 
--- a/src/quorum/members.c
+++ b/src/quorum/members.c
@@ -338,6 +338,27 @@
             q->now - q->heard_leader_at > SILENT_LEADER_MS);
 }
 
+/* The index up to which a member is known to have the log on disk. */
+static uint64_t
+durable_index(const jr_quorum_t *q, size_t i)
+{
+    return q->config.members[i].id == q->options.self ? q->stable
+                                                      : q->progress[i].match;
+}
+
+size_t
+jr_quorum_whole_voters(const jr_quorum_t *q)
+{
+    size_t n = 0;
+
+    for (size_t i = 0; i < q->config.n && q->role == JR_LEADER; i++) {
+        n += q->config.members[i].voter &&
+             silent_ms(q, i) <= SILENT_VOTER_MS &&
+             durable_index(q, i) >= q->commit;
+    }
+    return n;
+}
+
 static bool
 has_silent_voter(const jr_quorum_t *q)
 {
--- a/src/quorum/quorum_test.cc
+++ b/src/quorum/quorum_test.cc
@@ -710,6 +710,29 @@
     EXPECT_EQ(ctx_->counters[JR_C_BUS_BAD], 1u);
 }
 
+/* What an operator waits for after a host was replaced. */
+TEST_F(QuorumTest, TheLeaderCountsTheVotersWithAllCommittedEntries)
+{
+    const uint8_t command[] = {1};
+    uint64_t index;
+    jr_quorum_t *leader;
+
+    StartThree();
+    leader = Leader();
+    ASSERT_NE(leader, nullptr);
+    Run(200);
+    EXPECT_EQ(jr_quorum_whole_voters(leader), 3u);
+    cut_ = IdOf(leader) % 3 + 1;
+    EXPECT_EQ(jr_quorum_whole_voters(replicas_[cut_]), 0u);
+    ASSERT_EQ(jr_quorum_propose(leader, command, sizeof command, &index),
+              JR_OK);
+    Run(200);
+    EXPECT_EQ(jr_quorum_whole_voters(leader), 2u);
+    cut_ = 0;
+    Run(500);
+    EXPECT_EQ(jr_quorum_whole_voters(leader), 3u);
+}
+
 /*
  * Guards against a working voter being removed by a join request of the
  * earlier replica of its process: one that was delayed, or one of an old
