--- a/src/control/carry.c
+++ b/src/control/carry.c
@@ -15,7 +15,7 @@
     CARRIED_MAX = 4096,  /* orders of others that are open in this process */
     CROSSING_MS = 400,   /* to a carrier and back, beside the order itself */
     SESSION_IDLE_MS = 10000,
-    /* Answers are collected for so long: a message costs a leader more. */
+    /* Between two messages with answers: each one costs the leader time. */
     FLUSH_GAP_MS = 4,
 };
 
--- a/src/group/group_test.cc
+++ b/src/group/group_test.cc
@@ -81,6 +81,24 @@
         jr_group_request(group_, &reply_to, &request, now_);
     }
 
+    void
+    CheckIn(bool is_draining)
+    {
+        Jr__JobWorker info = JR__JOB_WORKER__INIT;
+        Jr__Request request = JR__REQUEST__INIT;
+        jr_reply_address_t reply_to = {};
+
+        info.id = const_cast<char *>("w0");
+        info.born = 1;
+        info.address = const_cast<char *>("10.0.0.1:1");
+        info.cpu_milli = 1000;
+        info.draining = is_draining;
+        request.body_case = JR__REQUEST__BODY_JOB_WORKER;
+        request.job_worker = &info;
+        jr_group_request(group_, &reply_to, &request, now_);
+        jr_group_pump(group_, now_);
+    }
+
     void
     ReceiveFromNewerLeader()
     {
@@ -121,4 +139,22 @@
     EXPECT_EQ(codes_, std::vector<uint32_t>{JR_NOT_LEADER});
 }
 
+/*
+ * Load: thousands of check-ins a second that repeat what is in the log. Any
+ * replica acknowledges them, but nothing that is not in the log: a worker that
+ * drains must not be acknowledged before the leader knows.
+ */
+TEST_F(GroupTest, AFollowerAcknowledgesOnlyCheckInsThatSayNothingNew)
+{
+    CheckIn(false);
+    EXPECT_EQ(codes_, std::vector<uint32_t>{JR_OK});
+    ReceiveFromNewerLeader();
+    codes_.clear();
+    CheckIn(false);
+    EXPECT_EQ(codes_, std::vector<uint32_t>{JR_OK});
+    codes_.clear();
+    CheckIn(true);
+    EXPECT_EQ(codes_, std::vector<uint32_t>{JR_NOT_LEADER});
+}
+
 } // namespace
