The scan for renewals goes round all workers

OrderTest.AConfirmedLeaderIssuesOrders was red: a scan that began in the middle of the list counted as one of all, so that workers at its head waited until time had passed.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -335,25 +335,35 @@
     return false;
 }
 
+static jr_tracked_worker_t *
+next_in_circle(jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    jr_tracked_worker_t *next = w != NULL ? TAILQ_NEXT(w, link) : NULL;
+
+    return next != NULL ? next : TAILQ_FIRST(&d->workers);
+}
+
 /*
- * Continues where the last call stopped; false at the end of the list, and
- * until time has passed since.
+ * Continues with the worker of the last call. Once none of them has an order,
+ * they are looked at again when time has passed.
  */
 static bool
 take_worker_order(jr_dispatch_t *d, jr_order_t *order)
 {
-    jr_tracked_worker_t *w;
+    jr_tracked_worker_t *first =
+        d->next_worker != NULL ? d->next_worker : next_in_circle(d, NULL);
+    jr_tracked_worker_t *w = first;
 
-    if (d->scanned_at == d->now) {
+    if (w == NULL || d->scanned_at == d->now) {
         return false;
     }
-    for (w = d->next_worker; w != NULL; w = TAILQ_NEXT(w, link)) {
+    do {
         if (order_for_worker(d, w, order)) {
             d->next_worker = w;
             return true;
         }
-    }
-    d->next_worker = TAILQ_FIRST(&d->workers);
+        w = next_in_circle(d, w);
+    } while (w != first);
     d->scanned_at = d->now;
     return false;
 }
