A lost replica that still counts as a voter is told from its successor

Since a successor joins only once its predecessor has been silent for three heartbeats, the status shows the lost replica as one of three voters for a moment. The test, and the page for operators, took "three voters" as the sign that the second host may be lost, so two of three replicas were. Ruled out: the join itself, its time (under 3 s).

Change: the status names the replica id of each member and the leader's count of voters with every committed entry (voters_whole).

--- a/src/control/status.c
+++ b/src/control/status.c
@@ -144,6 +144,7 @@
     status->term = jr_quorum_term(quorum);
     status->commit = jr_quorum_commit(quorum);
     status->applied = jr_quorum_applied(quorum);
+    status->voters_whole = (uint32_t)jr_quorum_whole_voters(quorum);
     status->leader = leader != NULL ? (char *)leader->name : none;
     if (ledger != NULL) {
         status->queued = jr_ledger_count(ledger, JR_TASK_QUEUED);
--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -21,6 +21,18 @@
     ev_timer timer;
 };
 
+/* A host that lost its disk has a new replica under the same name. */
+static json_t *
+member_to_json(const Jr__Member *member)
+{
+    char replica[sizeof "0123456789abcdef"];
+
+    snprintf(replica, sizeof replica, "%016llx",
+             (unsigned long long)member->id);
+    return json_pack("{s:s, s:s, s:b}", "name", member->name, "replica",
+                     replica, "voter", (int)member->voter);
+}
+
 static json_t *
 group_to_json(const Jr__GroupStatus *group)
 {
@@ -30,17 +42,17 @@
          i++) {
         const Jr__Member *m = group->config->members[i];
 
-        json_array_append_new(members, json_pack("{s:s, s:b}", "name", m->name,
-                                                 "voter", (int)m->voter));
+        json_array_append_new(members, member_to_json(m));
     }
     return json_pack(
-        "{s:i, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o}", "group",
-        (int)group->group, "role", group->role, "leader", group->leader,
-        "term", (json_int_t)group->term, "commit", (json_int_t)group->commit,
-        "applied", (json_int_t)group->applied, "queued",
-        (json_int_t)group->queued, "leased", (json_int_t)group->leased,
-        "ended", (json_int_t)group->ended, "workers",
-        (json_int_t)group->workers, "members", members);
+        "{s:i, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:i, s:o}",
+        "group", (int)group->group, "role", group->role, "leader",
+        group->leader, "term", (json_int_t)group->term, "commit",
+        (json_int_t)group->commit, "applied", (json_int_t)group->applied,
+        "queued", (json_int_t)group->queued, "leased",
+        (json_int_t)group->leased, "ended", (json_int_t)group->ended,
+        "workers", (json_int_t)group->workers, "voters_whole",
+        (int)group->voters_whole, "members", members);
 }
 
 static json_t *
--- a/src/gen/net/wire.pb-c.c
+++ b/src/gen/net/wire.pb-c.c
@@ -1631,7 +1631,7 @@
   (ProtobufCMessageInit) jr__status_get__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__group_status__field_descriptors[11] =
+static const ProtobufCFieldDescriptor jr__group_status__field_descriptors[12] =
 {
   {
     "group",
@@ -1765,6 +1765,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "voters_whole",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jr__GroupStatus, voters_whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__group_status__field_indices_by_name[] = {
   4,   /* field[4] = applied */
@@ -1777,12 +1789,13 @@
   6,   /* field[6] = queued */
   1,   /* field[1] = role */
   2,   /* field[2] = term */
+  11,   /* field[11] = voters_whole */
   9,   /* field[9] = workers */
 };
 static const ProtobufCIntRange jr__group_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor jr__group_status__descriptor =
 {
@@ -1792,7 +1805,7 @@
   "Jr__GroupStatus",
   "jr",
   sizeof(Jr__GroupStatus),
-  11,
+  12,
   jr__group_status__field_descriptors,
   jr__group_status__field_indices_by_name,
   1,  jr__group_status__number_ranges,
--- a/src/gen/net/wire.pb-c.h
+++ b/src/gen/net/wire.pb-c.h
@@ -184,10 +184,14 @@
   uint64_t ended;
   uint64_t workers;
   Jr__Config *config;
+  /*
+   * on the leader: voters with every committed entry
+   */
+  uint32_t voters_whole;
 };
 #define JR__GROUP_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__group_status__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, NULL, 0 }
 
 
 struct  Jr__StatusReply
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -50,21 +50,27 @@
 print(names.pop()) if len(names) == 1 else sys.exit(1)' "$1" "${2:-}"
 }
 
-voters() { # prints GROUP VOTERS MEMBERS for each group, from its leader
+# For each group, from its leader, prints: GROUP VOTERS MEMBERS, the voters that
+# hold every committed entry, and the voters whose replica is on a disk of now.
+# The replica of a lost disk remains a voter until its successor joins.
+voters() {
     cli --json status | python3 -c '
 import json, sys
-status = json.load(sys.stdin)
+status, on_disk = json.load(sys.stdin), set(sys.argv[1:])
 for c in status["controls"]:
     for g in c["groups"]:
         if g["role"] == "leader":
-            print(g["group"], sum(m["voter"] for m in g["members"]),
-                  len(g["members"]))' | sort -u
+            ids = [m["replica"] for m in g["members"] if m["voter"]]
+            print(g["group"], len(ids), len(g["members"]),
+                  g["voters_whole"], len(on_disk.intersection(ids)))' \
+        $(cat "$dir"/data-*/replica) | sort -u
 }
 
 # Succeeds if every group (the rules group 0 and the task groups) has three
-# voters and no learner.
+# voters, each with the whole log on its disk, and no learner.
 all_replicated() {
-    [ "$(voters | awk '$2 == 3 && $3 == 3' | wc -l)" -eq $((groups + 1)) ]
+    [ "$(voters | awk '$2 == 3 && $3 == 3 && $4 == 3 && $5 == 3' | wc -l)" \
+        -eq $((groups + 1)) ]
 }
 
 version_everywhere() { # VERSION: succeeds if all zones have these rules
