Histories of members count the durable copies of what is committed

Change: at each step of a caught-up leader the newest committed entry has to be on the disks of tolerate + 1 of its voters, less the disks that are lost then.

--- a/src/quorum/members_test.cc
+++ b/src/quorum/members_test.cc
@@ -526,9 +526,70 @@
         }
         SendMessages(m);
         Apply(machine);
+        CheckCopies(machine);
         jr_log_flush(ctx_);
     }
 
+    /* A replica whose disk is lost is no copy, even while it is a voter. */
+    size_t
+    CountCopies(const jr_config_t *config, uint64_t index,
+                const Bytes &data) const
+    {
+        size_t n = 0;
+
+        for (const Machine &machine : machines_) {
+            const Disk &disk = machine.disk;
+            const jr_member_t *member = jr_config_find(config, disk.id);
+
+            n += member != nullptr && member->voter &&
+                 std::any_of(disk.entries.rbegin(), disk.entries.rend(),
+                             [&](const Entry &entry) {
+                                 return entry.index == index &&
+                                        entry.data == data;
+                             });
+        }
+        return n;
+    }
+
+    static size_t
+    CountVoters(const Machine &machine)
+    {
+        const jr_config_t *config = jr_quorum_config(machine.q);
+        size_t n = 0;
+
+        for (size_t i = 0; i < config->n; i++) {
+            n += config->members[i].voter;
+        }
+        return n;
+    }
+
+    /*
+     * A change of the members must not take a copy away that the disks lost
+     * so far have left. The newest committed entry has the fewest copies.
+     * At the first start the group has only the seeds as voters, and promises
+     * this once it has grown.
+     */
+    void
+    CheckCopies(const Machine &machine)
+    {
+        size_t lost = Count(&History::IsDiskLost);
+        size_t copies;
+
+        if (!jr_quorum_is_caught_up(machine.q) || committed_.empty()) {
+            return;
+        }
+        has_grown_ |= CountVoters(machine) >= 2 * tolerate_ + 1;
+        copies = CountCopies(jr_quorum_config(machine.q),
+                             committed_.rbegin()->first,
+                             committed_.rbegin()->second);
+        if (has_grown_ && copies + lost < tolerate_ + 1) {
+            Fail("entry " + std::to_string(committed_.rbegin()->first) +
+                 " has " + std::to_string(copies) + " copies with " +
+                 std::to_string(lost) +
+                 " disks lost:" + Members(jr_quorum_config(machine.q)));
+        }
+    }
+
     void
     Advance(int64_t ms)
     {
@@ -607,6 +668,7 @@
     std::vector<Machine> machines_;
     int64_t now_ = 0;
     bool with_faults_ = false;
+    bool has_grown_ = false; /* to as many voters as are to be restored */
     int64_t next_fault_ = 0;
     std::set<size_t> cut_;
     uint64_t event_number_ = 0;
