A refused grant does not withdraw the next one of its task

Cause: a worker is removed while a grant to it is on its way to the log; its run is dropped and the task is proposed for another worker. When the first grant is then refused, the dispatcher dropped the second run, whose grant the log still accepts. The task stays granted and is never started; or, proposed a third time under the same attempt, it is started on one worker and granted to another: its end is acknowledged and not counted, and it starts again.

Change: a refusal names its grant and withdraws only the run of that grant; a run is taken for granted only if the log grants it to its own worker; a grant to a worker that was removed and is back is released.

After: green; the history ends.

--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -167,8 +167,10 @@
 
 /**
  * struct jr_job_hooks_t - callbacks by which the leader follows the state
- * @task: a grant was applied or refused, a run of the task ended, or the
- *        granted run is no longer needed
+ * @task: a grant was applied, a run of the task ended, or the granted run is
+ *        no longer needed
+ * @grant_refused: a grant changed nothing; another one of the task may follow
+ *                 in the log
  * @job: a job was accepted or has ended
  * @worker: a worker was added or updated
  * @worker_removed: a worker is about to be removed and freed
@@ -176,6 +178,8 @@
  */
 typedef struct {
     void (*task)(void *user, jr_job_task_t *task);
+    void (*grant_refused)(void *user, jr_job_task_t *task,
+                          const Jr__JobGrant *grant);
     void (*job)(void *user, jr_job_t *job);
     void (*worker)(void *user, jr_job_worker_t *worker);
     void (*worker_removed)(void *user, jr_job_worker_t *worker);
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -30,28 +30,79 @@
     }
 }
 
+static bool
+is_run_of(const jr_run_t *run, const jr_job_worker_t *worker, uint32_t attempt)
+{
+    return run->worker->worker == worker && run->attempt == attempt;
+}
+
+static void
+on_granted(jr_dispatch_t *d, jr_run_t *run)
+{
+    if (run->state == JR_RUN_PROPOSED) {
+        run->state = JR_RUN_STARTING;
+        jr_run_set_due(d, run);
+        observe_wait(d, run->task);
+    }
+    if (run->task->is_done) {
+        jr_run_stop(d, run);
+    }
+}
+
+/*
+ * The worker was removed while the grant was on its way to the log, and came
+ * back. No order for this run was sent.
+ */
+static void
+release_unknown_grant(jr_dispatch_t *d, jr_job_task_t *task)
+{
+    jr_run_t *run =
+        jr_run_new(d, task, task->worker->local, JR_RUN_UNCONFIRMED);
+
+    jr_run_release(d, run, "granted-before-removal");
+}
+
 static void
 on_task(void *user, jr_job_task_t *task)
 {
     jr_dispatch_t *d = user;
     jr_run_t *run = task->run;
 
-    if (!d->is_leading || run == NULL) {
+    if (!d->is_leading) {
         return;
     }
-    if (task->phase == JR_PHASE_GRANTED && task->attempt == run->attempt) {
-        if (run->state == JR_RUN_PROPOSED) {
-            run->state = JR_RUN_STARTING;
-            jr_run_set_due(d, run);
-            observe_wait(d, task);
-        }
-        if (task->is_done) {
-            jr_run_stop(d, run);
-        }
+    if (task->phase == JR_PHASE_GRANTED && run != NULL &&
+        is_run_of(run, task->worker, task->attempt)) {
+        on_granted(d, run);
         return;
     }
-    jr_run_free(d, run);
-    d->is_dirty = true;
+    if (task->phase == JR_PHASE_WAITING && run != NULL &&
+        run->state == JR_RUN_PROPOSED) {
+        return; /* its grant is on the way to the log */
+    }
+    if (run != NULL) {
+        jr_run_free(d, run);
+        d->is_dirty = true;
+    }
+    if (task->phase == JR_PHASE_GRANTED) {
+        release_unknown_grant(d, task);
+    }
+}
+
+/* A later grant of the task may be on its way to the log. */
+static void
+on_grant_refused(void *user, jr_job_task_t *task, const Jr__JobGrant *grant)
+{
+    jr_dispatch_t *d = user;
+    jr_run_t *run = task->run;
+
+    if (d->is_leading && run != NULL && run->state == JR_RUN_PROPOSED &&
+        run->attempt == grant->run->attempt &&
+        run->incarnation == grant->born &&
+        strcmp(run->worker->worker->info->id, grant->worker) == 0) {
+        jr_run_free(d, run);
+        d->is_dirty = true;
+    }
 }
 
 static void
@@ -136,6 +187,7 @@
     jr_dispatch_t *d = jr_alloc(ctx, sizeof *d);
     jr_job_hooks_t hooks = {
         .task = on_task,
+        .grant_refused = on_grant_refused,
         .job = on_job,
         .worker = on_worker,
         .worker_removed = on_worker_removed,
--- /dev/null
+++ b/src/dispatch/grant_test.cc
@@ -0,0 +1,275 @@
+/*
+ * Grants that are on their way to the log while their worker is removed, comes
+ * back, or the task is granted anew.
+ */
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "jayrelay/dispatch.h"
+}
+
+namespace {
+
+constexpr int64_t kTickMs = 100; /* each tick has a scheduling pass */
+constexpr int64_t kBorn = 2;
+constexpr uint32_t kCpu = 4000; /* of a worker, and of each task */
+
+using Bytes = std::vector<uint8_t>;
+
+class GrantTest : public ::testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        jr_dispatch_options_t options = {};
+        Jr__JobQueue queue = JR__JOB_QUEUE__INIT;
+        Jr__JobQueue *queues[] = {&queue};
+        Jr__JobConfig config = JR__JOB_CONFIG__INIT;
+        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+
+        options.lease_ms = 3000;
+        options.hold_wait_ms = 2000;
+        options.order_age_ms = 700;
+        options.far_permille = 1000;
+        ctx_ = jr_new_ctx("test", nullptr);
+        jobs_ = jr_new_jobs(ctx_);
+        dispatch_ = jr_new_dispatch(ctx_, &options, jobs_);
+        jr_dispatch_lead(dispatch_, 1, now_);
+        queue.host = const_cast<char *>("h");
+        queue.prefix = const_cast<char *>("/q/");
+        queue.service = const_cast<char *>("s");
+        queue.max_failures = 3;
+        config.version = 1;
+        config.n_queues = 1;
+        config.queues = queues;
+        command.body_case = JR__JOB_COMMAND__BODY_CONFIG;
+        command.config = &config;
+        Apply(Pack(&command));
+    }
+
+    void
+    TearDown() override
+    {
+        jr_drop_dispatch(dispatch_);
+        jr_drop_jobs(jobs_);
+        jr_drop_ctx(ctx_);
+    }
+
+    Bytes
+    Pack(Jr__JobCommand *command) const
+    {
+        Bytes bytes(jr__job_command__get_packed_size(command) + 20);
+
+        command->at_ms = now_;
+        bytes.resize(jr__job_command__pack(command, bytes.data()));
+        return bytes;
+    }
+
+    void
+    Apply(const Bytes &bytes)
+    {
+        jr_jobs_apply(jobs_, bytes.data(), bytes.size());
+    }
+
+    void
+    CheckIn(std::string id, bool is_draining = false)
+    {
+        Jr__JobWorker info = JR__JOB_WORKER__INIT;
+        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+
+        info.id = id.data();
+        info.born = kBorn;
+        info.address = const_cast<char *>("10.0.0.1:1");
+        info.zone = const_cast<char *>("z");
+        info.service = const_cast<char *>("s");
+        info.machine = const_cast<char *>("m");
+        info.cpu_milli = kCpu;
+        info.memory_mb = 1000;
+        info.draining = is_draining;
+        command.body_case = JR__JOB_COMMAND__BODY_WORKER;
+        command.worker = &info;
+        Apply(Pack(&command));
+    }
+
+    void
+    Remove(std::string id)
+    {
+        Jr__JobWorkerGone gone = JR__JOB_WORKER_GONE__INIT;
+        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+
+        gone.id = id.data();
+        gone.born = kBorn;
+        command.body_case = JR__JOB_COMMAND__BODY_WORKER_GONE;
+        command.worker_gone = &gone;
+        Apply(Pack(&command));
+    }
+
+    void
+    Submit()
+    {
+        Jr__JobStep step = JR__JOB_STEP__INIT;
+        Jr__JobStep *steps[] = {&step};
+        Jr__JobSpec spec = JR__JOB_SPEC__INIT;
+        Jr__JobSubmit submit = JR__JOB_SUBMIT__INIT;
+        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+
+        step.count = 1;
+        step.cpu_milli = kCpu;
+        step.estimate_ms = 60000;
+        spec.id = 1;
+        spec.host = const_cast<char *>("h");
+        spec.prefix = const_cast<char *>("/q/");
+        spec.n_steps = 1;
+        spec.steps = steps;
+        submit.spec = &spec;
+        command.body_case = JR__JOB_COMMAND__BODY_SUBMIT;
+        command.submit = &submit;
+        Apply(Pack(&command));
+    }
+
+    /* Time passes; returns the proposals, which the log does not have yet. */
+    std::vector<Bytes>
+    Tick()
+    {
+        std::vector<Bytes> commands;
+        uint8_t *bytes;
+        size_t len;
+
+        now_ += kTickMs;
+        jr_dispatch_tick(dispatch_, now_, now_);
+        while (jr_dispatch_take_command(dispatch_, &bytes, &len)) {
+            commands.emplace_back(bytes, bytes + len);
+            jr_free(ctx_, bytes);
+        }
+        return commands;
+    }
+
+    /* Answers renewals; returns the workers that get a start order. */
+    std::vector<std::string>
+    TakeStarts()
+    {
+        std::vector<std::string> workers;
+        jr_order_t order;
+
+        while (jr_dispatch_take_order(dispatch_, &order)) {
+            jr_answer_t answer = {};
+
+            if (order.kind == JR_ORDER_START) {
+                workers.push_back(order.worker);
+                continue;
+            }
+            answer.kind = JR_ANSWER_DONE;
+            answer.clock_ms = now_;
+            answer.incarnation = kBorn;
+            if (order.as.renew.wait_ms == 0) {
+                jr_dispatch_answer(dispatch_, order.serial, &answer, now_);
+            }
+        }
+        return workers;
+    }
+
+    /* Returns the proposal that grants the task. */
+    Bytes
+    GrantTo(const std::string &id)
+    {
+        CheckIn(id);
+        EXPECT_TRUE(Tick().empty());
+        EXPECT_TRUE(TakeStarts().empty());
+        std::vector<Bytes> commands = Tick();
+
+        EXPECT_EQ(commands.size(), 1u);
+        return commands.empty() ? Bytes() : commands[0];
+    }
+
+    const jr_job_task_t *
+    Task()
+    {
+        Jr__JobRun name = JR__JOB_RUN__INIT;
+
+        name.job = 1;
+        return jr_jobs_task(jobs_, &name);
+    }
+
+    int64_t now_ = 1000;
+    jr_ctx_t *ctx_;
+    jr_jobs_t *jobs_;
+    jr_dispatch_t *dispatch_;
+};
+
+/* Guards against a task that stays granted and is never started. */
+TEST_F(GrantTest, ARefusedGrantDoesNotWithdrawTheNextOne)
+{
+    Submit();
+    Bytes first = GrantTo("w0");
+
+    Remove("w0");
+    Bytes second = GrantTo("w1");
+
+    Apply(first);
+    Apply(second);
+    ASSERT_EQ(Task()->phase, JR_PHASE_GRANTED);
+    EXPECT_EQ(TakeStarts(), std::vector<std::string>{"w1"});
+}
+
+/*
+ * Guards against a task that is started on one worker and granted to another:
+ * its end would be acknowledged and not counted.
+ */
+TEST_F(GrantTest, ATaskIsStartedWhereTheLogGrantsIt)
+{
+    Submit();
+    Bytes first = GrantTo("w0");
+
+    Remove("w0");
+    Bytes second = GrantTo("w1");
+
+    Apply(first);
+    CheckIn("w1", true);
+    CheckIn("w2");
+    Tick();
+    TakeStarts();
+    Tick(); /* a third grant, if the second was withdrawn */
+    Apply(second);
+    for (const std::string &id : TakeStarts()) {
+        EXPECT_EQ(id, Task()->worker->info->id);
+    }
+}
+
+/* Guards against the same when a removed worker is back before its grant. */
+TEST_F(GrantTest, AGrantToAWorkerThatIsBackIsReleased)
+{
+    Submit();
+    Bytes first = GrantTo("w0");
+
+    Remove("w0");
+    Bytes second = GrantTo("w1");
+
+    CheckIn("w0");
+    Apply(first);
+    EXPECT_STREQ(Task()->worker->info->id, "w0");
+    Apply(second);
+    EXPECT_TRUE(TakeStarts().empty());
+    for (const Bytes &command : Tick()) {
+        Apply(command);
+    }
+    EXPECT_EQ(Task()->phase, JR_PHASE_WAITING);
+    for (int i = 0; i < 3; i++) {
+        for (const Bytes &command : Tick()) {
+            Apply(command);
+        }
+        std::vector<std::string> starts = TakeStarts();
+
+        if (!starts.empty()) {
+            EXPECT_EQ(starts,
+                      std::vector<std::string>{Task()->worker->info->id});
+            return;
+        }
+    }
+    ADD_FAILURE() << "the task is not started again";
+}
+
+} // namespace
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -123,6 +123,14 @@
     return JR_OK;
 }
 
+static void
+refuse_grant(jr_jobs_t *jobs, jr_job_task_t *task, const Jr__JobGrant *grant)
+{
+    if (jobs->hooks.grant_refused != NULL) {
+        jobs->hooks.grant_refused(jobs->hooks.user, task, grant);
+    }
+}
+
 static void
 apply_grant(jr_jobs_t *jobs, const Jr__JobGrant *grant)
 {
@@ -133,13 +141,15 @@
     if (task == NULL) {
         return;
     }
-    if (worker != NULL && worker->info->born == grant->born &&
-        jr_job_is_live(task->job) && task->phase == JR_PHASE_WAITING &&
-        grant->run->attempt > task->attempt) {
-        was_pending = jr_job_is_pending(task->job);
-        jr_task_grant(task, worker, grant->born, grant->run->attempt);
-        update_pending(task->job, was_pending);
+    if (worker == NULL || worker->info->born != grant->born ||
+        !jr_job_is_live(task->job) || task->phase != JR_PHASE_WAITING ||
+        grant->run->attempt <= task->attempt) {
+        refuse_grant(jobs, task, grant);
+        return;
     }
+    was_pending = jr_job_is_pending(task->job);
+    jr_task_grant(task, worker, grant->born, grant->run->attempt);
+    update_pending(task->job, was_pending);
     notify_task(jobs, task);
 }
 
