A leader that stood still does not take a leaving worker for gone

Cause: a worker that said that it leaves counted as ended after 3 s without an answer, also when the leader itself was paused and had sent nothing, and before the 4 s for which such a worker may run on behind a cut. Its tasks were started elsewhere; its ends came from released runs and were dropped.

Change: an order has to have failed, and 4.1 s have to have passed since the request. Histories with stalls, long tasks, and workers that come and go.

--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -108,6 +108,8 @@
     /* Announces that it drains, later that it leaves, and exits. */
     void Drain(size_t worker);
     void SetPartitioned(size_t worker, bool is_partitioned);
+    /* The leader does nothing; what workers do and send goes on. */
+    void Stall(int64_t ms);
     void CheckIn(size_t worker, bool draining = false);
 
     jr_job_state_t State(uint64_t id);
@@ -136,7 +138,8 @@
     bool ignores_tombstones = false;
     /* Report also what a start sent to an earlier incarnation begins. */
     bool checks_stale_starts = false;
-    bool has_churn = false; /* for the histories: workers come and go */
+    bool has_churn = false;  /* for the histories: workers come and go */
+    bool has_stalls = false; /* for the histories: the leader stands still */
     jr_jobs_t *jobs;
     jr_dispatch_t *dispatch;
 
@@ -172,6 +175,8 @@
     };
 
     void Step();
+    void StepLeader();
+    bool IsStalled() const;
     void TakeCommands();
     void ApplyDue();
     void TakeOrders();
@@ -209,6 +214,7 @@
     size_t allowed_failures_;
     uint64_t fence_ = 1;
     uint64_t epoch_ = 0; /* number of leader changes, part of serials */
+    int64_t stalled_until_ = 0;
     std::deque<Proposal> proposals_;
     std::vector<SentOrder> sent_orders_;
     std::map<TaskName, size_t> starts_;
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -11,7 +11,12 @@
      */
     ANSWER_AGE_MAX_MS = 3000,
     LAPSE_MARGIN_MS = 50,  /* after the end of a lease */
-    LEFT_SILENT_MS = 3000, /* longer than a worker that leaves runs on */
+    LEFT_SILENT_MS = 3000, /* of a worker that said that it leaves */
+    /*
+     * Longest time that such a worker runs on, from its request. Then it has
+     * ended, also if nothing refuses connections.
+     */
+    LEFT_EXIT_MS = 4100,
     FENCE_EPOCH_BITS = 20, /* leaves 33 bits of 53 for the term */
     /* Without check-in or answered renewal, of an idle worker. */
     REMOVE_SILENT_MS = 20000,
@@ -358,12 +363,16 @@
     w->checked_in_at = d->now; /* do not repeat the proposal at once */
 }
 
-/* A host may be switched off with its worker: then nothing refuses. */
+/*
+ * A host may be switched off with its worker: then nothing refuses. An order
+ * has to have failed, as this process may have been the silent one.
+ */
 static bool
 has_left(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
 {
-    return w->left_at != 0 &&
-           d->now - MAX(w->left_at, w->answered_at) >= LEFT_SILENT_MS;
+    return w->left_at != 0 && w->suspect_at != 0 &&
+           d->now - w->left_at >= LEFT_EXIT_MS &&
+           d->now - w->answered_at >= LEFT_SILENT_MS;
 }
 
 void
