A carrier that was paused sends no orders of before

Change: a receipt has the carrier's clock; the leader returns it with each batch; orders for which it is over 2 s ago are refused as not sent and counted (carry_stale_total). Metric carriers_answering.

--- a/include/jayrelay/carrier.h
+++ b/include/jayrelay/carrier.h
@@ -9,6 +9,11 @@
  * answer back; so an order that a carrier delays is an order that the network
  * delayed, and two carriers never compete for a worker.
  *
+ * That holds for a bounded time. Each receipt of a carrier has the time of its
+ * clock, which the leader returns with the orders. A carrier that was paused,
+ * or gets them late, finds them stale by its own clock, and does not send
+ * them.
+ *
  * A worker is served by a carrier in its availability zone if there is one.
  * A carrier that does not answer the leader gets no orders; a worker that a
  * carrier can't reach gets its next orders from another one.
@@ -38,11 +43,22 @@
 
 /**
  * jr_carriers_heard - a carrier answered the leader; an unknown one is added
+ * @clock_ms: the time of its clock when it did
  *
  * Further ones than JR_CARRIERS_MAX are ignored.
  */
 void jr_carriers_heard(jr_carriers_t *carriers, const char *name,
-                       const char *zone, int64_t now);
+                       const char *zone, int64_t clock_ms, int64_t now);
+
+/** jr_carriers_clock - time of a carrier's clock in its latest answer */
+int64_t jr_carriers_clock(const jr_carriers_t *carriers, int carrier);
+
+/**
+ * jr_carried_is_stale - were these orders on the way for too long?
+ * @heard_ms: as the leader returned it; 0 from earlier versions, never stale
+ * @clock_ms: the clock of the carrier now
+ */
+bool jr_carried_is_stale(int64_t heard_ms, int64_t clock_ms);
 
 /**
  * jr_carriers_choose - choose a carrier for an order
--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -110,6 +110,8 @@
       "orders sent to workers for the leader")                                \
     X(CARRY_REFUSED, "carry_refused_total",                                   \
       "orders not sent for the leader: too many are open")                    \
+    X(CARRY_STALE, "carry_stale_total",                                       \
+      "orders not sent for the leader: they were on the way for too long")    \
     X(CARRY_EXPIRED, "carry_expired_total",                                   \
       "orders of which a carrier gave no answer in time")                     \
     X(RUNS_ENDED_DONE, "runs_done_total", "runs that ended as done")          \
--- a/src/carrier/carrier.c
+++ b/src/carrier/carrier.c
@@ -14,6 +14,12 @@
      * may be cut off from it.
      */
     AVOID_MS = 3000,
+    /*
+     * From a receipt to the sending of an order that the leader gave after it.
+     * Far more than a receipt every 150 ms and SILENT_MS need, and far less
+     * than the time after which the dispatcher expects no late order.
+     */
+    STALE_MS = 2000,
     /* The leader itself stood still: carriers may have answered meanwhile. */
     STALL_MS = 200,
     /* With more workers the leader leaves also those of its zone to others. */
@@ -24,6 +30,7 @@
     char name[JR_NAME_BYTES];
     char zone[JR_NAME_BYTES];
     int64_t heard_at;
+    int64_t clock_ms; /* of the carrier, in its latest answer */
 } carrier_t;
 
 /* Carriers that did not reach a worker lately. */
@@ -133,7 +140,7 @@
 
 void
 jr_carriers_heard(jr_carriers_t *carriers, const char *name, const char *zone,
-                  int64_t now)
+                  int64_t clock_ms, int64_t now)
 {
     int known = jr_carriers_find(carriers, name);
     carrier_t *carrier =
@@ -146,6 +153,21 @@
     g_strlcpy(carrier->name, name, sizeof carrier->name);
     g_strlcpy(carrier->zone, zone, sizeof carrier->zone);
     carrier->heard_at = now;
+    carrier->clock_ms = clock_ms;
+}
+
+int64_t
+jr_carriers_clock(const jr_carriers_t *carriers, int carrier)
+{
+    return carriers->carriers[carrier].clock_ms;
+}
+
+/* After a restart of its host, a carrier's clock may be behind. */
+bool
+jr_carried_is_stale(int64_t heard_ms, int64_t clock_ms)
+{
+    return heard_ms != 0 &&
+           (heard_ms > clock_ms || clock_ms - heard_ms > STALE_MS);
 }
 
 static avoided_t *
--- a/src/carrier/carrier_test.cc
+++ b/src/carrier/carrier_test.cc
@@ -15,6 +15,8 @@
 constexpr size_t kMany = 1100;
 constexpr int64_t kTickMs = 10;
 constexpr int64_t kSilentMs = 700;
+constexpr int64_t kClockAhead = 50000; /* of a carrier, to the leader's */
+constexpr int64_t kStaleMs = 2000;
 
 class CarrierTest : public ::testing::Test {
   protected:
@@ -35,7 +37,7 @@
     void
     Hear(const char *name, const char *zone)
     {
-        jr_carriers_heard(carriers_, name, zone, now_);
+        jr_carriers_heard(carriers_, name, zone, now_ + kClockAhead, now_);
     }
 
     /* Time passes in the leader's loop. */
@@ -154,6 +156,27 @@
     EXPECT_EQ(Choose("w", "b", kMany), "self");
 }
 
+/*
+ * Guards against a carrier that was paused and then sends orders of before,
+ * when the dispatcher expects none of them any more.
+ */
+TEST_F(CarrierTest, OrdersThatWaitedInAPausedCarrierAreStale)
+{
+    int64_t heard;
+
+    Hear("b1", "b");
+    heard = jr_carriers_clock(carriers_, jr_carriers_find(carriers_, "b1"));
+    EXPECT_EQ(heard, now_ + kClockAhead);
+    EXPECT_FALSE(jr_carried_is_stale(heard, heard));
+    EXPECT_FALSE(jr_carried_is_stale(heard, heard + kStaleMs));
+    EXPECT_TRUE(jr_carried_is_stale(heard, heard + kStaleMs + 1));
+    EXPECT_TRUE(jr_carried_is_stale(heard, heard - 1)); /* it restarted */
+    EXPECT_FALSE(jr_carried_is_stale(0, heard)); /* an earlier version */
+    Pass(100);
+    Hear("b1", "b");
+    EXPECT_EQ(jr_carriers_clock(carriers_, 0), heard + 100);
+}
+
 /* Guards against retries through the one carrier that is cut off. */
 TEST_F(CarrierTest, AWorkerThatACarrierDoesNotReachGetsAnother)
 {
--- a/src/control/carry.c
+++ b/src/control/carry.c
@@ -237,6 +237,7 @@
     Jr__Envelope envelope = JR__ENVELOPE__INIT;
 
     batch.session = carry->session;
+    batch.heard_ms = jr_carriers_clock(carry->carriers, carrier);
     batch.n_orders = orders->len;
     batch.orders = borrow_all(control->ctx, orders);
     envelope.body_case = JR__ENVELOPE__BODY_ORDER_BATCH;
@@ -325,12 +326,19 @@
     if (batch->session != carry->session) {
         return; /* for an earlier process at this address */
     }
-    jr_carriers_heard(carry->carriers, batch->name, batch->zone, now);
+    jr_carriers_heard(carry->carriers, batch->name, batch->zone,
+                      batch->clock_ms, now);
     for (size_t i = 0; i < batch->n_answers; i++) {
         take_answer(carry, &batch->answers[i], now);
     }
 }
 
+size_t
+jr_carry_n_answering(const jr_carry_t *carry, int64_t now)
+{
+    return jr_carriers_count(carry->carriers, now);
+}
+
 static jr_carry_session_t *
 get_session(jr_carry_t *carry, uint64_t number)
 {
@@ -360,6 +368,7 @@
     batch.session = session->number;
     batch.name = control->settings.name;
     batch.zone = control->settings.zone;
+    batch.clock_ms = jr_clock_ms();
     batch.n_answers = session->answers->len;
     batch.answers = borrow_all(control->ctx, session->answers);
     envelope.body_case = JR__ENVELOPE__BODY_ANSWER_BATCH;
@@ -406,17 +415,18 @@
 }
 
 static void
-refuse_order(jr_carry_session_t *session, uint64_t serial)
+refuse_order(jr_carry_session_t *session, uint64_t serial,
+             jr_counter_t counter)
 {
     jr_answer_t unreached = {.kind = JR_ANSWER_UNREACHED};
 
-    jr_count(session->control->ctx, JR_C_CARRY_REFUSED);
+    jr_count(session->control->ctx, counter);
     queue_answer(session, serial, &unreached);
 }
 
 static void
 carry_order(jr_carry_t *carry, jr_carry_session_t *session,
-            const ProtobufCBinaryData *packed)
+            const ProtobufCBinaryData *packed, int64_t heard_ms)
 {
     jr_ctx_t *ctx = carry->control->ctx;
     Jr__Order *message = jr__order__unpack(NULL, packed->len, packed->data);
@@ -429,7 +439,10 @@
                message != NULL ? ctx->error.text : "it can't be unpacked");
     }
     else if (carry->n_carried >= CARRIED_MAX || carry->control->is_draining) {
-        refuse_order(session, order.serial);
+        refuse_order(session, order.serial, JR_C_CARRY_REFUSED);
+    }
+    else if (jr_carried_is_stale(heard_ms, jr_clock_ms())) {
+        refuse_order(session, order.serial, JR_C_CARRY_STALE);
     }
     else {
         jr_count(ctx, JR_C_ORDERS_CARRIED);
@@ -451,7 +464,7 @@
     session->route = *route;
     session->used_at = jr_clock_ms();
     for (size_t i = 0; i < batch->n_orders; i++) {
-        carry_order(carry, session, &batch->orders[i]);
+        carry_order(carry, session, &batch->orders[i], batch->heard_ms);
     }
     /* A process that shuts down gives no receipts, so it gets no orders. */
     if (batch->n_orders == 0 && !carry->control->is_draining) {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -174,6 +174,8 @@
                         const Jr__OrderBatch *batch);
 /** jr_carry_on_answers - a carrier answered */
 void jr_carry_on_answers(jr_carry_t *carry, const Jr__AnswerBatch *batch);
+/** jr_carry_n_answering - processes that send orders for this leader */
+size_t jr_carry_n_answering(const jr_carry_t *carry, int64_t now);
 /** jr_carry_flush - send the answers for other leaders */
 void jr_carry_flush(jr_carry_t *carry);
 
--- a/src/control/status.c
+++ b/src/control/status.c
@@ -47,6 +47,8 @@
         {"config_version", "configuration in force", 0.0},
         {"voters_whole",
          "of group 0, on its leader: voters with every committed entry", 0.0},
+        {"carriers_answering",
+         "on the leader of jobs: processes that send its orders", 0.0},
     };
     jr_jobs_t *jobs =
         control->groups[0] != NULL ? jr_group_jobs(control->groups[0]) : NULL;
@@ -55,6 +57,10 @@
         gauges[7].value = (double)jr_quorum_whole_voters(
             jr_group_quorum(control->groups[0]));
     }
+    if (control->carry != NULL) {
+        gauges[8].value =
+            (double)jr_carry_n_answering(control->carry, jr_clock_ms());
+    }
     if (jobs != NULL) {
         const jr_job_t *job;
 
--- a/src/gen/net/wire.pb-c.c
+++ b/src/gen/net/wire.pb-c.c
@@ -2455,7 +2455,7 @@
   (ProtobufCMessageInit) jr__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__order_batch__field_descriptors[2] =
+static const ProtobufCFieldDescriptor jr__order_batch__field_descriptors[3] =
 {
   {
     "session",
@@ -2481,15 +2481,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heard_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__OrderBatch, heard_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__order_batch__field_indices_by_name[] = {
+  2,   /* field[2] = heard_ms */
   1,   /* field[1] = orders */
   0,   /* field[0] = session */
 };
 static const ProtobufCIntRange jr__order_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor jr__order_batch__descriptor =
 {
@@ -2499,7 +2512,7 @@
   "Jr__OrderBatch",
   "jr",
   sizeof(Jr__OrderBatch),
-  2,
+  3,
   jr__order_batch__field_descriptors,
   jr__order_batch__field_indices_by_name,
   1,  jr__order_batch__number_ranges,
@@ -2699,7 +2712,7 @@
   (ProtobufCMessageInit) jr__order_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__answer_batch__field_descriptors[4] =
+static const ProtobufCFieldDescriptor jr__answer_batch__field_descriptors[5] =
 {
   {
     "session",
@@ -2749,9 +2762,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__AnswerBatch, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__answer_batch__field_indices_by_name[] = {
   3,   /* field[3] = answers */
+  4,   /* field[4] = clock_ms */
   1,   /* field[1] = name */
   0,   /* field[0] = session */
   2,   /* field[2] = zone */
@@ -2759,7 +2785,7 @@
 static const ProtobufCIntRange jr__answer_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor jr__answer_batch__descriptor =
 {
@@ -2769,7 +2795,7 @@
   "Jr__AnswerBatch",
   "jr",
   sizeof(Jr__AnswerBatch),
-  4,
+  5,
   jr__answer_batch__field_descriptors,
   jr__answer_batch__field_indices_by_name,
   1,  jr__answer_batch__number_ranges,
--- a/src/gen/net/wire.pb-c.h
+++ b/src/gen/net/wire.pb-c.h
@@ -335,10 +335,14 @@
    */
   size_t n_orders;
   ProtobufCBinaryData *orders;
+  /*
+   * Of the receiver's clock, from its latest receipt; 0: earlier versions.
+   */
+  int64_t heard_ms;
 };
 #define JR__ORDER_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__order_batch__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0 }
 
 
 struct  Jr__RunningRun
@@ -392,10 +396,14 @@
    */
   size_t n_answers;
   ProtobufCBinaryData *answers;
+  /*
+   * of the sender, monotonic
+   */
+  int64_t clock_ms;
 };
 #define JR__ANSWER_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__answer_batch__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0 }
 
 
 typedef enum {
--- a/tests/jobs_test.sh
+++ b/tests/jobs_test.sh
@@ -23,7 +23,7 @@
 control_settings() { # IP FIRST_START
     cat > "$dir/control-$1.yaml" <<YAML
 name: "$1:$bus"
-zone: z
+zone: ${control_zone:-z}
 bus: "$1:$bus"
 http: "$1:$control_port"
 data: "$dir/data-$1"
@@ -273,6 +273,45 @@
     ! kill -0 "$1" 2> /dev/null
 }
 
+metric() { # IP NAME: prints a counter of a control process
+    curl -s --noproxy '*' -m 4 "http://$1:$control_port/metrics" |
+        awk -v name="$2" '$1 ~ name "$" { print $2 }'
+}
+
+refused_stale() { # IP: succeeds if the process found orders stale
+    [ "$(metric "$1" carry_stale_total)" -gt 0 ]
+}
+
+# A process that sends the leader's orders is paused for longer than they may
+# wait. It sends none of those that it finds afterwards, and no task runs twice.
+case_frozen_carrier() {
+    local leader carrier n
+    control_zone=y # the workers are not in the leader's zone
+    start_cluster 200
+    submit 00000000000000a0
+    wait_until 20 is_state 00000000000000a0 completed ||
+        fail "the first job did not complete within 20 s"
+    leader=$(leader_ip)
+    carrier=$(for ip in $controls; do
+        echo "$(metric "$ip" orders_carried_total) $ip"
+    done | sort -n | tail -1 | cut -d ' ' -f 2)
+    [ "$carrier" != "$leader" ] || fail "the leader sent its own orders"
+    kill -STOP "${pids[control-$carrier]}"
+    for n in 1 2 3 4; do
+        submit "00000000000000a$n"
+    done
+    # The time for which orders may wait is 2 s.
+    sleep 3
+    kill -CONT "${pids[control-$carrier]}"
+    wait_until 10 refused_stale "$carrier" ||
+        fail "$carrier refused no stale order"
+    for n in 1 2 3 4; do
+        wait_until 20 is_state "00000000000000a$n" completed ||
+            fail "job $n did not complete within 20 s"
+    done
+    check_runs
+}
+
 "case_$2"
 echo "ok: $2"
 stop_all
