Tests of an overloaded leader in virtual time

Change: the simulated leader gets a number of orders and answers done in a step. 300 workers, 800 tasks a second for 6 s, 400 orders a second: no lease lapses, afterwards the queue drains and each task has started once, a new leader in the middle of it loses no run.

--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -347,6 +347,17 @@
     return now < stalled_until_;
 }
 
+bool
+Fleet::MayTakeAnswer()
+{
+    if (IsStalled() ||
+        (answers_per_step > 0 && answers_in_step_ >= answers_per_step)) {
+        return false;
+    }
+    answers_in_step_++;
+    return true;
+}
+
 void
 Fleet::TakeCommands()
 {
@@ -415,7 +426,9 @@
 {
     jr_order_t order;
 
-    while (jr_dispatch_take_order(dispatch, &order)) {
+    for (size_t n = 0; (orders_per_step == 0 || n < orders_per_step) &&
+                       jr_dispatch_take_order(dispatch, &order);
+         n++) {
         SentOrder sent = {};
         bool is_renewal = order.kind == JR_ORDER_RENEW;
 
@@ -733,7 +746,7 @@
         Receive(sent, worker);
     }
     if (!sent.is_answered && sent.give_up_at != 0 && sent.give_up_at <= now &&
-        !IsStalled()) {
+        MayTakeAnswer()) {
         GiveAnswer(sent, JR_ANSWER_UNKNOWN);
         sent.give_up_at = 0;
     }
@@ -753,7 +766,7 @@
             FillAnswer(sent, worker);
         }
     }
-    if (sent.answer_at != 0 && sent.answer_at <= now && !IsStalled()) {
+    if (sent.answer_at != 0 && sent.answer_at <= now && MayTakeAnswer()) {
         GiveAnswer(sent,
                    worker.is_partitioned && sent.answer != JR_ANSWER_UNREACHED
                        ? JR_ANSWER_UNKNOWN
@@ -893,6 +906,7 @@
         }
     }
     AdvanceWorkers();
+    answers_in_step_ = 0;
     if (now == stalled_until_) {
         StepLeader(); /* before it reads the answers of meanwhile */
     }
@@ -942,6 +956,12 @@
     return n;
 }
 
+uint64_t
+Fleet::Counter(jr_counter_t counter) const
+{
+    return ctx_->counters[counter];
+}
+
 size_t
 Fleet::StartsOf(const TaskName &task) const
 {
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -117,6 +117,7 @@
     /* Workers that are up and get tasks. */
     size_t Up() const;
     size_t StartsOf(const TaskName &task) const;
+    uint64_t Counter(jr_counter_t counter) const;
     /* A run that no order asked for, as if an order came late. */
     void StartStray(size_t worker, const TaskName &task, uint32_t attempt,
                     bool will_fail);
@@ -138,6 +139,9 @@
     bool ignores_tombstones = false;
     /* Report also what a start sent to an earlier incarnation begins. */
     bool checks_stale_starts = false;
+    /* What the leader gets done in a step; 0: everything. */
+    size_t orders_per_step = 0;
+    size_t answers_per_step = 0;
     bool has_churn = false;  /* for the histories: workers come and go */
     bool has_stalls = false; /* for the histories: the leader stands still */
     jr_jobs_t *jobs;
@@ -177,6 +181,7 @@
     void Step();
     void StepLeader();
     bool IsStalled() const;
+    bool MayTakeAnswer();
     void TakeCommands();
     void ApplyDue();
     void TakeOrders();
@@ -215,6 +220,7 @@
     uint64_t fence_ = 1;
     uint64_t epoch_ = 0; /* number of leader changes, part of serials */
     int64_t stalled_until_ = 0;
+    size_t answers_in_step_ = 0;
     std::deque<Proposal> proposals_;
     std::vector<SentOrder> sent_orders_;
     std::map<TaskName, size_t> starts_;
--- /dev/null
+++ b/src/dispatch/overload_test.cc
@@ -0,0 +1,88 @@
+/*
+ * A leader that gets less done than its work needs, in virtual time: orders
+ * and answers that it has no time for wait.
+ */
+#include <gtest/gtest.h>
+
+#include "fleet_test.h"
+
+namespace {
+
+constexpr size_t kWorkers = 300;
+constexpr uint32_t kTasks = 40; /* of a job */
+constexpr uint64_t kJobs = 120;
+constexpr int64_t kJobEveryMs = 50; /* twice what the leader can start */
+/*
+ * In a step of 10 ms: 400 orders a second, a third more than it takes to renew
+ * all leases in half their duration.
+ */
+constexpr size_t kOrders = 4;
+constexpr size_t kAnswers = 8;
+constexpr int64_t kDrainMs = 90000;
+
+/* Load: 800 tasks a second for six seconds, each of half a second. */
+void
+Overload(Fleet *fleet, uint64_t n_jobs)
+{
+    fleet->Run(3000);
+    fleet->orders_per_step = kOrders;
+    fleet->answers_per_step = kAnswers;
+    for (uint64_t id = 1; id <= n_jobs; id++) {
+        fleet->Submit(id, {MakeStep(kTasks)});
+        fleet->Run(kJobEveryMs);
+    }
+}
+
+/* Guards against runs that are lost since starts go before renewals. */
+TEST(OverloadTest, NoLeaseLapsesAtTwiceTheLoadThatTheLeaderCanStart)
+{
+    Fleet fleet(1, kWorkers);
+    size_t n_waiting = 0;
+
+    Overload(&fleet, kJobs);
+    for (uint64_t id = 1; id <= kJobs; id++) {
+        n_waiting += jr_job_is_live(jr_jobs_find(fleet.jobs, id));
+    }
+    EXPECT_GT(n_waiting, kJobs / 3) << "the leader is not overloaded";
+    EXPECT_EQ(fleet.Counter(JR_C_EXPIRIES), 0u);
+    EXPECT_EQ(fleet.Counter(JR_C_RUNS_RELEASED), 0u);
+    EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
+}
+
+/* Guards against an overload that keeps itself alive by what it repeats. */
+TEST(OverloadTest, TheQueueDrainsOnceTheLoadIsOver)
+{
+    Fleet fleet(2, kWorkers);
+
+    Overload(&fleet, kJobs);
+    fleet.Run(kDrainMs);
+    for (uint64_t id = 1; id <= kJobs; id++) {
+        EXPECT_EQ(fleet.State(id), JR_JOB_DONE) << "job " << id;
+    }
+    for (uint64_t id = 1; id <= kJobs; id++) {
+        for (uint32_t i = 0; i < kTasks; i++) {
+            EXPECT_EQ(fleet.StartsOf({id, 0, 0, i}), 1u);
+        }
+    }
+    EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
+}
+
+/*
+ * Guards against a take-over that is the load which ends the next leadership:
+ * the new leader keeps the leases that it finds.
+ */
+TEST(OverloadTest, AnOverloadedLeaderTakesOverWithoutLosingRuns)
+{
+    Fleet fleet(3, kWorkers);
+
+    Overload(&fleet, kJobs / 2);
+    fleet.ChangeLeader(true);
+    fleet.Run(kDrainMs);
+    EXPECT_EQ(fleet.Counter(JR_C_EXPIRIES), 0u);
+    for (uint64_t id = 1; id <= kJobs / 2; id++) {
+        EXPECT_EQ(fleet.State(id), JR_JOB_DONE) << "job " << id;
+    }
+    EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
+}
+
+} // namespace
