--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -179,17 +179,11 @@
            jr_health_allows(d, w);
 }
 
-/*
- * An open renewal was sent before and may wait for long, so another one asks
- * at once; the answer to the earlier one is ignored.
- */
 void
 jr_tracked_worker_suspect(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
     if (w->suspect_at == 0) {
         w->suspect_at = d->now;
-        w->renewal_serial = 0;
-        w->renewal_at = d->now;
         jr_log(d->ctx, JR_EV_WORKER_SUSPECT, "worker=%s answered_ms_ago=%lld",
                w->worker->info->id, (long long)(d->now - w->answered_at));
     }
--- a/src/dispatch/worker_test.cc
+++ b/src/dispatch/worker_test.cc
@@ -345,35 +345,6 @@
     EXPECT_FALSE(IsGranted());
 }
 
-/*
- * Pattern: answers are lost, each worker every second or so. Guards against
- * workers that get no task, and no lease, until a renewal that was sent before
- * has waited for its time.
- */
-TEST_F(WorkerTest, AfterALostAnswerTheWorkerIsAskedAtOnce)
-{
-    jr_order_t waiting, start, renewal;
-    jr_answer_t unknown = {};
-
-    Tick(first_);
-    ExecuteOrders(first_);
-    Tick(first_);
-    waiting = TakeOrder(JR_ORDER_RENEW);
-    ASSERT_GT(waiting.as.renew.wait_ms, 0);
-    Submit();
-    start = TakeOrder(JR_ORDER_START);
-    unknown.kind = JR_ANSWER_UNKNOWN;
-    jr_dispatch_answer(first_.dispatch, start.serial, &unknown, now_);
-    renewal = TakeOrder(JR_ORDER_RENEW);
-    EXPECT_EQ(renewal.as.renew.wait_ms, 0);
-    EXPECT_EQ(renewal.as.renew.expires_ms, 0);
-    Execute(first_, renewal);
-    /* An answer to the earlier renewal counts for nothing now. */
-    Answer(waiting, JR_ANSWER_UNKNOWN);
-    renewal = TakeOrder(JR_ORDER_RENEW);
-    EXPECT_GT(renewal.as.renew.expires_ms, 0);
-}
-
 /*
  * Guards against tasks that are granted to a worker whose lease ran out while
  * it was cut off, and are released at once: ends that it lists are still on
