--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -480,9 +480,14 @@
         return;
     }
     for (const FleetWorker &other : workers) {
-        if (other.running.count(task) > 0) {
+        auto run = other.running.find(task);
+
+        if (run != other.running.end()) {
             AddViolation("task is started on " + worker.id +
-                         " while it runs on " + other.id);
+                         " while it runs on " + other.id +
+                         (run->second.is_stale
+                              ? ", where a start for an earlier life began it"
+                              : ""));
         }
     }
     if (done_.count(task) > 0) {
