--- a/fakes/load/report.c
+++ b/fakes/load/report.c
@@ -169,7 +169,10 @@
         break;
     case CALL_REFUSED:
         t->refused++;
-        /* After several attempts, one that was not refused may have run. */
+        /*
+         * Only with a single attempt is the refusal known to be wrong: an
+         * earlier attempt without an answer may be the one that ran.
+         */
         t->false_not_run += runs > 0 && call->n_attempts == 1;
         break;
     case CALL_UNKNOWN:
--- a/include/jayrelay/ledger.h
+++ b/include/jayrelay/ledger.h
@@ -141,7 +141,8 @@
  * @generation: leadership generation that wrote the following fields
  * @granting: sum of the needs of its tasks with a proposed grant that is
  *            not yet applied
- * @use_ratio: moving average of measured to declared processor use
+ * @use_ratio: measured processor use of its tasks, as a share of what they
+ *             declare; a moving average
  * @cursor: task at which the current placement round continues
  * @is_skipped: none of its tasks can start in the current placement round
  */
--- a/src/control/identity_test.cc
+++ b/src/control/identity_test.cc
@@ -55,7 +55,7 @@
     EXPECT_EQ(control_.replica_id, id);
 }
 
-/* A new id was chosen, and written over the one that could not be read. */
+/* Guards against a new id that overwrites one which could not be read. */
 TEST_F(IdentityTest, AnIdThatCannotBeReadIsKept)
 {
     ASSERT_EQ(symlink("replica", path_.c_str()), 0); /* a loop */
--- a/src/control/messages.c
+++ b/src/control/messages.c
@@ -16,8 +16,9 @@
 }
 
 /*
- * A process that sends consensus messages can tell who leads. One that lost
- * its disk still gets those for its earlier replica.
+ * A process that sends consensus messages can tell who leads, so requests may
+ * go to it. After a lost disk this is how the new replica finds the group: the
+ * messages for the earlier replica still arrive.
  */
 static void
 add_sender_as_peer(jr_control_t *control, const char *name)
--- /dev/null
+++ b/src/dispatch/fleet_check_test.cpp
@@ -0,0 +1,158 @@
+/* Checks of safety invariants in the simulation of workers. */
+#include "fleet_test.h"
+
+TaskName
+NameOf(const Jr__JobRun &run)
+{
+    return {run.job, run.occurrence, run.step, run.index};
+}
+
+std::string
+TextOf(const TaskName &task)
+{
+    return "task " + std::to_string(task.job) + "." +
+           std::to_string(task.occurrence) + "." + std::to_string(task.step) +
+           "." + std::to_string(task.index);
+}
+
+void
+Fleet::AddViolation(const std::string &what)
+{
+    violations.push_back(std::to_string(now) + ": " + what);
+}
+
+/*
+ * Records the tasks that are done, and failed attempts, so that a later start
+ * of a task that may not start again is reported. An end does not count when
+ * the worker's lease had lapsed before the end was in the log: the task may
+ * then have been started elsewhere.
+ */
+void
+Fleet::RecordEnds(const Jr__JobEnds *ends)
+{
+    const FleetWorker *worker = FindWorker(ends->worker);
+
+    for (size_t i = 0; i < ends->n_ends; i++) {
+        TaskName name = NameOf(*ends->ends[i]->run);
+        jr_job_task_t *task = jr_jobs_task(jobs, ends->ends[i]->run);
+
+        if (task == nullptr || jr_task_step(task)->service) {
+            continue;
+        }
+        for (const FleetEnd &end : worker->ended) {
+            if (end.task < name || name < end.task ||
+                end.attempt != ends->ends[i]->run->attempt || end.is_void ||
+                (end.is_stale && has_churn && !checks_stale_starts)) {
+                continue;
+            }
+            if (end.how == JR__JOB_END__HOW__DONE) {
+                done_.insert(name);
+            }
+            else if (end.how == JR__JOB_END__HOW__FAILED) {
+                failed_[name].insert(end.attempt);
+            }
+        }
+    }
+}
+
+void
+Fleet::CheckStart(const SentOrder &sent, const FleetWorker &worker)
+{
+    TaskName task = NameOf(sent.run);
+
+    /* An order to an earlier incarnation can't be revoked any more. */
+    if (sent.sent_at < worker.incarnation && !checks_stale_starts) {
+        return;
+    }
+    for (const FleetWorker &other : workers) {
+        auto run = other.running.find(task);
+
+        if (run != other.running.end()) {
+            AddViolation("task is started on " + worker.id +
+                         " while it runs on " + other.id +
+                         (run->second.is_stale
+                              ? ", where a start for an earlier life began it"
+                              : ""));
+        }
+    }
+    if (done_.count(task) > 0) {
+        AddViolation("task is started after its end is in the log");
+    }
+    if (failed_[task].size() >= allowed_failures_) {
+        AddViolation("task is started after its last allowed failure");
+    }
+    histories_[task].starts.push_back(now);
+    CheckHistory(task);
+}
+
+/*
+ * Acknowledged ends: no start after one that is done, nor after as many that
+ * failed as are allowed.
+ */
+void
+Fleet::CheckHistory(const TaskName &task)
+{
+    const jr_job_t *job = jr_jobs_find(jobs, task.job);
+    const FleetHistory &history = histories_[task];
+
+    if (job == nullptr || job->spec->steps[task.step]->service) {
+        return;
+    }
+    for (int64_t start : history.starts) {
+        size_t n_failed = 0;
+
+        for (int64_t end : history.done) {
+            if (end < start) {
+                AddViolation(TextOf(task) +
+                             " is started after an acknowledged end");
+            }
+        }
+        for (int64_t end : history.failed) {
+            n_failed += end < start;
+        }
+        if (n_failed >= allowed_failures_) {
+            AddViolation(TextOf(task) + " is started after " +
+                         std::to_string(n_failed) + " acknowledged failures");
+        }
+    }
+}
+
+void
+Fleet::CheckCapacity()
+{
+    for (const FleetWorker &worker : workers) {
+        int64_t used = 0;
+
+        for (const auto &[name, run] : worker.running) {
+            used += run.cpu;
+        }
+        if (used > worker.cpu) {
+            AddViolation(worker.id + " runs tasks of " + std::to_string(used) +
+                         " cpu_milli, capacity " + std::to_string(worker.cpu));
+        }
+    }
+}
+
+/* Two runs of a task at the same time, on workers that are up. */
+void
+Fleet::CheckDoubles()
+{
+    std::map<TaskName, const FleetWorker *> seen;
+
+    for (const FleetWorker &worker : workers) {
+        for (const auto &[name, run] : worker.running) {
+            auto [found, is_first] = seen.emplace(name, &worker);
+
+            if (is_first || doubled_.count(name) > 0) {
+                continue;
+            }
+            const FleetRun &other = found->second->running.at(name);
+
+            if (checks_stale_starts || (!run.is_stale && !other.is_stale)) {
+                AddViolation(TextOf(name) + " runs on " + worker.id +
+                             " and on " + found->second->id);
+                doubled_.insert(name);
+            }
+        }
+    }
+}
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -1,16 +1,12 @@
-/* Simulated workers that execute orders, and checks of safety invariants. */
+/* The simulation of workers: time, orders on their way, and the leader. */
 #include "fleet_test.h"
 
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 
-constexpr int64_t NEVER_MS = INT64_MAX / 2;
-
 enum {
-    LEASE_MS = 3000,
     TICK_MS = 10,
-    STOP_DELAY_MS = 150,
     LATE_ORDER_MIN_MS = 2000,
     LATE_ORDER_MAX_MS = 12000,
     ANSWER_TIMEOUT_MS = 600,
@@ -21,7 +17,6 @@
     SLOW_ANSWER_MS = 400,
     DRAIN_MS = 2000,
     DEFAULT_MAX_FAILURES = 3, /* of a queue that sets no limit */
-    EXIT_MAX_MS = 4000,       /* after it said that it leaves */
 };
 
 Jr__JobStep
@@ -35,26 +30,12 @@
     return step;
 }
 
-static TaskName
-NameOf(const Jr__JobRun &run)
-{
-    return {run.job, run.occurrence, run.step, run.index};
-}
-
-static std::string
-TextOf(const TaskName &task)
-{
-    return "task " + std::to_string(task.job) + "." +
-           std::to_string(task.occurrence) + "." + std::to_string(task.step) +
-           "." + std::to_string(task.index);
-}
-
 static jr_dispatch_t *
 NewDispatch(jr_ctx_t *ctx, jr_jobs_t *jobs)
 {
     jr_dispatch_options_t options = {};
 
-    options.lease_ms = LEASE_MS;
+    options.lease_ms = FLEET_LEASE_MS;
     options.drift_permille = 20;
     options.hold_wait_ms = 500;
     options.far_permille = 2000;
@@ -150,12 +131,6 @@
     }
 }
 
-void
-Fleet::AddViolation(const std::string &what)
-{
-    violations.push_back(std::to_string(now) + ": " + what);
-}
-
 void
 Fleet::Propose(Jr__JobCommand *command)
 {
@@ -299,34 +274,6 @@
     CheckIn(i, true);
 }
 
-void
-Fleet::AdvanceLeaving(size_t i)
-{
-    FleetWorker &worker = workers[i];
-
-    if (worker.leaves_at != 0 && worker.leaves_at <= now) {
-        Trace("leaves", worker.id, {}, 0);
-        worker.leaves_at = 0;
-        worker.exits_at =
-            now + static_cast<int64_t>(rng_() % (EXIT_MAX_MS + 1));
-        if (!worker.is_partitioned && !IsStalled() &&
-            jr_dispatch_left(dispatch, worker.id.c_str(), worker.incarnation,
-                             now)) {
-            Jr__JobCommand command = JR__JOB_COMMAND__INIT;
-            Jr__JobWorkerLeaving leaving = JR__JOB_WORKER_LEAVING__INIT;
-
-            leaving.id = worker.id.data();
-            leaving.born = worker.incarnation;
-            command.body_case = JR__JOB_COMMAND__BODY_WORKER_LEAVING;
-            command.worker_leaving = &leaving;
-            Propose(&command);
-        }
-    }
-    if (worker.exits_at != 0 && worker.exits_at <= now) {
-        Crash(i);
-    }
-}
-
 void
 Fleet::SetPartitioned(size_t i, bool is_partitioned)
 {
@@ -370,40 +317,6 @@
     }
 }
 
-/*
- * Records the tasks that are done, and failed attempts, so that a later start
- * of a task that may not start again is reported. An end does not count when
- * the worker's lease had lapsed before the end was in the log: the task may
- * then have been started elsewhere.
- */
-void
-Fleet::RecordEnds(const Jr__JobEnds *ends)
-{
-    const FleetWorker *worker = FindWorker(ends->worker);
-
-    for (size_t i = 0; i < ends->n_ends; i++) {
-        TaskName name = NameOf(*ends->ends[i]->run);
-        jr_job_task_t *task = jr_jobs_task(jobs, ends->ends[i]->run);
-
-        if (task == nullptr || jr_task_step(task)->service) {
-            continue;
-        }
-        for (const FleetEnd &end : worker->ended) {
-            if (end.task < name || name < end.task ||
-                end.attempt != ends->ends[i]->run->attempt || end.is_void ||
-                (end.is_stale && has_churn && !checks_stale_starts)) {
-                continue;
-            }
-            if (end.how == JR__JOB_END__HOW__DONE) {
-                done_.insert(name);
-            }
-            else if (end.how == JR__JOB_END__HOW__FAILED) {
-                failed_[name].insert(end.attempt);
-            }
-        }
-    }
-}
-
 void
 Fleet::ApplyDue()
 {
@@ -470,227 +383,6 @@
     }
 }
 
-void
-Fleet::CheckStart(const SentOrder &sent, const FleetWorker &worker)
-{
-    TaskName task = NameOf(sent.run);
-
-    /* An order to an earlier incarnation can't be revoked any more. */
-    if (sent.sent_at < worker.incarnation && !checks_stale_starts) {
-        return;
-    }
-    for (const FleetWorker &other : workers) {
-        auto run = other.running.find(task);
-
-        if (run != other.running.end()) {
-            AddViolation("task is started on " + worker.id +
-                         " while it runs on " + other.id +
-                         (run->second.is_stale
-                              ? ", where a start for an earlier life began it"
-                              : ""));
-        }
-    }
-    if (done_.count(task) > 0) {
-        AddViolation("task is started after its end is in the log");
-    }
-    if (failed_[task].size() >= allowed_failures_) {
-        AddViolation("task is started after its last allowed failure");
-    }
-    histories_[task].starts.push_back(now);
-    CheckHistory(task);
-}
-
-/*
- * Acknowledged ends: no start after one that is done, nor after as many that
- * failed as are allowed.
- */
-void
-Fleet::CheckHistory(const TaskName &task)
-{
-    const jr_job_t *job = jr_jobs_find(jobs, task.job);
-    const FleetHistory &history = histories_[task];
-
-    if (job == nullptr || job->spec->steps[task.step]->service) {
-        return;
-    }
-    for (int64_t start : history.starts) {
-        size_t n_failed = 0;
-
-        for (int64_t end : history.done) {
-            if (end < start) {
-                AddViolation(TextOf(task) +
-                             " is started after an acknowledged end");
-            }
-        }
-        for (int64_t end : history.failed) {
-            n_failed += end < start;
-        }
-        if (n_failed >= allowed_failures_) {
-            AddViolation(TextOf(task) + " is started after " +
-                         std::to_string(n_failed) + " acknowledged failures");
-        }
-    }
-}
-
-void
-Fleet::Acknowledge(FleetWorker &worker, uint64_t up_to)
-{
-    while (!worker.ended.empty() && worker.ended.front().number <= up_to) {
-        FleetEnd end = worker.ended.front();
-
-        Trace("acknowledged", worker.id, end.task, end.attempt);
-        worker.ended.pop_front();
-        if (end.is_void || (end.is_stale && !checks_stale_starts)) {
-            continue;
-        }
-        if (end.how == JR__JOB_END__HOW__DONE) {
-            histories_[end.task].done.push_back(end.ended_at);
-        }
-        else if (end.how == JR__JOB_END__HOW__FAILED) {
-            histories_[end.task].failed.push_back(end.ended_at);
-        }
-        CheckHistory(end.task);
-    }
-}
-
-/* A lease is never shortened, and never longer than the longest allowed. */
-void
-Fleet::Extend(FleetWorker &worker, int64_t expires_ms)
-{
-    worker.expires_ms =
-        std::max(worker.expires_ms,
-                 std::min(expires_ms, WorkerClock(worker) + LEASE_MS));
-}
-
-jr_answer_kind_t
-Fleet::ExecuteStart(SentOrder &sent, FleetWorker &worker)
-{
-    TaskName task = NameOf(sent.run);
-    auto found = worker.running.find(task);
-    auto tombstone = worker.tombstones.find(task);
-    jr_job_t *job = jr_jobs_find(jobs, task.job);
-    int64_t cpu = job->spec->steps[task.step]->cpu_milli;
-    int64_t used = cpu;
-
-    if (found != worker.running.end() &&
-        found->second.attempt == sent.run.attempt) {
-        return JR_ANSWER_DONE;
-    }
-    if (!ignores_tombstones && tombstone != worker.tombstones.end() &&
-        sent.run.attempt <= tombstone->second) {
-        Extend(worker, sent.expires_ms);
-        return JR_ANSWER_OLD_RUN;
-    }
-    if (!ignores_leases && sent.expires_ms <= WorkerClock(worker)) {
-        return JR_ANSWER_EXPIRED;
-    }
-    for (const auto &[name, run] : worker.running) {
-        used += run.cpu;
-    }
-    Extend(worker, sent.expires_ms);
-    if (used > worker.cpu) {
-        return JR_ANSWER_NO_CAPACITY;
-    }
-    CheckStart(sent, worker);
-    starts_[task]++;
-    Trace("starts", worker.id, task, sent.run.attempt);
-    worker.running[task] = {sent.run.attempt,
-                            task.job == long_running_job ? NEVER_MS
-                                                         : now + task_ms,
-                            0,
-                            Chance(faults.task_fails),
-                            cpu,
-                            now,
-                            sent.sent_at < worker.incarnation};
-    return JR_ANSWER_DONE;
-}
-
-jr_answer_kind_t
-Fleet::Execute(SentOrder &sent, FleetWorker &worker)
-{
-    TaskName task = NameOf(sent.run);
-
-    if (sent.kind == JR_ORDER_START && Chance(faults.unhealthy)) {
-        return JR_ANSWER_UNHEALTHY;
-    }
-    if (sent.fence < worker.fence && !ignores_fences) {
-        return JR_ANSWER_FENCED;
-    }
-    worker.fence = std::max(worker.fence, sent.fence);
-    switch (sent.kind) {
-    case JR_ORDER_START:
-        return ExecuteStart(sent, worker);
-    case JR_ORDER_STOP: {
-        auto found = worker.running.find(task);
-
-        Trace("stop", worker.id, task, sent.run.attempt);
-        worker.tombstones[task] =
-            std::max(worker.tombstones[task], sent.run.attempt);
-        if (found != worker.running.end() &&
-            found->second.attempt <= sent.run.attempt &&
-            found->second.stops_at == 0) {
-            found->second.stops_at = now + STOP_DELAY_MS;
-        }
-        return JR_ANSWER_DONE;
-    }
-    case JR_ORDER_RENEW:
-        Extend(worker, sent.expires_ms);
-        Acknowledge(worker, sent.ends_seen);
-        return JR_ANSWER_DONE;
-    case JR_ORDER_PACE: {
-        auto found = worker.running.find(task);
-
-        if (found != worker.running.end() &&
-            found->second.attempt == sent.run.attempt) {
-            found->second.pace = sent.pace;
-        }
-        return JR_ANSWER_DONE;
-    }
-    }
-    return JR_ANSWER_DONE;
-}
-
-void
-Fleet::FillAnswer(SentOrder &sent, const FleetWorker &worker)
-{
-    sent.clock_ms = WorkerClock(worker);
-    sent.incarnation = worker.incarnation;
-    sent.answer_at = now + sent.answer_delay;
-    if (sent.kind != JR_ORDER_RENEW || sent.answer != JR_ANSWER_DONE) {
-        return;
-    }
-    for (const auto &[name, run] : worker.running) {
-        jr_running_t row = {};
-
-        jr__job_run__init(&row.run);
-        row.run.job = name.job;
-        row.run.occurrence = name.occurrence;
-        row.run.step = name.step;
-        row.run.index = name.index;
-        row.run.attempt = run.attempt;
-        row.percent =
-            reported_percent != 0
-                ? reported_percent
-                : static_cast<uint32_t>(100 * (now - run.started_at) /
-                                        (run.ends_at - run.started_at + 1));
-        row.gauge = gauge_of ? gauge_of(worker, name) : reported_gauge;
-        sent.running.push_back(row);
-    }
-    for (const FleetEnd &end : worker.ended) {
-        jr_ended_t row = {};
-
-        jr__job_run__init(&row.run);
-        row.number = end.number;
-        row.run.job = end.task.job;
-        row.run.occurrence = end.task.occurrence;
-        row.run.step = end.task.step;
-        row.run.index = end.task.index;
-        row.run.attempt = end.attempt;
-        row.how = end.how;
-        sent.ended.push_back(row);
-    }
-}
-
 void
 Fleet::GiveAnswer(const SentOrder &sent, jr_answer_kind_t kind)
 {
@@ -796,97 +488,6 @@
     sent_orders_.insert(sent_orders_.end(), left.begin(), left.end());
 }
 
-void
-Fleet::StartStray(size_t worker, const TaskName &task, uint32_t attempt,
-                  bool will_fail)
-{
-    starts_[task]++;
-    workers[worker].running[task] = {attempt, now + task_ms, 0,   will_fail,
-                                     0,       now,           true};
-}
-
-void
-Fleet::EndRun(FleetWorker &worker, const TaskName &task, Jr__JobEnd__How how)
-{
-    const FleetRun run = worker.running[task];
-    uint32_t attempt = run.attempt;
-
-    worker.tombstones[task] = std::max(worker.tombstones[task], attempt);
-    Trace("ends", worker.id, task, attempt);
-    worker.ended.push_back({++worker.last_end_number, task, attempt, how,
-                            false, now, run.is_stale});
-    worker.running.erase(task);
-}
-
-void
-Fleet::AdvanceWorkers()
-{
-    for (FleetWorker &worker : workers) {
-        std::vector<std::pair<TaskName, Jr__JobEnd__How>> ends;
-        bool has_lapsed = !ignores_leases && worker.expires_ms > 0 &&
-                          worker.expires_ms <= WorkerClock(worker);
-
-        for (FleetEnd &end : worker.ended) {
-            end.is_void |= has_lapsed;
-        }
-        for (const auto &[name, run] : worker.running) {
-            if (has_lapsed) {
-                ends.push_back({name, JR__JOB_END__HOW__LAPSED});
-            }
-            else if (run.stops_at != 0 && run.stops_at <= now) {
-                ends.push_back({name, JR__JOB_END__HOW__STOPPED});
-            }
-            else if (run.ends_at <= now) {
-                ends.push_back({name, run.will_fail ? JR__JOB_END__HOW__FAILED
-                                                    : JR__JOB_END__HOW__DONE});
-            }
-        }
-        for (const auto &[name, how] : ends) {
-            EndRun(worker, name, how);
-        }
-    }
-}
-
-void
-Fleet::CheckCapacity()
-{
-    for (const FleetWorker &worker : workers) {
-        int64_t used = 0;
-
-        for (const auto &[name, run] : worker.running) {
-            used += run.cpu;
-        }
-        if (used > worker.cpu) {
-            AddViolation(worker.id + " runs tasks of " + std::to_string(used) +
-                         " cpu_milli, capacity " + std::to_string(worker.cpu));
-        }
-    }
-}
-
-/* Two runs of a task at the same time, on workers that are up. */
-void
-Fleet::CheckDoubles()
-{
-    std::map<TaskName, const FleetWorker *> seen;
-
-    for (const FleetWorker &worker : workers) {
-        for (const auto &[name, run] : worker.running) {
-            auto [found, is_first] = seen.emplace(name, &worker);
-
-            if (is_first || doubled_.count(name) > 0) {
-                continue;
-            }
-            const FleetRun &other = found->second->running.at(name);
-
-            if (checks_stale_starts || (!run.is_stale && !other.is_stale)) {
-                AddViolation(TextOf(name) + " runs on " + worker.id +
-                             " and on " + found->second->id);
-                doubled_.insert(name);
-            }
-        }
-    }
-}
-
 void
 Fleet::StepLeader()
 {
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -16,6 +16,8 @@
 #include "jayrelay/dispatch.h"
 }
 
+constexpr int64_t FLEET_LEASE_MS = 3000;
+
 /* Identifies a task, whatever its attempt. */
 struct TaskName {
     uint64_t job;
@@ -232,5 +234,8 @@
 };
 
 Jr__JobStep MakeStep(uint32_t count, uint32_t cpu = 1000);
+TaskName NameOf(const Jr__JobRun &run);
+/* For messages: "task JOB.OCCURRENCE.STEP.INDEX". */
+std::string TextOf(const TaskName &task);
 
 #endif
--- a/tests/fake_executor.py
+++ b/tests/fake_executor.py
@@ -18,6 +18,8 @@
 
 CPU_MILLI = 4000
 HEARTBEAT_INTERVAL_S = 0.5
+RETRY_DELAY_S = 0.1  # after a heartbeat that was not answered
+TICK_S = 0.01  # between two looks for tasks that are due to end
 STOP_S = 0.1
 
 
@@ -165,7 +167,7 @@
             time.sleep(HEARTBEAT_INTERVAL_S)
         except OSError:
             index += 1
-            time.sleep(0.1)
+            time.sleep(RETRY_DELAY_S)
 
 
 def main():
@@ -178,7 +180,7 @@
                      args=(executor, address, controls.split(","))).start()
     while True:
         executor.end_due_tasks()
-        time.sleep(0.01)
+        time.sleep(TICK_S)
 
 
 main()
