Failed renewals are logged while jobs are left out

Cause: found on reading the diff: orders without a job share the hash of job 0, so over budget all lines about failed renewals were left out or none. Change: lines about no job have the budget of their event.

--- a/include/jayrelay/ctx.h
+++ b/include/jayrelay/ctx.h
@@ -127,7 +127,7 @@
 
 /**
  * jr_log_job - write a log event about a job
- * @job: its id
+ * @job: its id; 0 for none, as jr_log()
  *
  * As jr_log(), but over budget whole jobs are left out, the same ones in all
  * processes and for all events: the lines about the others stay complete.
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -173,18 +173,23 @@
     jr_count(ctx, JR_C_LOG_LINES_LOST);
 }
 
+static bool
+is_within_budget(jr_ctx_t *ctx, jr_event_t event)
+{
+    return ++ctx->log_state.counts[jr_event_index(event)] <= LINES_PER_S ||
+           jr_event_severity(event) < SEVERITY_WARNING;
+}
+
 void
 jr_log(jr_ctx_t *ctx, jr_event_t event, const char *format, ...)
 {
-    int severity = jr_event_severity(event);
     va_list args;
 
-    if (ctx->log == NULL || severity > ctx->log_level) {
+    if (ctx->log == NULL || jr_event_severity(event) > ctx->log_level) {
         return;
     }
     renew_budgets(ctx);
-    if (++ctx->log_state.counts[jr_event_index(event)] > LINES_PER_S &&
-        severity >= SEVERITY_WARNING) {
+    if (!is_within_budget(ctx, event)) {
         leave_out(ctx);
         return;
     }
@@ -193,7 +198,7 @@
     va_end(args);
 }
 
-/* Of the jobs that more bits leave, fewer bits leave all. */
+/* With one bit more, half of the same jobs are still logged. */
 static bool
 is_job_logged(jr_log_state_t *state, uint64_t job)
 {
@@ -223,7 +228,8 @@
         return;
     }
     renew_budgets(ctx);
-    if (!is_job_logged(&ctx->log_state, job)) {
+    if (job != 0 ? !is_job_logged(&ctx->log_state, job)
+                 : !is_within_budget(ctx, event)) {
         leave_out(ctx);
         return;
     }
--- a/src/base/log_test.cc
+++ b/src/base/log_test.cc
@@ -139,6 +139,24 @@
     EXPECT_GE(ctx_->counters[JR_C_LOG_LINES_LOST], kJobs * kLines / 2);
 }
 
+/* Guards against failed renewals that are missing while jobs are left out. */
+TEST_F(LogTest, LinesAboutNoJobHaveTheBudgetOfTheirEvent)
+{
+    size_t n_lines;
+
+    ctx_->log_is_buffered = true;
+    for (uint64_t job = 1; job <= 5000; job++) {
+        jr_log_job(ctx_, JR_EV_RUN_CONFIRMED, job, "task=1");
+        std::string drained = Read();
+    }
+    for (int i = 0; i < 100; i++) {
+        jr_log_job(ctx_, JR_EV_ORDER_FAILED, 0, "task=0");
+    }
+    n_lines = CountLines(Read());
+    EXPECT_GE(n_lines, 100u);
+    EXPECT_LE(n_lines, 101u); /* with one about what was left out */
+}
+
 TEST_F(LogTest, LinesOverBudgetAreDroppedAndCounted)
 {
     ctx_->log_is_buffered = true;
