--- a/include/jayrelay/quorum.h
+++ b/include/jayrelay/quorum.h
@@ -289,14 +289,6 @@
  */
 bool jr_quorum_next_config(const jr_quorum_t *q, jr_config_t *next);
 
-/**
- * jr_quorum_commits_without_leader - do enough followers answer the leader
- *
- * Return: true if a majority of the voters answers besides the leader, so that
- * no commit waits for the leader's own disk.
- */
-bool jr_quorum_commits_without_leader(const jr_quorum_t *q);
-
 /**
  * jr_quorum_whole_voters - count the voters that hold every committed entry
  *
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -16,6 +16,8 @@
      * followers commit without it: so it syncs its own log less often.
      */
     LEADER_SYNC_GAP_MS = 40,
+    /* Fewer followers are no majority without their leader. */
+    MIN_FOLLOWERS_TO_DEFER = 2,
 };
 
 jr_result_t
@@ -207,6 +209,19 @@
                group->options.snapshot_every;
 }
 
+static size_t
+count_other_voters(const jr_group_t *group)
+{
+    const jr_config_t *config = jr_quorum_config(group->quorum);
+    size_t n = 0;
+
+    for (size_t i = 0; i < config->n; i++) {
+        n += config->members[i].voter &&
+             config->members[i].id != group->options.quorum.self;
+    }
+    return n;
+}
+
 /* A later sync covers the entries; until then the leader does not count. */
 static bool
 may_defer_sync(const jr_group_t *group, const jr_ready_t *ready)
@@ -214,7 +229,7 @@
     return may_send_early(group, ready) &&
            group->now - group->synced_at < LEADER_SYNC_GAP_MS &&
            !is_compaction_due(group) &&
-           jr_quorum_commits_without_leader(group->quorum);
+           count_other_voters(group) >= MIN_FOLLOWERS_TO_DEFER;
 }
 
 static bool
--- a/src/quorum/core.c
+++ b/src/quorum/core.c
@@ -364,9 +364,7 @@
 const jr_entry_t *
 jr_quorum_next_committed(jr_quorum_t *q)
 {
-    /* What the followers have committed need not be on the leader's disk. */
-    if (q->applied >= q->commit ||
-        (q->role != JR_LEADER && q->applied >= q->stable)) {
+    if (q->applied >= q->commit || q->applied >= q->stable) {
         return NULL;
     }
     q->applied++;
--- a/src/quorum/members.c
+++ b/src/quorum/members.c
@@ -359,20 +359,6 @@
     return n;
 }
 
-bool
-jr_quorum_commits_without_leader(const jr_quorum_t *q)
-{
-    int64_t limit_ms = ANSWERED_HEARTBEATS * q->options.heartbeat_ms;
-    size_t n_answering = 0;
-
-    for (size_t i = 0; i < q->config.n; i++) {
-        n_answering += q->config.members[i].voter &&
-                       q->config.members[i].id != q->options.self &&
-                       q->progress[i].acked_sent_at > q->now - limit_ms;
-    }
-    return n_answering > count_voters(&q->config) / 2;
-}
-
 static bool
 has_silent_voter(const jr_quorum_t *q)
 {
