Tests of members and of commands are split and share their set-up

With one line of the dispatcher off at a time grant_test is red: refusals without their worker, runs taken for granted on any worker, unknown grants kept.

--- a/src/dispatch/grant_test.cc
+++ b/src/dispatch/grant_test.cc
@@ -8,9 +8,7 @@
 #include <string>
 #include <vector>
 
-extern "C" {
-#include "jayrelay/dispatch.h"
-}
+#include "dispatch/commands_test.h"
 
 namespace {
 
@@ -18,18 +16,12 @@
 constexpr int64_t kBorn = 2;
 constexpr uint32_t kCpu = 4000; /* of a worker, and of each task */
 
-using Bytes = std::vector<uint8_t>;
-
 class GrantTest : public ::testing::Test {
   protected:
     void
     SetUp() override
     {
         jr_dispatch_options_t options = {};
-        Jr__JobQueue queue = JR__JOB_QUEUE__INIT;
-        Jr__JobQueue *queues[] = {&queue};
-        Jr__JobConfig config = JR__JOB_CONFIG__INIT;
-        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
 
         options.lease_ms = 3000;
         options.hold_wait_ms = 2000;
@@ -39,16 +31,7 @@
         jobs_ = jr_new_jobs(ctx_);
         dispatch_ = jr_new_dispatch(ctx_, &options, jobs_);
         jr_dispatch_lead(dispatch_, 1, now_);
-        queue.host = const_cast<char *>("h");
-        queue.prefix = const_cast<char *>("/q/");
-        queue.service = const_cast<char *>("s");
-        queue.max_failures = 3;
-        config.version = 1;
-        config.n_queues = 1;
-        config.queues = queues;
-        command.body_case = JR__JOB_COMMAND__BODY_CONFIG;
-        command.config = &config;
-        Apply(Pack(&command));
+        Apply(PackConfig(now_));
     }
 
     void
@@ -59,16 +42,6 @@
         jr_drop_ctx(ctx_);
     }
 
-    Bytes
-    Pack(Jr__JobCommand *command) const
-    {
-        Bytes bytes(jr__job_command__get_packed_size(command) + 20);
-
-        command->at_ms = now_;
-        bytes.resize(jr__job_command__pack(command, bytes.data()));
-        return bytes;
-    }
-
     void
     Apply(const Bytes &bytes)
     {
@@ -76,23 +49,9 @@
     }
 
     void
-    CheckIn(std::string id, bool is_draining = false)
+    CheckIn(const std::string &id, bool is_draining = false)
     {
-        Jr__JobWorker info = JR__JOB_WORKER__INIT;
-        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
-
-        info.id = id.data();
-        info.born = kBorn;
-        info.address = const_cast<char *>("10.0.0.1:1");
-        info.zone = const_cast<char *>("z");
-        info.service = const_cast<char *>("s");
-        info.machine = const_cast<char *>("m");
-        info.cpu_milli = kCpu;
-        info.memory_mb = 1000;
-        info.draining = is_draining;
-        command.body_case = JR__JOB_COMMAND__BODY_WORKER;
-        command.worker = &info;
-        Apply(Pack(&command));
+        Apply(PackWorker(id, kBorn, is_draining, now_));
     }
 
     void
@@ -105,30 +64,13 @@
         gone.born = kBorn;
         command.body_case = JR__JOB_COMMAND__BODY_WORKER_GONE;
         command.worker_gone = &gone;
-        Apply(Pack(&command));
+        Apply(PackCommand(&command, now_));
     }
 
     void
     Submit()
     {
-        Jr__JobStep step = JR__JOB_STEP__INIT;
-        Jr__JobStep *steps[] = {&step};
-        Jr__JobSpec spec = JR__JOB_SPEC__INIT;
-        Jr__JobSubmit submit = JR__JOB_SUBMIT__INIT;
-        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
-
-        step.count = 1;
-        step.cpu_milli = kCpu;
-        step.estimate_ms = 60000;
-        spec.id = 1;
-        spec.host = const_cast<char *>("h");
-        spec.prefix = const_cast<char *>("/q/");
-        spec.n_steps = 1;
-        spec.steps = steps;
-        submit.spec = &spec;
-        command.body_case = JR__JOB_COMMAND__BODY_SUBMIT;
-        command.submit = &submit;
-        Apply(Pack(&command));
+        Apply(PackSubmit(kCpu, now_));
     }
 
     /* Time passes; returns the proposals, which the log does not have yet. */
--- a/src/dispatch/health_test.cc
+++ b/src/dispatch/health_test.cc
@@ -86,6 +86,36 @@
     ExpectClean(fleet);
 }
 
+/* The task is released from the first worker and runs on the second. */
+static void
+ReleaseFirstRun(Fleet *fleet)
+{
+    fleet->task_ms = 60000;
+    fleet->SetPartitioned(1, true);
+    fleet->Submit(1, {MakeStep(1)});
+    fleet->Run(500);
+    ASSERT_EQ(fleet->workers[0].running.size(), 1u);
+    fleet->SetPartitioned(1, false);
+    fleet->workers[0].cpu = 500; /* the task fits no more */
+    fleet->Restart(0);
+    fleet->faults.task_fails = 100;
+    fleet->task_ms = 5000;
+    fleet->Run(3000);
+    ASSERT_EQ(fleet->workers[1].running.size(), 1u);
+}
+
+/* The released run fails after all: the third start is the last. */
+static void
+ExpectLateFailureCounts(Fleet *fleet)
+{
+    fleet->task_ms = 100;
+    fleet->StartStray(0, {1, 0, 0, 0}, 1, true);
+    fleet->Run(8000);
+    EXPECT_EQ(fleet->State(1), JR_JOB_FAILED);
+    EXPECT_EQ(fleet->StartsOf({1, 0, 0, 0}), 3u);
+    ExpectClean(*fleet);
+}
+
 /*
  * A run that was released fails later. Its failure was not counted, and the
  * task was started once too often.
@@ -94,24 +124,8 @@
 {
     Fleet fleet(1, 2, {.max_failures = 2});
 
-    fleet.task_ms = 60000;
-    fleet.SetPartitioned(1, true);
-    fleet.Submit(1, {MakeStep(1)});
-    fleet.Run(500);
-    ASSERT_EQ(fleet.workers[0].running.size(), 1u);
-    fleet.SetPartitioned(1, false);
-    fleet.workers[0].cpu = 500; /* the task fits no more */
-    fleet.Restart(0);
-    fleet.faults.task_fails = 100;
-    fleet.task_ms = 5000;
-    fleet.Run(3000);
-    ASSERT_EQ(fleet.workers[1].running.size(), 1u);
-    fleet.task_ms = 100;
-    fleet.StartStray(0, {1, 0, 0, 0}, 1, true);
-    fleet.Run(8000);
-    EXPECT_EQ(fleet.State(1), JR_JOB_FAILED);
-    EXPECT_EQ(fleet.StartsOf({1, 0, 0, 0}), 3u);
-    ExpectClean(fleet);
+    ReleaseFirstRun(&fleet);
+    ExpectLateFailureCounts(&fleet);
 }
 
 /*
@@ -122,26 +136,10 @@
 {
     Fleet fleet(1, 2, {.max_failures = 2});
 
-    fleet.task_ms = 60000;
-    fleet.SetPartitioned(1, true);
-    fleet.Submit(1, {MakeStep(1)});
-    fleet.Run(500);
-    ASSERT_EQ(fleet.workers[0].running.size(), 1u);
-    fleet.SetPartitioned(1, false);
-    fleet.workers[0].cpu = 500; /* the task fits no more */
-    fleet.Restart(0);
-    fleet.faults.task_fails = 100;
-    fleet.task_ms = 5000;
-    fleet.Run(3000);
-    ASSERT_EQ(fleet.workers[1].running.size(), 1u);
+    ReleaseFirstRun(&fleet);
     fleet.Restart(0);
     fleet.Run(20);
-    fleet.task_ms = 100;
-    fleet.StartStray(0, {1, 0, 0, 0}, 1, true);
-    fleet.Run(8000);
-    EXPECT_EQ(fleet.State(1), JR_JOB_FAILED);
-    EXPECT_EQ(fleet.StartsOf({1, 0, 0, 0}), 3u);
-    ExpectClean(fleet);
+    ExpectLateFailureCounts(&fleet);
 }
 
 TEST(HealthTest, AJobThatAlwaysFailsEndsAfterItsAttempts)
--- a/src/dispatch/worker_test.cc
+++ b/src/dispatch/worker_test.cc
@@ -7,9 +7,7 @@
 #include <string>
 #include <vector>
 
-extern "C" {
-#include "jayrelay/dispatch.h"
-}
+#include "dispatch/commands_test.h"
 
 namespace {
 
@@ -22,8 +20,6 @@
 constexpr int64_t kWorkerStartedMs = 400;
 constexpr int64_t kBorn = 2; /* its start time, on another clock */
 
-using Bytes = std::vector<uint8_t>;
-
 /* A worker whose clock is as slow as allowed. */
 struct Worker {
     std::string id = "w0";
@@ -99,21 +95,7 @@
     void
     SetUp() override
     {
-        Jr__JobQueue queue = JR__JOB_QUEUE__INIT;
-        Jr__JobQueue *queues[] = {&queue};
-        Jr__JobConfig config = JR__JOB_CONFIG__INIT;
-        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
-
-        queue.host = const_cast<char *>("h");
-        queue.prefix = const_cast<char *>("/q/");
-        queue.service = const_cast<char *>("s");
-        queue.max_failures = 3;
-        config.version = 1;
-        config.n_queues = 1;
-        config.queues = queues;
-        command.body_case = JR__JOB_COMMAND__BODY_CONFIG;
-        command.config = &config;
-        Apply(&command);
+        Apply(PackConfig(now_));
         CheckIn(false);
         jr_dispatch_lead(first_.dispatch, 1, now_);
     }
@@ -121,21 +103,7 @@
     void
     CheckIn(bool is_draining, int64_t born = kBorn)
     {
-        Jr__JobWorker info = JR__JOB_WORKER__INIT;
-        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
-
-        info.id = worker_.id.data();
-        info.born = born;
-        info.address = const_cast<char *>("10.0.0.1:1");
-        info.zone = const_cast<char *>("z");
-        info.service = const_cast<char *>("s");
-        info.machine = const_cast<char *>("m");
-        info.cpu_milli = 4000;
-        info.memory_mb = 1000;
-        info.draining = is_draining;
-        command.body_case = JR__JOB_COMMAND__BODY_WORKER;
-        command.worker = &info;
-        Apply(&command);
+        Apply(PackWorker(worker_.id, born, is_draining, now_));
     }
 
     void
@@ -148,35 +116,13 @@
     void
     Apply(Jr__JobCommand *command)
     {
-        Bytes bytes(jr__job_command__get_packed_size(command));
-
-        command->at_ms = now_;
-        bytes.resize(jr__job_command__get_packed_size(command));
-        jr__job_command__pack(command, bytes.data());
-        Apply(bytes);
+        Apply(PackCommand(command, now_));
     }
 
     void
     Submit()
     {
-        Jr__JobStep step = JR__JOB_STEP__INIT;
-        Jr__JobStep *steps[] = {&step};
-        Jr__JobSpec spec = JR__JOB_SPEC__INIT;
-        Jr__JobSubmit submit = JR__JOB_SUBMIT__INIT;
-        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
-
-        step.count = 1;
-        step.cpu_milli = 1000;
-        step.estimate_ms = 60000;
-        spec.id = 1;
-        spec.host = const_cast<char *>("h");
-        spec.prefix = const_cast<char *>("/q/");
-        spec.n_steps = 1;
-        spec.steps = steps;
-        submit.spec = &spec;
-        command.body_case = JR__JOB_COMMAND__BODY_SUBMIT;
-        command.submit = &submit;
-        Apply(&command);
+        Apply(PackSubmit(1000, now_));
     }
 
     void
--- a/src/quorum/members_test.cc
+++ b/src/quorum/members_test.cc
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <functional>
 #include <map>
 #include <queue>
 #include <random>
@@ -17,10 +16,7 @@
 #include <vector>
 
 #include "base/histories_test.h"
-
-extern "C" {
-#include "jayrelay/quorum.h"
-}
+#include "quorum/members_test.h"
 
 namespace {
 
@@ -37,43 +33,6 @@
 constexpr uint32_t kHistories = 100;
 constexpr int kSeeds = 3; /* machines whose addresses all are told */
 
-using Bytes = std::vector<uint8_t>;
-
-struct Entry {
-    uint64_t index;
-    uint64_t term;
-    jr_entry_kind_t kind;
-    Bytes data;
-};
-
-struct Disk {
-    uint64_t id = 0;
-    uint64_t term = 0;
-    uint64_t voted_for = 0;
-    std::vector<Entry> entries;
-};
-
-struct Machine {
-    Disk disk;
-    jr_quorum_t *q = nullptr;
-    int64_t up_at = 0;      /* while q is null */
-    int64_t lost_until = 0; /* its disk counts as lost */
-    int64_t next_join = 0;
-    std::set<int> peers; /* machines that it knows */
-    jr_join_ticket_t ticket = {};
-};
-
-struct Event {
-    int64_t at;
-    uint64_t order;
-    std::function<void()> run;
-    bool
-    operator<(const Event &o) const
-    {
-        return at != o.at ? at > o.at : order > o.order;
-    }
-};
-
 class History {
   public:
     History(uint32_t seed, size_t machines, size_t tolerate)
