jobs_frozen_carrier waits for what it needs instead of a fixed time

Cause: a last look found a fixed sleep in the case of the paused carrier. Change: the four jobs have to end while it is paused, which the case did not ask before; then it waits until the pause is longer than orders may wait.

--- a/tests/jobs_test.sh
+++ b/tests/jobs_test.sh
@@ -282,10 +282,14 @@
     [ "$(metric "$1" carry_stale_total)" -gt 0 ]
 }
 
+has_stopped_for() { # SECONDS SINCE: whole seconds, as $SECONDS counts them
+    [ $((SECONDS - $2)) -gt "$1" ]
+}
+
 # A process that sends the leader's orders is paused for longer than they may
 # wait. It sends none of those that it finds afterwards, and no task runs twice.
 case_frozen_carrier() {
-    local leader carrier n
+    local leader carrier n paused_at
     control_zone=y # the workers are not in the leader's zone
     start_cluster 200
     submit 00000000000000a0
@@ -297,18 +301,19 @@
     done | sort -n | tail -1 | cut -d ' ' -f 2)
     [ "$carrier" != "$leader" ] || fail "the leader sent its own orders"
     kill -STOP "${pids[control-$carrier]}"
+    paused_at=$SECONDS
     for n in 1 2 3 4; do
         submit "00000000000000a$n"
     done
+    for n in 1 2 3 4; do
+        wait_until 20 is_state "00000000000000a$n" completed ||
+            fail "job $n did not complete within 20 s without $carrier"
+    done
     # The time for which orders may wait is 2 s.
-    sleep 3
+    wait_until 10 has_stopped_for 3 "$paused_at"
     kill -CONT "${pids[control-$carrier]}"
     wait_until 10 refused_stale "$carrier" ||
         fail "$carrier refused no stale order"
-    for n in 1 2 3 4; do
-        wait_until 20 is_state "00000000000000a$n" completed ||
-            fail "job $n did not complete within 20 s"
-    done
     check_runs
 }
 
