--- a/fakes/load/report.c
+++ b/fakes/load/report.c
@@ -170,8 +170,8 @@
     case CALL_REFUSED:
         t->refused++;
         /*
-         * Only with a single attempt is the refusal known to be wrong: an
-         * earlier attempt without an answer may be the one that ran.
+         * After several attempts the refusal can be true of the last one,
+         * while an earlier one ran and its answer was lost.
          */
         t->false_not_run += runs > 0 && call->n_attempts == 1;
         break;
--- a/include/jayrelay/call.h
+++ b/include/jayrelay/call.h
@@ -61,7 +61,7 @@
  * @is_forwarded: received from another entry process; not forwarded again
  * @was_declined: a peer declined it; not forwarded a second time
  * @may_have_run: an attempt ended that is not known not to have run
- * @attempts: attempts sent, without those that a peer declined
+ * @attempts: attempts that were sent; one that a peer declined counts not
  * @attempt: number of the current attempt, 0 for none
  * @attempt_started: start time of that attempt, microseconds
  * @upstream: target of that attempt, or NULL when it was forwarded
--- a/include/jayrelay/ctx.h
+++ b/include/jayrelay/ctx.h
@@ -42,7 +42,7 @@
  * @suppressed: lines over budget in @second, not yet reported in the log
  * @second: the second, by the boot-time clock, for which @counts are valid
  * @counts: lines logged in @second, by index of the event in the table
- * @job_lines: lines about jobs in @second, with those that were left out
+ * @job_lines: lines about jobs in @second, logged or left out
  * @job_lines_kept: those of them that were logged
  * @job_bits: of 2 to this power jobs, one has its lines logged
  */
--- a/include/jayrelay/quorum.h
+++ b/include/jayrelay/quorum.h
@@ -200,8 +200,8 @@
 /**
  * jr_quorum_needs_join - should this replica request membership?
  *
- * True for a replica that is no member, and for one that has not heard a
- * leader for long: it may have been removed, of which nobody informs it.
+ * True for a replica that is no member. Also for one that has not heard a
+ * leader for long: nobody tells a replica that it was removed.
  */
 bool jr_quorum_needs_join(const jr_quorum_t *q);
 
@@ -292,8 +292,9 @@
 /**
  * jr_quorum_whole_voters - count the voters that hold every committed entry
  *
- * As the leader knows from those that answered it lately; 0 elsewhere. After a
- * host was replaced, the copies are whole when this is the number of voters.
+ * Only the leader knows; other replicas return 0. It counts the voters that
+ * answered lately. After a host was replaced, all copies are restored once the
+ * result is the number of voters.
  */
 size_t jr_quorum_whole_voters(const jr_quorum_t *q);
 
--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -253,8 +253,8 @@
 }
 
 /*
- * Cost of the task on this worker, or -1 for a best-effort task that must
- * wait, as it would harm services or get hardly any processors.
+ * Cost of the task on this worker. It is -1 if the task is a best-effort one
+ * that has to wait: it would slow services down, or get hardly any processors.
  */
 static int64_t
 cost(jr_dispatch_t *d, jr_tracked_worker_t *w, const request_t *request)
