A task of a lost worker has waited since the worker fell silent

A service that lost its worker waited for the lease, then 2 s more for capacity that is kept for short tasks: its wait was counted from the release only. A release now says how long the worker had been silent, and the wait counts from there; so after a lease has lapsed nothing is kept from it any more. A new leader counts from its election.

--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -50,7 +50,8 @@
  * @failures: runs that failed; the runs of a gang are counted as one
  * @checkpoint: checkpoint to resume from, owned, or NULL
  * @failed_on: id of the worker of the latest failure, owned, or NULL
- * @waiting_since: when the job was accepted or the latest run ended
+ * @waiting_since: when the job was accepted, the latest run ended, or its lost
+ *                 worker was last in contact
  * @worker: worker that the task is granted to, else NULL
  * @incarnation: start time of the worker's incarnation when the task was
  *               granted to it, else 0
--- a/src/dispatch/command.c
+++ b/src/dispatch/command.c
@@ -13,6 +13,15 @@
     STAILQ_INSERT_TAIL(&d->commands, queued, link);
 }
 
+/* 0 while the worker is in contact. */
+static int64_t
+silent_ms(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
+{
+    bool is_lost = w->has_ended || w->suspect_at != 0;
+
+    return is_lost ? d->now - MAX(w->answered_at, w->tracked_at) : 0;
+}
+
 static void
 propose_releases(jr_dispatch_t *d)
 {
@@ -32,6 +41,7 @@
         jr_run_name(run, &runs[i]);
         rows[i].run = &runs[i];
         rows[i].began = run->confirmed_at > 0;
+        rows[i].silent_ms = silent_ms(d, run->worker);
         rows[i].checkpoint = run->checkpoint != NULL ? run->checkpoint : none;
         body.releases[i] = &rows[i];
     }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -104,6 +104,7 @@
      * unacknowledged; 0: none.
      */
     int64_t suspect_at;
+    int64_t tracked_at;  /* when this leader first knew of it */
     int64_t answered_at; /* when the last answered renewal was sent */
     int64_t checked_in_at;
 
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -60,6 +60,7 @@
     w->incarnation = worker->info->born;
     w->fence_epoch = d->fence_epoch;
     w->renewal_at = d->now;
+    w->tracked_at = d->now;
     w->checked_in_at = d->now;
     w->orphans = g_array_new(FALSE, FALSE, sizeof(Jr__JobRun));
     w->listed_orphans = g_array_new(FALSE, FALSE, sizeof(Jr__JobRun));
--- a/src/gen/job/job.pb-c.c
+++ b/src/gen/job/job.pb-c.c
@@ -2468,7 +2468,7 @@
   (ProtobufCMessageInit) jr__job_ends__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_release__field_descriptors[3] =
+static const ProtobufCFieldDescriptor jr__job_release__field_descriptors[4] =
 {
   {
     "run",
@@ -2506,16 +2506,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "silent_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobRelease, silent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_release__field_indices_by_name[] = {
   2,   /* field[2] = began */
   1,   /* field[1] = checkpoint */
   0,   /* field[0] = run */
+  3,   /* field[3] = silent_ms */
 };
 static const ProtobufCIntRange jr__job_release__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor jr__job_release__descriptor =
 {
@@ -2525,7 +2538,7 @@
   "Jr__JobRelease",
   "jr",
   sizeof(Jr__JobRelease),
-  3,
+  4,
   jr__job_release__field_descriptors,
   jr__job_release__field_indices_by_name,
   1,  jr__job_release__number_ranges,
--- a/src/gen/job/job.pb-c.h
+++ b/src/gen/job/job.pb-c.h
@@ -368,10 +368,14 @@
   Jr__JobRun *run;
   char *checkpoint;
   protobuf_c_boolean began;
+  /*
+   * How long the lost worker had been silent: the task has waited since then.
+   */
+  int64_t silent_ms;
 };
 #define JR__JOB_RELEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__job_release__descriptor) \
-    , NULL, (char *)protobuf_c_empty_string, 0 }
+    , NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Jr__JobReleases
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -469,6 +469,18 @@
     return JR_OK;
 }
 
+/* The task of a lost worker has not run since the worker fell silent. */
+static void
+credit_wait(jr_job_task_t *task, int64_t silent_ms)
+{
+    int64_t since = task->waiting_since - silent_ms;
+
+    if (silent_ms > 0) {
+        task->waiting_since =
+            since > task->job->accepted_ms ? since : task->job->accepted_ms;
+    }
+}
+
 static jr_result_t
 apply_releases(jr_jobs_t *jobs, const Jr__JobReleases *releases)
 {
@@ -482,6 +494,7 @@
             jr_job_t *job = task->job;
 
             end_run(jobs, task, release->checkpoint, release->began);
+            credit_wait(task, release->silent_ms);
             notify_task(jobs, task);
             end_job_if_done(jobs, job);
             jr_job_trim(jobs, job);
