A late check-in does not take back a leave request

A host that is switched off refuses nothing, so the tasks then waited for a whole lease, and callers for as long.

That a worker drains is in the log and final, so such a check-in is late. The test was red before: the task was still granted 4.1 s after the request.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -519,7 +519,8 @@
     }
     if (known->local != NULL) {
         known->local->checked_in_at = d->now;
-        if (!info->draining) {
+        /* A worker that drains is never ready again: its check-in is late. */
+        if (!info->draining && !known->info->draining) {
             known->local->left_at = 0; /* of an earlier incarnation */
         }
     }
--- a/src/dispatch/worker_test.cc
+++ b/src/dispatch/worker_test.cc
@@ -355,6 +355,27 @@
     EXPECT_FALSE(worker_.HasLapsed(now_));
 }
 
+/*
+ * Guards against a check-in that was delayed and takes back the leave request:
+ * the tasks would wait for a whole lease.
+ */
+TEST_F(WorkerTest, ALateCheckInDoesNotTakeBackALeaveRequest)
+{
+    Jr__JobWorker *info;
+    Jr__JobCommand *command;
+    Bytes bytes = PackWorker(worker_.id, kBorn, false, now_);
+
+    StartTask();
+    CheckIn(true);
+    jr_dispatch_left(first_.dispatch, "w0", 0, now_);
+    command = jr__job_command__unpack(nullptr, bytes.size(), bytes.data());
+    info = command->worker;
+    jr_dispatch_checked_in(first_.dispatch, info, now_);
+    jr__job_command__free_unpacked(command, nullptr);
+    LoseConnections(first_, kLeftExitMs + 2 * kTickMs);
+    EXPECT_FALSE(IsGranted());
+}
+
 /*
  * Guards against a leader that was paused and then takes a leaving worker, of
  * which it heard nothing meanwhile, for one that has ended.
