Test: tasks that crash their workers; red

The simulated workers crash some time after the start of a deadly task and come back after 3 s; a task under which three have crashed may be started twice more.

--- /dev/null
+++ b/src/dispatch/crash_test.cc
@@ -0,0 +1,178 @@
+/* Tasks that crash each worker that runs them, and those that run beside. */
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "fleet_test.h"
+
+namespace {
+
+constexpr uint64_t kDeadlyJob = 1;
+constexpr TaskName kDeadlyTask = {kDeadlyJob, 0, 0, 0};
+constexpr uint64_t kServiceJob = 2;
+constexpr uint64_t kFirstInnocentJob = 10;
+constexpr uint64_t kInnocentJobs = 12;
+constexpr uint32_t kHistories = 60;
+
+void
+ExpectClean(const Fleet &fleet)
+{
+    for (const std::string &what : fleet.violations) {
+        ADD_FAILURE() << what;
+    }
+}
+
+/* The deadly task has a sibling. */
+void
+SubmitDeadlyJob(Fleet *fleet)
+{
+    fleet->deadly.insert(kDeadlyTask);
+    fleet->Submit(kDeadlyJob, {MakeStep(2)});
+}
+
+/* Guards against a task that crashes one worker after the other. */
+TEST(CrashTest, ATaskThatCrashesItsWorkersIsGivenUp)
+{
+    Fleet fleet(1, 6);
+
+    SubmitDeadlyJob(&fleet);
+    fleet.Run(60000);
+    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    EXPECT_EQ(fleet.CrashesUnder(kDeadlyTask), 2u);
+    EXPECT_EQ(fleet.Up(), 6u);
+    ExpectClean(fleet);
+}
+
+/* The same for a task that works for a while before each crash. */
+TEST(CrashTest, ATaskThatCrashesItsWorkersLateIsGivenUp)
+{
+    Fleet fleet(1, 6);
+
+    fleet.task_ms = 20000;
+    fleet.deadly_after_ms = 5000;
+    SubmitDeadlyJob(&fleet);
+    fleet.Run(120000);
+    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    ExpectClean(fleet);
+}
+
+/* The same for a service, which is otherwise restarted without a limit. */
+TEST(CrashTest, AServiceThatCrashesItsWorkersIsGivenUp)
+{
+    Fleet fleet(1, 6);
+    Jr__JobStep step = MakeStep(1);
+
+    step.service = true;
+    fleet.long_running_job = kDeadlyJob;
+    fleet.deadly.insert(kDeadlyTask);
+    fleet.Submit(kDeadlyJob, {step});
+    fleet.Run(60000);
+    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    ExpectClean(fleet);
+}
+
+/* Guards against a new leader that begins to count anew. */
+TEST(CrashTest, CrashesBeforeAChangeOfLeaderCount)
+{
+    Fleet fleet(1, 6);
+
+    SubmitDeadlyJob(&fleet);
+    for (int i = 0; i < 60; i++) {
+        fleet.Run(1000);
+        if (i % 4 == 0) {
+            fleet.ChangeLeader(true);
+        }
+    }
+    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    ExpectClean(fleet);
+}
+
+/* Guards against jobs that are given up since they ran beside a deadly task.
+ */
+TEST(CrashTest, TasksBesideADeadlyOneAreNotGivenUp)
+{
+    Fleet fleet(1, 6);
+    Jr__JobStep service = MakeStep(6);
+
+    service.service = true;
+    fleet.long_running_job = kServiceJob;
+    fleet.Submit(kServiceJob, {service});
+    fleet.Run(3000);
+    SubmitDeadlyJob(&fleet);
+    for (uint64_t i = 0; i < kInnocentJobs; i++) {
+        fleet.Submit(kFirstInnocentJob + i, {MakeStep(2)});
+    }
+    fleet.Run(60000);
+    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    EXPECT_EQ(fleet.Running(kServiceJob), 6u);
+    for (uint64_t i = 0; i < kInnocentJobs; i++) {
+        EXPECT_EQ(fleet.State(kFirstInnocentJob + i), JR_JOB_DONE);
+    }
+    ExpectClean(fleet);
+}
+
+/*
+ * Guards against a job that is given up since its workers are lost: here by
+ * crashes that the task has nothing to do with, long after its starts.
+ */
+TEST(CrashTest, AServiceOutlivesCrashesLongAfterItsStarts)
+{
+    Fleet fleet(1, 6);
+    Jr__JobStep step = MakeStep(1);
+
+    step.service = true;
+    fleet.long_running_job = kServiceJob;
+    fleet.Submit(kServiceJob, {step});
+    for (int i = 0; i < 12; i++) {
+        fleet.Run(40000);
+        for (size_t w = 0; w < fleet.workers.size(); w++) {
+            if (!fleet.workers[w].running.empty()) {
+                fleet.Crash(w);
+                fleet.Run(1000);
+                fleet.Restart(w);
+                break;
+            }
+        }
+    }
+    fleet.Run(5000);
+    EXPECT_EQ(fleet.State(kServiceJob), JR_JOB_RUNNING);
+    EXPECT_EQ(fleet.Running(kServiceJob), 1u);
+    ExpectClean(fleet);
+}
+
+/* Answers are lost, and leaders change, while workers crash. */
+void
+RunHistory(uint32_t seed)
+{
+    FleetFaults faults;
+    std::mt19937 rng(seed);
+
+    faults.lost_answer = 10;
+    faults.slow_answer = 5;
+    Fleet fleet(seed, 6, faults);
+    fleet.deadly_after_ms = rng() % 2 == 0 ? 10 : rng() % 400;
+    SubmitDeadlyJob(&fleet);
+    for (int i = 0; i < 60; i++) {
+        fleet.Run(1000);
+        if (rng() % 8 == 0) {
+            fleet.ChangeLeader(rng() % 2 == 0);
+        }
+        if (i < static_cast<int>(kInnocentJobs)) {
+            fleet.Submit(kFirstInnocentJob + static_cast<uint64_t>(i),
+                         {MakeStep(2)});
+        }
+    }
+    fleet.Run(20000);
+    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    ExpectClean(fleet);
+}
+
+TEST(CrashTest, DeadlyTasksAreNotStartedTooOften)
+{
+    for (uint32_t seed = 1; seed <= kHistories; seed++) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        RunHistory(seed);
+    }
+}
+
+} // namespace
--- a/src/dispatch/fleet_check_test.cpp
+++ b/src/dispatch/fleet_check_test.cpp
@@ -1,6 +1,11 @@
 /* Checks of safety invariants in the simulation of workers. */
 #include "fleet_test.h"
 
+enum {
+    CRASHES_MAX = 3, /* then a task is started at most so many times more: */
+    STARTS_AFTER_CRASHES_MAX = 2,
+};
+
 TaskName
 NameOf(const Jr__JobRun &run)
 {
@@ -156,3 +161,22 @@
         }
     }
 }
+
+size_t
+Fleet::CrashesUnder(const TaskName &task) const
+{
+    auto found = crashes_.find(task);
+
+    return found != crashes_.end() ? found->second : 0;
+}
+
+void
+Fleet::CheckCrashes(const TaskName &task)
+{
+    if (CrashesUnder(task) >= CRASHES_MAX &&
+        ++starts_after_crashes_[task] > STARTS_AFTER_CRASHES_MAX) {
+        AddViolation(TextOf(task) + " is started again and again, " +
+                     std::to_string(CrashesUnder(task)) +
+                     " workers crashed under it");
+    }
+}
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -231,6 +231,7 @@
     workers[i].clock_permille = SlowClock();
     workers[i].is_up = true;
     workers[i].is_draining = false;
+    workers[i].returns_at = 0;
     workers[i].leaves_at = 0;
     workers[i].exits_at = 0;
     workers[i].fence = 0;
@@ -505,6 +506,7 @@
     now += TICK_MS;
     for (size_t i = 0; i < workers.size(); i++) {
         AdvanceLeaving(i);
+        AdvanceCrashes(i);
     }
     if (now % CHECK_IN_MS == 0 && !IsStalled()) {
         for (size_t i = 0; i < workers.size(); i++) {
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -69,6 +69,7 @@
     bool is_replaced = false; /* another worker has its address */
     bool is_partitioned = false;
     bool is_draining = false;
+    int64_t returns_at = 0; /* a crashed worker, 0: never */
     int64_t leaves_at = 0;  /* announces that it leaves, 0: never */
     int64_t exits_at = 0;   /* 0: never */
     uint64_t fence = 0;     /* highest fencing token received */
@@ -124,6 +125,8 @@
 
     jr_job_state_t State(uint64_t id);
     size_t Running(uint64_t id) const;
+    /* Workers that crashed under the task. */
+    size_t CrashesUnder(const TaskName &task) const;
     /* Workers that are up and get tasks. */
     size_t Up() const;
     size_t StartsOf(const TaskName &task) const;
@@ -138,6 +141,9 @@
     FleetFaults faults;
     int64_t task_ms = 500;
     uint64_t long_running_job = 0; /* its tasks run until they are stopped */
+    std::set<TaskName> deadly;     /* crash each worker that runs them */
+    int64_t deadly_after_ms = 10;  /* from their start */
+    int64_t crashed_for_ms = 3000; /* then the worker comes back */
     int64_t log_delay_ms = 20;     /* from a proposal to its application */
     uint32_t reported_percent = 0; /* by every run; 0: its actual progress */
     uint32_t reported_gauge = 0;
@@ -205,6 +211,9 @@
     void Extend(FleetWorker &worker, int64_t expires_ms);
     void Acknowledge(FleetWorker &worker, uint64_t up_to);
     void AdvanceLeaving(size_t worker);
+    void AdvanceCrashes(size_t worker);
+    /* A start of a task under which workers crashed. */
+    void CheckCrashes(const TaskName &task);
     jr_answer_kind_t Execute(SentOrder &sent, FleetWorker &worker);
     jr_answer_kind_t ExecuteStart(SentOrder &sent, FleetWorker &worker);
     void EndRun(FleetWorker &worker, const TaskName &task,
@@ -240,6 +249,9 @@
     std::map<TaskName, std::set<uint32_t>> failed_;
     std::map<TaskName, FleetHistory> histories_;
     std::set<TaskName> doubled_; /* already reported */
+    std::map<TaskName, size_t> crashes_;
+    /* Starts after the third crash. */
+    std::map<TaskName, size_t> starts_after_crashes_;
 };
 
 Jr__JobStep MakeStep(uint32_t count, uint32_t cpu = 1000);
--- a/src/dispatch/fleet_worker_test.cpp
+++ b/src/dispatch/fleet_worker_test.cpp
@@ -70,6 +70,7 @@
         return JR_ANSWER_NO_CAPACITY;
     }
     CheckStart(sent, worker);
+    CheckCrashes(task);
     starts_[task]++;
     Trace("starts", worker.id, task, sent.run.attempt);
     worker.running[task] = {sent.run.attempt,
@@ -239,6 +240,25 @@
     }
 }
 
+void
+Fleet::AdvanceCrashes(size_t i)
+{
+    FleetWorker &worker = workers[i];
+
+    if (worker.returns_at != 0 && worker.returns_at <= now) {
+        Restart(i);
+    }
+    for (const auto &[task, run] : worker.running) {
+        if (deadly.count(task) > 0 &&
+            now >= run.started_at + deadly_after_ms) {
+            crashes_[task]++;
+            Crash(i);
+            worker.returns_at = now + crashed_for_ms;
+            return;
+        }
+    }
+}
+
 void
 Fleet::StartStray(size_t worker, const TaskName &task, uint32_t attempt,
                   bool will_fail)
