A task that crashes its workers is given up

Cause: the run was released without a trace in the task; only ends that a worker lists count against a task, and a crashed worker lists none.

A release now says that the worker crashed, and how long after the start. A worker that crashed twice in 20 s, or a run of an earlier leader, counts 1, as the cause is less clear. What ran beside the cause scores too: suspects are placed apart from each other and away from other work. A worker whose leases lapsed before it came back as another incarnation had crashed too; a cut-off worker had not. A start of unknown outcome is not sent again to a worker that can't be reached: it would crash the next incarnation, as the histories showed.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -120,6 +120,8 @@
       "runs that were stopped, lapsed or broken")                             \
     X(RUNS_RELEASED, "runs_released_total",                                   \
       "runs over without an end from their worker")                           \
+    X(WORKER_CRASHES, "worker_crashes_total",                                 \
+      "workers whose incarnation ended without notice")                       \
     X(RUNS_STALLED, "runs_stalled_total",                                     \
       "runs stopped since they made no progress")                             \
     X(RUNS_STRAY, "runs_stray_total", "runs that nobody granted, stopped")    \
--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -44,12 +44,20 @@
 
 struct jr_run;
 
+enum {
+    /* So soon after its start, a task is a likely cause of a crash, in ms. */
+    JR_CRASH_EARLY_MS = 2000,
+};
+
 /**
  * struct jr_job_task_t - one task of a job
  * @attempt: number of the latest run; increases with each grant
  * @failures: runs that failed; the runs of a gang are counted as one
  * @checkpoint: checkpoint to resume from, owned, or NULL
  * @failed_on: id of the worker of the latest failure, owned, or NULL
+ * @crash_score: rises with each worker that crashes under the task, the more
+ *               the sooner after the start; at a limit the job fails
+ * @crash_attempt: latest run that was counted in @crash_score
  * @waiting_since: when the job was accepted, the latest run ended, or its lost
  *                 worker was last in contact
  * @worker: worker that the task is granted to, else NULL
@@ -67,6 +75,8 @@
     jr_phase_t phase;
     uint32_t attempt;
     uint32_t failures;
+    uint32_t crash_score;
+    uint32_t crash_attempt;
     char *checkpoint;
     char *failed_on;
     int64_t waiting_since;
--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -10,8 +10,11 @@
     SERVICE_WEIGHT = 1,   /* per unit of headroom lost to best-effort tasks */
     SHORTFALL_WEIGHT = 2, /* per unit of headroom missing at peak load */
     SERVICE_USE = 450,    /* per mille of a service's processors in use */
-    FAILED_HERE_COST = 8000, /* its latest run failed on this worker */
-    STREAK_COST = 1500,      /* per recent failure here of another job */
+    FAILED_HERE_COST = 8000,    /* its latest run failed on this worker */
+    STREAK_COST = 1500,         /* per recent failure here of another job */
+    BESIDE_SUSPECT_COST = 4000, /* it may crash the worker again */
+    RECENT_CRASH_COST = 4000,   /* another crash here would prove less */
+    SUSPECT_BESIDE_COST = 100,  /* per run that would be lost then */
     /* Per thousandth of shortage; being slowed costs more than being far. */
     SHORTAGE_WEIGHT = 6,
     /* Per mille; beside other best-effort tasks, more makes a task wait. */
@@ -231,6 +234,26 @@
     return sum;
 }
 
+/* Keeps tasks apart under which a worker crashed, and others from them. */
+static int64_t
+crash_cost(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
+           const jr_job_task_t *task)
+{
+    int64_t sum = w->n_suspects > 0 ? BESIDE_SUSPECT_COST : 0;
+    const jr_run_t *run;
+
+    if (task->crash_score == 0) {
+        return sum;
+    }
+    if (jr_crash_is_recent(d, w)) {
+        sum += RECENT_CRASH_COST;
+    }
+    TAILQ_FOREACH (run, &w->runs, link) {
+        sum += SUSPECT_BESIDE_COST;
+    }
+    return sum;
+}
+
 static int64_t
 worker_cost(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
             const request_t *request)
@@ -249,7 +272,7 @@
     if (task->failures > 0) {
         sum += (int64_t)w->failure_streak * STREAK_COST;
     }
-    return sum;
+    return sum + crash_cost(d, w, task);
 }
 
 /*
--- a/src/dispatch/command.c
+++ b/src/dispatch/command.c
@@ -23,10 +23,22 @@
 }
 
 static void
-propose_releases(jr_dispatch_t *d)
+fill_release(const jr_dispatch_t *d, const jr_run_t *run, Jr__JobRelease *to)
 {
     static char none[] = "";
-    size_t n = d->releases->len;
+
+    jr_run_name(run, to->run);
+    to->began = run->confirmed_at > 0;
+    to->crashed_after_ms = run->crashed_after_ms;
+    to->silent_ms = silent_ms(d, run->worker);
+    to->checkpoint = run->checkpoint != NULL ? run->checkpoint : none;
+}
+
+static void
+propose_releases(jr_dispatch_t *d)
+{
+    size_t n_runs = d->releases->len;
+    size_t n = n_runs + d->crashes->len;
     Jr__JobReleases body = JR__JOB_RELEASES__INIT;
     Jr__JobCommand command = JR__JOB_COMMAND__INIT;
     Jr__JobRelease *rows = jr_alloc(d->ctx, n * sizeof *rows);
@@ -35,15 +47,19 @@
     body.releases = jr_alloc(d->ctx, n * sizeof(Jr__JobRelease *));
     body.n_releases = n;
     for (size_t i = 0; i < n; i++) {
-        const jr_run_t *run = g_ptr_array_index(d->releases, i);
-
         jr__job_release__init(&rows[i]);
-        jr_run_name(run, &runs[i]);
         rows[i].run = &runs[i];
-        rows[i].began = run->confirmed_at > 0;
-        rows[i].silent_ms = silent_ms(d, run->worker);
-        rows[i].checkpoint = run->checkpoint != NULL ? run->checkpoint : none;
         body.releases[i] = &rows[i];
+        if (i < n_runs) {
+            fill_release(d, g_ptr_array_index(d->releases, i), &rows[i]);
+        }
+        else {
+            const jr_crashed_run_t *crashed =
+                &g_array_index(d->crashes, jr_crashed_run_t, i - n_runs);
+
+            runs[i] = crashed->name;
+            rows[i].crashed_after_ms = crashed->after_ms;
+        }
     }
     command.body_case = JR__JOB_COMMAND__BODY_RELEASES;
     command.releases = &body;
@@ -52,6 +68,7 @@
     jr_free(d->ctx, runs);
     jr_free(d->ctx, rows);
     g_ptr_array_set_size(d->releases, 0);
+    g_array_set_size(d->crashes, 0);
 }
 
 static void
@@ -93,7 +110,7 @@
     if (!d->is_leading) {
         return false;
     }
-    if (d->releases->len > 0) {
+    if (d->releases->len > 0 || d->crashes->len > 0) {
         propose_releases(d);
     }
     if (STAILQ_EMPTY(&d->commands) && jr_dispatch_is_pass_due(d)) {
--- /dev/null
+++ b/src/dispatch/crash.c
@@ -0,0 +1,70 @@
+/* Workers that crash, and the tasks that ran there. */
+#include "dispatch.h"
+
+enum {
+    FLAPPING_MS = 20000, /* between two crashes of a worker that is unstable */
+};
+
+/* It announced its end, or had ended before. */
+static bool
+is_expected(const jr_tracked_worker_t *w)
+{
+    return w->has_ended || w->is_leaving || w->left_at != 0 ||
+           w->worker->info->draining;
+}
+
+bool
+jr_crash_is_recent(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
+{
+    return w->crashed_at != 0 && d->now - w->crashed_at < FLAPPING_MS;
+}
+
+/* Time from its start until the worker was last known to be well. */
+static int64_t
+age_at_crash(const jr_dispatch_t *d, const jr_run_t *run)
+{
+    int64_t crashed_at =
+        run->worker->suspect_at != 0 ? run->worker->suspect_at : d->now;
+
+    return MAX(crashed_at - run->granted_at, 1);
+}
+
+void
+jr_crash_add_lapsed(jr_dispatch_t *d, const jr_run_t *run)
+{
+    jr_crashed_run_t lapsed = {.after_ms = age_at_crash(d, run)};
+
+    jr_run_name(run, &lapsed.name);
+    g_array_append_val(run->worker->lapsed, lapsed);
+}
+
+static void
+report_lapsed(jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    g_array_append_vals(d->crashes, w->lapsed->data, w->lapsed->len);
+    g_array_set_size(w->lapsed, 0);
+}
+
+void
+jr_crash_note(jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    bool is_flapping = jr_crash_is_recent(d, w);
+    jr_run_t *run;
+
+    if (is_expected(w)) {
+        g_array_set_size(w->lapsed, 0);
+        return;
+    }
+    report_lapsed(d, w);
+    w->crashed_at = d->now;
+    jr_count(d->ctx, JR_C_WORKER_CRASHES);
+    TAILQ_FOREACH (run, &w->runs, link) {
+        bool is_cause_unclear = is_flapping || run->is_inherited;
+        int64_t age_ms = age_at_crash(d, run);
+
+        if (run->state != JR_RUN_PROPOSED && run->state != JR_RUN_RELEASING) {
+            run->crashed_after_ms =
+                is_cause_unclear ? MAX(age_ms, JR_CRASH_EARLY_MS + 1) : age_ms;
+        }
+    }
+}
--- a/src/dispatch/crash_test.cc
+++ b/src/dispatch/crash_test.cc
@@ -30,11 +30,15 @@
     fleet->Submit(kDeadlyJob, {MakeStep(2)});
 }
 
-/* Guards against a task that crashes one worker after the other. */
+/*
+ * Guards against a task that crashes one worker after the other, each of which
+ * is back before its lease lapses.
+ */
 TEST(CrashTest, ATaskThatCrashesItsWorkersIsGivenUp)
 {
     Fleet fleet(1, 6);
 
+    fleet.crashed_for_ms = 2000;
     SubmitDeadlyJob(&fleet);
     fleet.Run(60000);
     EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
@@ -43,6 +47,19 @@
     ExpectClean(fleet);
 }
 
+/* The same where the lease lapses, and the task goes on elsewhere, before. */
+TEST(CrashTest, ATaskWhoseWorkersComeBackLateIsGivenUp)
+{
+    Fleet fleet(1, 6);
+
+    fleet.crashed_for_ms = 5000;
+    SubmitDeadlyJob(&fleet);
+    fleet.Run(60000);
+    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    EXPECT_EQ(fleet.Up(), 6u);
+    ExpectClean(fleet);
+}
+
 /* The same for a task that works for a while before each crash. */
 TEST(CrashTest, ATaskThatCrashesItsWorkersLateIsGivenUp)
 {
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -204,6 +204,7 @@
     STAILQ_INIT(&d->commands);
     d->tails = jr_new_tails(ctx);
     d->releases = g_ptr_array_new();
+    d->crashes = g_array_new(FALSE, FALSE, sizeof(jr_crashed_run_t));
     d->proposed = g_ptr_array_new();
     jr_jobs_set_hooks(jobs, &hooks);
     return d;
@@ -237,6 +238,7 @@
     }
     drop_sent_orders(d);
     g_ptr_array_set_size(d->releases, 0);
+    g_array_set_size(d->crashes, 0);
     g_ptr_array_set_size(d->proposed, 0);
 }
 
@@ -252,6 +254,7 @@
     jr_jobs_set_hooks(d->jobs, &none);
     jr_drop_tails(d->tails);
     g_ptr_array_unref(d->releases);
+    g_array_unref(d->crashes);
     g_ptr_array_unref(d->proposed);
     jr_free(d->ctx, d);
 }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -48,7 +48,9 @@
     jr_need_t need;
     bool is_due;             /* in the list of due orders */
     bool is_outcome_unknown; /* a start order may still be executed */
+    bool is_unreached;       /* a later start order was not sent */
     bool is_inherited;       /* granted by an earlier leader */
+    bool is_suspect;         /* a worker crashed under an earlier run */
     bool is_listed;          /* its incarnation listed it as running */
     bool is_stop_wanted;
     uint64_t serial;      /* of the pending order, 0 for none */
@@ -71,11 +73,18 @@
     int64_t pace_unknown_until; /* an earlier pace order may still arrive */
     int64_t slowed_ms;          /* time lost by running below full pace */
     int64_t granted_at;
-    char *checkpoint; /* the latest that the worker listed */
+    int64_t crashed_after_ms; /* age when its worker crashed, 0: it did not */
+    char *checkpoint;         /* the latest that the worker listed */
 } jr_run_t;
 
 TAILQ_HEAD(jr_run_list, jr_run);
 
+/* A run under which its worker crashed, or may have. */
+typedef struct {
+    Jr__JobRun name;
+    int64_t after_ms; /* from its start */
+} jr_crashed_run_t;
+
 /* A worker; leader-local state, not replicated. */
 struct jr_tracked_worker {
     TAILQ_ENTRY(jr_tracked_worker) link;
@@ -86,6 +95,7 @@
     jr_need_t services;        /* the part of used taken by services */
     jr_need_t reserved;        /* for services that wait for capacity */
     uint32_t n_services;
+    uint32_t n_suspects; /* runs of tasks under which a worker crashed */
     struct jr_run_list runs;
 
     int64_t clock_ms; /* lower bound of the worker's clock at clock_at */
@@ -98,7 +108,8 @@
     bool has_restarted;        /* this leader saw its incarnation begin */
     bool has_ended;            /* its incarnation has ended */
     bool is_leaving;
-    int64_t left_at; /* when it said that it leaves, 0: never */
+    int64_t left_at;    /* when it said that it leaves, 0: never */
+    int64_t crashed_at; /* when its latest crash was noticed, 0: never */
     /*
      * When the first order since the latest answered renewal was found
      * unacknowledged; 0: none.
@@ -114,7 +125,12 @@
     bool is_lease_held;         /* between the last two answers, for certain */
     int64_t renewal_at;
     int64_t renewal_backoff_ms;
-    bool is_end_pending;    /* ends are proposed, but not in the log yet */
+    bool is_end_pending; /* ends are proposed, but not in the log yet */
+    /*
+     * Runs (jr_crashed_run_t) whose lease lapsed: if the worker comes back as
+     * another incarnation, it had crashed.
+     */
+    GArray *lapsed;
     GArray *orphans;        /* orphan runs (Jr__JobRun) to stop */
     GArray *listed_orphans; /* in its latest list (Jr__JobRun) */
 
@@ -186,6 +202,9 @@
     jr_sent_t *sent;
     STAILQ_HEAD(, jr_queued_command) commands;
     GPtrArray *releases; /* of runs */
+    /* Runs (jr_crashed_run_t) that were released before the crash was known.
+     */
+    GArray *crashes;
     GPtrArray *proposed; /* runs whose grant is to be proposed */
 };
 
@@ -242,6 +261,14 @@
 void jr_health_end(jr_dispatch_t *d, jr_tracked_worker_t *w,
                    const jr_run_t *run, const jr_ended_t *end);
 
+/* crash.c: workers that crash, and the tasks that ran there. */
+/* Its incarnation has ended: a crash, unless the worker announced it. */
+void jr_crash_note(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* So recently that the worker itself may be unstable. */
+bool jr_crash_is_recent(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
+/* The lease of the run lapsed; the cause is not known yet. */
+void jr_crash_add_lapsed(jr_dispatch_t *d, const jr_run_t *run);
+
 /* guard.c: protects services against best-effort tasks. */
 void jr_guard_worker(jr_dispatch_t *d, jr_tracked_worker_t *w);
 /* False while best-effort tasks must stay off the worker. */
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -114,6 +114,7 @@
         run->confirmed_at = d->now;
     }
     run->is_listed = true;
+    run->crashed_after_ms = 0;
     jr_health_running(d, run);
     if (row->percent != run->percent) {
         run->percent = row->percent;
@@ -344,6 +345,7 @@
         jr_tracked_worker_restart(d, w, answer->incarnation);
         return;
     }
+    g_array_set_size(w->lapsed, 0); /* it was cut off */
     note_lease(d, w, answer->clock_ms);
     jr_tracked_worker_set_clock(w, answer->clock_ms, d->now);
     w->answered_at = sent_at;
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -38,6 +38,9 @@
     if (step->filler) {
         w->best_effort_milli += sign * (int64_t)step->cpu_milli;
     }
+    if (run->is_suspect) {
+        w->n_suspects = (uint32_t)((int)w->n_suspects + sign);
+    }
     if (step->service) {
         jr_need_add(&w->services, &run->need, sign);
         w->n_services = (uint32_t)((int)w->n_services + sign);
@@ -57,6 +60,7 @@
     run->image = jr_tails_image(d->tails, jr_task_step(task)->image);
     run->incarnation = w->incarnation;
     run->granted_at = d->now;
+    run->is_suspect = task->crash_score > 0;
     run->percent_at = d->now;
     run->pace = state == JR_RUN_PROPOSED ? JR_PACE_FULL : JR_PACE_UNKNOWN;
     run->pace_wanted = JR_PACE_FULL;
@@ -199,6 +203,24 @@
     run->state = JR_RUN_STOPPING;
 }
 
+static void
+retry(jr_dispatch_t *d, jr_run_t *run)
+{
+    run->try_at = d->now + JR_RETRY_MS;
+    jr_run_set_due(d, run);
+}
+
+/*
+ * The worker may have crashed under the run. The next list tells, before an
+ * order is sent again and may crash the next incarnation.
+ */
+static bool
+must_wait_for_list(const jr_run_t *run)
+{
+    return run->state == JR_RUN_STARTING && run->is_outcome_unknown &&
+           run->is_unreached && run->worker->suspect_at != 0;
+}
+
 bool
 jr_run_order(jr_dispatch_t *d, jr_run_t *run, jr_order_t *order)
 {
@@ -211,6 +233,10 @@
     if (run->state == JR_RUN_STARTING && w->worker->info->draining) {
         abandon_start(d, run);
     }
+    if (must_wait_for_list(run)) {
+        retry(d, run);
+        return false;
+    }
     *order = (jr_order_t){.timeout_ms = JR_ANSWER_TIMEOUT_MS};
     jr_run_name(run, &order->run);
     switch (run->state) {
@@ -242,13 +268,6 @@
     return true;
 }
 
-static void
-retry(jr_dispatch_t *d, jr_run_t *run)
-{
-    run->try_at = d->now + JR_RETRY_MS;
-    jr_run_set_due(d, run);
-}
-
 /* This start did nothing; an earlier one may have been executed, though. */
 static void
 start_failed(jr_dispatch_t *d, jr_run_t *run, const char *reason)
@@ -265,6 +284,7 @@
 on_start_unreached(jr_dispatch_t *d, jr_run_t *run)
 {
     jr_tracked_worker_suspect(d, run->worker);
+    run->is_unreached = true;
     if (run->is_outcome_unknown || run->tries < UNREACHED_TRIES_MAX) {
         retry(d, run);
     }
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -255,15 +255,16 @@
 }
 
 /*
- * Tasks that failed avoid some workers, and what services may use depends on
- * their wait: these are chosen for one by one, the others of a step alike.
+ * Tasks that failed, or under which a worker crashed, avoid some workers, and
+ * what services may use depends on their wait: these are chosen for one by
+ * one, the others of a step alike.
  */
 static jr_tracked_worker_t *
 choose(jr_dispatch_t *d, const jr_job_task_t *task, const jr_need_t *need,
        jr_ranking_t **ranking)
 {
     if (jr_task_step(task)->service || task->failures > 0 ||
-        task->failed_on != NULL) {
+        task->crash_score > 0 || task->failed_on != NULL) {
         jr_drop_ranking(*ranking);
         *ranking = NULL;
         return jr_choose_worker(d, task, need);
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -62,6 +62,7 @@
     w->renewal_at = d->now;
     w->tracked_at = d->now;
     w->checked_in_at = d->now;
+    w->lapsed = g_array_new(FALSE, FALSE, sizeof(jr_crashed_run_t));
     w->orphans = g_array_new(FALSE, FALSE, sizeof(Jr__JobRun));
     w->listed_orphans = g_array_new(FALSE, FALSE, sizeof(Jr__JobRun));
     w->rank = jr_tracked_worker_rank(worker);
@@ -146,6 +147,7 @@
     TAILQ_REMOVE(&d->workers, w, link);
     w->worker->local = NULL;
     jr_tracked_worker_forget_orphans(d, w);
+    g_array_unref(w->lapsed);
     g_array_unref(w->orphans);
     g_array_unref(w->listed_orphans);
     jr_free(d->ctx, w);
@@ -278,6 +280,7 @@
     if (w->has_ended) {
         return;
     }
+    jr_crash_note(d, w);
     w->has_ended = true;
     jr_tracked_worker_forget_orphans(d, w);
     jr_log(d->ctx, JR_EV_WORKER_LIFE, "worker=%s born=%lld over=1",
@@ -330,6 +333,7 @@
     jr_log(d->ctx, JR_EV_WORKER_LIFE, "worker=%s born=%lld was=%lld",
            w->worker->info->id, (long long)incarnation,
            (long long)w->incarnation);
+    jr_crash_note(d, w);
     jr_tracked_worker_forget_orphans(d, w);
     w->incarnation = incarnation;
     w->fence_epoch = ++d->fence_epoch;
@@ -363,6 +367,7 @@
 
     TAILQ_FOREACH (run, &w->runs, link) {
         if (run->state != JR_RUN_PROPOSED && run->state != JR_RUN_RELEASING) {
+            jr_crash_add_lapsed(d, run);
             jr_run_release(d, run, "lapsed");
             n++;
         }
--- a/src/gen/job/job.pb-c.c
+++ b/src/gen/job/job.pb-c.c
@@ -2468,7 +2468,7 @@
   (ProtobufCMessageInit) jr__job_ends__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_release__field_descriptors[4] =
+static const ProtobufCFieldDescriptor jr__job_release__field_descriptors[5] =
 {
   {
     "run",
@@ -2518,17 +2518,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashed_after_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobRelease, crashed_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_release__field_indices_by_name[] = {
   2,   /* field[2] = began */
   1,   /* field[1] = checkpoint */
+  4,   /* field[4] = crashed_after_ms */
   0,   /* field[0] = run */
   3,   /* field[3] = silent_ms */
 };
 static const ProtobufCIntRange jr__job_release__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor jr__job_release__descriptor =
 {
@@ -2538,7 +2551,7 @@
   "Jr__JobRelease",
   "jr",
   sizeof(Jr__JobRelease),
-  4,
+  5,
   jr__job_release__field_descriptors,
   jr__job_release__field_indices_by_name,
   1,  jr__job_release__number_ranges,
@@ -3049,7 +3062,7 @@
   (ProtobufCMessageInit) jr__job_leave__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_task_state__field_descriptors[9] =
+static const ProtobufCFieldDescriptor jr__job_task_state__field_descriptors[11] =
 {
   {
     "phase",
@@ -3159,11 +3172,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash_score",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobTaskState, crash_score),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash_attempt",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobTaskState, crash_attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_task_state__field_indices_by_name[] = {
   1,   /* field[1] = attempt */
   5,   /* field[5] = born */
   3,   /* field[3] = checkpoint */
+  10,   /* field[10] = crash_attempt */
+  9,   /* field[9] = crash_score */
   6,   /* field[6] = done */
   7,   /* field[7] = failed_on */
   2,   /* field[2] = failures */
@@ -3174,7 +3213,7 @@
 static const ProtobufCIntRange jr__job_task_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor jr__job_task_state__descriptor =
 {
@@ -3184,7 +3223,7 @@
   "Jr__JobTaskState",
   "jr",
   sizeof(Jr__JobTaskState),
-  9,
+  11,
   jr__job_task_state__field_descriptors,
   jr__job_task_state__field_indices_by_name,
   1,  jr__job_task_state__number_ranges,
--- a/src/gen/job/job.pb-c.h
+++ b/src/gen/job/job.pb-c.h
@@ -372,10 +372,14 @@
    * How long the lost worker had been silent: the task has waited since then.
    */
   int64_t silent_ms;
+  /*
+   * The worker crashed under the run, so long after its start; 0: it did not.
+   */
+  int64_t crashed_after_ms;
 };
 #define JR__JOB_RELEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__job_release__descriptor) \
-    , NULL, (char *)protobuf_c_empty_string, 0, 0 }
+    , NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Jr__JobReleases
@@ -515,10 +519,18 @@
    * 0: since the job was accepted
    */
   int64_t waiting_since_ms;
+  /*
+   * see jr_job_task_t
+   */
+  uint32_t crash_score;
+  /*
+   * latest run that was counted in it
+   */
+  uint32_t crash_attempt;
 };
 #define JR__JOB_TASK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__job_task_state__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -481,6 +481,39 @@
     }
 }
 
+/* May free the task with its job: the caller notifies first. */
+static void
+apply_crash(jr_jobs_t *jobs, jr_job_task_t *task,
+            const Jr__JobRelease *release)
+{
+    if (release->crashed_after_ms > 0 && jr_job_is_live(task->job) &&
+        jr_task_count_crash(task, release->run->attempt,
+                            release->crashed_after_ms)) {
+        end_job(jobs, task->job, JR_JOB_FAILED);
+    }
+}
+
+/*
+ * A run whose lease lapsed is released before it is known that its worker
+ * crashed: such a crash is reported afterwards.
+ */
+static void
+apply_release(jr_jobs_t *jobs, jr_job_task_t *task,
+              const Jr__JobRelease *release)
+{
+    jr_job_t *job = task->job;
+
+    if (task->phase == JR_PHASE_GRANTED &&
+        task->attempt == release->run->attempt) {
+        end_run(jobs, task, release->checkpoint, release->began);
+        credit_wait(task, release->silent_ms);
+        notify_task(jobs, task);
+    }
+    apply_crash(jobs, task, release);
+    end_job_if_done(jobs, job);
+    jr_job_trim(jobs, job);
+}
+
 static jr_result_t
 apply_releases(jr_jobs_t *jobs, const Jr__JobReleases *releases)
 {
@@ -489,15 +522,8 @@
         jr_job_task_t *task =
             release->run != NULL ? jr_jobs_task(jobs, release->run) : NULL;
 
-        if (task != NULL && task->phase == JR_PHASE_GRANTED &&
-            task->attempt == release->run->attempt) {
-            jr_job_t *job = task->job;
-
-            end_run(jobs, task, release->checkpoint, release->began);
-            credit_wait(task, release->silent_ms);
-            notify_task(jobs, task);
-            end_job_if_done(jobs, job);
-            jr_job_trim(jobs, job);
+        if (task != NULL) {
+            apply_release(jobs, task, release);
         }
     }
     return JR_OK;
--- a/src/job/jobs.h
+++ b/src/job/jobs.h
@@ -29,6 +29,12 @@
 /* Count an attempt of a gang as a failure. */
 void jr_step_add_failed_attempt(jr_jobs_t *jobs, jr_step_progress_t *step,
                                 uint32_t attempt);
+/*
+ * The worker of a run crashed so long after the start of the run. Returns true
+ * when the task is to be given up.
+ */
+bool jr_task_count_crash(jr_job_task_t *task, uint32_t attempt,
+                         int64_t after_ms);
 /* Replace an owned string by a copy; NULL or empty gives NULL. */
 void jr_set_text(jr_ctx_t *ctx, char **to, const char *from);
 
--- a/src/job/snapshot.c
+++ b/src/job/snapshot.c
@@ -25,6 +25,8 @@
     to->phase = (uint32_t)task->phase;
     to->attempt = task->attempt;
     to->failures = task->failures;
+    to->crash_score = task->crash_score;
+    to->crash_attempt = task->crash_attempt;
     to->checkpoint = or_empty(task->checkpoint);
     to->failed_on = or_empty(task->failed_on);
     to->waiting_since_ms = since_or_zero(task->job, task->waiting_since);
@@ -198,6 +200,8 @@
     task->waiting_since = from->waiting_since_ms != 0 ? from->waiting_since_ms
                                                       : task->job->accepted_ms;
     task->failures = from->failures;
+    task->crash_score = from->crash_score;
+    task->crash_attempt = from->crash_attempt;
     if (from->phase == JR_PHASE_GRANTED) {
         worker = jr_jobs_worker(jobs, from->worker);
         if (worker == NULL) {
--- a/src/job/snapshot_test.cc
+++ b/src/job/snapshot_test.cc
@@ -458,6 +458,7 @@
 
         release.run = &run;
         release.began = Chance(50);
+        release.crashed_after_ms = Chance(20) ? Below(40000) : 0;
         release.silent_ms = Chance(50) ? Below(20000) : 0;
         releases.n_releases = 1;
         releases.releases = rows;
