--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -182,11 +182,12 @@
     jr_count(d->ctx, JR_C_RUNS_RELEASED);
     jr_log_job(d->ctx, JR_EV_RUN_RELEASED, run->task->job->id,
                "task=%s worker=%s reason=%s state=%s unknown=%d tries=%u "
-               "answered_ms_ago=%lld",
+               "answered_ms_ago=%lld crashed_after_ms=%lld",
                jr_run_text(run, text, sizeof text),
                run->worker->worker->info->id, reason,
                jr_run_state_name(run->state), run->is_outcome_unknown,
-               run->tries, (long long)(d->now - run->worker->answered_at));
+               run->tries, (long long)(d->now - run->worker->answered_at),
+               (long long)run->crashed_after_ms);
     run->state = JR_RUN_RELEASING;
     g_ptr_array_add(d->releases, run);
 }
