The longest lease that leaders give is in the log

A leader waits out the leases of its predecessors by the length of its own.

The log now has the longest lease that any leader gives. A leader waits for that one, gives no longer ones, and lowers it only once longer ones have ended. A log without it counts as that of leaders that gave lease_ms.

Two tests, both red with their part of the mechanism off: the task was released before the lease had lapsed; the limit was lowered at once.

--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -202,6 +202,7 @@
     jr_ctx_t *ctx;
     int64_t now; /* latest time of a command; never decreases */
     Jr__JobConfig *config;
+    int64_t lease_limit_ms;
     jr_job_queue_t *queues;
     jr_job_t *by_id;
     jr_job_worker_t *workers;
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -197,7 +197,7 @@
 
     d->ctx = ctx;
     d->options = *options;
-    d->options.lease_ms = jr_bounded_lease_ms(options);
+    d->wanted_lease_ms = jr_bounded_lease_ms(options);
     d->jobs = jobs;
     TAILQ_INIT(&d->workers);
     TAILQ_INIT(&d->due);
@@ -295,6 +295,7 @@
 
     d->now = MAX(d->now, now);
     d->is_leading = true;
+    jr_lease_lead(d);
     d->fence = fence;
     d->is_dirty = true;
     HASH_ITER (hh, d->jobs->workers, worker, next) {
@@ -323,6 +324,7 @@
         next = TAILQ_NEXT(w, link);
         jr_tracked_worker_tick(d, w);
     }
+    jr_lease_tick(d);
     /* As time passes, backoffs end and occurrences become due. */
     if (d->now - d->scheduled_at >= SCHEDULE_EVERY_MS) {
         d->is_dirty = true;
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -179,6 +179,11 @@
 struct jr_dispatch {
     jr_ctx_t *ctx;
     jr_dispatch_options_t options;
+    int64_t lease_ms;        /* of leases that it gives as the leader */
+    int64_t wanted_lease_ms; /* by its options */
+    int64_t led_at;          /* when it became the leader */
+    bool has_inherited;      /* workers to which others may have given any */
+    bool is_limit_proposed;  /* the limit that it wants, for the log */
     jr_jobs_t *jobs;
     jr_tails_t *tails;
     bool is_leading;
@@ -236,13 +241,23 @@
 void jr_tracked_worker_suspect(jr_dispatch_t *d, jr_tracked_worker_t *w);
 /* End of a lease that starts now, on the worker's clock; 0: unknown. */
 int64_t jr_tracked_worker_lease_end(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/*
+ * lease.c: the length of leases. What any leader may have given is limited by
+ * the log, as settings and versions of leaders may differ.
+ */
 /* The longest lease that lets tasks of a lost worker run again in time. */
 int64_t jr_bounded_lease_ms(const jr_dispatch_options_t *options);
+/* Longest lease that this leader or an earlier one may have given. */
+int64_t jr_longest_lease_ms(const jr_dispatch_t *d);
 /*
  * How long leases that earlier leaders gave may last after the election of
  * this one.
  */
 int64_t jr_inherited_lease_ms(const jr_dispatch_t *d);
+/* Set the length of the leases that a new leader gives. */
+void jr_lease_lead(jr_dispatch_t *d);
+/* Propose the limit that this leader wants, once that is safe. */
+void jr_lease_tick(jr_dispatch_t *d);
 void jr_tracked_worker_set_clock(jr_tracked_worker_t *w, int64_t clock_ms,
                                  int64_t now);
 
@@ -364,6 +379,7 @@
 
 enum {
     JR_RUN_TEXT_BYTES = 80,
+    JR_LAPSE_MARGIN_MS = 50,    /* after the end of a lease */
     JR_ANSWER_TIMEOUT_MS = 600, /* of an order that does not wait */
     JR_RETRY_MS = 250,          /* delay before an order is sent again */
     JR_LATE_ORDER_MS =
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -302,7 +302,7 @@
     w->inherited_until = 0;
     if (w->clock_at != 0) {
         w->expires_max_ms =
-            MAX(w->expires_max_ms, w->clock_ms + d->options.lease_ms);
+            MAX(w->expires_max_ms, w->clock_ms + jr_longest_lease_ms(d));
     }
 }
 
@@ -315,7 +315,7 @@
 static void
 note_lease(const jr_dispatch_t *d, jr_tracked_worker_t *w, int64_t clock_ms)
 {
-    int64_t first_ms = w->has_restarted ? d->options.lease_ms : 0;
+    int64_t first_ms = w->has_restarted ? d->lease_ms : 0;
     int64_t until_ms = MAX(w->renewed_until_ms, first_ms);
 
     w->is_lease_held = w->is_synced && clock_ms != 0 && clock_ms < until_ms;
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -10,13 +10,6 @@
      * task.
      */
     ANSWER_AGE_MAX_MS = 3000,
-    LAPSE_MARGIN_MS = 50, /* after the end of a lease */
-    LEASE_MIN_MS = 1000,  /* however short the failover time is */
-    /*
-     * Followers begin an election within this many election times after the
-     * loss of a leader.
-     */
-    ELECTION_TIMES = 2,
     LEFT_SILENT_MS = 3000, /* of a worker that said that it leaves */
     /*
      * Longest time that such a worker runs on, from its request. Then it has
@@ -172,7 +165,7 @@
     if (w->clock_at == 0) {
         return true;
     }
-    return min_clock(d, w) > w->expires_max_ms + LAPSE_MARGIN_MS;
+    return min_clock(d, w) > w->expires_max_ms + JR_LAPSE_MARGIN_MS;
 }
 
 bool
@@ -216,45 +209,11 @@
     if (w->clock_at == 0) {
         return 0;
     }
-    end = min_clock(d, w) + d->options.lease_ms;
+    end = min_clock(d, w) + d->lease_ms;
     w->expires_max_ms = MAX(w->expires_max_ms, end);
     return end;
 }
 
-/*
- * When a worker and the leader are lost together, the next leader is elected,
- * waits for the last orders of its predecessor and for the lease, on a slow
- * clock, and starts the tasks elsewhere.
- */
-int64_t
-jr_bounded_lease_ms(const jr_dispatch_options_t *options)
-{
-    int64_t rate = PERMILLE - options->drift_permille;
-    int64_t election_ms = ELECTION_TIMES * options->order_age_ms;
-    int64_t left_ms = options->failover_ms - election_ms -
-                      options->order_age_ms - JR_ANSWER_TIMEOUT_MS;
-
-    if (options->failover_ms == 0) {
-        return options->lease_ms;
-    }
-    return MIN(options->lease_ms,
-               MAX(left_ms * rate / PERMILLE - LAPSE_MARGIN_MS, LEASE_MIN_MS));
-}
-
-/*
- * An earlier leader that still reaches the worker issues orders until its
- * last confirmation is order_age_ms old. It was confirmed before the election
- * of this one. The worker's clock may be slow, so a lease may last longer.
- */
-int64_t
-jr_inherited_lease_ms(const jr_dispatch_t *d)
-{
-    int64_t rate = PERMILLE - d->options.drift_permille;
-    int64_t lease_ms = d->options.lease_ms + LAPSE_MARGIN_MS;
-
-    return d->options.order_age_ms + lease_ms * PERMILLE / rate;
-}
-
 void
 jr_tracked_worker_leave(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
@@ -348,7 +307,7 @@
     w->expires_max_ms = 0; /* its clock starts anew */
     w->is_synced = false;
     w->inherited_until = 0;
-    w->late_orders_until = d->now + JR_LATE_ORDER_MS + d->options.lease_ms;
+    w->late_orders_until = d->now + JR_LATE_ORDER_MS + jr_longest_lease_ms(d);
     w->failure_streak = 0;
     w->quarantined_until = 0;
     w->quarantine_ms = 0;
--- a/src/dispatch/worker_test.cc
+++ b/src/dispatch/worker_test.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int64_t kLeaseMs = 6000;
+constexpr int64_t kShorterFailoverMs = 5800; /* leases of 3 s at most */
 constexpr int64_t kLeftExitMs = 4100; /* a leaving worker has ended then */
 constexpr int64_t kDriftPermille = 20;
 constexpr int64_t kWaitMs = 2000;
@@ -48,10 +49,11 @@
 /* A replica of the jobs, with the dispatcher that leads them at times. */
 class Replica {
   public:
-    Replica()
+    explicit Replica(int64_t failover_ms = 0)
     {
         jr_dispatch_options_t options = {};
 
+        options.failover_ms = failover_ms;
         options.lease_ms = kLeaseMs;
         options.drift_permille = kDriftPermille;
         options.hold_wait_ms = kWaitMs;
@@ -111,6 +113,7 @@
     {
         jr_jobs_apply(first_.jobs, bytes.data(), bytes.size());
         jr_jobs_apply(second_.jobs, bytes.data(), bytes.size());
+        jr_jobs_apply(shorter_.jobs, bytes.data(), bytes.size());
     }
 
     void
@@ -249,6 +252,7 @@
     Worker worker_;
     Replica first_;
     Replica second_;
+    Replica shorter_{kShorterFailoverMs}; /* gives shorter leases */
 };
 
 /*
@@ -277,6 +281,44 @@
         << worker_.expires_ms - Worker::Clock(now_) << " ms left";
 }
 
+/*
+ * Guards against a task that runs twice after a change of the settings, or of
+ * the version: the new leader gives shorter leases than its predecessor did.
+ */
+TEST_F(WorkerTest, ANewLeaderWaitsForLongerLeasesThanItsOwn)
+{
+    int64_t elected_at;
+
+    StartTask();
+    elected_at = now_;
+    jr_dispatch_lead(shorter_.dispatch, 2, now_);
+    while (IsGranted()) {
+        Tick(shorter_);
+        LoseOrders(shorter_);
+        ASSERT_LT(now_, elected_at + 10 * kLeaseMs);
+    }
+    EXPECT_TRUE(worker_.HasLapsed(now_));
+}
+
+/* Guards against the same for the leader after the next one. */
+TEST_F(WorkerTest, LeasesCountAsShorterOnceLongerOnesHaveEnded)
+{
+    StartTask();
+    jr_dispatch_lead(shorter_.dispatch, 2, now_);
+    for (int64_t end = now_ + kLeaseMs; now_ < end;) {
+        Tick(shorter_);
+        ExecuteOrders(shorter_);
+        EXPECT_EQ(second_.jobs->lease_limit_ms, 0);
+    }
+    EXPECT_TRUE(IsGranted());
+    for (int64_t end = now_ + kLeaseMs; now_ < end;) {
+        Tick(shorter_);
+        ExecuteOrders(shorter_);
+    }
+    EXPECT_GT(second_.jobs->lease_limit_ms, 0);
+    EXPECT_LE(second_.jobs->lease_limit_ms, kLeaseMs / 2);
+}
+
 /*
  * Guards against a task that is started elsewhere while a worker that has said
  * that it leaves is cut off and still runs it.
--- a/src/gen/job/job.pb-c.c
+++ b/src/gen/job/job.pb-c.c
@@ -727,6 +727,51 @@
   assert(message->base.descriptor == &jr__job_worker_leaving__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jr__job_lease_limit__init
+                     (Jr__JobLeaseLimit         *message)
+{
+  static const Jr__JobLeaseLimit init_value = JR__JOB_LEASE_LIMIT__INIT;
+  *message = init_value;
+}
+size_t jr__job_lease_limit__get_packed_size
+                     (const Jr__JobLeaseLimit *message)
+{
+  assert(message->base.descriptor == &jr__job_lease_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jr__job_lease_limit__pack
+                     (const Jr__JobLeaseLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jr__job_lease_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jr__job_lease_limit__pack_to_buffer
+                     (const Jr__JobLeaseLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jr__job_lease_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jr__JobLeaseLimit *
+       jr__job_lease_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jr__JobLeaseLimit *)
+     protobuf_c_message_unpack (&jr__job_lease_limit__descriptor,
+                                allocator, len, data);
+}
+void   jr__job_lease_limit__free_unpacked
+                     (Jr__JobLeaseLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jr__job_lease_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jr__job_worker_gone__init
                      (Jr__JobWorkerGone         *message)
 {
@@ -2647,6 +2692,44 @@
   (ProtobufCMessageInit) jr__job_worker_leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor jr__job_lease_limit__field_descriptors[1] =
+{
+  {
+    "limit_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobLeaseLimit, limit_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jr__job_lease_limit__field_indices_by_name[] = {
+  0,   /* field[0] = limit_ms */
+};
+static const ProtobufCIntRange jr__job_lease_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor jr__job_lease_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.JobLeaseLimit",
+  "JobLeaseLimit",
+  "Jr__JobLeaseLimit",
+  "jr",
+  sizeof(Jr__JobLeaseLimit),
+  1,
+  jr__job_lease_limit__field_descriptors,
+  jr__job_lease_limit__field_indices_by_name,
+  1,  jr__job_lease_limit__number_ranges,
+  (ProtobufCMessageInit) jr__job_lease_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor jr__job_worker_gone__field_descriptors[2] =
 {
   {
@@ -2698,7 +2781,7 @@
   (ProtobufCMessageInit) jr__job_worker_gone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_command__field_descriptors[10] =
+static const ProtobufCFieldDescriptor jr__job_command__field_descriptors[11] =
 {
   {
     "at_ms",
@@ -2820,6 +2903,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lease_limit",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__JobCommand, body_case),
+    offsetof(Jr__JobCommand, lease_limit),
+    &jr__job_lease_limit__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_command__field_indices_by_name[] = {
   0,   /* field[0] = at_ms */
@@ -2827,6 +2922,7 @@
   1,   /* field[1] = config */
   5,   /* field[5] = ends */
   4,   /* field[4] = grants */
+  10,   /* field[10] = lease_limit */
   6,   /* field[6] = releases */
   2,   /* field[2] = submit */
   7,   /* field[7] = worker */
@@ -2836,7 +2932,7 @@
 static const ProtobufCIntRange jr__job_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor jr__job_command__descriptor =
 {
@@ -2846,7 +2942,7 @@
   "Jr__JobCommand",
   "jr",
   sizeof(Jr__JobCommand),
-  10,
+  11,
   jr__job_command__field_descriptors,
   jr__job_command__field_indices_by_name,
   1,  jr__job_command__number_ranges,
@@ -3423,7 +3519,7 @@
   (ProtobufCMessageInit) jr__job_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_snapshot__field_descriptors[5] =
+static const ProtobufCFieldDescriptor jr__job_snapshot__field_descriptors[6] =
 {
   {
     "config",
@@ -3485,10 +3581,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lease_limit_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobSnapshot, lease_limit_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_snapshot__field_indices_by_name[] = {
   0,   /* field[0] = config */
   2,   /* field[2] = jobs */
+  5,   /* field[5] = lease_limit_ms */
   3,   /* field[3] = now_ms */
   4,   /* field[4] = removed_queues */
   1,   /* field[1] = workers */
@@ -3496,7 +3605,7 @@
 static const ProtobufCIntRange jr__job_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor jr__job_snapshot__descriptor =
 {
@@ -3506,7 +3615,7 @@
   "Jr__JobSnapshot",
   "jr",
   sizeof(Jr__JobSnapshot),
-  5,
+  6,
   jr__job_snapshot__field_descriptors,
   jr__job_snapshot__field_indices_by_name,
   1,  jr__job_snapshot__number_ranges,
--- a/src/gen/job/job.pb-c.h
+++ b/src/gen/job/job.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct Jr__JobRelease Jr__JobRelease;
 typedef struct Jr__JobReleases Jr__JobReleases;
 typedef struct Jr__JobWorkerLeaving Jr__JobWorkerLeaving;
+typedef struct Jr__JobLeaseLimit Jr__JobLeaseLimit;
 typedef struct Jr__JobWorkerGone Jr__JobWorkerGone;
 typedef struct Jr__JobCommand Jr__JobCommand;
 typedef struct Jr__JobAsk Jr__JobAsk;
@@ -407,6 +408,19 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * No leader gives longer leases to workers.
+ */
+struct  Jr__JobLeaseLimit
+{
+  ProtobufCMessage base;
+  int64_t limit_ms;
+};
+#define JR__JOB_LEASE_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jr__job_lease_limit__descriptor) \
+    , 0 }
+
+
 struct  Jr__JobWorkerGone
 {
   ProtobufCMessage base;
@@ -428,7 +442,8 @@
   JR__JOB_COMMAND__BODY_RELEASES = 7,
   JR__JOB_COMMAND__BODY_WORKER = 8,
   JR__JOB_COMMAND__BODY_WORKER_GONE = 9,
-  JR__JOB_COMMAND__BODY_WORKER_LEAVING = 10
+  JR__JOB_COMMAND__BODY_WORKER_LEAVING = 10,
+  JR__JOB_COMMAND__BODY_LEASE_LIMIT = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JR__JOB_COMMAND__BODY__CASE)
 } Jr__JobCommand__BodyCase;
 
@@ -450,6 +465,7 @@
     Jr__JobWorker *worker;
     Jr__JobWorkerGone *worker_gone;
     Jr__JobWorkerLeaving *worker_leaving;
+    Jr__JobLeaseLimit *lease_limit;
   };
 };
 #define JR__JOB_COMMAND__INIT \
@@ -592,10 +608,14 @@
    */
   size_t n_removed_queues;
   Jr__JobQueue **removed_queues;
+  /*
+   * 0: not in the log yet
+   */
+  int64_t lease_limit_ms;
 };
 #define JR__JOB_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__job_snapshot__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+    , NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
 
 
 /* Jr__JobStep methods */
@@ -902,6 +922,25 @@
 void   jr__job_worker_leaving__free_unpacked
                      (Jr__JobWorkerLeaving *message,
                       ProtobufCAllocator *allocator);
+/* Jr__JobLeaseLimit methods */
+void   jr__job_lease_limit__init
+                     (Jr__JobLeaseLimit         *message);
+size_t jr__job_lease_limit__get_packed_size
+                     (const Jr__JobLeaseLimit   *message);
+size_t jr__job_lease_limit__pack
+                     (const Jr__JobLeaseLimit   *message,
+                      uint8_t             *out);
+size_t jr__job_lease_limit__pack_to_buffer
+                     (const Jr__JobLeaseLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Jr__JobLeaseLimit *
+       jr__job_lease_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jr__job_lease_limit__free_unpacked
+                     (Jr__JobLeaseLimit *message,
+                      ProtobufCAllocator *allocator);
 /* Jr__JobWorkerGone methods */
 void   jr__job_worker_gone__init
                      (Jr__JobWorkerGone         *message);
@@ -1123,6 +1162,9 @@
 typedef void (*Jr__JobWorkerLeaving_Closure)
                  (const Jr__JobWorkerLeaving *message,
                   void *closure_data);
+typedef void (*Jr__JobLeaseLimit_Closure)
+                 (const Jr__JobLeaseLimit *message,
+                  void *closure_data);
 typedef void (*Jr__JobWorkerGone_Closure)
                  (const Jr__JobWorkerGone *message,
                   void *closure_data);
@@ -1173,6 +1215,7 @@
 extern const ProtobufCMessageDescriptor jr__job_release__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_releases__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_worker_leaving__descriptor;
+extern const ProtobufCMessageDescriptor jr__job_lease_limit__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_worker_gone__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_command__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_ask__descriptor;
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -574,6 +574,16 @@
     return JR_OK;
 }
 
+static jr_result_t
+apply_lease_limit(jr_jobs_t *jobs, const Jr__JobLeaseLimit *limit)
+{
+    if (limit->limit_ms <= 0) {
+        return JR_BAD_REQUEST;
+    }
+    jobs->lease_limit_ms = limit->limit_ms;
+    return JR_OK;
+}
+
 static jr_result_t
 apply_command(jr_jobs_t *jobs, Jr__JobCommand *command)
 {
@@ -596,6 +606,8 @@
         return apply_worker_removal(jobs, command->worker_gone);
     case JR__JOB_COMMAND__BODY_WORKER_LEAVING:
         return apply_worker_leaving(jobs, command->worker_leaving);
+    case JR__JOB_COMMAND__BODY_LEASE_LIMIT:
+        return apply_lease_limit(jobs, command->lease_limit);
     default:
         return JR_BAD_REQUEST;
     }
--- a/src/job/snapshot.c
+++ b/src/job/snapshot.c
@@ -167,6 +167,7 @@
 
     snapshot.config = jobs->config;
     snapshot.now_ms = jobs->now;
+    snapshot.lease_limit_ms = jobs->lease_limit_ms;
     snapshot.workers =
         jr_alloc(jobs->ctx, (n_workers + 1) * sizeof(Jr__JobWorker *));
     HASH_ITER (hh, jobs->workers, worker, next) {
@@ -304,6 +305,7 @@
 load_all(jr_jobs_t *jobs, Jr__JobSnapshot *snapshot)
 {
     jobs->now = snapshot->now_ms;
+    jobs->lease_limit_ms = snapshot->lease_limit_ms;
     if (snapshot->config != NULL) {
         jr_jobs_set_config(jobs, snapshot->config);
         snapshot->config = NULL;
