Crashes under a task that is done are not counted

A run whose lease lapsed is released before it is known that its worker crashed; the crash is reported when the worker comes back. By then a later run may be done, but the job still failed for the crash.

job_test CrashesUnderADoneTaskAreNotCounted was red before (the job failed with its task done), green now.

--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -481,12 +481,18 @@
     }
 }
 
-/* May free the task with its job: the caller notifies first. */
+/*
+ * A crash may be reported after a later run is done. May free the task with
+ * its job: the caller notifies first.
+ */
 static void
 apply_crash(jr_jobs_t *jobs, jr_job_task_t *task,
             const Jr__JobRelease *release)
 {
+    bool is_done = task->is_done || task->phase == JR_PHASE_DONE;
+
     if (release->crashed_after_ms > 0 && jr_job_is_live(task->job) &&
+        !is_done &&
         jr_task_count_crash(task, release->run->attempt,
                             release->crashed_after_ms)) {
         end_job(jobs, task->job, JR_JOB_FAILED);
--- a/src/job/job_test.cc
+++ b/src/job/job_test.cc
@@ -176,7 +176,8 @@
     }
 
     void
-    Release(uint64_t job, uint32_t index, uint32_t attempt)
+    Release(uint64_t job, uint32_t index, uint32_t attempt,
+            int64_t crashed_after_ms = 0)
     {
         Jr__JobCommand command = JR__JOB_COMMAND__INIT;
         Jr__JobReleases releases = JR__JOB_RELEASES__INIT;
@@ -185,6 +186,7 @@
         Jr__JobRun run = Run(job, index, attempt);
 
         release.run = &run;
+        release.crashed_after_ms = crashed_after_ms;
         releases.n_releases = 1;
         releases.releases = rows;
         command.body_case = JR__JOB_COMMAND__BODY_RELEASES;
@@ -344,6 +346,26 @@
     EXPECT_EQ(jr_jobs_find(jobs_, 1)->state, JR_JOB_DONE);
 }
 
+/*
+ * Guards against a job that is given up for crashes that are reported when the
+ * task is done already.
+ */
+TEST_F(JobTest, CrashesUnderADoneTaskAreNotCounted)
+{
+    Submit(1, 2);
+    for (uint32_t attempt = 1; attempt <= 4; attempt++) {
+        Grant(1, 0, attempt);
+        Release(1, 0, attempt);
+    }
+    Grant(1, 0, 5);
+    End(1, 0, 5, JR__JOB_END__HOW__DONE);
+    for (uint32_t attempt = 1; attempt <= 4; attempt++) {
+        Release(1, 0, attempt, 1);
+    }
+    ASSERT_EQ(jr_jobs_find(jobs_, 1)->state, JR_JOB_RUNNING);
+    EXPECT_EQ(Phase(1, 0), JR_PHASE_DONE);
+}
+
 /* A task was started again although an earlier run was done. */
 TEST_F(JobTest, ATaskIsDoneWhenItsLatestRunEndsAfterADoneOne)
 {
