A task that never reached its crashed worker is no suspect

A run whose start orders were all unreached counted as one under which its worker had crashed, as soon as the worker came back: two such runs made the job fail. Nothing of it had run there. Such runs are left out now, also when their lease lapses; a start of unknown outcome counts as before.

--- a/src/dispatch/crash.c
+++ b/src/dispatch/crash.c
@@ -29,11 +29,22 @@
     return MAX(crashed_at - run->granted_at, 1);
 }
 
+/* No start order of the run can have reached the worker. */
+static bool
+has_not_begun(const jr_run_t *run)
+{
+    return run->confirmed_at == 0 && run->serial == 0 &&
+           !run->is_outcome_unknown && !run->is_inherited;
+}
+
 void
 jr_crash_add_lapsed(jr_dispatch_t *d, const jr_run_t *run)
 {
     jr_crashed_run_t lapsed = {.after_ms = age_at_crash(d, run)};
 
+    if (has_not_begun(run)) {
+        return;
+    }
     jr_run_name(run, &lapsed.name);
     g_array_append_val(run->worker->lapsed, lapsed);
 }
@@ -62,7 +73,8 @@
         bool is_cause_unclear = is_flapping || run->is_inherited;
         int64_t age_ms = age_at_crash(d, run);
 
-        if (run->state != JR_RUN_PROPOSED && run->state != JR_RUN_RELEASING) {
+        if (run->state != JR_RUN_PROPOSED && run->state != JR_RUN_RELEASING &&
+            !has_not_begun(run)) {
             run->crashed_after_ms =
                 is_cause_unclear ? MAX(age_ms, JR_CRASH_EARLY_MS + 1) : age_ms;
         }
--- a/src/dispatch/crash_test.cc
+++ b/src/dispatch/crash_test.cc
@@ -157,6 +157,31 @@
     ExpectClean(fleet);
 }
 
+/*
+ * Guards against a job that is given up since its workers had crashed before
+ * its start orders were sent: it never ran there.
+ */
+TEST(CrashTest, ATaskThatNeverReachedItsWorkerIsNotSuspect)
+{
+    Fleet fleet(1, 1);
+    Jr__JobRun name = JR__JOB_RUN__INIT;
+
+    fleet.log_delay_ms = 200;
+    fleet.Run(1000);
+    name.job = kFirstInnocentJob;
+    fleet.Submit(kFirstInnocentJob, {MakeStep(1)});
+    fleet.Run(300);
+    fleet.Crash(0);
+    fleet.Run(120);
+    EXPECT_EQ(jr_jobs_task(fleet.jobs, &name)->attempt, 1u);
+    fleet.Restart(0);
+    fleet.Run(700);
+    EXPECT_EQ(jr_jobs_task(fleet.jobs, &name)->attempt, 2u);
+    EXPECT_EQ(jr_jobs_task(fleet.jobs, &name)->crash_score, 0u);
+    fleet.Run(5000);
+    EXPECT_EQ(fleet.State(kFirstInnocentJob), JR_JOB_DONE);
+}
+
 /* Answers are lost, and leaders change, while workers crash. */
 void
 RunHistory(uint32_t seed)
