--- a/src/dispatch/fleet_check_test.cpp
+++ b/src/dispatch/fleet_check_test.cpp
@@ -1,7 +1,10 @@
 /* Checks of safety invariants in the simulation of workers. */
 #include "fleet_test.h"
 
+#include <algorithm>
+
 enum {
+    SHRINK_KNOWN_AFTER_MS = 4000, /* a check-in, and time out of contact */
     CRASHES_MAX = 3, /* then a task is started at most so many times more: */
     STARTS_AFTER_CRASHES_MAX = 2,
 };
@@ -122,22 +125,65 @@
     }
 }
 
+static int64_t
+UsedBy(const FleetWorker &worker)
+{
+    int64_t used = 0;
+
+    for (const auto &[name, run] : worker.running) {
+        used += run.cpu;
+    }
+    return used;
+}
+
+/*
+ * What the leader may take for the capacity of the worker at that time: one
+ * that has shrunk counts once the leader must have heard of it.
+ */
+static int64_t
+CapacityAt(const FleetWorker &worker, int64_t at)
+{
+    int64_t largest = worker.cpu;
+
+    for (const FleetCapacity &past : worker.past_capacities) {
+        if (at < past.until + SHRINK_KNOWN_AFTER_MS) {
+            largest = std::max(largest, past.cpu);
+        }
+    }
+    return largest;
+}
+
+/*
+ * What runs on a worker that shrinks stays, so it may be over its capacity:
+ * there each start is checked.
+ */
 void
 Fleet::CheckCapacity()
 {
     for (const FleetWorker &worker : workers) {
-        int64_t used = 0;
+        int64_t used = UsedBy(worker);
 
-        for (const auto &[name, run] : worker.running) {
-            used += run.cpu;
-        }
-        if (used > worker.cpu) {
+        if (worker.past_capacities.empty() && used > worker.cpu) {
             AddViolation(worker.id + " runs tasks of " + std::to_string(used) +
                          " cpu_milli, capacity " + std::to_string(worker.cpu));
         }
     }
 }
 
+/* An order that is carried out late was sent by what was known before. */
+void
+Fleet::CheckCapacityAtStart(const SentOrder &sent, const FleetWorker &worker,
+                            int64_t used)
+{
+    int64_t capacity = CapacityAt(worker, sent.sent_at);
+
+    if (used > capacity) {
+        AddViolation(TextOf(NameOf(sent.run)) + " brings " + worker.id +
+                     " to " + std::to_string(used) + " cpu_milli, capacity " +
+                     std::to_string(capacity));
+    }
+}
+
 /* Two runs of a task at the same time, on workers that are up. */
 void
 Fleet::CheckDoubles()
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -16,6 +16,8 @@
     NEW_CLOCK_MS = 10,
     SLOW_ANSWER_MS = 400,
     DRAIN_MS = 2000,
+    LATE_CHECK_IN_MIN_MS = 1000,
+    LATE_CHECK_IN_MAX_MS = 8000,
     DEFAULT_MAX_FAILURES = 3, /* of a queue that sets no limit */
 };
 
@@ -144,17 +146,13 @@
     proposals_.push_back({now + log_delay_ms, bytes});
 }
 
-void
-Fleet::CheckIn(size_t i, bool draining)
+std::vector<uint8_t>
+Fleet::PackCheckIn(size_t i)
 {
-    Jr__JobCommand command = JR__JOB_COMMAND__INIT;
-    Jr__JobWorker info = JR__JOB_WORKER__INIT;
     FleetWorker &worker = workers[i];
+    Jr__JobWorker info = JR__JOB_WORKER__INIT;
+    std::vector<uint8_t> bytes;
 
-    if (!worker.is_up) {
-        return;
-    }
-    worker.is_draining = draining;
     info.id = const_cast<char *>(worker.id.c_str());
     info.born = worker.incarnation;
     info.address = const_cast<char *>(worker.id.c_str());
@@ -163,12 +161,73 @@
     info.machine = const_cast<char *>("m");
     info.cpu_milli = static_cast<uint32_t>(worker.cpu);
     info.memory_mb = 1000;
-    info.draining = draining;
-    if (jr_dispatch_checked_in(dispatch, &info, now)) {
+    info.draining = worker.is_draining;
+    info.sequence = ++worker.sequence;
+    bytes.resize(jr__job_worker__get_packed_size(&info));
+    jr__job_worker__pack(&info, bytes.data());
+    return bytes;
+}
+
+void
+Fleet::ReceiveCheckIn(const std::vector<uint8_t> &bytes)
+{
+    Jr__JobWorker *info =
+        jr__job_worker__unpack(nullptr, bytes.size(), bytes.data());
+    Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+
+    if (jr_dispatch_checked_in(dispatch, info, now)) {
         command.body_case = JR__JOB_COMMAND__BODY_WORKER;
-        command.worker = &info;
+        command.worker = info;
         Propose(&command);
     }
+    jr__job_worker__free_unpacked(info, nullptr);
+}
+
+/* One that is late gets no answer in time, so the worker sends another. */
+void
+Fleet::CheckIn(size_t i, bool draining)
+{
+    if (!workers[i].is_up) {
+        return;
+    }
+    workers[i].is_draining = draining;
+    if (faults.late_check_in > 0 && Chance(faults.late_check_in)) {
+        DelayCheckIn(
+            i, LATE_CHECK_IN_MIN_MS +
+                   static_cast<int64_t>(rng_() % (LATE_CHECK_IN_MAX_MS -
+                                                  LATE_CHECK_IN_MIN_MS)));
+    }
+    ReceiveCheckIn(PackCheckIn(i));
+}
+
+void
+Fleet::DelayCheckIn(size_t i, int64_t ms)
+{
+    check_ins_.push_back({now + ms, PackCheckIn(i)});
+}
+
+void
+Fleet::DeliverCheckIns()
+{
+    std::vector<DelayedCheckIn> batch;
+
+    batch.swap(check_ins_);
+    for (DelayedCheckIn &check_in : batch) {
+        if (check_in.due <= now) {
+            ReceiveCheckIn(check_in.info);
+        }
+        else {
+            check_ins_.push_back(std::move(check_in));
+        }
+    }
+}
+
+void
+Fleet::SetCapacity(size_t i, int64_t cpu)
+{
+    Trace("capacity", workers[i].id, {}, static_cast<uint32_t>(cpu));
+    workers[i].past_capacities.push_back({workers[i].cpu, now});
+    workers[i].cpu = cpu;
 }
 
 void
@@ -240,6 +299,8 @@
     workers[i].ended.clear();
     workers[i].last_end_number = 0;
     workers[i].expires_ms = 0;
+    workers[i].past_capacities.clear();
+    workers[i].sequence = 0;
     CheckIn(i);
 }
 
@@ -508,6 +569,9 @@
         AdvanceLeaving(i);
         AdvanceCrashes(i);
     }
+    if (!IsStalled()) {
+        DeliverCheckIns();
+    }
     if (now % CHECK_IN_MS == 0 && !IsStalled()) {
         for (size_t i = 0; i < workers.size(); i++) {
             if (!workers[i].is_partitioned) {
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -59,10 +59,19 @@
     std::vector<int64_t> done;
 };
 
+/* A capacity that a worker no longer has. */
+struct FleetCapacity {
+    int64_t cpu;
+    int64_t until;
+};
+
 struct FleetWorker {
     std::string id;
-    int64_t incarnation = 1; /* its start time */
-    int64_t cpu = 4000;      /* thousandths of a processor */
+    int64_t incarnation = 1;     /* its start time */
+    int64_t cpu = 4000;          /* thousandths of a processor */
+    bool checks_capacity = true; /* refuses a start that does not fit */
+    std::vector<FleetCapacity> past_capacities;
+    uint64_t sequence = 0;   /* of its latest check-in */
     int64_t clock_start = 0; /* its clock at the start of its incarnation */
     int64_t clock_permille = 1000; /* rate of its clock */
     bool is_up = true;
@@ -89,6 +98,7 @@
     int unhealthy = 0;   /* the worker refuses, and does nothing */
     int slow_answer = 0; /* overtaken by answers to later orders */
     int task_fails = 0;
+    int late_check_in = 0; /* arrives seconds later, after newer ones */
     int max_failures = 3;
 };
 
@@ -122,6 +132,10 @@
     /* The leader does nothing; what workers do and send goes on. */
     void Stall(int64_t ms);
     void CheckIn(size_t worker, bool draining = false);
+    /* Shrinks or grows, which the next check-in says; what runs stays. */
+    void SetCapacity(size_t worker, int64_t cpu);
+    /* A check-in as it is now, which arrives later. */
+    void DelayCheckIn(size_t worker, int64_t ms);
 
     jr_job_state_t State(uint64_t id);
     size_t Running(uint64_t id) const;
@@ -189,11 +203,19 @@
         std::vector<jr_running_t> running;
         std::vector<jr_ended_t> ended;
     };
+    struct DelayedCheckIn {
+        int64_t due;
+        std::vector<uint8_t> info;
+    };
     struct Proposal {
         int64_t due;
         std::vector<uint8_t> bytes;
     };
 
+    std::vector<uint8_t> PackCheckIn(size_t worker);
+    /* A check-in arrives at the leader. */
+    void ReceiveCheckIn(const std::vector<uint8_t> &info);
+    void DeliverCheckIns();
     void Step();
     void StepLeader();
     bool IsStalled() const;
@@ -221,6 +243,9 @@
     void Propose(Jr__JobCommand *command);
     void RecordEnds(const Jr__JobEnds *ends);
     void CheckCapacity();
+    /* A start brings the worker to @used thousandths of a processor. */
+    void CheckCapacityAtStart(const SentOrder &sent, const FleetWorker &worker,
+                              int64_t used);
     void CheckDoubles();
     void CheckHistory(const TaskName &task);
     void CheckStart(const SentOrder &sent, const FleetWorker &worker);
@@ -242,6 +267,7 @@
     int64_t stalled_until_ = 0;
     size_t answers_in_step_ = 0;
     std::deque<Proposal> proposals_;
+    std::vector<DelayedCheckIn> check_ins_;
     std::vector<SentOrder> sent_orders_;
     std::map<TaskName, size_t> starts_;
     std::set<TaskName> done_; /* tasks whose end is in the log */
--- a/src/dispatch/fleet_worker_test.cpp
+++ b/src/dispatch/fleet_worker_test.cpp
@@ -66,9 +66,10 @@
         used += run.cpu;
     }
     Extend(worker, sent.expires_ms);
-    if (used > worker.cpu) {
+    if (used > worker.cpu && worker.checks_capacity) {
         return JR_ANSWER_NO_CAPACITY;
     }
+    CheckCapacityAtStart(sent, worker, used);
     CheckStart(sent, worker);
     CheckCrashes(task);
     starts_[task]++;
--- a/src/gen/job/job.pb-c.c
+++ b/src/gen/job/job.pb-c.c
@@ -1803,7 +1803,7 @@
   (ProtobufCMessageInit) jr__job_config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_worker__field_descriptors[13] =
+static const ProtobufCFieldDescriptor jr__job_worker__field_descriptors[14] =
 {
   {
     "id",
@@ -1961,6 +1961,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequence",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobWorker, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_worker__field_indices_by_name[] = {
   8,   /* field[8] = accelerators */
@@ -1974,13 +1986,14 @@
   12,   /* field[12] = leaving */
   5,   /* field[5] = machine */
   7,   /* field[7] = memory_mb */
+  13,   /* field[13] = sequence */
   4,   /* field[4] = service */
   3,   /* field[3] = zone */
 };
 static const ProtobufCIntRange jr__job_worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor jr__job_worker__descriptor =
 {
@@ -1990,7 +2003,7 @@
   "Jr__JobWorker",
   "jr",
   sizeof(Jr__JobWorker),
-  13,
+  14,
   jr__job_worker__field_descriptors,
   jr__job_worker__field_indices_by_name,
   1,  jr__job_worker__number_ranges,
--- a/src/gen/job/job.pb-c.h
+++ b/src/gen/job/job.pb-c.h
@@ -254,10 +254,15 @@
    * announced that it shuts down now
    */
   protobuf_c_boolean leaving;
+  /*
+   * Of its check-in, grows within an incarnation; 0: not given. In the log:
+   * of the latest check-in that said something new.
+   */
+  uint64_t sequence;
 };
 #define JR__JOB_WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__job_worker__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
