A late check-in does not take back what a newer one said

Cause: a check-in that was delayed arrives after newer ones of the same incarnation and overwrites a smaller capacity in the log. Nothing told that it is late: the sequence number of check-ins was not decoded.

A check-in with a lower number than the log has is acknowledged and ignored, when it arrives and, as two may be on their way to the log, when it is applied. The leader also remembers the highest number that it has seen: a check-in that repeats the log is not written to it. Numbers are compared within one incarnation; a worker that gives no number or no start time is heard as before.

--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -259,6 +259,15 @@
 /** jr_jobs_worker - find a worker by id; NULL if unknown */
 jr_job_worker_t *jr_jobs_worker(jr_jobs_t *jobs, const char *id);
 
+/**
+ * jr_worker_is_outdated - was @info sent before what is in the log?
+ *
+ * False for another incarnation of the worker, and when one of the two has no
+ * sequence number, or no start time that tells incarnations apart.
+ */
+bool jr_worker_is_outdated(const jr_job_worker_t *worker,
+                           const Jr__JobWorker *info);
+
 /**
  * jr_worker_is_unchanged - does @info say nothing that is not in the log?
  *
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -507,6 +507,25 @@
     jr_free(d->ctx, sent);
 }
 
+/*
+ * Has a later check-in of the worker been received? It need not be in the log:
+ * it may have repeated what is there, or is on its way. A worker without a
+ * start time begins its sequence anew without notice.
+ */
+static bool
+is_overtaken(jr_tracked_worker_t *w, const Jr__JobWorker *info)
+{
+    if (info->born == 0 || info->born != w->incarnation ||
+        info->sequence == 0) {
+        return false;
+    }
+    if (info->sequence < w->sequence) {
+        return true;
+    }
+    w->sequence = info->sequence;
+    return false;
+}
+
 bool
 jr_dispatch_checked_in(jr_dispatch_t *d, const Jr__JobWorker *info,
                        int64_t now)
@@ -517,7 +536,10 @@
     if (known == NULL || known->info->born < info->born) {
         return true;
     }
-    if (known->info->born > info->born) {
+    if (known->info->born > info->born || jr_worker_is_outdated(known, info)) {
+        return false;
+    }
+    if (known->local != NULL && is_overtaken(known->local, info)) {
         return false;
     }
     if (known->local != NULL) {
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -118,6 +118,7 @@
     int64_t tracked_at;  /* when this leader first knew of it */
     int64_t answered_at; /* when the last answered renewal was sent */
     int64_t checked_in_at;
+    uint64_t sequence; /* of its latest check-in, 0: not known */
 
     uint64_t renewal_serial;
     int64_t renewal_expires_ms; /* lease end in the pending renewal, or 0 */
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -342,6 +342,7 @@
     w->has_restarted = true;
     w->is_leaving = false;
     w->left_at = 0;
+    w->sequence = 0;
     w->clock_at = 0;
     w->renewal_expires_ms = 0;
     w->renewed_until_ms = 0;
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -529,14 +529,15 @@
     return JR_OK;
 }
 
-/* Updates from an earlier incarnation of a worker are ignored. */
+/* Updates that a later one of the worker has overtaken are ignored. */
 static jr_result_t
 apply_worker(jr_jobs_t *jobs, Jr__JobCommand *command)
 {
     Jr__JobWorker *info = command->worker;
     jr_job_worker_t *known = jr_jobs_worker(jobs, info->id);
 
-    if (known != NULL && known->info->born > info->born) {
+    if (known != NULL && (known->info->born > info->born ||
+                          jr_worker_is_outdated(known, info))) {
         return JR_OK;
     }
     if (known != NULL && known->info->born == info->born) {
--- a/src/job/jobs.c
+++ b/src/job/jobs.c
@@ -476,6 +476,13 @@
            a->accelerators == b->accelerators;
 }
 
+bool
+jr_worker_is_outdated(const jr_job_worker_t *worker, const Jr__JobWorker *info)
+{
+    return info->born != 0 && worker->info->born == info->born &&
+           info->sequence != 0 && info->sequence < worker->info->sequence;
+}
+
 bool
 jr_worker_is_unchanged(const jr_job_worker_t *worker,
                        const Jr__JobWorker *info)
