A replica without its leader acknowledges no check-in

Cause: any replica acknowledges a check-in that repeats its log. The log of one that is cut off from the leader is old. A worker that shrinks back to a capacity which that log has is acknowledged there, as long as the cut lasts, while the leader has the larger one.

Change: a replica acknowledges such a check-in only when it has heard from its leader within an election time; else it is not the leader, and the worker's next call goes elsewhere. Within that time its log may be older by one change, which the next check-in shows.

Evidence: build/order_test. AFollowerWithoutALeaderAcknowledgesNoCheckIn and AFollowerThatWasFrozenAcknowledgesNoCheckIn are red without the condition. AFollowerAcknowledgesACheckInThatItsLogHas holds with and without it.

--- a/include/jayrelay/quorum.h
+++ b/include/jayrelay/quorum.h
@@ -257,6 +257,12 @@
 bool jr_quorum_is_confirmed(const jr_quorum_t *q, int64_t now,
                             int64_t max_age_ms);
 
+/**
+ * jr_quorum_hears_leader - has a follower heard from its leader so recently
+ *                          that no other one need have been elected?
+ */
+bool jr_quorum_hears_leader(const jr_quorum_t *q, int64_t now);
+
 /** jr_quorum_request_heartbeat - make the next tick of a leader a heartbeat */
 void jr_quorum_request_heartbeat(jr_quorum_t *q);
 
--- a/src/group/job_request.c
+++ b/src/group/job_request.c
@@ -274,13 +274,16 @@
 /*
  * Most check-ins repeat what is in the log. Any replica acknowledges those, so
  * that the leader gets only what is new. It learns from renewals who is alive.
+ * A replica that is cut off from the leader has an old log: what repeats that
+ * one may be new to the leader.
  */
 static bool
 is_known_check_in(const jr_group_t *group, const Jr__Request *request)
 {
     const jr_job_worker_t *worker;
 
-    if (request->body_case != JR__REQUEST__BODY_JOB_WORKER) {
+    if (request->body_case != JR__REQUEST__BODY_JOB_WORKER ||
+        !jr_quorum_hears_leader(group->quorum, group->now)) {
         return false;
     }
     worker = jr_jobs_worker(group->as.jobs.jobs, request->job_worker->id);
--- a/src/group/order_test.cc
+++ b/src/group/order_test.cc
@@ -63,7 +63,7 @@
         while (!Leads(0)) {
             Step();
         }
-        CheckIn();
+        CheckIn(0);
         for (int i = 0; i < 20; i++) {
             Step();
         }
@@ -104,14 +104,16 @@
         return jr_quorum_is_caught_up(jr_group_quorum(groups_[i]));
     }
 
-    /* Sends the leader a check-in of the only worker. */
+    /* Sends a replica a check-in of the only worker. */
     void
-    CheckIn()
+    CheckIn(int replica, uint64_t id = 0, uint32_t cpu_milli = 0)
     {
         Jr__JobWorker info = JR__JOB_WORKER__INIT;
         Jr__Request request = JR__REQUEST__INIT;
         jr_reply_address_t reply_to = {};
 
+        reply_to.id = id;
+        info.cpu_milli = cpu_milli;
         info.id = const_cast<char *>("w0");
         info.born = 1;
         info.address = const_cast<char *>("10.0.0.1:1");
@@ -120,7 +122,7 @@
         info.machine = const_cast<char *>("m");
         request.body_case = JR__REQUEST__BODY_JOB_WORKER;
         request.job_worker = &info;
-        jr_group_request(groups_[0], &reply_to, &request, now_);
+        jr_group_request(groups_[replica], &reply_to, &request, now_);
     }
 
     void
@@ -131,6 +133,9 @@
             uint64_t i = message.to - 1;
 
             messages_.pop_front();
+            if (static_cast<int>(i) == cut_off_) {
+                continue;
+            }
             jr_group_receive(groups_[i], message.bytes.data(),
                              message.bytes.size(), now_);
             ASSERT_EQ(jr_group_pump(groups_[i], now_), JR_OK);
@@ -202,6 +207,7 @@
 
     jr_ctx_t *ctx_ = nullptr;
     int64_t now_ = 1000;
+    int cut_off_ = -1; /* a replica that receives nothing */
     jr_store_t *stores_[kReplicas] = {};
     jr_group_t *groups_[kReplicas] = {};
     std::deque<Message> messages_;
@@ -244,4 +250,35 @@
     EXPECT_EQ(replies_[1], JR_GONE); /* a majority has confirmed this one */
 }
 
+/* A repeated check-in, which need not burden the leader. */
+TEST_F(OrderTest, AFollowerAcknowledgesACheckInThatItsLogHas)
+{
+    CheckIn(2, 1);
+    EXPECT_EQ(replies_.at(1), JR_OK);
+}
+
+/*
+ * Guards against a worker whose leader takes an old capacity for its present
+ * one as long as a replica that is cut off acknowledges what it says.
+ */
+TEST_F(OrderTest, AFollowerWithoutALeaderAcknowledgesNoCheckIn)
+{
+    cut_off_ = 2;
+    CheckIn(0, 1, 1000); /* it has grown */
+    for (int i = 0; i < 2 * kElectionMs / kTickMs; i++) {
+        Step();
+    }
+    EXPECT_EQ(replies_.at(1), JR_OK);
+    CheckIn(2, 2); /* it has shrunk again, to what the replica's log has */
+    EXPECT_EQ(replies_.at(2), JR_NOT_LEADER);
+}
+
+/* The same where the replica was frozen and does not know yet. */
+TEST_F(OrderTest, AFollowerThatWasFrozenAcknowledgesNoCheckIn)
+{
+    now_ += kElectionMs;
+    CheckIn(2, 1);
+    EXPECT_EQ(replies_.at(1), JR_NOT_LEADER);
+}
+
 } // namespace
--- a/src/quorum/core.c
+++ b/src/quorum/core.c
@@ -488,6 +488,13 @@
     return q->leader;
 }
 
+bool
+jr_quorum_hears_leader(const jr_quorum_t *q, int64_t now)
+{
+    return q->role != JR_LEADER && q->leader != 0 &&
+           now - q->heard_leader_at < q->options.election_ms;
+}
+
 int64_t
 jr_quorum_elected_at(const jr_quorum_t *q)
 {
--- a/src/quorum/election.c
+++ b/src/quorum/election.c
@@ -138,11 +138,7 @@
 static bool
 heard_leader_recently(const jr_quorum_t *q)
 {
-    if (q->role == JR_LEADER) {
-        return true;
-    }
-    return q->leader != 0 &&
-           q->now - q->heard_leader_at < q->options.election_ms;
+    return q->role == JR_LEADER || jr_quorum_hears_leader(q, q->now);
 }
 
 void
