One crash shows less than those that follow it

Jobs that crash nobody were given up when workers crashed twice in a row: each crash within 2 s of a start counted 2 of 4.

The first crash under a task now counts 1, however early; a job is given up after three to four crashes instead of two to four. The callers' bound, at most two starts after the third crash, is as before; crash_test checks it in each history.

--- a/src/job/crash.c
+++ b/src/job/crash.c
@@ -1,17 +1,26 @@
 /*
  * Tasks that crash the workers that run them. A crash counts for each task
  * that ran there; their next runs are placed away from each other, so that
- * only the score of its cause rises.
+ * only the score of its cause rises. The first crash shows little, as hosts
+ * fail too, several at once.
  */
 #include "jobs.h"
 
 enum {
     LATE_MS = 30000, /* a task that ran for so long was not the cause */
-    EARLY_SCORE = 2,
+    EARLY_SCORE = 2, /* soon after its start, but not the first crash */
     SCORE = 1,
     SCORE_MAX = 4, /* then the task is given up */
 };
 
+static uint32_t
+score_of(const jr_job_task_t *task, int64_t after_ms)
+{
+    bool is_early = after_ms <= JR_CRASH_EARLY_MS;
+
+    return task->crash_score > 0 && is_early ? EARLY_SCORE : SCORE;
+}
+
 bool
 jr_task_count_crash(jr_job_task_t *task, uint32_t attempt, int64_t after_ms)
 {
@@ -23,6 +32,6 @@
         task->crash_score = 0;
         return false;
     }
-    task->crash_score += after_ms > JR_CRASH_EARLY_MS ? SCORE : EARLY_SCORE;
+    task->crash_score += score_of(task, after_ms);
     return task->crash_score >= SCORE_MAX;
 }
