Crashes of many workers at once show less

Three outages in a row, each of a third of the workers, still made jobs fail that ran there: each crash counted as if a task were its cause. When a tenth of the workers, three at least, have just crashed or can't be reached, the cause is rather their hosts, and a crash counts 1, as it does on a worker that is unstable. So deadly tasks that come in numbers are given up as well, after the fourth crash; a test holds that.

--- a/src/dispatch/crash.c
+++ b/src/dispatch/crash.c
@@ -3,6 +3,9 @@
 
 enum {
     FLAPPING_MS = 20000, /* between two crashes of a worker that is unstable */
+    OUTAGE_MS = 2000,    /* between crashes that have a cause in common */
+    OUTAGE_WORKERS_MIN = 3,
+    OUTAGE_SHARE = 10, /* one worker in so many */
 };
 
 /* It announced its end, or had ended before. */
@@ -56,10 +59,34 @@
     g_array_set_size(w->lapsed, 0);
 }
 
+static bool
+is_in_trouble(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
+{
+    bool has_crashed =
+        w->crashed_at != 0 && d->now - w->crashed_at < OUTAGE_MS;
+
+    return has_crashed || (!is_expected(w) && w->suspect_at != 0);
+}
+
+/* Hosts, or links to them, fail: tasks crash their workers one by one. */
+static bool
+is_outage(const jr_dispatch_t *d)
+{
+    const jr_tracked_worker_t *w;
+    size_t n_all = 0;
+    size_t n = 0;
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        n_all++;
+        n += is_in_trouble(d, w);
+    }
+    return n >= OUTAGE_WORKERS_MIN && n * OUTAGE_SHARE >= n_all;
+}
+
 void
 jr_crash_note(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
-    bool is_flapping = jr_crash_is_recent(d, w);
+    bool is_host_suspect = jr_crash_is_recent(d, w) || is_outage(d);
     jr_run_t *run;
 
     if (is_expected(w)) {
@@ -70,7 +97,7 @@
     w->crashed_at = d->now;
     jr_count(d->ctx, JR_C_WORKER_CRASHES);
     TAILQ_FOREACH (run, &w->runs, link) {
-        bool is_cause_unclear = is_flapping || run->is_inherited;
+        bool is_cause_unclear = is_host_suspect || run->is_inherited;
         int64_t age_ms = age_at_crash(d, run);
 
         if (run->state != JR_RUN_PROPOSED && run->state != JR_RUN_RELEASING &&
--- a/src/dispatch/crash_test.cc
+++ b/src/dispatch/crash_test.cc
@@ -197,6 +197,48 @@
     ExpectClean(fleet);
 }
 
+/* Guards against a job that is given up for outages of many hosts in a row. */
+TEST(CrashTest, AJobOutlivesThreeOutages)
+{
+    Fleet fleet(1, 12);
+    Jr__JobStep service = MakeStep(4, 4000);
+
+    service.service = true;
+    fleet.long_running_job = kServiceJob;
+    fleet.Submit(kServiceJob, {service});
+    for (int i = 0; i < 3; i++) {
+        std::vector<size_t> crashed;
+
+        fleet.Run(1500);
+        EXPECT_EQ(fleet.Running(kServiceJob), 4u);
+        crashed = CrashBusyWorkers(&fleet);
+        fleet.Run(500);
+        for (size_t w : crashed) {
+            fleet.Restart(w);
+        }
+    }
+    fleet.Run(5000);
+    EXPECT_EQ(fleet.State(kServiceJob), JR_JOB_RUNNING);
+    EXPECT_EQ(fleet.Running(kServiceJob), 4u);
+    ExpectClean(fleet);
+}
+
+/* Guards against deadly tasks that are taken for an outage of hosts. */
+TEST(CrashTest, ManyDeadlyTasksAtOnceAreGivenUp)
+{
+    Fleet fleet(1, 10);
+
+    for (uint64_t i = 0; i < kInnocentJobs; i++) {
+        fleet.deadly.insert({kFirstInnocentJob + i, 0, 0, 0});
+        fleet.Submit(kFirstInnocentJob + i, {MakeStep(1)});
+    }
+    fleet.Run(120000);
+    for (uint64_t i = 0; i < kInnocentJobs; i++) {
+        EXPECT_EQ(fleet.State(kFirstInnocentJob + i), JR_JOB_FAILED);
+    }
+    ExpectClean(fleet);
+}
+
 /*
  * Guards against a job that is given up since its workers had crashed before
  * its start orders were sent: it never ran there.
