Crashes are counted when the leader changes just after the restart

A worker's restart may be in the log while the release of its runs, which says that it crashed, is lost with the leader.

A run that was granted to an earlier incarnation than the logged one now counts as crashed under an earlier leader, at an unknown age, unless the worker lists it.

crash_test CrashesOfWorkersThatAreBackBeforeAChangeOfLeaderCount was red before (7 crashes), green now.

--- a/src/dispatch/crash.c
+++ b/src/dispatch/crash.c
@@ -107,3 +107,11 @@
         }
     }
 }
+
+void
+jr_crash_inherit(jr_run_t *run)
+{
+    if (run->incarnation < run->worker->incarnation) {
+        run->crashed_after_ms = JR_CRASH_EARLY_MS + 1;
+    }
+}
--- a/src/dispatch/crash_test.cc
+++ b/src/dispatch/crash_test.cc
@@ -44,6 +44,14 @@
     return crashed;
 }
 
+void
+RunUntilUp(Fleet *fleet, size_t n_workers)
+{
+    for (int i = 0; i < 1000 && fleet->Up() != n_workers; i++) {
+        fleet->Run(10);
+    }
+}
+
 /*
  * Guards against a task that crashes one worker after the other, each of which
  * is back before its lease lapses.
@@ -118,6 +126,25 @@
     ExpectClean(fleet);
 }
 
+/*
+ * Guards against a crash that nobody counts: the leader changes when the
+ * restart of the worker is in the log, but not the release of the run.
+ */
+TEST(CrashTest, CrashesOfWorkersThatAreBackBeforeAChangeOfLeaderCount)
+{
+    Fleet fleet(1, 6);
+
+    SubmitDeadlyJob(&fleet);
+    for (int i = 0; i < 8; i++) {
+        RunUntilUp(&fleet, 5);
+        RunUntilUp(&fleet, 6);
+        fleet.Run(30);
+        fleet.ChangeLeader(false);
+    }
+    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    ExpectClean(fleet);
+}
+
 /* Guards against jobs that are given up since they ran beside a deadly task.
  */
 TEST(CrashTest, TasksBesideADeadlyOneAreNotGivenUp)
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -274,6 +274,7 @@
 
         run->incarnation = task->incarnation;
         run->is_inherited = true;
+        jr_crash_inherit(run);
         run->is_stop_wanted = !jr_job_is_live(task->job) || task->is_done;
     }
 }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -264,6 +264,11 @@
 /* crash.c: workers that crash, and the tasks that ran there. */
 /* Its incarnation has ended: a crash, unless the worker announced it. */
 void jr_crash_note(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/*
+ * The run is of an earlier leader: an incarnation that ended under that one
+ * crashed, if the worker does not list the run. Its age is not known.
+ */
+void jr_crash_inherit(jr_run_t *run);
 /* So recently that the worker itself may be unstable. */
 bool jr_crash_is_recent(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
 /* The lease of the run lapsed; the cause is not known yet. */
