Crash histories can be replayed by seed, and run in any number

Runs whose lease lapsed are held by the leader alone until their worker is back as another incarnation, so a change of leader in between loses the crash; two such losses let a sixth crash happen.

--- a/src/dispatch/crash_test.cc
+++ b/src/dispatch/crash_test.cc
@@ -1,8 +1,12 @@
-/* Tasks that crash each worker that runs them, and those that run beside. */
+/*
+ * Tasks that crash each worker that runs them, and those that run beside.
+ * JR_SEED=n replays one history, JR_HISTORIES=n sets their number.
+ */
 #include <gtest/gtest.h>
 
 #include <random>
 
+#include "base/histories_test.h"
 #include "fleet_test.h"
 
 namespace {
@@ -292,7 +296,7 @@
 }
 
 /* Answers are lost, and leaders change, while workers crash. */
-void
+std::vector<std::string>
 RunHistory(uint32_t seed)
 {
     FleetFaults faults;
@@ -314,15 +318,18 @@
         }
     }
     fleet.Run(20000);
-    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
-    ExpectClean(fleet);
+    if (fleet.State(kDeadlyJob) != JR_JOB_FAILED) {
+        fleet.violations.push_back("the deadly job is not given up");
+    }
+    return fleet.violations;
 }
 
 TEST(CrashTest, DeadlyTasksAreNotStartedTooOften)
 {
-    for (uint32_t seed = 1; seed <= kHistories; seed++) {
-        SCOPED_TRACE("seed " + std::to_string(seed));
-        RunHistory(seed);
+    for (const auto &[seed, found] : RunHistories(kHistories, RunHistory)) {
+        for (const std::string &what : found) {
+            ADD_FAILURE() << "seed " << seed << ": " << what;
+        }
     }
 }
 
