Test: a service whose worker is lost twice runs again in time; red

A worker that crashes, comes back under its id and is lost again before its first list keeps the runs of an earlier leader granted until no late start order can arrive: 15 s and a lease.

--- a/src/dispatch/failover_test.cc
+++ b/src/dispatch/failover_test.cc
@@ -44,16 +44,18 @@
         }
     }
 
-    void
+    /* Returns its index. */
+    size_t
     LoseWorkerOfService()
     {
         for (size_t i = 0; i < fleet_.workers.size(); i++) {
             if (fleet_.workers[i].running.count({kService, 0, 0, 0}) > 0) {
                 fleet_.Crash(i);
-                return;
+                return i;
             }
         }
-        FAIL() << "the service does not run";
+        ADD_FAILURE() << "the service does not run";
+        return 0;
     }
 
     int64_t
@@ -101,6 +103,27 @@
     EXPECT_TRUE(fleet_.violations.empty());
 }
 
+/*
+ * Guards against a worker that comes back and is lost again before its first
+ * list: runs of an earlier leader wait until late start orders are excluded.
+ */
+TEST_P(FailoverTest, DISABLED_AServiceRunsAgainInTimeWhenItsWorkerIsLostTwice)
+{
+    int64_t lost_at;
+    size_t host;
+
+    fleet_.ChangeLeader(true);
+    Run(2000);
+    lost_at = fleet_.now;
+    host = LoseWorkerOfService();
+    Run(500);
+    fleet_.Restart(host);
+    Run(2 * kTickMs);
+    fleet_.Crash(host);
+    EXPECT_LE(RunUntilServiceRuns(lost_at), kFailoverMs);
+    EXPECT_TRUE(fleet_.violations.empty());
+}
+
 /* Longest leases, in ms: shorter than the failover time, equal, longer. */
 INSTANTIATE_TEST_SUITE_P(LongestLeases, FailoverTest,
                          ::testing::Values(6000, 10000, 20000));
