No start is sent to a worker that has shrunk below it

Cause: capacity was checked when a task was placed, not when its start was sent. A start that was granted, or is sent again, went to a worker that had shrunk meanwhile; one that does not check its capacity executes it.

Change: a start is sent only if it fits beside the runs that may hold capacity on the worker: those that run, are being stopped, or whose start was sent and may have been executed. Otherwise it is withheld. One that was surely not executed is released, and its task goes elsewhere. One whose outcome is unknown is not stopped, as it may run since before: the next list shows it, or it is stopped, which bars a start that still arrives. Gangs get no special treatment: the other members end as when one start fails.

--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -45,8 +45,8 @@
 /* Decrease of HEADROOM_KEPT per second, once limits are relaxed. */
 static const double RELAX_PER_S = 0.5;
 
-static bool
-has_capacity_beside(const jr_need_t *need, const jr_need_t *used,
+bool
+jr_need_fits_beside(const jr_need_t *need, const jr_need_t *used,
                     const Jr__JobWorker *info)
 {
     return need->cpu_milli + used->cpu_milli <= info->cpu_milli &&
@@ -57,7 +57,7 @@
 bool
 jr_worker_has_capacity(const jr_need_t *need, const jr_tracked_worker_t *w)
 {
-    return has_capacity_beside(need, &w->used, w->worker->info);
+    return jr_need_fits_beside(need, &w->used, w->worker->info);
 }
 
 bool
@@ -67,7 +67,7 @@
     jr_need_t used = w->services;
 
     jr_need_add(&used, &w->reserved, 1);
-    return has_capacity_beside(need, &used, w->worker->info);
+    return jr_need_fits_beside(need, &used, w->worker->info);
 }
 
 /* Capacity that is reserved for services is not available to other tasks. */
@@ -78,7 +78,7 @@
     jr_need_t used = w->used;
 
     jr_need_add(&used, &w->reserved, 1);
-    return has_capacity_beside(need, &used, w->worker->info);
+    return jr_need_fits_beside(need, &used, w->worker->info);
 }
 
 static bool
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -49,6 +49,7 @@
     bool is_due;             /* in the list of due orders */
     bool is_outcome_unknown; /* a start order may still be executed */
     bool is_unreached;       /* a later start order was not sent */
+    int64_t withheld_at;     /* its start, for lack of capacity; 0: not */
     bool is_inherited;       /* granted by an earlier leader */
     bool is_suspect;         /* a worker crashed under an earlier run */
     bool is_listed;          /* its incarnation listed it as running */
@@ -347,6 +348,8 @@
 /* Has the job waited so long that interference limits are relaxed? */
 bool jr_choose_is_relaxed(const jr_dispatch_t *d, const jr_job_t *job);
 void jr_need_of(const Jr__JobStep *step, jr_need_t *need);
+bool jr_need_fits_beside(const jr_need_t *need, const jr_need_t *used,
+                         const Jr__JobWorker *info);
 bool jr_worker_has_capacity(const jr_need_t *need,
                             const jr_tracked_worker_t *w);
 /* Has it capacity if only services and reservations are counted? */
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -137,6 +137,12 @@
 note_absent(jr_dispatch_t *d, jr_run_t *run, int64_t sent_at)
 {
     switch (run->state) {
+    case JR_RUN_STARTING:
+        /* The stop excludes a start order that may still arrive. */
+        if (run->withheld_at != 0 && run->withheld_at < sent_at) {
+            jr_run_stop(d, run);
+        }
+        break;
     case JR_RUN_UNCONFIRMED:
         /*
          * The fencing token of the renewal excludes start orders to earlier
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -210,6 +210,58 @@
     jr_run_set_due(d, run);
 }
 
+/* May the run hold capacity on its worker? */
+static bool
+may_hold_capacity(const jr_run_t *run)
+{
+    switch (run->state) {
+    case JR_RUN_PROPOSED:
+    case JR_RUN_RELEASING:
+        return false;
+    case JR_RUN_STARTING:
+        return run->serial != 0 || run->is_outcome_unknown;
+    case JR_RUN_RUNNING:
+    case JR_RUN_STOPPING:
+    case JR_RUN_UNCONFIRMED:
+        break;
+    }
+    return true;
+}
+
+/* The worker may have shrunk since the run was granted to it. */
+static bool
+fits_beside_others(const jr_run_t *run)
+{
+    const jr_tracked_worker_t *w = run->worker;
+    jr_need_t held = {0};
+    const jr_run_t *other;
+
+    TAILQ_FOREACH (other, &w->runs, link) {
+        if (other != run && may_hold_capacity(other)) {
+            jr_need_add(&held, &other->need, 1);
+        }
+    }
+    return jr_need_fits_beside(&run->need, &held, w->worker->info);
+}
+
+/*
+ * A worker that does not check its capacity executes any start. One that may
+ * have been executed before it shrank is not sent again: the next list shows
+ * whether it runs, and it is stopped when it does not. Others go elsewhere.
+ */
+static void
+withhold_start(jr_dispatch_t *d, jr_run_t *run)
+{
+    if (!run->is_outcome_unknown) {
+        jr_run_release(d, run, "shrunk");
+        return;
+    }
+    if (run->withheld_at == 0) {
+        run->withheld_at = d->now;
+    }
+    retry(d, run);
+}
+
 /*
  * The worker may have crashed under the run. The next list tells, before an
  * order is sent again and may crash the next incarnation.
@@ -237,6 +289,11 @@
         retry(d, run);
         return false;
     }
+    if (run->state == JR_RUN_STARTING && !fits_beside_others(run)) {
+        withhold_start(d, run);
+        return false;
+    }
+    run->withheld_at = 0;
     *order = (jr_order_t){.timeout_ms = JR_ANSWER_TIMEOUT_MS};
     jr_run_name(run, &order->run);
     switch (run->state) {
