An overfull worker does not delay services on other workers

Cause: the processors kept for short tasks are sought worker by worker, less what services use there. A worker that shrank below its services has a negative remainder, which was added to what other workers had to keep.

Change: such a worker has none to give.

Evidence: CapacityTest.AnOverfullWorkerDoesNotDelayServicesOnOthers is red before. The other uses of free capacity were read: a worker without the capacity is excluded before its cost is computed, and all terms are signed 64-bit numbers.

--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -106,8 +106,9 @@
     wanted = MIN(PEAK_MARGIN * d->short_peak_milli, MAX_SHARE * all);
     spare = MAX(MIN_SHARE * all - wanted, 0.0);
     TAILQ_FOREACH (w, &d->workers, link) {
-        double free_milli =
-            (double)(w->worker->info->cpu_milli - w->services.cpu_milli);
+        /* A worker that shrank may run more than it has capacity for. */
+        double free_milli = (double)MAX(
+            w->worker->info->cpu_milli - w->services.cpu_milli, (int64_t)0);
 
         w->service_delay_ms = 0;
         if (!w->is_usable) {
