--- a/src/dispatch/crash_test.cc
+++ b/src/dispatch/crash_test.cc
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr uint64_t kDeadlyJob = 1;
-constexpr TaskName kDeadlyTask = {kDeadlyJob, 0, 0, 0};
+constexpr uint64_t kCrashingJob = 1;
+constexpr TaskName kCrashingTask = {kCrashingJob, 0, 0, 0};
 constexpr uint64_t kServiceJob = 2;
 constexpr uint64_t kFirstInnocentJob = 10;
 constexpr uint64_t kInnocentJobs = 12;
@@ -26,12 +26,12 @@
     }
 }
 
-/* The deadly task has a sibling. */
+/* The crashing task has a sibling. */
 void
-SubmitDeadlyJob(Fleet *fleet)
+SubmitCrashingJob(Fleet *fleet)
 {
-    fleet->deadly.insert(kDeadlyTask);
-    fleet->Submit(kDeadlyJob, {MakeStep(2)});
+    fleet->crashing.insert(kCrashingTask);
+    fleet->Submit(kCrashingJob, {MakeStep(2)});
 }
 
 std::vector<size_t>
@@ -65,10 +65,10 @@
     Fleet fleet(1, 6);
 
     fleet.crashed_for_ms = 2000;
-    SubmitDeadlyJob(&fleet);
+    SubmitCrashingJob(&fleet);
     fleet.Run(60000);
-    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
-    EXPECT_EQ(fleet.CrashesUnder(kDeadlyTask), 3u);
+    EXPECT_EQ(fleet.State(kCrashingJob), JR_JOB_FAILED);
+    EXPECT_EQ(fleet.CrashesUnder(kCrashingTask), 3u);
     EXPECT_EQ(fleet.Up(), 6u);
     ExpectClean(fleet);
 }
@@ -79,9 +79,9 @@
     Fleet fleet(1, 6);
 
     fleet.crashed_for_ms = 5000;
-    SubmitDeadlyJob(&fleet);
+    SubmitCrashingJob(&fleet);
     fleet.Run(60000);
-    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    EXPECT_EQ(fleet.State(kCrashingJob), JR_JOB_FAILED);
     EXPECT_EQ(fleet.Up(), 6u);
     ExpectClean(fleet);
 }
@@ -92,10 +92,10 @@
     Fleet fleet(1, 6);
 
     fleet.task_ms = 20000;
-    fleet.deadly_after_ms = 5000;
-    SubmitDeadlyJob(&fleet);
+    fleet.crash_after_ms = 5000;
+    SubmitCrashingJob(&fleet);
     fleet.Run(120000);
-    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    EXPECT_EQ(fleet.State(kCrashingJob), JR_JOB_FAILED);
     ExpectClean(fleet);
 }
 
@@ -106,11 +106,11 @@
     Jr__JobStep step = MakeStep(1);
 
     step.service = true;
-    fleet.long_running_job = kDeadlyJob;
-    fleet.deadly.insert(kDeadlyTask);
-    fleet.Submit(kDeadlyJob, {step});
+    fleet.long_running_job = kCrashingJob;
+    fleet.crashing.insert(kCrashingTask);
+    fleet.Submit(kCrashingJob, {step});
     fleet.Run(60000);
-    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    EXPECT_EQ(fleet.State(kCrashingJob), JR_JOB_FAILED);
     ExpectClean(fleet);
 }
 
@@ -119,14 +119,14 @@
 {
     Fleet fleet(1, 6);
 
-    SubmitDeadlyJob(&fleet);
+    SubmitCrashingJob(&fleet);
     for (int i = 0; i < 60; i++) {
         fleet.Run(1000);
         if (i % 4 == 0) {
             fleet.ChangeLeader(true);
         }
     }
-    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    EXPECT_EQ(fleet.State(kCrashingJob), JR_JOB_FAILED);
     ExpectClean(fleet);
 }
 
@@ -138,20 +138,20 @@
 {
     Fleet fleet(1, 6);
 
-    SubmitDeadlyJob(&fleet);
+    SubmitCrashingJob(&fleet);
     for (int i = 0; i < 8; i++) {
         RunUntilUp(&fleet, 5);
         RunUntilUp(&fleet, 6);
         fleet.Run(30);
         fleet.ChangeLeader(false);
     }
-    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    EXPECT_EQ(fleet.State(kCrashingJob), JR_JOB_FAILED);
     ExpectClean(fleet);
 }
 
-/* Guards against jobs that are given up since they ran beside a deadly task.
+/* Guards against jobs that are given up since they ran beside a crashing task.
  */
-TEST(CrashTest, TasksBesideADeadlyOneAreNotGivenUp)
+TEST(CrashTest, TasksBesideACrashingOneAreNotGivenUp)
 {
     Fleet fleet(1, 6);
     Jr__JobStep service = MakeStep(6);
@@ -160,12 +160,12 @@
     fleet.long_running_job = kServiceJob;
     fleet.Submit(kServiceJob, {service});
     fleet.Run(3000);
-    SubmitDeadlyJob(&fleet);
+    SubmitCrashingJob(&fleet);
     for (uint64_t i = 0; i < kInnocentJobs; i++) {
         fleet.Submit(kFirstInnocentJob + i, {MakeStep(2)});
     }
     fleet.Run(60000);
-    EXPECT_EQ(fleet.State(kDeadlyJob), JR_JOB_FAILED);
+    EXPECT_EQ(fleet.State(kCrashingJob), JR_JOB_FAILED);
     EXPECT_EQ(fleet.Running(kServiceJob), 6u);
     for (uint64_t i = 0; i < kInnocentJobs; i++) {
         EXPECT_EQ(fleet.State(kFirstInnocentJob + i), JR_JOB_DONE);
@@ -254,13 +254,13 @@
     ExpectClean(fleet);
 }
 
-/* Guards against deadly tasks that are taken for an outage of hosts. */
-TEST(CrashTest, ManyDeadlyTasksAtOnceAreGivenUp)
+/* Guards against crashing tasks that are taken for an outage of hosts. */
+TEST(CrashTest, ManyCrashingTasksAtOnceAreGivenUp)
 {
     Fleet fleet(1, 10);
 
     for (uint64_t i = 0; i < kInnocentJobs; i++) {
-        fleet.deadly.insert({kFirstInnocentJob + i, 0, 0, 0});
+        fleet.crashing.insert({kFirstInnocentJob + i, 0, 0, 0});
         fleet.Submit(kFirstInnocentJob + i, {MakeStep(1)});
     }
     fleet.Run(120000);
@@ -305,8 +305,8 @@
     faults.lost_answer = 10;
     faults.slow_answer = 5;
     Fleet fleet(seed, 6, faults);
-    fleet.deadly_after_ms = rng() % 2 == 0 ? 10 : rng() % 400;
-    SubmitDeadlyJob(&fleet);
+    fleet.crash_after_ms = rng() % 2 == 0 ? 10 : rng() % 400;
+    SubmitCrashingJob(&fleet);
     for (int i = 0; i < 60; i++) {
         fleet.Run(1000);
         if (rng() % 8 == 0) {
@@ -318,13 +318,13 @@
         }
     }
     fleet.Run(20000);
-    if (fleet.State(kDeadlyJob) != JR_JOB_FAILED) {
-        fleet.violations.push_back("the deadly job is not given up");
+    if (fleet.State(kCrashingJob) != JR_JOB_FAILED) {
+        fleet.violations.push_back("the crashing job is not given up");
     }
     return fleet.violations;
 }
 
-TEST(CrashTest, DeadlyTasksAreNotStartedTooOften)
+TEST(CrashTest, CrashingTasksAreNotStartedTooOften)
 {
     for (const auto &[seed, found] : RunHistories(kHistories, RunHistory)) {
         for (const std::string &what : found) {
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -155,8 +155,8 @@
     FleetFaults faults;
     int64_t task_ms = 500;
     uint64_t long_running_job = 0; /* its tasks run until they are stopped */
-    std::set<TaskName> deadly;     /* crash each worker that runs them */
-    int64_t deadly_after_ms = 10;  /* from their start */
+    std::set<TaskName> crashing;   /* crash each worker that runs them */
+    int64_t crash_after_ms = 10;   /* from their start */
     int64_t crashed_for_ms = 3000; /* then the worker comes back */
     int64_t log_delay_ms = 20;     /* from a proposal to its application */
     uint32_t reported_percent = 0; /* by every run; 0: its actual progress */
--- a/src/dispatch/fleet_worker_test.cpp
+++ b/src/dispatch/fleet_worker_test.cpp
@@ -250,8 +250,8 @@
         Restart(i);
     }
     for (const auto &[task, run] : worker.running) {
-        if (deadly.count(task) > 0 &&
-            now >= run.started_at + deadly_after_ms) {
+        if (crashing.count(task) > 0 &&
+            now >= run.started_at + crash_after_ms) {
             crashes_[task]++;
             Crash(i);
             worker.returns_at = now + crashed_for_ms;
