The end of a draining worker that is back under its id is no crash

When a worker checked in again under its id, its earlier incarnation counted as drained only if the new one was: the log's entry is replaced before the leader hears of it. If the leave request had not arrived, what still ran there counted as run over by a crash. The leader now keeps what the log said of the incarnation that it tracks.

--- a/src/dispatch/crash.c
+++ b/src/dispatch/crash.c
@@ -12,8 +12,7 @@
 static bool
 is_expected(const jr_tracked_worker_t *w)
 {
-    return w->has_ended || w->is_leaving || w->left_at != 0 ||
-           w->worker->info->draining;
+    return w->has_ended || w->is_leaving || w->left_at != 0 || w->is_draining;
 }
 
 bool
--- a/src/dispatch/crash_test.cc
+++ b/src/dispatch/crash_test.cc
@@ -130,6 +130,30 @@
     ExpectClean(fleet);
 }
 
+/*
+ * Guards against a drained worker that is taken for a crashed one, since it is
+ * back under its id.
+ */
+TEST(CrashTest, TheEndOfADrainingWorkerIsNoCrash)
+{
+    Fleet fleet(1, 1);
+    Jr__JobRun name = JR__JOB_RUN__INIT;
+
+    name.job = kServiceJob;
+    fleet.long_running_job = kServiceJob;
+    fleet.Submit(kServiceJob, {MakeStep(1)});
+    fleet.Run(1000);
+    fleet.Drain(0);
+    fleet.Run(300);
+    EXPECT_EQ(fleet.Running(kServiceJob), 1u);
+    fleet.Crash(0);
+    fleet.Run(100);
+    fleet.Restart(0);
+    fleet.Run(1000);
+    EXPECT_EQ(jr_jobs_task(fleet.jobs, &name)->attempt, 2u);
+    EXPECT_EQ(jr_jobs_task(fleet.jobs, &name)->crash_score, 0u);
+}
+
 /*
  * Guards against a crash that nobody counts: the leader changes when the
  * restart of the worker is in the log, but not the release of the run.
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -163,6 +163,9 @@
     if (worker->info->born > w->incarnation) {
         jr_tracked_worker_restart(d, w, worker->info->born);
     }
+    if (worker->info->born == w->incarnation) {
+        w->is_draining = worker->info->draining;
+    }
     if (worker->info->leaving && worker->info->born == w->incarnation) {
         jr_tracked_worker_leave(d, w);
     }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -108,6 +108,7 @@
     bool has_restarted;        /* this leader saw its incarnation begin */
     bool has_ended;            /* its incarnation has ended */
     bool is_leaving;
+    bool is_draining;   /* its incarnation, as the log said last */
     int64_t left_at;    /* when it said that it leaves, 0: never */
     int64_t crashed_at; /* when its latest crash was noticed, 0: never */
     /*
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -60,6 +60,7 @@
     w->incarnation = worker->info->born;
     w->fence_epoch = d->fence_epoch;
     w->renewal_at = d->now;
+    w->is_draining = worker->info->draining;
     w->tracked_at = d->now;
     w->checked_in_at = d->now;
     w->lapsed = g_array_new(FALSE, FALSE, sizeof(jr_crashed_run_t));
@@ -341,6 +342,7 @@
     w->has_ended = false;
     w->has_restarted = true;
     w->is_leaving = false;
+    w->is_draining = false;
     w->left_at = 0;
     w->clock_at = 0;
     w->renewal_expires_ms = 0;
