Histories check the capacity when a start is sent

A start that goes to a worker which has shrunk broke nothing in the histories while the worker did not count yet. The histories of capacity_test, which have no restarts and no best-effort tasks, now also report a start that is sent to a worker without the capacity by the log.

--- a/src/dispatch/capacity_test.cc
+++ b/src/dispatch/capacity_test.cc
@@ -386,6 +386,7 @@
     faults.slow_answer = 5;
     faults.late_check_in = 20;
     Fleet fleet(seed, 4, faults);
+    fleet.checks_sent_starts = true;
     StopChecks(&fleet, 0);
     StopChecks(&fleet, 2);
     for (int i = 0; i < kActions; i++) {
--- a/src/dispatch/fleet_check_test.cpp
+++ b/src/dispatch/fleet_check_test.cpp
@@ -170,6 +170,23 @@
     }
 }
 
+/* A run that the order has begun before is there already. */
+void
+Fleet::CheckCapacityAtSend(const jr_order_t &order)
+{
+    TaskName task = NameOf(order.run);
+    const FleetWorker *worker = FindWorker(order.worker);
+    const jr_job_t *job = jr_jobs_find(jobs, task.job);
+    int64_t known = jr_jobs_worker(jobs, order.worker)->info->cpu_milli;
+    int64_t used = UsedBy(*worker) + job->spec->steps[task.step]->cpu_milli;
+
+    if (worker->running.count(task) == 0 && used > known) {
+        AddViolation("start of " + TextOf(task) + " is sent to " + worker->id +
+                     ", which then has " + std::to_string(used) +
+                     " cpu_milli, known capacity " + std::to_string(known));
+    }
+}
+
 /* An order that is carried out late was sent by what was known before. */
 void
 Fleet::CheckCapacityAtStart(const SentOrder &sent, const FleetWorker &worker,
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -409,6 +409,9 @@
         SentOrder sent = {};
         bool is_renewal = order.kind == JR_ORDER_RENEW;
 
+        if (order.kind == JR_ORDER_START && checks_sent_starts) {
+            CheckCapacityAtSend(order);
+        }
         sent.kind = order.kind;
         sent.serial = order.serial | epoch_ << 40;
         sent.worker = order.worker;
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -169,6 +169,11 @@
     bool ignores_tombstones = false;
     /* Report also what a start sent to an earlier incarnation begins. */
     bool checks_stale_starts = false;
+    /*
+     * Report also a start that is sent to a worker without the capacity by the
+     * log. For histories without restarts and best-effort tasks.
+     */
+    bool checks_sent_starts = false;
     /* What the leader gets done in a step; 0: everything. */
     size_t orders_per_step = 0;
     size_t answers_per_step = 0;
@@ -243,6 +248,8 @@
     void Propose(Jr__JobCommand *command);
     void RecordEnds(const Jr__JobEnds *ends);
     void CheckCapacity();
+    /* A start is sent; its worker may have shrunk, by what the log says. */
+    void CheckCapacityAtSend(const jr_order_t &order);
     /* A start brings the worker to @used thousandths of a processor. */
     void CheckCapacityAtStart(const SentOrder &sent, const FleetWorker &worker,
                               int64_t used);
