--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -171,7 +171,7 @@
     bool checks_stale_starts = false;
     /*
      * Report also a start that is sent to a worker without the capacity by the
-     * log. Not where workers restart: late orders begin what no grant names.
+     * log. For histories without restarts and best-effort tasks.
      */
     bool checks_sent_starts = false;
     /* What the leader gets done in a step; 0: everything. */
