Decisions about carried orders are pure steps of the module carrier

The book of open orders and what a carrier does with an order that arrives stood beside the sockets in src/control/carry.c, where histories in virtual time can't reach them. No change of behaviour.

--- a/include/jayrelay/carrier.h
+++ b/include/jayrelay/carrier.h
@@ -94,6 +94,74 @@
 /** jr_carriers_count - carriers that answer the leader */
 size_t jr_carriers_count(const jr_carriers_t *carriers, int64_t now);
 
+/** enum jr_carry_verdict_t - what a carrier does with an order */
+typedef enum {
+    JR_CARRY_SEND,
+    JR_CARRY_REFUSE, /* it has too many, or shuts down */
+    JR_CARRY_STALE,  /* the order was on the way for too long */
+} jr_carry_verdict_t;
+
+/**
+ * jr_carry_judge - does a carrier send an order?
+ * @n_open: orders that it sent, and that are not answered
+ * @heard_ms: see jr_carried_is_stale()
+ * @clock_ms: see jr_carried_is_stale()
+ *
+ * An order that is not sent is answered as JR_ANSWER_UNREACHED.
+ */
+jr_carry_verdict_t jr_carry_judge(size_t n_open, bool is_draining,
+                                  int64_t heard_ms, int64_t clock_ms);
+
+/**
+ * jr_carry_read - read a packed order; @to borrows its texts
+ *
+ * Return: the message, owned by the caller, or NULL for an order that can't be
+ * read, which is counted and logged. It gets no answer.
+ */
+Jr__Order *jr_carry_read(jr_ctx_t *ctx, const ProtobufCBinaryData *packed,
+                         jr_order_t *to);
+
+/** typedef jr_carry_handler_t - the outcome of an order; all is borrowed */
+typedef void jr_carry_handler_t(void *user, uint64_t serial,
+                                const jr_answer_t *answer, int64_t now);
+
+/** struct jr_carry_book_t - orders that carriers of a leader have not answered
+ */
+typedef struct jr_carry_book jr_carry_book_t;
+
+/**
+ * jr_new_carry_book - an empty book
+ * @carriers: borrowed
+ * @session: of this process; tells answers to it from others
+ * @handler: called exactly once for each order in the book
+ */
+jr_carry_book_t *jr_new_carry_book(jr_ctx_t *ctx, jr_carriers_t *carriers,
+                                   uint64_t session,
+                                   jr_carry_handler_t *handler, void *user);
+
+/** jr_drop_carry_book - free, without outcomes; NULL is accepted */
+void jr_drop_carry_book(jr_carry_book_t *book);
+
+/** jr_carry_book_add - an order goes to a carrier */
+void jr_carry_book_add(jr_carry_book_t *book, const jr_order_t *order,
+                       int carrier, int64_t now);
+
+/**
+ * jr_carry_book_expire - give up on late answers and on silent carriers
+ *
+ * The outcome is unknown: the order may have been sent, or may be yet.
+ */
+void jr_carry_book_expire(jr_carry_book_t *book, int64_t now);
+
+/**
+ * jr_carry_book_receive - a carrier answered
+ *
+ * Batches of another session, and answers to orders that are not open, change
+ * nothing.
+ */
+void jr_carry_book_receive(jr_carry_book_t *book, const Jr__AnswerBatch *batch,
+                           int64_t now);
+
 /** jr_order_pack - fill a message; it borrows the texts of @order */
 void jr_order_pack(const jr_order_t *order, Jr__Order *to);
 
--- /dev/null
+++ b/src/carrier/book.c
@@ -0,0 +1,164 @@
+/* The book of a leader: orders that its carriers have not answered. */
+#include <string.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+#include "jayrelay/carrier.h"
+
+enum {
+    CROSSING_MS = 400, /* to a carrier and back, beside the order itself */
+};
+
+typedef struct open_order {
+    TAILQ_ENTRY(open_order) link;
+    UT_hash_handle hh;
+    uint64_t serial;
+    int carrier;
+    char *worker;
+    int64_t deadline;
+} open_order_t;
+
+struct jr_carry_book {
+    jr_ctx_t *ctx;
+    jr_carriers_t *carriers;
+    uint64_t session;
+    jr_carry_handler_t *handler;
+    void *user;
+    TAILQ_HEAD(, open_order) open; /* oldest first */
+    open_order_t *by_serial;
+};
+
+jr_carry_book_t *
+jr_new_carry_book(jr_ctx_t *ctx, jr_carriers_t *carriers, uint64_t session,
+                  jr_carry_handler_t *handler, void *user)
+{
+    jr_carry_book_t *book = jr_alloc(ctx, sizeof *book);
+
+    book->ctx = ctx;
+    book->carriers = carriers;
+    book->session = session;
+    book->handler = handler;
+    book->user = user;
+    TAILQ_INIT(&book->open);
+    return book;
+}
+
+static void
+drop_open(jr_carry_book_t *book, open_order_t *order)
+{
+    TAILQ_REMOVE(&book->open, order, link);
+    HASH_DEL(book->by_serial, order);
+    jr_free(book->ctx, order->worker);
+    jr_free(book->ctx, order);
+}
+
+void
+jr_drop_carry_book(jr_carry_book_t *book)
+{
+    open_order_t *order;
+
+    if (book == NULL) {
+        return;
+    }
+    while ((order = TAILQ_FIRST(&book->open)) != NULL) {
+        drop_open(book, order);
+    }
+    jr_free(book->ctx, book);
+}
+
+void
+jr_carry_book_add(jr_carry_book_t *book, const jr_order_t *order, int carrier,
+                  int64_t now)
+{
+    open_order_t *open = jr_alloc(book->ctx, sizeof *open);
+
+    open->serial = order->serial;
+    open->carrier = carrier;
+    open->worker = jr_strdup(book->ctx, order->worker);
+    open->deadline = now + order->timeout_ms + CROSSING_MS;
+    TAILQ_INSERT_TAIL(&book->open, open, link);
+    HASH_ADD(hh, book->by_serial, serial, sizeof open->serial, open);
+}
+
+static void
+give_up(jr_carry_book_t *book, open_order_t *order, int64_t now)
+{
+    jr_answer_t unknown = {.kind = JR_ANSWER_UNKNOWN};
+    uint64_t serial = order->serial;
+
+    jr_count(book->ctx, JR_C_CARRY_EXPIRED);
+    jr_carriers_failed(book->carriers, order->carrier, order->worker, now);
+    drop_open(book, order);
+    book->handler(book->user, serial, &unknown, now);
+}
+
+void
+jr_carry_book_expire(jr_carry_book_t *book, int64_t now)
+{
+    open_order_t *order, *next;
+
+    for (order = TAILQ_FIRST(&book->open); order != NULL; order = next) {
+        next = TAILQ_NEXT(order, link);
+        if (now >= order->deadline ||
+            !jr_carriers_is_answering(book->carriers, order->carrier, now)) {
+            give_up(book, order, now);
+        }
+    }
+}
+
+/* An answer to an open order. */
+static void
+close_order(jr_carry_book_t *book, open_order_t *order,
+            const Jr__OrderAnswer *message, int64_t now)
+{
+    jr_answer_rows_t rows;
+    jr_answer_t answer;
+
+    if (jr_answer_unpack(book->ctx, message, &answer, &rows) != JR_OK) {
+        jr_count(book->ctx, JR_C_BUS_BAD);
+        jr_log(book->ctx, JR_EV_BAD_MESSAGE, "%s", book->ctx->error.text);
+    }
+    if (answer.kind == JR_ANSWER_UNREACHED && !answer.is_refused) {
+        jr_carriers_failed(book->carriers, order->carrier, order->worker, now);
+    }
+    drop_open(book, order);
+    book->handler(book->user, message->serial, &answer, now);
+    jr_answer_rows_clear(book->ctx, &rows);
+}
+
+static void
+take_answer(jr_carry_book_t *book, const ProtobufCBinaryData *packed,
+            int64_t now)
+{
+    Jr__OrderAnswer *message =
+        jr__order_answer__unpack(NULL, packed->len, packed->data);
+    open_order_t *order = NULL;
+
+    if (message == NULL) {
+        jr_count(book->ctx, JR_C_BUS_BAD);
+        jr_log(book->ctx, JR_EV_BAD_MESSAGE,
+               "answer of %zu bytes to an order can't be unpacked",
+               packed->len);
+        return;
+    }
+    HASH_FIND(hh, book->by_serial, &message->serial, sizeof message->serial,
+              order);
+    if (order != NULL) {
+        close_order(book, order, message, now);
+    }
+    jr__order_answer__free_unpacked(message, NULL);
+}
+
+void
+jr_carry_book_receive(jr_carry_book_t *book, const Jr__AnswerBatch *batch,
+                      int64_t now)
+{
+    if (batch->session != book->session) {
+        return; /* for an earlier process at this address */
+    }
+    jr_carriers_heard(book->carriers, batch->name, batch->zone,
+                      batch->clock_ms, now);
+    for (size_t i = 0; i < batch->n_answers; i++) {
+        take_answer(book, &batch->answers[i], now);
+    }
+}
--- a/src/carrier/carrier.c
+++ b/src/carrier/carrier.c
@@ -14,12 +14,6 @@
      * may be cut off from it.
      */
     AVOID_MS = 3000,
-    /*
-     * From a receipt to the sending of an order that the leader gave after it.
-     * Far more than a receipt every 150 ms and SILENT_MS need, and far less
-     * than the time after which the dispatcher expects no late order.
-     */
-    STALE_MS = 2000,
     /* The leader itself stood still: carriers may have answered meanwhile. */
     STALL_MS = 200,
     /* With more workers the leader leaves also those of its zone to others. */
@@ -162,14 +156,6 @@
     return carriers->carriers[carrier].clock_ms;
 }
 
-/* After a restart of its host, a carrier's clock may be behind. */
-bool
-jr_carried_is_stale(int64_t heard_ms, int64_t clock_ms)
-{
-    return heard_ms != 0 &&
-           (heard_ms > clock_ms || clock_ms - heard_ms > STALE_MS);
-}
-
 static avoided_t *
 find_avoided(const jr_carriers_t *carriers, const char *worker)
 {
--- a/src/control/carry.c
+++ b/src/control/carry.c
@@ -12,8 +12,6 @@
     ORDERS_TURN_MS = 10, /* of one iteration of the loop, spent on orders */
     CLOCK_EVERY = 16,    /* orders between two looks at the clock */
     PING_MS = 150,       /* carriers are asked for a receipt so often */
-    CARRIED_MAX = 4096,  /* orders of others that are open in this process */
-    CROSSING_MS = 400,   /* to a carrier and back, beside the order itself */
     SESSION_IDLE_MS = 10000,
     /* Between two messages with answers: each one costs the leader time. */
     FLUSH_GAP_MS = 4,
@@ -31,16 +29,6 @@
     GPtrArray *answers; /* of GBytes, packed OrderAnswers to send */
 };
 
-/* An order that a carrier of this leader has not answered. */
-typedef struct jr_carried_order {
-    TAILQ_ENTRY(jr_carried_order) link;
-    UT_hash_handle hh;
-    uint64_t serial;
-    int carrier;
-    char *worker;
-    int64_t deadline;
-} jr_carried_order_t;
-
 /* Packed Orders for each carrier, to be sent in one message. */
 typedef struct {
     GPtrArray *orders[JR_CARRIERS_MAX];
@@ -51,12 +39,19 @@
     jr_carriers_t *carriers;
     uint64_t session; /* tells answers to this process from others */
     int64_t pinged_at;
-    TAILQ_HEAD(, jr_carried_order) open; /* oldest first */
-    jr_carried_order_t *by_serial;
+    jr_carry_book_t *book;
     TAILQ_HEAD(, jr_carry_session) sessions;
     size_t n_carried;
 };
 
+static void
+on_outcome(void *user, uint64_t serial, const jr_answer_t *answer, int64_t now)
+{
+    jr_control_t *control = user;
+
+    jr_group_answer(control->groups[0], serial, answer, now);
+}
+
 jr_carry_t *
 jr_new_carry(jr_control_t *control)
 {
@@ -65,7 +60,8 @@
     carry->control = control;
     carry->carriers = jr_new_carriers(control->ctx, control->settings.zone);
     carry->session = (uint64_t)g_random_int() << 32 | g_random_int();
-    TAILQ_INIT(&carry->open);
+    carry->book = jr_new_carry_book(control->ctx, carry->carriers,
+                                    carry->session, on_outcome, control);
     TAILQ_INIT(&carry->sessions);
     return carry;
 }
@@ -78,61 +74,22 @@
     jr_free(carry->control->ctx, session);
 }
 
-static void
-drop_carried(jr_carry_t *carry, jr_carried_order_t *order)
-{
-    TAILQ_REMOVE(&carry->open, order, link);
-    HASH_DEL(carry->by_serial, order);
-    jr_free(carry->control->ctx, order->worker);
-    jr_free(carry->control->ctx, order);
-}
-
 void
 jr_drop_carry(jr_carry_t *carry)
 {
     jr_carry_session_t *session;
-    jr_carried_order_t *order;
 
     if (carry == NULL) {
         return;
     }
-    while ((order = TAILQ_FIRST(&carry->open)) != NULL) {
-        drop_carried(carry, order);
-    }
     while ((session = TAILQ_FIRST(&carry->sessions)) != NULL) {
         drop_session(carry, session);
     }
+    jr_drop_carry_book(carry->book);
     jr_drop_carriers(carry->carriers);
     jr_free(carry->control->ctx, carry);
 }
 
-/* The outcome is unknown: the order may have been sent, or may be yet. */
-static void
-give_up(jr_carry_t *carry, jr_carried_order_t *order, int64_t now)
-{
-    jr_answer_t unknown = {.kind = JR_ANSWER_UNKNOWN};
-    uint64_t serial = order->serial;
-
-    jr_count(carry->control->ctx, JR_C_CARRY_EXPIRED);
-    jr_carriers_failed(carry->carriers, order->carrier, order->worker, now);
-    drop_carried(carry, order);
-    jr_group_answer(carry->control->groups[0], serial, &unknown, now);
-}
-
-static void
-expire_carried(jr_carry_t *carry, int64_t now)
-{
-    jr_carried_order_t *order, *next;
-
-    for (order = TAILQ_FIRST(&carry->open); order != NULL; order = next) {
-        next = TAILQ_NEXT(order, link);
-        if (now >= order->deadline ||
-            !jr_carriers_is_answering(carry->carriers, order->carrier, now)) {
-            give_up(carry, order, now);
-        }
-    }
-}
-
 static void
 ping_carriers(jr_carry_t *carry)
 {
@@ -174,7 +131,7 @@
     jr_quorum_t *quorum = jr_group_quorum(carry->control->groups[0]);
 
     jr_carriers_tick(carry->carriers, now);
-    expire_carried(carry, now);
+    jr_carry_book_expire(carry->book, now);
     drop_idle_sessions(carry, now);
     if (jr_quorum_role(quorum) == JR_LEADER &&
         now - carry->pinged_at >= PING_MS) {
@@ -187,8 +144,6 @@
 add_to_batch(jr_carry_t *carry, batches_t *batches, const jr_order_t *order,
              int carrier, int64_t now)
 {
-    jr_ctx_t *ctx = carry->control->ctx;
-    jr_carried_order_t *open = jr_alloc(ctx, sizeof *open);
     Jr__Order message;
     uint8_t *bytes;
     size_t len;
@@ -202,12 +157,7 @@
             g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
     }
     g_ptr_array_add(batches->orders[carrier], g_bytes_new_take(bytes, len));
-    open->serial = order->serial;
-    open->carrier = carrier;
-    open->worker = jr_strdup(ctx, order->worker);
-    open->deadline = now + order->timeout_ms + CROSSING_MS;
-    TAILQ_INSERT_TAIL(&carry->open, open, link);
-    HASH_ADD(hh, carry->by_serial, serial, sizeof open->serial, open);
+    jr_carry_book_add(carry->book, order, carrier, now);
 }
 
 /* Borrows the contents of packed messages. */
@@ -282,55 +232,10 @@
     }
 }
 
-static void
-take_answer(jr_carry_t *carry, const ProtobufCBinaryData *packed, int64_t now)
-{
-    jr_ctx_t *ctx = carry->control->ctx;
-    Jr__OrderAnswer *message =
-        jr__order_answer__unpack(NULL, packed->len, packed->data);
-    jr_carried_order_t *order = NULL;
-    jr_answer_rows_t rows;
-    jr_answer_t answer;
-
-    if (message == NULL) {
-        jr_count(ctx, JR_C_BUS_BAD);
-        jr_log(ctx, JR_EV_BAD_MESSAGE,
-               "answer of %zu bytes to an order can't be unpacked",
-               packed->len);
-        return;
-    }
-    HASH_FIND(hh, carry->by_serial, &message->serial, sizeof message->serial,
-              order);
-    if (order != NULL) {
-        if (jr_answer_unpack(ctx, message, &answer, &rows) != JR_OK) {
-            jr_count(ctx, JR_C_BUS_BAD);
-            jr_log(ctx, JR_EV_BAD_MESSAGE, "%s", ctx->error.text);
-        }
-        if (answer.kind == JR_ANSWER_UNREACHED && !answer.is_refused) {
-            jr_carriers_failed(carry->carriers, order->carrier, order->worker,
-                               now);
-        }
-        drop_carried(carry, order);
-        jr_group_answer(carry->control->groups[0], message->serial, &answer,
-                        now);
-        jr_answer_rows_clear(ctx, &rows);
-    }
-    jr__order_answer__free_unpacked(message, NULL);
-}
-
 void
 jr_carry_on_answers(jr_carry_t *carry, const Jr__AnswerBatch *batch)
 {
-    int64_t now = jr_clock_ms();
-
-    if (batch->session != carry->session) {
-        return; /* for an earlier process at this address */
-    }
-    jr_carriers_heard(carry->carriers, batch->name, batch->zone,
-                      batch->clock_ms, now);
-    for (size_t i = 0; i < batch->n_answers; i++) {
-        take_answer(carry, &batch->answers[i], now);
-    }
+    jr_carry_book_receive(carry->book, batch, jr_clock_ms());
 }
 
 size_t
@@ -424,35 +329,39 @@
     queue_answer(session, serial, &unreached);
 }
 
+static void
+send_for(jr_carry_t *carry, jr_carry_session_t *session,
+         const jr_order_t *order)
+{
+    jr_count(carry->control->ctx, JR_C_ORDERS_CARRIED);
+    session->n_open++;
+    carry->n_carried++;
+    jr_control_send_order(carry->control, order, session);
+}
+
 static void
 carry_order(jr_carry_t *carry, jr_carry_session_t *session,
             const ProtobufCBinaryData *packed, int64_t heard_ms)
 {
-    jr_ctx_t *ctx = carry->control->ctx;
-    Jr__Order *message = jr__order__unpack(NULL, packed->len, packed->data);
     jr_order_t order;
+    Jr__Order *message = jr_carry_read(carry->control->ctx, packed, &order);
 
-    if (message == NULL || jr_order_unpack(ctx, message, &order) != JR_OK) {
-        jr_count(ctx, JR_C_BUS_BAD);
-        jr_log(ctx, JR_EV_BAD_MESSAGE, "order of %zu bytes dropped: %s",
-               packed->len,
-               message != NULL ? ctx->error.text : "it can't be unpacked");
+    if (message == NULL) {
+        return;
     }
-    else if (carry->n_carried >= CARRIED_MAX || carry->control->is_draining) {
+    switch (jr_carry_judge(carry->n_carried, carry->control->is_draining,
+                           heard_ms, jr_clock_ms())) {
+    case JR_CARRY_SEND:
+        send_for(carry, session, &order);
+        break;
+    case JR_CARRY_REFUSE:
         refuse_order(session, order.serial, JR_C_CARRY_REFUSED);
-    }
-    else if (jr_carried_is_stale(heard_ms, jr_clock_ms())) {
+        break;
+    case JR_CARRY_STALE:
         refuse_order(session, order.serial, JR_C_CARRY_STALE);
+        break;
     }
-    else {
-        jr_count(ctx, JR_C_ORDERS_CARRIED);
-        session->n_open++;
-        carry->n_carried++;
-        jr_control_send_order(carry->control, &order, session);
-    }
-    if (message != NULL) {
-        jr__order__free_unpacked(message, NULL);
-    }
+    jr__order__free_unpacked(message, NULL);
 }
 
 void
