Test: the book of a leader, and what carriers refuse

Messages cut short, answers for an earlier process, to unknown orders, and after an order was given up had no test: the code stood beside sockets.

--- a/src/carrier/carrier_test.cc
+++ b/src/carrier/carrier_test.cc
@@ -341,4 +341,226 @@
     jr_free(ctx_, bytes);
 }
 
+/* The book of orders that a leader gave to its carriers. */
+class CarryBookTest : public CarrierTest {
+  protected:
+    static constexpr uint64_t kSession = 77;
+    static constexpr int64_t kExpiryMs = 1000; /* 600 and the way */
+
+    void
+    SetUp() override
+    {
+        CarrierTest::SetUp();
+        book_ = jr_new_carry_book(ctx_, carriers_, kSession, OnOutcome, this);
+        Hear("b1", "b");
+        Hear("b2", "b");
+    }
+
+    void
+    TearDown() override
+    {
+        jr_drop_carry_book(book_);
+        CarrierTest::TearDown();
+    }
+
+    static void
+    OnOutcome(void *user, uint64_t serial, const jr_answer_t *answer,
+              int64_t now)
+    {
+        (void)now;
+        static_cast<CarryBookTest *>(user)->outcomes_.push_back(
+            {serial, answer->kind});
+    }
+
+    void
+    Give(uint64_t serial, const char *carrier)
+    {
+        jr_order_t order = MakeOrder(JR_ORDER_STOP);
+
+        order.serial = serial;
+        jr_carry_book_add(book_, &order, jr_carriers_find(carriers_, carrier),
+                          now_);
+    }
+
+    std::vector<uint8_t>
+    PackAnswer(uint64_t serial, jr_answer_kind_t kind)
+    {
+        jr_answer_t answer = {};
+        uint8_t *bytes;
+        size_t len;
+
+        answer.kind = kind;
+        bytes = jr_answer_pack(ctx_, serial, &answer, &len);
+        std::vector<uint8_t> packed(bytes, bytes + len);
+        jr_free(ctx_, bytes);
+        return packed;
+    }
+
+    void
+    Receive(std::string carrier, std::vector<std::vector<uint8_t>> answers,
+            uint64_t session = kSession)
+    {
+        Jr__AnswerBatch batch = JR__ANSWER_BATCH__INIT;
+        std::vector<ProtobufCBinaryData> data;
+        std::string zone = "b";
+
+        for (std::vector<uint8_t> &bytes : answers) {
+            data.push_back({bytes.size(), bytes.data()});
+        }
+        batch.session = session;
+        batch.name = carrier.data();
+        batch.zone = zone.data();
+        batch.clock_ms = now_ + kClockAhead;
+        batch.n_answers = data.size();
+        batch.answers = data.data();
+        jr_carry_book_receive(book_, &batch, now_);
+    }
+
+    /* The carriers go on to give receipts. */
+    void
+    Expire(int64_t ms)
+    {
+        for (int64_t end = now_ + ms; now_ < end;) {
+            Pass(kTickMs);
+            Hear("b1", "b");
+            Hear("b2", "b");
+            jr_carry_book_expire(book_, now_);
+        }
+    }
+
+    typedef std::vector<std::pair<uint64_t, jr_answer_kind_t>> outcomes_t;
+
+    jr_carry_book_t *book_;
+    outcomes_t outcomes_;
+};
+
+TEST_F(CarryBookTest, AnOrderHasOneOutcomeWhateverComesLater)
+{
+    Give(1, "b1");
+    Give(2, "b1");
+    Receive("b1", {PackAnswer(1, JR_ANSWER_DONE)});
+    Receive("b1", {PackAnswer(1, JR_ANSWER_UNREACHED)});
+    Expire(kExpiryMs);
+    Receive("b1", {PackAnswer(2, JR_ANSWER_DONE)});
+    EXPECT_EQ(outcomes_,
+              (outcomes_t{{1, JR_ANSWER_DONE}, {2, JR_ANSWER_UNKNOWN}}));
+    EXPECT_EQ(ctx_->counters[JR_C_CARRY_EXPIRED], 1u);
+}
+
+TEST_F(CarryBookTest, OrdersOfASilentCarrierAreGivenUpBeforeTheirTime)
+{
+    Give(1, "b1");
+    Pass(kSilentMs);
+    jr_carry_book_expire(book_, now_);
+    EXPECT_EQ(outcomes_, (outcomes_t{{1, JR_ANSWER_UNKNOWN}}));
+}
+
+/* Bad input: an earlier process at this address gave the order. */
+TEST_F(CarryBookTest, AnswersForAnEarlierProcessChangeNothing)
+{
+    Give(1, "b1");
+    Receive("b1", {PackAnswer(1, JR_ANSWER_UNREACHED)}, kSession + 1);
+    Receive("b3", {}, kSession + 1);
+    EXPECT_TRUE(outcomes_.empty());
+    EXPECT_EQ(jr_carriers_find(carriers_, "b3"), JR_CARRIER_SELF);
+}
+
+/* Bad input: an order that was never given, for whatever worker. */
+TEST_F(CarryBookTest, AnswersToUnknownOrdersChangeNothing)
+{
+    Give(1, "b1");
+    Receive("b1", {PackAnswer(9, JR_ANSWER_DONE)});
+    EXPECT_TRUE(outcomes_.empty());
+}
+
+/* Bad input: the others of its batch count, its order is given up in time. */
+TEST_F(CarryBookTest, AnAnswerThatIsCutShortIsCountedAndLosesNoOther)
+{
+    std::vector<uint8_t> cut = PackAnswer(1, JR_ANSWER_FENCED);
+
+    cut.pop_back();
+    Give(1, "b1");
+    Give(2, "b1");
+    Receive("b1", {cut, PackAnswer(2, JR_ANSWER_DONE)});
+    EXPECT_EQ(outcomes_, (outcomes_t{{2, JR_ANSWER_DONE}}));
+    EXPECT_EQ(ctx_->counters[JR_C_BUS_BAD], 1u);
+    Expire(kExpiryMs);
+    EXPECT_EQ(outcomes_,
+              (outcomes_t{{2, JR_ANSWER_DONE}, {1, JR_ANSWER_UNKNOWN}}));
+}
+
+std::vector<uint8_t>
+PackOrder()
+{
+    jr_order_t order = MakeOrder(JR_ORDER_START);
+    Jr__Order message;
+
+    order.as.start.payload = "spec";
+    order.as.start.checkpoint = "abc";
+    jr_order_pack(&order, &message);
+    std::vector<uint8_t> bytes(jr__order__get_packed_size(&message));
+    jr__order__pack(&message, bytes.data());
+    return bytes;
+}
+
+/* Bad input: sent to no worker, counted, and left for its leader to give up.
+ */
+TEST_F(CarrierTest, AnOrderThatIsCutShortIsCountedAndNotRead)
+{
+    std::vector<uint8_t> bytes = PackOrder();
+    ProtobufCBinaryData packed = {bytes.size(), bytes.data()};
+    jr_order_t read;
+    Jr__Order *message = jr_carry_read(ctx_, &packed, &read);
+
+    ASSERT_NE(message, nullptr);
+    jr__order__free_unpacked(message, nullptr);
+    packed.len--;
+    EXPECT_EQ(jr_carry_read(ctx_, &packed, &read), nullptr);
+    EXPECT_EQ(ctx_->counters[JR_C_BUS_BAD], 1u);
+}
+
+/*
+ * Bad input: guards against a part of a batch, which would lack the time by
+ * which its orders are stale.
+ */
+TEST_F(CarrierTest, OfABatchThatIsCutShortNothingIsRead)
+{
+    std::vector<uint8_t> order = PackOrder();
+    ProtobufCBinaryData orders[2] = {{order.size(), order.data()},
+                                     {order.size(), order.data()}};
+    Jr__OrderBatch batch = JR__ORDER_BATCH__INIT;
+    Jr__Envelope envelope = JR__ENVELOPE__INIT;
+
+    batch.session = 77;
+    batch.n_orders = 2;
+    batch.orders = orders;
+    batch.heard_ms = now_;
+    envelope.body_case = JR__ENVELOPE__BODY_ORDER_BATCH;
+    envelope.order_batch = &batch;
+    std::vector<uint8_t> bytes(jr__envelope__get_packed_size(&envelope));
+    jr__envelope__pack(&envelope, bytes.data());
+    for (size_t n = 0; n < bytes.size(); n++) {
+        Jr__Envelope *read = jr__envelope__unpack(nullptr, n, bytes.data());
+
+        EXPECT_TRUE(read == nullptr ||
+                    read->body_case == JR__ENVELOPE__BODY__NOT_SET)
+            << n;
+        if (read != nullptr) {
+            jr__envelope__free_unpacked(read, nullptr);
+        }
+    }
+}
+
+TEST_F(CarrierTest, ACarrierThatIsFullOrShutsDownSendsNoOrders)
+{
+    constexpr size_t kOpenMax = 4096;
+
+    EXPECT_EQ(jr_carry_judge(0, false, 100, 100), JR_CARRY_SEND);
+    EXPECT_EQ(jr_carry_judge(kOpenMax - 1, false, 100, 100), JR_CARRY_SEND);
+    EXPECT_EQ(jr_carry_judge(kOpenMax, false, 100, 100), JR_CARRY_REFUSE);
+    EXPECT_EQ(jr_carry_judge(0, true, 100, 100), JR_CARRY_REFUSE);
+    EXPECT_EQ(jr_carry_judge(0, false, 100, 100 + kStaleMs), JR_CARRY_SEND);
+    EXPECT_EQ(jr_carry_judge(0, false, 100, 101 + kStaleMs), JR_CARRY_STALE);
+}
+
 } // namespace
