An answer counts only from the carrier that has the order

A leader took an answer to an open order from whichever carrier sent it. A carrier that claimed a worker of another one, and said that nothing was sent, would have had a start repeated that was under way. Such an answer is counted as a bad message now, and the order stays open. The new test AnAnswerCountsOnlyFromTheCarrierThatHasTheOrder was red before: outcome unreached in place of done, nothing counted.

--- a/include/jayrelay/carrier.h
+++ b/include/jayrelay/carrier.h
@@ -157,7 +157,8 @@
  * jr_carry_book_receive - a carrier answered
  *
  * Batches of another session, and answers to orders that are not open, change
- * nothing.
+ * nothing. An answer from a carrier that was not given the order is counted as
+ * a bad message.
  */
 void jr_carry_book_receive(jr_carry_book_t *book, const Jr__AnswerBatch *batch,
                            int64_t now);
--- a/src/carrier/book.c
+++ b/src/carrier/book.c
@@ -126,13 +126,30 @@
     jr_answer_rows_clear(book->ctx, &rows);
 }
 
+/* An order that is open with this carrier; late answers have none. */
+static open_order_t *
+find_open(jr_carry_book_t *book, uint64_t serial, int carrier)
+{
+    open_order_t *order;
+
+    HASH_FIND(hh, book->by_serial, &serial, sizeof serial, order);
+    if (order != NULL && order->carrier != carrier) {
+        jr_count(book->ctx, JR_C_BUS_BAD);
+        jr_log(book->ctx, JR_EV_BAD_MESSAGE,
+               "answer to order %llu is from a carrier that was not given it",
+               (unsigned long long)serial);
+        return NULL;
+    }
+    return order;
+}
+
 static void
-take_answer(jr_carry_book_t *book, const ProtobufCBinaryData *packed,
-            int64_t now)
+take_answer(jr_carry_book_t *book, int carrier,
+            const ProtobufCBinaryData *packed, int64_t now)
 {
     Jr__OrderAnswer *message =
         jr__order_answer__unpack(NULL, packed->len, packed->data);
-    open_order_t *order = NULL;
+    open_order_t *order;
 
     if (message == NULL) {
         jr_count(book->ctx, JR_C_BUS_BAD);
@@ -141,8 +158,7 @@
                packed->len);
         return;
     }
-    HASH_FIND(hh, book->by_serial, &message->serial, sizeof message->serial,
-              order);
+    order = find_open(book, message->serial, carrier);
     if (order != NULL) {
         close_order(book, order, message, now);
     }
@@ -153,12 +169,15 @@
 jr_carry_book_receive(jr_carry_book_t *book, const Jr__AnswerBatch *batch,
                       int64_t now)
 {
+    int carrier;
+
     if (batch->session != book->session) {
         return; /* for an earlier process at this address */
     }
     jr_carriers_heard(book->carriers, batch->name, batch->zone,
                       batch->clock_ms, now);
+    carrier = jr_carriers_find(book->carriers, batch->name);
     for (size_t i = 0; i < batch->n_answers; i++) {
-        take_answer(book, &batch->answers[i], now);
+        take_answer(book, carrier, &batch->answers[i], now);
     }
 }
--- a/src/carrier/carrier_test.cc
+++ b/src/carrier/carrier_test.cc
@@ -473,6 +473,20 @@
     EXPECT_TRUE(outcomes_.empty());
 }
 
+/*
+ * Bad input: guards against a carrier that claims a worker of another one, and
+ * says that nothing was sent to it.
+ */
+TEST_F(CarryBookTest, AnAnswerCountsOnlyFromTheCarrierThatHasTheOrder)
+{
+    Give(1, "b1");
+    Receive("b2", {PackAnswer(1, JR_ANSWER_UNREACHED)});
+    EXPECT_TRUE(outcomes_.empty());
+    EXPECT_EQ(ctx_->counters[JR_C_BUS_BAD], 1u);
+    Receive("b1", {PackAnswer(1, JR_ANSWER_DONE)});
+    EXPECT_EQ(outcomes_, (outcomes_t{{1, JR_ANSWER_DONE}}));
+}
+
 /* Bad input: the others of its batch count, its order is given up in time. */
 TEST_F(CarryBookTest, AnAnswerThatIsCutShortIsCountedAndLosesNoOther)
 {
