Test: histories of orders that go through carriers

Until now the simulated workers got the leader's orders directly, so the delays, cuts and deaths of the processes that carry them were tried by no history.

--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -16,6 +16,7 @@
     NEW_CLOCK_MS = 10,
     SLOW_ANSWER_MS = 400,
     DRAIN_MS = 2000,
+    EPOCH_SHIFT = 40,         /* in serials */
     DEFAULT_MAX_FAILURES = 3, /* of a queue that sets no limit */
 };
 
@@ -298,8 +299,11 @@
 }
 
 bool
-Fleet::MayTakeAnswer()
+Fleet::MayTakeAnswer(const SentOrder &sent)
 {
+    if (sent.sender != FLEET_LEADER) {
+        return true;
+    }
     if (IsStalled() ||
         (answers_per_step > 0 && answers_in_step_ >= answers_per_step)) {
         return false;
@@ -337,6 +341,57 @@
     }
 }
 
+void
+Fleet::ChooseFaults(SentOrder &sent, FleetWay way)
+{
+    sent.due = now + 1 + static_cast<int64_t>(rng_() % 8);
+    sent.is_answered = true;
+    if (Chance(faults.late)) {
+        sent.due = now + LATE_ORDER_MIN_MS +
+                   static_cast<int64_t>(
+                       rng_() % (LATE_ORDER_MAX_MS - LATE_ORDER_MIN_MS));
+        sent.is_answered = false;
+        sent.give_up_at = now + ANSWER_TIMEOUT_MS;
+    }
+    else if (Chance(faults.lost_answer) || way == FleetWay::kNoAnswers) {
+        sent.is_answered = false;
+        sent.give_up_at = now + ANSWER_TIMEOUT_MS;
+    }
+    else if (Chance(faults.unreached) || way == FleetWay::kNoOrders) {
+        sent.is_processed = true;
+        sent.answer = JR_ANSWER_UNREACHED;
+        sent.answer_at = now + CONNECT_TIMEOUT_MS;
+    }
+    if (Chance(faults.slow_answer)) {
+        sent.answer_delay = static_cast<int64_t>(rng_() % SLOW_ANSWER_MS);
+    }
+}
+
+void
+Fleet::Send(const jr_order_t &order, int64_t given_at, int sender,
+            FleetWay way)
+{
+    SentOrder sent = {};
+    bool is_renewal = order.kind == JR_ORDER_RENEW;
+
+    sent.sender = sender;
+    sent.kind = order.kind;
+    sent.serial = order.serial;
+    sent.worker = order.worker;
+    sent.fence = order.fence;
+    sent.run = order.run;
+    sent.sent_at = given_at;
+    sent.expires_ms = is_renewal ? order.as.renew.expires_ms
+                      : order.kind == JR_ORDER_START
+                          ? order.as.start.expires_ms
+                          : 0;
+    sent.ends_seen = is_renewal ? order.as.renew.ends_seen : 0;
+    sent.wait_ms = is_renewal ? order.as.renew.wait_ms : 0;
+    sent.pace = order.kind == JR_ORDER_PACE ? order.as.pace.percent : 0;
+    ChooseFaults(sent, way);
+    sent_orders_.push_back(sent);
+}
+
 void
 Fleet::TakeOrders()
 {
@@ -345,44 +400,40 @@
     for (size_t n = 0; (orders_per_step == 0 || n < orders_per_step) &&
                        jr_dispatch_take_order(dispatch, &order);
          n++) {
-        SentOrder sent = {};
-        bool is_renewal = order.kind == JR_ORDER_RENEW;
-
-        sent.kind = order.kind;
-        sent.serial = order.serial | epoch_ << 40;
-        sent.worker = order.worker;
-        sent.fence = order.fence;
-        sent.run = order.run;
-        sent.sent_at = now;
-        sent.expires_ms = is_renewal ? order.as.renew.expires_ms
-                          : order.kind == JR_ORDER_START
-                              ? order.as.start.expires_ms
-                              : 0;
-        sent.ends_seen = is_renewal ? order.as.renew.ends_seen : 0;
-        sent.wait_ms = is_renewal ? order.as.renew.wait_ms : 0;
-        sent.pace = order.kind == JR_ORDER_PACE ? order.as.pace.percent : 0;
-        sent.due = now + 1 + static_cast<int64_t>(rng_() % 8);
-        sent.is_answered = true;
-        if (Chance(faults.late)) {
-            sent.due = now + LATE_ORDER_MIN_MS +
-                       static_cast<int64_t>(
-                           rng_() % (LATE_ORDER_MAX_MS - LATE_ORDER_MIN_MS));
-            sent.is_answered = false;
-            sent.give_up_at = now + ANSWER_TIMEOUT_MS;
-        }
-        else if (Chance(faults.lost_answer)) {
-            sent.is_answered = false;
-            sent.give_up_at = now + ANSWER_TIMEOUT_MS;
+        order.serial |= epoch_ << EPOCH_SHIFT;
+        if (relay != nullptr) {
+            relay->Take(order);
         }
-        else if (Chance(faults.unreached)) {
-            sent.is_processed = true;
-            sent.answer = JR_ANSWER_UNREACHED;
-            sent.answer_at = now + CONNECT_TIMEOUT_MS;
+        else {
+            Send(order, now, FLEET_LEADER, FleetWay::kOpen);
         }
-        if (Chance(faults.slow_answer)) {
-            sent.answer_delay = static_cast<int64_t>(rng_() % SLOW_ANSWER_MS);
-        }
-        sent_orders_.push_back(sent);
+    }
+    if (relay != nullptr) {
+        relay->Flush();
+    }
+}
+
+uint64_t
+Fleet::Epoch() const
+{
+    return epoch_;
+}
+
+uint64_t
+Fleet::EpochOf(uint64_t serial)
+{
+    return serial >> EPOCH_SHIFT;
+}
+
+void
+Fleet::Report(uint64_t serial, const jr_answer_t &answer)
+{
+    if (relay != nullptr) {
+        relay->Reported(serial, answer.kind);
+    }
+    if (EpochOf(serial) == epoch_) {
+        jr_dispatch_answer(dispatch, serial & ((1ull << EPOCH_SHIFT) - 1),
+                           &answer, now);
     }
 }
 
@@ -401,9 +452,11 @@
         answer.ended = sent.ended.data();
         answer.n_ended = sent.ended.size();
     }
-    if (sent.serial >> 40 == epoch_) {
-        jr_dispatch_answer(dispatch, sent.serial & ((1ull << 40) - 1), &answer,
-                           now);
+    if (sent.sender == FLEET_LEADER) {
+        Report(sent.serial, answer);
+    }
+    else {
+        relay->Answered(sent.sender, sent.serial, answer);
     }
 }
 
@@ -434,6 +487,9 @@
         sent.answer_at = now;
     }
     else {
+        if (relay != nullptr) {
+            relay->Reached(sent.serial);
+        }
         sent.answer = Execute(sent, worker);
         sent.received_at = now;
     }
@@ -446,7 +502,7 @@
         Receive(sent, worker);
     }
     if (!sent.is_answered && sent.give_up_at != 0 && sent.give_up_at <= now &&
-        MayTakeAnswer()) {
+        MayTakeAnswer(sent)) {
         GiveAnswer(sent, JR_ANSWER_UNKNOWN);
         sent.give_up_at = 0;
     }
@@ -466,7 +522,7 @@
             FillAnswer(sent, worker);
         }
     }
-    if (sent.answer_at != 0 && sent.answer_at <= now && MayTakeAnswer()) {
+    if (sent.answer_at != 0 && sent.answer_at <= now && MayTakeAnswer(sent)) {
         GiveAnswer(sent,
                    worker.is_partitioned && sent.answer != JR_ANSWER_UNREACHED
                        ? JR_ANSWER_UNKNOWN
@@ -520,6 +576,9 @@
     if (now == stalled_until_) {
         StepLeader(); /* before it reads the answers of meanwhile */
     }
+    if (relay != nullptr) {
+        relay->Step();
+    }
     DeliverOrders();
     if (!IsStalled()) {
         StepLeader();
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -99,6 +99,29 @@
     int64_t order_age_ms = 0;
 };
 
+/* What works on the way between the sender of an order and its worker. */
+enum class FleetWay { kOpen, kNoOrders, kNoAnswers };
+
+constexpr int FLEET_LEADER = -1; /* sends an order itself */
+
+/* Stands between the dispatcher and the workers; see carriers_test.h. */
+class FleetRelay {
+  public:
+    virtual ~FleetRelay() = default;
+    /* An order of the dispatcher, to be given to Fleet::Send(). */
+    virtual void Take(const jr_order_t &order) = 0;
+    /* The dispatcher has no more orders for now. */
+    virtual void Flush() = 0;
+    /* The outcome of an order that @sender sent. */
+    virtual void Answered(int sender, uint64_t serial,
+                          const jr_answer_t &answer) = 0;
+    /* An order reached its worker. */
+    virtual void Reached(uint64_t serial) = 0;
+    /* The dispatcher, or an earlier leader, is told the outcome. */
+    virtual void Reported(uint64_t serial, jr_answer_kind_t kind) = 0;
+    virtual void Step() = 0;
+};
+
 class Fleet {
   public:
     Fleet(uint32_t seed, size_t n_workers, FleetFaults faults = {},
@@ -131,6 +154,16 @@
     size_t Up() const;
     size_t StartsOf(const TaskName &task) const;
     uint64_t Counter(jr_counter_t counter) const;
+    bool IsStalled() const;
+    /* Sends an order, which the dispatcher gave at @given_at, to its worker.
+     */
+    void Send(const jr_order_t &order, int64_t given_at, int sender,
+              FleetWay way);
+    /* Tells the dispatcher the outcome, unless the order was not its own. */
+    void Report(uint64_t serial, const jr_answer_t &answer);
+    /* Of the leader; part of the serials that a relay sees. */
+    uint64_t Epoch() const;
+    static uint64_t EpochOf(uint64_t serial);
     /* A run that no order asked for, as if an order came late. */
     void StartStray(size_t worker, const TaskName &task, uint32_t attempt,
                     bool will_fail);
@@ -158,7 +191,8 @@
     /* What the leader gets done in a step; 0: everything. */
     size_t orders_per_step = 0;
     size_t answers_per_step = 0;
-    bool has_churn = false;  /* for the histories: workers come and go */
+    FleetRelay *relay = nullptr; /* none: orders go to the workers directly */
+    bool has_churn = false;      /* for the histories: workers come and go */
     bool has_stalls = false; /* for the histories: the leader stands still */
     jr_jobs_t *jobs;
     jr_dispatch_t *dispatch;
@@ -169,6 +203,7 @@
         int64_t give_up_at; /* without an answer: the outcome is unknown */
         bool is_answered;   /* the leader will receive the answer */
         jr_order_kind_t kind;
+        int sender; /* FLEET_LEADER, or a number of the relay */
         uint64_t serial;
         std::string worker;
         uint64_t fence;
@@ -196,8 +231,8 @@
 
     void Step();
     void StepLeader();
-    bool IsStalled() const;
-    bool MayTakeAnswer();
+    bool MayTakeAnswer(const SentOrder &sent);
+    void ChooseFaults(SentOrder &sent, FleetWay way);
     void TakeCommands();
     void ApplyDue();
     void TakeOrders();
