A fault soak of real processes, first slice

bench/soak plays the job group (three control processes, two gates, six to ten simulated executors) under pauses, kills, restarts, stops and reloads that are drawn from a seed and overlap, with clients and an operator.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: demo check bench lint format build packages sanitize generate fuzz
+.PHONY: demo check bench lint format build packages sanitize generate fuzz soak
 
 packages:
 	@scripts/install-packages.sh
@@ -29,6 +29,11 @@
 bench: build
 	@scripts/bench.sh $(BUILD)
 
+# Fresh seeds: make soak SEEDS=3. A given one: make soak SEED=17.
+soak: build
+	@bench/soak/jayrelay-soak --build $(BUILD) \
+	    $(if $(SEED),--seed "$(SEED)",--seeds "$(or $(SEEDS),1)")
+
 format:
 	@git ls-files '*.c' '*.h' '*.cc' '*.cpp' | grep -v src/gen/ | \
 	    xargs clang-format -i
--- /dev/null
+++ b/tests/soak_test.sh
@@ -0,0 +1,123 @@
+#!/usr/bin/env bash
+# Tests of the soak itself, and its short part with fixed seeds.
+# Usage: soak_test.sh BUILD CASE
+set -uo pipefail
+cd "$(dirname "$0")/.." || exit
+build=$1
+dir=$(mktemp -d)
+soak() {
+    bench/soak/jayrelay-soak --build "$build" --out "$dir" "$@"
+}
+
+fail() {
+    echo "FAIL: $* (kept: $dir)" >&2
+    exit 1
+}
+
+refuses() { # WORDS OPTIONS...: exit status 2, a message, nothing started
+    local words=$1 status
+    shift
+    soak "$@" > "$dir/out" 2> "$dir/err"
+    status=$?
+    [ "$status" -eq 2 ] || fail "soak $* ended with $status, not 2"
+    grep -q -- "$words" "$dir/err" ||
+        fail "soak $* does not say '$words': $(cat "$dir/err")"
+    compgen -G "$dir/seed-*" > /dev/null &&
+        fail "soak $* began in spite of bad input"
+    return 0
+}
+
+case_bad_input() {
+    refuses "'x' is not a whole number" --seed x
+    refuses "'-1' is not a whole number" --seed=-1
+    refuses "'' is not a whole number" --seeds ''
+    refuses "0 is not within" --seeds 0
+    refuses "required" --seconds 5
+    refuses "not allowed with" --seed 1 --seeds 2
+    refuses "unrecognized arguments" --seed 1 --sek 3
+    refuses "11 is not within 6 to 10" --seed 1 --executors 11
+    refuses "invalid choice" --seed 1 --executor-fault sleepy
+    refuses "is not there" --seed 1 --build "$dir"
+}
+
+# The faults are a function of the seed.
+case_same_series() {
+    soak --seed 7 --plan > "$dir/first" || fail "seed 7 has no plan"
+    soak --seed 7 --plan > "$dir/second" || fail "seed 7 has no plan"
+    cmp "$dir/first" "$dir/second" || fail "seed 7 gave two series"
+    soak --seed 8 --plan > "$dir/third"
+    cmp -s "$dir/first" "$dir/third" && fail "seeds 7 and 8 gave one series"
+    [ "$(wc -l < "$dir/first")" -ge 10 ] || fail "seed 7 has under 10 faults"
+}
+
+case_short() {
+    soak --seed 1 --seed 2 --seconds 12 || fail "a promise was broken"
+}
+
+children_of() { # PID: prints the ids of its children, one a line
+    tr ' ' '\n' < "/proc/$1/task/$1/children" | grep .
+}
+
+left_over() { # PID...: prints those that still run; a zombie has ended
+    local pid
+    for pid in "$@"; do
+        grep -qs '^State:.[^ZX]' "/proc/$pid/status" &&
+            echo "$pid $(grep -s '^State' "/proc/$pid/status")"
+    done
+    return 0
+}
+
+# Ends a soak with the signal while faults go on, and looks for its processes.
+interrupt() { # SIGNAL STATUS
+    local job pid children status
+    soak --seed 3 --seconds 60 > "$dir/out-$1" 2>&1 &
+    job=$!
+    sleep 8
+    # The function runs in a shell of its own, whose child is the soak.
+    pid=$(children_of "$job")
+    mapfile -t children < <(children_of "$pid")
+    [ "${#children[@]}" -ge 9 ] ||
+        fail "only ${#children[@]} processes run after 8 s"
+    kill "-$1" "$pid"
+    wait "$job"
+    status=$?
+    [ "$status" -eq "$2" ] || fail "$1 gave exit status $status, not $2"
+    sleep 1
+    [ -z "$(left_over "${children[@]}")" ] ||
+        fail "$1 left processes: $(left_over "${children[@]}")"
+}
+
+case_interrupted() {
+    interrupt INT 130
+    grep -q 'INTERRUPTED' "$dir/seed-3/report.txt" ||
+        fail "the report does not tell of the interruption"
+    interrupt TERM 130
+    interrupt KILL 137
+}
+
+finds() { # PROMISE FAULT: within ten seeds
+    local seed
+    for seed in 1 2 3 4 5 6 7 8 9 10; do
+        soak --seed "$seed" --seconds 12 --settle 15 --executor-fault "$2" \
+            > "$dir/out"
+        case $? in
+        0) continue ;;
+        1) ;;
+        *) fail "seed $seed did not play: $(cat "$dir/out")" ;;
+        esac
+        grep "$1:" "$dir/out" && return 0
+    done
+    fail "no $1 in ten seeds with $2"
+}
+
+case_finds_ignored_lease() {
+    finds TWICE ignore-lease
+}
+
+case_finds_dropped_end() {
+    finds LOST drop-end
+}
+
+"case_$2"
+echo "ok: $2"
+rm -rf "$dir"
