--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -88,6 +88,12 @@
     X(JOBS_CANCELLED, "jobs_cancelled_total", "jobs that were cancelled")     \
     X(REFUSED_NO_CONFIG, "refused_no_config_total",                           \
       "refused: no configuration yet")                                        \
+    X(REFUSED_ZONE, "refused_zone_total",                                     \
+      "refused: to drain an unknown zone, or take it back")                   \
+    X(REFUSED_OVERTAKEN, "refused_overtaken_total",                           \
+      "refused: to drain a zone, or take it back, after a later request")     \
+    X(REFUSED_ZONES_DRAINED, "refused_zones_drained_total",                   \
+      "not run: all workers of the service are in drained zones")             \
     X(REFUSED_NO_QUEUE, "refused_no_queue_total", "refused: no such queue")   \
     X(REFUSED_NO_JOB, "refused_no_job_total", "asked for a job not known")    \
     X(ANSWERED_UNKNOWN, "answered_unknown_total",                             \
--- a/include/jayrelay/error.h
+++ b/include/jayrelay/error.h
@@ -27,6 +27,7 @@
     X(STALE_EPOCH, 26, 6, "lease epoch is not the current one")               \
     X(WRONG_STATE, 27, 6, "task is not in a state for this")                  \
     X(GONE, 28, 7, "no such job")                                             \
+    X(OVERTAKEN, 29, 8, "a later request was accepted before")                \
     X(NOT_LEADER, 30, 9, "this replica is not the leader")                    \
     X(NO_QUORUM, 31, 9, "quorum cannot be reached")                           \
     X(UNKNOWN, 32, 10, "outcome is unknown")                                  \
--- a/include/jayrelay/event.h
+++ b/include/jayrelay/event.h
@@ -59,6 +59,10 @@
     X(CONFIG_ACCEPTED, 530, 5, "config-accepted")                             \
     X(CONFIG_REFUSED, 531, 4, "config-refused")                               \
     X(WORKER_CHECKED_IN, 540, 6, "worker-checked-in")                         \
+    X(ZONE_DRAINED, 560, 5, "zone-drained")                                   \
+    X(ZONE_EMPTY, 561, 5, "zone-empty")                                       \
+    X(ZONE_RETURNED, 562, 5, "zone-returned")                                 \
+    X(ZONE_REFUSED, 563, 4, "zone-refused")                                   \
     X(LOG_LINES_DROPPED, 111, 4, "log-lines-dropped")                         \
     X(RELOADED, 104, 5, "reloaded")
 
--- a/include/jayrelay/http.h
+++ b/include/jayrelay/http.h
@@ -73,6 +73,13 @@
 /** jr_exchange_body - the body, NUL-terminated */
 const char *jr_exchange_body(const jr_exchange_t *exchange, size_t *len);
 
+/**
+ * jr_exchange_is_abandoned - has the caller closed its side of the connection?
+ *
+ * A caller that waits for the answer has not.
+ */
+bool jr_exchange_is_abandoned(const jr_exchange_t *exchange);
+
 /**
  * jr_http_answer - answer a request; @exchange is invalid afterwards
  * @headers: @n of them; copied
--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -15,6 +15,7 @@
 #include <uthash.h>
 
 #include "jayrelay/ctx.h"
+#include "jayrelay/zone.h"
 #include "job/job.pb-c.h"
 
 enum {
@@ -184,6 +185,7 @@
  *                 in the log
  * @job: a job was accepted or has ended
  * @worker: a worker was added or updated
+ * @zone: a zone was drained or taken back
  * @worker_removed: a worker is about to be removed and freed
  * @user: passed to each callback
  */
@@ -193,6 +195,7 @@
                           const Jr__JobGrant *grant);
     void (*job)(void *user, jr_job_t *job);
     void (*worker)(void *user, jr_job_worker_t *worker);
+    void (*zone)(void *user, const char *name);
     void (*worker_removed)(void *user, jr_job_worker_t *worker);
     void *user;
 } jr_job_hooks_t;
@@ -206,6 +209,7 @@
     jr_job_queue_t *queues;
     jr_job_t *by_id;
     jr_job_worker_t *workers;
+    jr_zones_t *zones;
     struct jr_job_list live;
     struct jr_job_list ended; /* oldest first */
     jr_job_hooks_t hooks;
@@ -260,6 +264,15 @@
 /** jr_jobs_worker - find a worker by id; NULL if unknown */
 jr_job_worker_t *jr_jobs_worker(jr_jobs_t *jobs, const char *id);
 
+/**
+ * jr_jobs_is_service_drained - are all workers of the service in drained
+ * zones? False when it has no workers.
+ */
+bool jr_jobs_is_service_drained(const jr_jobs_t *jobs, const char *service);
+
+/** jr_jobs_count_granted - granted tasks of all workers in a zone */
+size_t jr_jobs_count_granted(const jr_jobs_t *jobs, const char *zone);
+
 /**
  * jr_worker_is_outdated - was @info sent before what is in the log?
  *
--- a/include/jayrelay/metrics.h
+++ b/include/jayrelay/metrics.h
@@ -9,6 +9,8 @@
 /**
  * struct jr_gauge_t - a value that can rise and fall
  * @name: name in /metrics, without the common prefix; borrowed
+ * @label: labels such as zone="a"; NULL for none; borrowed. Gauges of one name
+ *         follow each other
  * @help: one line of help; borrowed
  * @value: current value
  */
@@ -16,6 +18,7 @@
     const char *name;
     const char *help;
     double value;
+    const char *label;
 } jr_gauge_t;
 
 /**
--- a/include/jayrelay/settings.h
+++ b/include/jayrelay/settings.h
@@ -16,6 +16,7 @@
     JR_REPLICAS_MAX = 9,
     JR_ENTRIES_MAX = 64,
     JR_SETTING_ERRORS_MAX = 64,
+    JR_SETTING_ZONES_MAX = 32,
 };
 
 /**
@@ -68,6 +69,7 @@
  * @retry_percent: retries allowed per 100 first attempts
  * @controls: all control processes, or those named by the seeds
  * @entries: all entry processes
+ * @zones: availability zones that an operator may drain; none: any
  */
 typedef struct {
     char name[JR_SETTING_BYTES];
@@ -100,6 +102,8 @@
     int64_t n_controls;
     jr_process_t entries[JR_ENTRIES_MAX];
     int64_t n_entries;
+    char zones[JR_SETTING_ZONES_MAX][JR_SETTING_BYTES];
+    int64_t n_zones;
 } jr_settings_t;
 
 /**
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -2,6 +2,7 @@
 #include "jayrelay/metrics.h"
 
 #include <glib.h>
+#include <string.h>
 
 static void
 append_histogram(GString *text, jr_histogram_t histogram,
@@ -28,6 +29,23 @@
                            (unsigned long long)data->n);
 }
 
+static void
+append_gauge(GString *text, const jr_gauge_t *gauge, bool is_first)
+{
+    if (is_first) {
+        g_string_append_printf(
+            text, "# HELP jayrelay_%s %s\n# TYPE jayrelay_%s gauge\n",
+            gauge->name, gauge->help, gauge->name);
+    }
+    if (gauge->label != NULL) {
+        g_string_append_printf(text, "jayrelay_%s{%s} %.15g\n", gauge->name,
+                               gauge->label, gauge->value);
+        return;
+    }
+    g_string_append_printf(text, "jayrelay_%s %g\n", gauge->name,
+                           gauge->value);
+}
+
 char *
 jr_metrics_text(jr_ctx_t *ctx, const jr_gauge_t *gauges, size_t n)
 {
@@ -48,11 +66,9 @@
         append_histogram(text, (jr_histogram_t)i, &ctx->histograms[i]);
     }
     for (size_t i = 0; i < n; i++) {
-        g_string_append_printf(text,
-                               "# HELP jayrelay_%s %s\n"
-                               "# TYPE jayrelay_%s gauge\njayrelay_%s %g\n",
-                               gauges[i].name, gauges[i].help, gauges[i].name,
-                               gauges[i].name, gauges[i].value);
+        append_gauge(text, &gauges[i],
+                     i == 0 ||
+                         strcmp(gauges[i].name, gauges[i - 1].name) != 0);
     }
     copy = jr_strdup(ctx, text->str);
     g_string_free(text, TRUE);
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -269,6 +269,29 @@
     }
 }
 
+static void
+read_names(reader_t *r, const jr_key_spec_t *spec, const yaml_node_t *node)
+{
+    char(*to)[JR_SETTING_BYTES] =
+        (char(*)[JR_SETTING_BYTES])((char *)r->settings + spec->offset);
+    int64_t *n = (int64_t *)((char *)r->settings + spec->count_offset);
+    yaml_node_item_t *item;
+
+    if (node->type != YAML_SEQUENCE_NODE ||
+        node->data.sequence.items.top - node->data.sequence.items.start >
+            spec->max) {
+        add_error(r, node, "'%s' must be a list of at most %lld names",
+                  spec->key, (long long)spec->max);
+        return;
+    }
+    for (item = node->data.sequence.items.start;
+         item < node->data.sequence.items.top; item++) {
+        yaml_node_t *element = yaml_document_get_node(&r->document, *item);
+
+        read_text(r, spec->key, element, JR_VALUE_TEXT, to[(*n)++]);
+    }
+}
+
 /*
  * Completes control processes that are known by their HTTP address only: all
  * control processes use the same bus port, and their bus address as name.
@@ -344,6 +367,9 @@
     case JR_VALUE_SEEDS:
         read_seeds(r, spec, node);
         break;
+    case JR_VALUE_NAMES:
+        read_names(r, spec, node);
+        break;
     case JR_VALUE_PROCESSES:
         read_processes(r, spec, node);
         break;
--- a/src/base/settings_keys.h
+++ b/src/base/settings_keys.h
@@ -15,6 +15,7 @@
     JR_VALUE_BOOL,
     JR_VALUE_PROCESSES,
     JR_VALUE_SEEDS, /* HTTP addresses of control processes */
+    JR_VALUE_NAMES,
 } jr_value_kind_t;
 
 enum {
--- a/src/base/settings_test.cc
+++ b/src/base/settings_test.cc
@@ -198,6 +198,22 @@
     EXPECT_EQ(settings_.far_permille, 1500);
 }
 
+TEST_F(SettingsTest, ZonesAreAListOfNames)
+{
+    EXPECT_EQ(
+        Errors(std::string(kSeeds) + "zones: [a, b]\n", JR_SETTINGS_CONTROL),
+        "");
+    ASSERT_EQ(settings_.n_zones, 2);
+    EXPECT_STREQ(settings_.zones[1], "b");
+    EXPECT_NE(Errors(std::string(kSeeds) + "zones: a\n", JR_SETTINGS_CONTROL)
+                  .find("'zones' must be a list of at most 32 names"),
+              std::string::npos);
+    EXPECT_NE(
+        Errors(std::string(kSeeds) + "zones: [a, '']\n", JR_SETTINGS_CONTROL)
+            .find("'zones' must be a text of 1 to 63 characters"),
+        std::string::npos);
+}
+
 TEST_F(SettingsTest, BadSwitchesRatiosAndSeedsAreNamed)
 {
     std::string text = kSeeds;
--- a/src/control/jobs.c
+++ b/src/control/jobs.c
@@ -35,6 +35,9 @@
     unsigned status =
         jr_platform_answer(pending->exchange, pending->call, code, reply);
 
+    if (pending->call == JR_CALL_ZONE && code == JR_OVERTAKEN) {
+        jr_count(ctx, JR_C_REFUSED_OVERTAKEN);
+    }
     if (pending->call == JR_CALL_PUT_CONFIG) {
         jr_log(ctx, JR_EV_CONFIG_ACCEPTED, "version=%llu code=%s status=%u",
                (unsigned long long)pending->version, jr_result_name(code),
@@ -69,6 +72,51 @@
     jr_platform_answer(exchange, call, JR_BAD_REQUEST, NULL);
 }
 
+static bool
+is_known_zone(const jr_control_t *control, const char *name)
+{
+    const jr_settings_t *settings = &control->settings;
+
+    for (int64_t i = 0; i < settings->n_zones; i++) {
+        if (strcmp(settings->zones[i], name) == 0) {
+            return true;
+        }
+    }
+    return settings->n_zones == 0;
+}
+
+/*
+ * A request that waited in a socket while this process stood still may be
+ * outdated, and its operator has closed the connection by now: it is not
+ * carried out. The log refuses those that are overtaken later.
+ */
+static void
+send_zone_request(jr_control_t *control, jr_exchange_t *exchange,
+                  jr_platform_request_t *request)
+{
+    Jr__JobZoneRequest *zone = request->request->job_command->zone;
+    jr_jobs_t *jobs =
+        control->groups[0] != NULL ? jr_group_jobs(control->groups[0]) : NULL;
+    jr_result_t refused = JR_OK;
+
+    if (!is_known_zone(control, zone->zone)) {
+        jr_count(control->ctx, JR_C_REFUSED_ZONE);
+        refused = JR_NOT_FOUND;
+    }
+    else if (jr_exchange_is_abandoned(exchange)) {
+        jr_count(control->ctx, JR_C_REFUSED_OVERTAKEN);
+        refused = JR_OVERTAKEN;
+    }
+    if (refused != JR_OK) {
+        jr_log(control->ctx, JR_EV_ZONE_REFUSED, "zone=%s drains=%d code=%s",
+               zone->zone, zone->drains, jr_result_name(refused));
+        jr_platform_answer(exchange, request->call, refused, NULL);
+        return;
+    }
+    zone->seen = jobs != NULL ? jr_zones_accepted(jobs->zones, zone->zone) : 0;
+    send_to_leader(control, exchange, request);
+}
+
 void
 jr_control_on_job_http(void *user, jr_exchange_t *exchange)
 {
@@ -94,6 +142,9 @@
         jr_free(control->ctx, text);
         break;
     }
+    case JR_CALL_ZONE:
+        send_zone_request(control, exchange, &request);
+        break;
     default:
         send_to_leader(control, exchange, &request);
         break;
--- a/src/control/status.c
+++ b/src/control/status.c
@@ -1,6 +1,7 @@
 /* Status, metrics and health of a control process. */
 #include "control.h"
 
+#include <glib.h>
 #include <string.h>
 
 #include "jayrelay/metrics.h"
@@ -33,44 +34,75 @@
     jr_http_answer(exchange, status, NULL, 0, text, strlen(text));
 }
 
-char *
-jr_control_metrics(jr_control_t *control)
+enum {
+    ZONE_LABEL_BYTES = JR_ZONE_NAME_MAX_BYTES + sizeof "zone=''",
+    MS_PER_S = 1000,
+};
+
+/* The gauges of a zone that was drained at least once. */
+typedef struct {
+    char label[ZONE_LABEL_BYTES];
+    double drained_since_s;
+    double runs;
+} zone_gauges_t;
+
+static void
+append_gauge(GArray *to, const char *name, const char *help, double value)
 {
-    jr_gauge_t gauges[] = {
-        {"rules_version", "rules version in force",
-         control->rules != NULL ? (double)control->rules->version : 0.0},
-        {"groups_led", "groups that this process leads", 0.0},
-        {"tasks_queued", "queued tasks of all groups", 0.0},
-        {"tasks_leased", "leased tasks of all groups", 0.0},
-        {"jobs_live", "jobs that have not ended", 0.0},
-        {"workers_known", "workers that announced themselves", 0.0},
-        {"config_version", "configuration in force", 0.0},
-        {"voters_whole",
-         "of group 0, on its leader: voters with every committed entry", 0.0},
-        {"carriers_answering",
-         "on the leader of jobs: processes that send its orders", 0.0},
-    };
-    jr_jobs_t *jobs =
-        control->groups[0] != NULL ? jr_group_jobs(control->groups[0]) : NULL;
-
-    if (control->groups[0] != NULL) {
-        gauges[7].value = (double)jr_quorum_whole_voters(
-            jr_group_quorum(control->groups[0]));
+    jr_gauge_t gauge = {.name = name, .help = help, .value = value};
+
+    g_array_append_val(to, gauge);
+}
+
+static void
+append_zone_gauges(const jr_jobs_t *jobs, zone_gauges_t *storage, GArray *to)
+{
+    const jr_zone_t *zone;
+    size_t n = 0;
+
+    TAILQ_FOREACH (zone, &jobs->zones->list, link) {
+        zone_gauges_t *row = &storage[n++];
+
+        snprintf(row->label, sizeof row->label, "zone=\"%s\"", zone->name);
+        row->drained_since_s = (double)zone->drained_since / MS_PER_S;
+        row->runs = (double)jr_jobs_count_granted(jobs, zone->name);
     }
-    if (control->carry != NULL) {
-        gauges[8].value =
-            (double)jr_carry_n_answering(control->carry, jr_clock_ms());
+    for (size_t i = 0; i < n; i++) {
+        append_gauge(to, "zone_drained_since_seconds",
+                     "Unix time since when the zone is drained; 0: in use",
+                     storage[i].drained_since_s);
+        g_array_index(to, jr_gauge_t, to->len - 1).label = storage[i].label;
     }
-    if (jobs != NULL) {
-        const jr_job_t *job;
+    for (size_t i = 0; i < n; i++) {
+        append_gauge(to, "zone_runs", "granted tasks in the zone",
+                     storage[i].runs);
+        g_array_index(to, jr_gauge_t, to->len - 1).label = storage[i].label;
+    }
+}
 
-        TAILQ_FOREACH (job, &jobs->live, link) {
-            gauges[4].value += 1.0;
-        }
-        gauges[5].value = (double)HASH_COUNT(jobs->workers);
-        gauges[6].value =
-            jobs->config != NULL ? (double)jobs->config->version : 0.0;
+static void
+append_job_gauges(const jr_jobs_t *jobs, zone_gauges_t *zones, GArray *to)
+{
+    const jr_job_t *job;
+    double n_live = 0.0;
+
+    TAILQ_FOREACH (job, &jobs->live, link) {
+        n_live += 1.0;
     }
+    append_gauge(to, "jobs_live", "jobs that have not ended", n_live);
+    append_gauge(to, "workers_known", "workers that announced themselves",
+                 (double)HASH_COUNT(jobs->workers));
+    append_gauge(to, "config_version", "configuration in force",
+                 jobs->config != NULL ? (double)jobs->config->version : 0.0);
+    append_zone_gauges(jobs, zones, to);
+}
+
+static void
+append_group_gauges(const jr_control_t *control, GArray *to)
+{
+    double n_led = 0.0;
+    double n_queued = 0.0;
+    double n_leased = 0.0;
 
     for (size_t g = 0; g < control->n_groups; g++) {
         jr_ledger_t *ledger;
@@ -79,15 +111,48 @@
             continue;
         }
         ledger = jr_group_ledger(control->groups[g]);
-        gauges[1].value +=
+        n_led +=
             jr_quorum_role(jr_group_quorum(control->groups[g])) == JR_LEADER;
         if (ledger != NULL) {
-            gauges[2].value += (double)jr_ledger_count(ledger, JR_TASK_QUEUED);
-            gauges[3].value += (double)jr_ledger_count(ledger, JR_TASK_LEASED);
+            n_queued += (double)jr_ledger_count(ledger, JR_TASK_QUEUED);
+            n_leased += (double)jr_ledger_count(ledger, JR_TASK_LEASED);
         }
     }
-    return jr_metrics_text(control->ctx, gauges,
-                           sizeof gauges / sizeof gauges[0]);
+    append_gauge(to, "groups_led", "groups that this process leads", n_led);
+    append_gauge(to, "tasks_queued", "queued tasks of all groups", n_queued);
+    append_gauge(to, "tasks_leased", "leased tasks of all groups", n_leased);
+}
+
+char *
+jr_control_metrics(jr_control_t *control)
+{
+    GArray *gauges = g_array_new(FALSE, FALSE, sizeof(jr_gauge_t));
+    jr_group_t *first = control->groups[0];
+    jr_jobs_t *jobs = first != NULL ? jr_group_jobs(first) : NULL;
+    zone_gauges_t zones[JR_ZONES_MAX];
+    char *text;
+
+    append_gauge(gauges, "rules_version", "rules version in force",
+                 control->rules != NULL ? (double)control->rules->version
+                                        : 0.0);
+    append_group_gauges(control, gauges);
+    append_gauge(
+        gauges, "voters_whole",
+        "of group 0, on its leader: voters with every committed entry",
+        first != NULL ? (double)jr_quorum_whole_voters(jr_group_quorum(first))
+                      : 0.0);
+    append_gauge(gauges, "carriers_answering",
+                 "on the leader of jobs: processes that send its orders",
+                 control->carry != NULL ? (double)jr_carry_n_answering(
+                                              control->carry, jr_clock_ms())
+                                        : 0.0);
+    if (jobs != NULL) {
+        append_job_gauges(jobs, zones, gauges);
+    }
+    text = jr_metrics_text(control->ctx, (const jr_gauge_t *)gauges->data,
+                           gauges->len);
+    g_array_unref(gauges);
+    return text;
 }
 
 static void
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -81,7 +81,10 @@
         return; /* its grant is on the way to the log */
     }
     if (run != NULL) {
+        const jr_tracked_worker_t *w = run->worker;
+
         jr_run_free(d, run);
+        jr_drain_on_run_ended(d, w);
         d->is_dirty = true;
     }
     if (task->phase == JR_PHASE_GRANTED) {
@@ -173,6 +176,16 @@
     d->is_dirty = true;
 }
 
+static void
+on_zone(void *user, const char *name)
+{
+    jr_dispatch_t *d = user;
+
+    if (d->is_leading) {
+        jr_drain_on_zone(d, name);
+    }
+}
+
 static void
 on_worker_removed(void *user, jr_job_worker_t *worker)
 {
@@ -194,6 +207,7 @@
         .grant_refused = on_grant_refused,
         .job = on_job,
         .worker = on_worker,
+        .zone = on_zone,
         .worker_removed = on_worker_removed,
         .user = d,
     };
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -264,6 +264,16 @@
 void jr_tracked_worker_set_clock(jr_tracked_worker_t *w, int64_t clock_ms,
                                  int64_t now);
 
+/*
+ * drain.c: workers that drain, and drained zones. What runs there goes on.
+ */
+bool jr_drain_forbids_starts(const jr_dispatch_t *d,
+                             const jr_tracked_worker_t *w);
+/* A zone was drained or taken back. */
+void jr_drain_on_zone(jr_dispatch_t *d, const char *name);
+/* A run ended on the worker. */
+void jr_drain_on_run_ended(jr_dispatch_t *d, const jr_tracked_worker_t *w);
+
 /* hold.c: lease renewals, and the lists of runs and ends in the answers. */
 bool jr_renewal_is_due(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
 void jr_renewal_order(jr_dispatch_t *d, jr_tracked_worker_t *w,
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -157,7 +157,7 @@
     info.id = const_cast<char *>(worker.id.c_str());
     info.born = worker.incarnation;
     info.address = const_cast<char *>(worker.id.c_str());
-    info.zone = const_cast<char *>("z");
+    info.zone = const_cast<char *>(worker.zone.c_str());
     info.service = const_cast<char *>("s");
     info.machine = const_cast<char *>("m");
     info.cpu_milli = static_cast<uint32_t>(worker.cpu);
@@ -254,6 +254,20 @@
     Propose(&command);
 }
 
+void
+Fleet::DrainZone(const char *zone, bool drains)
+{
+    Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+    Jr__JobZoneRequest request = JR__JOB_ZONE_REQUEST__INIT;
+
+    request.zone = const_cast<char *>(zone);
+    request.drains = drains;
+    request.seen = jr_zones_accepted(jobs->zones, zone);
+    command.body_case = JR__JOB_COMMAND__BODY_ZONE;
+    command.zone = &request;
+    Propose(&command);
+}
+
 void
 Fleet::Cancel(uint64_t id)
 {
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -67,6 +67,7 @@
 
 struct FleetWorker {
     std::string id;
+    std::string zone = "z";
     int64_t incarnation = 1;     /* its start time */
     int64_t cpu = 4000;          /* thousandths of a processor */
     bool checks_capacity = true; /* refuses a start that does not fit */
@@ -140,6 +141,8 @@
 
     void Submit(uint64_t id, const std::vector<Jr__JobStep> &steps);
     void Cancel(uint64_t id);
+    /* Drains a zone, or takes it back. */
+    void DrainZone(const char *zone, bool drains = true);
     void Run(int64_t ms);
     /* Another leader takes over; pending proposals are applied or lost. */
     void ChangeLeader(bool keeps_proposals);
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -192,7 +192,7 @@
     g_ptr_array_add(d->releases, run);
 }
 
-/* A draining worker gets no start; one that was sent before is stopped. */
+/* The worker may get no start; one that was sent before is stopped. */
 static void
 abandon_start(jr_dispatch_t *d, jr_run_t *run)
 {
@@ -283,7 +283,7 @@
     if (run->serial != 0) {
         return false;
     }
-    if (run->state == JR_RUN_STARTING && w->worker->info->draining) {
+    if (run->state == JR_RUN_STARTING && jr_drain_forbids_starts(d, w)) {
         abandon_start(d, run);
     }
     if (must_wait_for_list(run)) {
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -174,7 +174,7 @@
                             const jr_tracked_worker_t *w)
 {
     return w->is_synced && !w->has_ended && !w->is_leaving &&
-           w->suspect_at == 0 && !w->worker->info->draining &&
+           w->suspect_at == 0 && !jr_drain_forbids_starts(d, w) &&
            w->worker->info->born == w->incarnation &&
            d->now - w->answered_at <=
                ANSWER_AGE_MAX_MS + d->options.hold_wait_ms &&
--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -176,12 +176,15 @@
 answer_metrics(jr_entry_t *entry, jr_exchange_t *exchange)
 {
     jr_gauge_t gauges[] = {
-        {"rules_version", "rules version in force",
-         entry->rules != NULL ? (double)entry->rules->version : 0.0},
-        {"calls_open", "calls without a verdict",
-         (double)jr_relay_count_calls(entry->relay)},
-        {"upstreams", "upstreams known",
-         (double)HASH_COUNT(entry->upstreams->by_name)},
+        {.name = "rules_version",
+         .help = "rules version in force",
+         .value = entry->rules != NULL ? (double)entry->rules->version : 0.0},
+        {.name = "calls_open",
+         .help = "calls without a verdict",
+         .value = (double)jr_relay_count_calls(entry->relay)},
+        {.name = "upstreams",
+         .help = "upstreams known",
+         .value = (double)HASH_COUNT(entry->upstreams->by_name)},
     };
     char *text =
         jr_metrics_text(entry->ctx, gauges, sizeof gauges / sizeof gauges[0]);
--- a/src/gate/leader.c
+++ b/src/gate/leader.c
@@ -30,10 +30,12 @@
 answer_metrics(jr_gate_t *gate, jr_exchange_t *exchange)
 {
     jr_gauge_t gauges[] = {
-        {"leader_age_ms", "time since the leader answered",
-         (double)(jr_clock_ms() - gate->leader_answered_at)},
-        {"requests_open", "requests that wait for the leader",
-         (double)jr_requester_count_open(gate->requester)},
+        {.name = "leader_age_ms",
+         .help = "time since the leader answered",
+         .value = (double)(jr_clock_ms() - gate->leader_answered_at)},
+        {.name = "requests_open",
+         .help = "requests that wait for the leader",
+         .value = (double)jr_requester_count_open(gate->requester)},
     };
     char *text =
         jr_metrics_text(gate->ctx, gauges, sizeof gauges / sizeof gauges[0]);
--- a/src/gen/job/job.pb-c.c
+++ b/src/gen/job/job.pb-c.c
@@ -772,6 +772,51 @@
   assert(message->base.descriptor == &jr__job_lease_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jr__job_zone_request__init
+                     (Jr__JobZoneRequest         *message)
+{
+  static const Jr__JobZoneRequest init_value = JR__JOB_ZONE_REQUEST__INIT;
+  *message = init_value;
+}
+size_t jr__job_zone_request__get_packed_size
+                     (const Jr__JobZoneRequest *message)
+{
+  assert(message->base.descriptor == &jr__job_zone_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jr__job_zone_request__pack
+                     (const Jr__JobZoneRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jr__job_zone_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jr__job_zone_request__pack_to_buffer
+                     (const Jr__JobZoneRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jr__job_zone_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jr__JobZoneRequest *
+       jr__job_zone_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jr__JobZoneRequest *)
+     protobuf_c_message_unpack (&jr__job_zone_request__descriptor,
+                                allocator, len, data);
+}
+void   jr__job_zone_request__free_unpacked
+                     (Jr__JobZoneRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jr__job_zone_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jr__job_worker_gone__init
                      (Jr__JobWorkerGone         *message)
 {
@@ -1132,6 +1177,51 @@
   assert(message->base.descriptor == &jr__job_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jr__job_zone__init
+                     (Jr__JobZone         *message)
+{
+  static const Jr__JobZone init_value = JR__JOB_ZONE__INIT;
+  *message = init_value;
+}
+size_t jr__job_zone__get_packed_size
+                     (const Jr__JobZone *message)
+{
+  assert(message->base.descriptor == &jr__job_zone__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jr__job_zone__pack
+                     (const Jr__JobZone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jr__job_zone__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jr__job_zone__pack_to_buffer
+                     (const Jr__JobZone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jr__job_zone__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jr__JobZone *
+       jr__job_zone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jr__JobZone *)
+     protobuf_c_message_unpack (&jr__job_zone__descriptor,
+                                allocator, len, data);
+}
+void   jr__job_zone__free_unpacked
+                     (Jr__JobZone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jr__job_zone__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jr__job_snapshot__init
                      (Jr__JobSnapshot         *message)
 {
@@ -2743,6 +2833,70 @@
   (ProtobufCMessageInit) jr__job_lease_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor jr__job_zone_request__field_descriptors[3] =
+{
+  {
+    "zone",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobZoneRequest, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drains",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobZoneRequest, drains),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobZoneRequest, seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jr__job_zone_request__field_indices_by_name[] = {
+  1,   /* field[1] = drains */
+  2,   /* field[2] = seen */
+  0,   /* field[0] = zone */
+};
+static const ProtobufCIntRange jr__job_zone_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor jr__job_zone_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.JobZoneRequest",
+  "JobZoneRequest",
+  "Jr__JobZoneRequest",
+  "jr",
+  sizeof(Jr__JobZoneRequest),
+  3,
+  jr__job_zone_request__field_descriptors,
+  jr__job_zone_request__field_indices_by_name,
+  1,  jr__job_zone_request__number_ranges,
+  (ProtobufCMessageInit) jr__job_zone_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor jr__job_worker_gone__field_descriptors[2] =
 {
   {
@@ -2794,7 +2948,7 @@
   (ProtobufCMessageInit) jr__job_worker_gone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_command__field_descriptors[11] =
+static const ProtobufCFieldDescriptor jr__job_command__field_descriptors[12] =
 {
   {
     "at_ms",
@@ -2928,6 +3082,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zone",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__JobCommand, body_case),
+    offsetof(Jr__JobCommand, zone),
+    &jr__job_zone_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_command__field_indices_by_name[] = {
   0,   /* field[0] = at_ms */
@@ -2941,11 +3107,12 @@
   7,   /* field[7] = worker */
   8,   /* field[8] = worker_gone */
   9,   /* field[9] = worker_leaving */
+  11,   /* field[11] = zone */
 };
 static const ProtobufCIntRange jr__job_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor jr__job_command__descriptor =
 {
@@ -2955,7 +3122,7 @@
   "Jr__JobCommand",
   "jr",
   sizeof(Jr__JobCommand),
-  11,
+  12,
   jr__job_command__field_descriptors,
   jr__job_command__field_indices_by_name,
   1,  jr__job_command__number_ranges,
@@ -3532,7 +3699,71 @@
   (ProtobufCMessageInit) jr__job_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_snapshot__field_descriptors[6] =
+static const ProtobufCFieldDescriptor jr__job_zone__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobZone, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accepted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobZone, accepted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drained_since_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobZone, drained_since_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jr__job_zone__field_indices_by_name[] = {
+  1,   /* field[1] = accepted */
+  2,   /* field[2] = drained_since_ms */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange jr__job_zone__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor jr__job_zone__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.JobZone",
+  "JobZone",
+  "Jr__JobZone",
+  "jr",
+  sizeof(Jr__JobZone),
+  3,
+  jr__job_zone__field_descriptors,
+  jr__job_zone__field_indices_by_name,
+  1,  jr__job_zone__number_ranges,
+  (ProtobufCMessageInit) jr__job_zone__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jr__job_snapshot__field_descriptors[7] =
 {
   {
     "config",
@@ -3606,6 +3837,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zones",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__JobSnapshot, n_zones),
+    offsetof(Jr__JobSnapshot, zones),
+    &jr__job_zone__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_snapshot__field_indices_by_name[] = {
   0,   /* field[0] = config */
@@ -3614,11 +3857,12 @@
   3,   /* field[3] = now_ms */
   4,   /* field[4] = removed_queues */
   1,   /* field[1] = workers */
+  6,   /* field[6] = zones */
 };
 static const ProtobufCIntRange jr__job_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor jr__job_snapshot__descriptor =
 {
@@ -3628,7 +3872,7 @@
   "Jr__JobSnapshot",
   "jr",
   sizeof(Jr__JobSnapshot),
-  6,
+  7,
   jr__job_snapshot__field_descriptors,
   jr__job_snapshot__field_indices_by_name,
   1,  jr__job_snapshot__number_ranges,
--- a/src/gen/job/job.pb-c.h
+++ b/src/gen/job/job.pb-c.h
@@ -32,6 +32,7 @@
 typedef struct Jr__JobReleases Jr__JobReleases;
 typedef struct Jr__JobWorkerLeaving Jr__JobWorkerLeaving;
 typedef struct Jr__JobLeaseLimit Jr__JobLeaseLimit;
+typedef struct Jr__JobZoneRequest Jr__JobZoneRequest;
 typedef struct Jr__JobWorkerGone Jr__JobWorkerGone;
 typedef struct Jr__JobCommand Jr__JobCommand;
 typedef struct Jr__JobAsk Jr__JobAsk;
@@ -40,6 +41,7 @@
 typedef struct Jr__JobTaskState Jr__JobTaskState;
 typedef struct Jr__JobFailedAttempt Jr__JobFailedAttempt;
 typedef struct Jr__JobState Jr__JobState;
+typedef struct Jr__JobZone Jr__JobZone;
 typedef struct Jr__JobSnapshot Jr__JobSnapshot;
 
 
@@ -426,6 +428,24 @@
     , 0 }
 
 
+/*
+ * Drain an availability zone, or take it back; see zone.h.
+ */
+struct  Jr__JobZoneRequest
+{
+  ProtobufCMessage base;
+  char *zone;
+  protobuf_c_boolean drains;
+  /*
+   * requests accepted for it when this one was received
+   */
+  uint64_t seen;
+};
+#define JR__JOB_ZONE_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jr__job_zone_request__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Jr__JobWorkerGone
 {
   ProtobufCMessage base;
@@ -448,7 +468,8 @@
   JR__JOB_COMMAND__BODY_WORKER = 8,
   JR__JOB_COMMAND__BODY_WORKER_GONE = 9,
   JR__JOB_COMMAND__BODY_WORKER_LEAVING = 10,
-  JR__JOB_COMMAND__BODY_LEASE_LIMIT = 11
+  JR__JOB_COMMAND__BODY_LEASE_LIMIT = 11,
+  JR__JOB_COMMAND__BODY_ZONE = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JR__JOB_COMMAND__BODY__CASE)
 } Jr__JobCommand__BodyCase;
 
@@ -471,6 +492,7 @@
     Jr__JobWorkerGone *worker_gone;
     Jr__JobWorkerLeaving *worker_leaving;
     Jr__JobLeaseLimit *lease_limit;
+    Jr__JobZoneRequest *zone;
   };
 };
 #define JR__JOB_COMMAND__INIT \
@@ -599,6 +621,21 @@
     , NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
+struct  Jr__JobZone
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t accepted;
+  /*
+   * 0: in use
+   */
+  int64_t drained_since_ms;
+};
+#define JR__JOB_ZONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jr__job_zone__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Jr__JobSnapshot
 {
   ProtobufCMessage base;
@@ -617,10 +654,12 @@
    * 0: not in the log yet
    */
   int64_t lease_limit_ms;
+  size_t n_zones;
+  Jr__JobZone **zones;
 };
 #define JR__JOB_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__job_snapshot__descriptor) \
-    , NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL }
 
 
 /* Jr__JobStep methods */
@@ -946,6 +985,25 @@
 void   jr__job_lease_limit__free_unpacked
                      (Jr__JobLeaseLimit *message,
                       ProtobufCAllocator *allocator);
+/* Jr__JobZoneRequest methods */
+void   jr__job_zone_request__init
+                     (Jr__JobZoneRequest         *message);
+size_t jr__job_zone_request__get_packed_size
+                     (const Jr__JobZoneRequest   *message);
+size_t jr__job_zone_request__pack
+                     (const Jr__JobZoneRequest   *message,
+                      uint8_t             *out);
+size_t jr__job_zone_request__pack_to_buffer
+                     (const Jr__JobZoneRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Jr__JobZoneRequest *
+       jr__job_zone_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jr__job_zone_request__free_unpacked
+                     (Jr__JobZoneRequest *message,
+                      ProtobufCAllocator *allocator);
 /* Jr__JobWorkerGone methods */
 void   jr__job_worker_gone__init
                      (Jr__JobWorkerGone         *message);
@@ -1098,6 +1156,25 @@
 void   jr__job_state__free_unpacked
                      (Jr__JobState *message,
                       ProtobufCAllocator *allocator);
+/* Jr__JobZone methods */
+void   jr__job_zone__init
+                     (Jr__JobZone         *message);
+size_t jr__job_zone__get_packed_size
+                     (const Jr__JobZone   *message);
+size_t jr__job_zone__pack
+                     (const Jr__JobZone   *message,
+                      uint8_t             *out);
+size_t jr__job_zone__pack_to_buffer
+                     (const Jr__JobZone   *message,
+                      ProtobufCBuffer     *buffer);
+Jr__JobZone *
+       jr__job_zone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jr__job_zone__free_unpacked
+                     (Jr__JobZone *message,
+                      ProtobufCAllocator *allocator);
 /* Jr__JobSnapshot methods */
 void   jr__job_snapshot__init
                      (Jr__JobSnapshot         *message);
@@ -1170,6 +1247,9 @@
 typedef void (*Jr__JobLeaseLimit_Closure)
                  (const Jr__JobLeaseLimit *message,
                   void *closure_data);
+typedef void (*Jr__JobZoneRequest_Closure)
+                 (const Jr__JobZoneRequest *message,
+                  void *closure_data);
 typedef void (*Jr__JobWorkerGone_Closure)
                  (const Jr__JobWorkerGone *message,
                   void *closure_data);
@@ -1194,6 +1274,9 @@
 typedef void (*Jr__JobState_Closure)
                  (const Jr__JobState *message,
                   void *closure_data);
+typedef void (*Jr__JobZone_Closure)
+                 (const Jr__JobZone *message,
+                  void *closure_data);
 typedef void (*Jr__JobSnapshot_Closure)
                  (const Jr__JobSnapshot *message,
                   void *closure_data);
@@ -1221,6 +1304,7 @@
 extern const ProtobufCMessageDescriptor jr__job_releases__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_worker_leaving__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_lease_limit__descriptor;
+extern const ProtobufCMessageDescriptor jr__job_zone_request__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_worker_gone__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_command__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_ask__descriptor;
@@ -1230,6 +1314,7 @@
 extern const ProtobufCMessageDescriptor jr__job_task_state__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_failed_attempt__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_state__descriptor;
+extern const ProtobufCMessageDescriptor jr__job_zone__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_snapshot__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/group/group_test.cc
+++ b/src/group/group_test.cc
@@ -99,6 +99,25 @@
         jr_group_pump(group_, now_);
     }
 
+    void
+    DrainZone(bool drains, uint64_t seen)
+    {
+        Jr__JobZoneRequest zone = JR__JOB_ZONE_REQUEST__INIT;
+        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+        Jr__Request request = JR__REQUEST__INIT;
+        jr_reply_address_t reply_to = {};
+
+        zone.zone = const_cast<char *>("a");
+        zone.drains = drains;
+        zone.seen = seen;
+        command.body_case = JR__JOB_COMMAND__BODY_ZONE;
+        command.zone = &zone;
+        request.body_case = JR__REQUEST__BODY_JOB_COMMAND;
+        request.job_command = &command;
+        jr_group_request(group_, &reply_to, &request, now_);
+        jr_group_pump(group_, now_);
+    }
+
     void
     ReceiveFromNewerLeader()
     {
@@ -139,6 +158,32 @@
     EXPECT_EQ(codes_, std::vector<uint32_t>{JR_NOT_LEADER});
 }
 
+/*
+ * The operator's request waited in a queue, and the zone was taken back
+ * meanwhile: it is refused and changes nothing.
+ */
+TEST_F(GroupTest, ADelayedDrainOfAZoneIsRefused)
+{
+    DrainZone(true, 0);
+    DrainZone(true, 0);
+    DrainZone(false, 2);
+    EXPECT_EQ(codes_, (std::vector<uint32_t>{JR_OK, JR_OK, JR_OK}));
+    codes_.clear();
+    DrainZone(true, 1);
+    EXPECT_EQ(codes_, std::vector<uint32_t>{JR_OVERTAKEN});
+    EXPECT_FALSE(jr_zones_is_drained(jr_group_jobs(group_)->zones, "a"));
+}
+
+/* Only the log tells: a leader that was replaced may have an old state. */
+TEST_F(GroupTest, ADeposedLeaderAcknowledgesNoDrainOfAZone)
+{
+    DrainZone(true, 0);
+    codes_.clear();
+    ReceiveFromNewerLeader();
+    DrainZone(true, 1);
+    EXPECT_EQ(codes_, std::vector<uint32_t>{JR_NOT_LEADER});
+}
+
 /*
  * Load: thousands of check-ins a second that repeat what is in the log. Any
  * replica acknowledges them, but nothing that is not in the log: a worker that
--- a/src/group/job_request.c
+++ b/src/group/job_request.c
@@ -65,6 +65,11 @@
         reply_code(group, reply_to, JR_OK);
         return;
     }
+    if (jr_jobs_is_service_drained(jobs, queue->config->service)) {
+        jr_count(group->ctx, JR_C_REFUSED_ZONES_DRAINED);
+        reply_code(group, reply_to, JR_NO_UPSTREAM);
+        return;
+    }
     path = spec->prefix;
     spec->prefix = queue->config->prefix;
     propose_command(group, reply_to, command);
@@ -84,6 +89,22 @@
     propose_command(group, reply_to, command);
 }
 
+/*
+ * Goes through the log also when the zone is in the state already: only the
+ * log tells whether this replica still leads.
+ */
+static void
+on_zone_request(jr_group_t *group, const jr_reply_address_t *reply_to,
+                Jr__JobCommand *command)
+{
+    if (!jr_zone_name_is_valid(command->zone->zone)) {
+        jr_group_reply_code(group, reply_to, JR_BAD_REQUEST,
+                            "the name of the zone is not valid");
+        return;
+    }
+    propose_command(group, reply_to, command);
+}
+
 static void
 on_command(jr_group_t *group, const jr_reply_address_t *reply_to,
            Jr__JobCommand *command)
@@ -95,10 +116,13 @@
     case JR__JOB_COMMAND__BODY_CONFIG:
         on_config(group, reply_to, command);
         break;
+    case JR__JOB_COMMAND__BODY_ZONE:
+        on_zone_request(group, reply_to, command);
+        break;
     default:
         jr_group_reply_code(
             group, reply_to, JR_BAD_REQUEST,
-            "unexpected job command; expected submit or config");
+            "unexpected job command; expected submit, config or zone");
         break;
     }
 }
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -591,6 +591,21 @@
     return JR_OK;
 }
 
+static jr_result_t
+apply_zone_request(jr_jobs_t *jobs, const Jr__JobZoneRequest *from)
+{
+    jr_zone_request_t request = {
+        .name = from->zone, .drains = from->drains, .seen = from->seen};
+    bool was_drained = jr_zones_is_drained(jobs->zones, from->zone);
+    jr_result_t result = jr_zones_apply(jobs->zones, &request, jobs->now);
+
+    if (jr_zones_is_drained(jobs->zones, from->zone) != was_drained &&
+        jobs->hooks.zone != NULL) {
+        jobs->hooks.zone(jobs->hooks.user, from->zone);
+    }
+    return result;
+}
+
 static jr_result_t
 apply_command(jr_jobs_t *jobs, Jr__JobCommand *command)
 {
@@ -615,6 +630,8 @@
         return apply_worker_leaving(jobs, command->worker_leaving);
     case JR__JOB_COMMAND__BODY_LEASE_LIMIT:
         return apply_lease_limit(jobs, command->lease_limit);
+    case JR__JOB_COMMAND__BODY_ZONE:
+        return apply_zone_request(jobs, command->zone);
     default:
         return JR_BAD_REQUEST;
     }
--- a/src/job/jobs.c
+++ b/src/job/jobs.c
@@ -393,6 +393,7 @@
     jr_jobs_t *jobs = jr_alloc(ctx, sizeof *jobs);
 
     jobs->ctx = ctx;
+    jobs->zones = jr_new_zones(ctx);
     TAILQ_INIT(&jobs->live);
     TAILQ_INIT(&jobs->ended);
     return jobs;
@@ -405,6 +406,7 @@
     jr_job_worker_t *worker, *next_worker;
     jr_job_queue_t *queue, *next_queue;
 
+    jr_zones_clear(jobs->zones);
     HASH_ITER (hh, jobs->by_id, job, next_job) {
         jr_job_free(jobs, job);
     }
@@ -431,6 +433,7 @@
     if (jobs != NULL) {
         jobs->hooks = (jr_job_hooks_t){0};
         jr_jobs_clear(jobs);
+        jr_drop_zones(jobs->zones);
         jr_free(jobs->ctx, jobs);
     }
 }
@@ -450,6 +453,45 @@
     return job;
 }
 
+bool
+jr_jobs_is_service_drained(const jr_jobs_t *jobs, const char *service)
+{
+    const jr_job_worker_t *worker;
+    bool has_workers = false;
+
+    if (jobs->zones->n_drained == 0) {
+        return false;
+    }
+    for (worker = jobs->workers; worker != NULL; worker = worker->hh.next) {
+        if (strcmp(worker->info->service, service) != 0) {
+            continue;
+        }
+        if (!jr_zones_is_drained(jobs->zones, worker->info->zone)) {
+            return false;
+        }
+        has_workers = true;
+    }
+    return has_workers;
+}
+
+size_t
+jr_jobs_count_granted(const jr_jobs_t *jobs, const char *zone)
+{
+    const jr_job_worker_t *worker;
+    const jr_job_task_t *task;
+    size_t n = 0;
+
+    for (worker = jobs->workers; worker != NULL; worker = worker->hh.next) {
+        if (strcmp(worker->info->zone, zone) != 0) {
+            continue;
+        }
+        TAILQ_FOREACH (task, &worker->granted, worker_link) {
+            n++;
+        }
+    }
+    return n;
+}
+
 jr_job_worker_t *
 jr_jobs_worker(jr_jobs_t *jobs, const char *id)
 {
--- a/src/job/snapshot.c
+++ b/src/job/snapshot.c
@@ -155,6 +155,22 @@
     }
 }
 
+static void
+fill_zones(jr_jobs_t *jobs, Jr__JobZone *zones, Jr__JobSnapshot *to)
+{
+    const jr_zone_t *zone;
+
+    TAILQ_FOREACH (zone, &jobs->zones->list, link) {
+        Jr__JobZone *copy = &zones[to->n_zones];
+
+        jr__job_zone__init(copy);
+        copy->name = zone->name;
+        copy->accepted = zone->accepted;
+        copy->drained_since_ms = zone->drained_since;
+        to->zones[to->n_zones++] = copy;
+    }
+}
+
 uint8_t *
 jr_jobs_save(jr_jobs_t *jobs, size_t *len)
 {
@@ -162,9 +178,13 @@
     size_t n_jobs = HASH_COUNT(jobs->by_id);
     size_t n_workers = HASH_COUNT(jobs->workers);
     Jr__JobState *states = jr_alloc(jobs->ctx, (n_jobs + 1) * sizeof *states);
+    Jr__JobZone zones[JR_ZONES_MAX];
+    Jr__JobZone *zone_pointers[JR_ZONES_MAX];
     jr_job_worker_t *worker, *next;
     uint8_t *bytes;
 
+    snapshot.zones = zone_pointers;
+    fill_zones(jobs, zones, &snapshot);
     snapshot.config = jobs->config;
     snapshot.now_ms = jobs->now;
     snapshot.lease_limit_ms = jobs->lease_limit_ms;
@@ -310,6 +330,14 @@
         jr_jobs_set_config(jobs, snapshot->config);
         snapshot->config = NULL;
     }
+    for (size_t i = 0; i < snapshot->n_zones; i++) {
+        const Jr__JobZone *zone = snapshot->zones[i];
+
+        if (!jr_zones_restore(jobs->zones, zone->name, zone->accepted,
+                              zone->drained_since_ms)) {
+            return false;
+        }
+    }
     for (size_t i = 0; i < snapshot->n_removed_queues; i++) {
         jr_queue_add_removed(jobs, snapshot->removed_queues[i]);
     }
--- a/src/job/snapshot_test.cc
+++ b/src/job/snapshot_test.cc
@@ -466,6 +466,22 @@
         Apply(&command, JR__JOB_COMMAND__BODY_RELEASES);
     }
 
+    /* Some have seen an older state of the zone. */
+    void
+    RequestZone()
+    {
+        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+        Jr__JobZoneRequest zone = JR__JOB_ZONE_REQUEST__INIT;
+        std::string name = Chance(50) ? "a" : "b";
+        uint64_t accepted = jr_zones_accepted(kept_->zones, name.c_str());
+
+        zone.zone = name.data();
+        zone.drains = Chance(50);
+        zone.seen = accepted > 0 && Chance(30) ? accepted - 1 : accepted;
+        command.zone = &zone;
+        Apply(&command, JR__JOB_COMMAND__BODY_ZONE);
+    }
+
     void
     Command()
     {
@@ -500,6 +516,9 @@
         case 11:
             End();
             break;
+        case 12:
+            RequestZone();
+            break;
         default:
             Grant();
             break;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -405,6 +405,21 @@
     return exchange->body != NULL ? exchange->body : "";
 }
 
+bool
+jr_exchange_is_abandoned(const jr_exchange_t *exchange)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    char byte;
+    ssize_t n;
+
+    if (info == NULL) {
+        return false;
+    }
+    n = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void
 jr_http_answer(jr_exchange_t *exchange, unsigned status,
                const jr_header_t *headers, size_t n, const void *body,
