Services give way to urgent tasks that wait, and each keeps a share

Two tests of dispatch_test keep their checks; their service now runs until it is stopped, since it starts sooner than the simulated run time was changed.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -130,6 +130,8 @@
       "workers whose incarnation ended without notice")                       \
     X(RUNS_STALLED, "runs_stalled_total",                                     \
       "runs stopped since they made no progress")                             \
+    X(PREEMPTIONS, "preemptions_total",                                       \
+      "tasks stopped for urgent tasks that waited")                           \
     X(RUNS_STRAY, "runs_stray_total", "runs that nobody granted, stopped")    \
     X(RUNS_DOUBLED, "runs_doubled_total",                                     \
       "runs that nobody granted, of tasks that ran elsewhere")                \
--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -66,6 +66,8 @@
  *               granted to it, else 0
  * @is_done: an earlier run than the granted one is done; when the granted
  *           one ends, however it does, the task is done
+ * @preempted: how often this leader stopped it for urgent tasks; not
+ *             replicated
  * @run: leader-local state of the run; not replicated
  */
 typedef struct jr_job_task {
@@ -84,6 +86,7 @@
     struct jr_job_worker *worker;
     int64_t incarnation;
     bool is_done;
+    uint32_t preempted;
     TAILQ_ENTRY(jr_job_task) worker_link;
     struct jr_run *run;
 } jr_job_task_t;
--- a/src/dispatch/capacity_test.cc
+++ b/src/dispatch/capacity_test.cc
@@ -351,8 +351,8 @@
     full = TAILQ_FIRST(&d->workers);
     full->services.cpu_milli = full->used.cpu_milli = kFull;
     full->worker->info->cpu_milli = 500;
-    d->short_peak_milli = 1500;
-    d->short_peak_at = d->now;
+    d->short_demand.peak = 1500;
+    d->short_demand.at = d->now;
     jr_reserve_update(d);
     TAILQ_FOREACH (w, &d->workers, link) {
         delayed += w != full && w->service_delay_ms > 0;
--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -132,7 +132,7 @@
         return false;
     }
     if (step->service &&
-        jr_reserve_waited(d, request->task) < w->service_delay_ms) {
+        !jr_reserve_allows_service(d, w, request->task, request->need)) {
         return false;
     }
     return jr_worker_is_eligible(w, request->task);
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "jayrelay/demand.h"
 #include "jayrelay/dispatch.h"
 #include "jayrelay/tail.h"
 
@@ -13,6 +14,13 @@
     int64_t accelerators;
 } jr_need_t;
 
+/* Capacity for a number of tasks. */
+typedef struct {
+    size_t n;
+    int64_t cpu_milli;
+    int64_t memory_mb;
+} jr_demand_sum_t;
+
 typedef enum {
     JR_RUN_PROPOSED,    /* the grant is not in the log yet */
     JR_RUN_STARTING,    /* the start is not acknowledged yet */
@@ -148,7 +156,10 @@
     bool is_usable;           /* as of the latest pass */
     int64_t service_delay_ms; /* services wait this long before they may
                                  use what is reserved for short tasks */
-    bool is_load_stale;       /* loads and tails must be recomputed */
+    /* Least free processors in the present and in the previous window. */
+    int64_t spare_milli[2];
+    int64_t spare_at;   /* when the present window began */
+    bool is_load_stale; /* loads and tails must be recomputed */
     int64_t loads_at;
     jr_tail_load_t loads[JR_TAIL_LOADS_MAX]; /* at the paces wanted */
     size_t n_loads;
@@ -197,8 +208,14 @@
     uint64_t next_serial;
     bool is_dirty; /* a scheduling pass may place tasks */
     int64_t scheduled_at;
-    double short_peak_milli; /* decaying peak of processors for short tasks */
-    int64_t short_peak_at;
+    jr_demand_t short_demand; /* processors for short tasks, thousandths */
+    jr_demand_sum_t short_waiting;  /* before the latest pass */
+    jr_demand_sum_t urgent_waiting; /* after it */
+    int64_t preempted_at;           /* when lost_to_urgent_ms was updated */
+    int64_t lost_to_urgent_ms;      /* of one processor, decaying */
+    /* Of the recent peak of short tasks; see jr_reserve_left_for_services().
+     */
+    int64_t left_for_services;
     bool has_short_tasks; /* running, or waiting */
     bool is_mostly_idle;  /* more than half of the processors are free */
     struct jr_tracked_worker_list workers; /* by rank */
@@ -357,9 +374,27 @@
  */
 void jr_reserve_update(jr_dispatch_t *d);
 void jr_reserve_for_services(jr_dispatch_t *d);
+/*
+ * Processors, in thousandths, that services may still take from short tasks of
+ * this demand; negative when services hold more than their share.
+ */
+int64_t jr_reserve_left_for_services(const jr_dispatch_t *d,
+                                     double short_milli);
+/* May a service take this much of the worker, with regard to short tasks? */
+bool jr_reserve_allows_service(const jr_dispatch_t *d,
+                               const jr_tracked_worker_t *w,
+                               const jr_job_task_t *task,
+                               const jr_need_t *need);
 /* Waiting time of a service; a restarted one gets a bonus. */
 int64_t jr_reserve_waited(const jr_dispatch_t *d, const jr_job_task_t *task);
 
+/*
+ * urgent.c: capacity for urgent tasks that wait, from tasks that can wait
+ * longer.
+ */
+/* After a pass: stop tasks, if that serves the urgent ones that wait. */
+void jr_urgent_make_room(jr_dispatch_t *d);
+
 /* choose.c: the best worker for a task now, or NULL. */
 jr_tracked_worker_t *jr_choose_worker(jr_dispatch_t *d,
                                       const jr_job_task_t *task,
--- a/src/dispatch/dispatch_test.cc
+++ b/src/dispatch/dispatch_test.cc
@@ -421,6 +421,7 @@
     Jr__JobStep service = MakeStep(1, 3000);
 
     service.service = 1;
+    fleet.long_running_job = 1;
     fleet.task_ms = 400;
     for (uint64_t id = 10; id < 90; id++) {
         fleet.Submit(id, {MakeStep(4, 1000)});
@@ -445,6 +446,7 @@
     Jr__JobStep service = MakeStep(1, 2000);
 
     service.service = 1;
+    fleet.long_running_job = 1;
     fleet.task_ms = 1500;
     fleet.Submit(10, {MakeStep(8, 1000)});
     fleet.Run(300);
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -11,8 +11,6 @@
  */
 #include "dispatch.h"
 
-#include <math.h>
-
 enum {
     RESERVE_AFTER_MS = 4500,   /* then capacity is reserved for a service */
     RESTARTED_BONUS_MS = 2500, /* wait credited to a service that ran before */
@@ -23,67 +21,75 @@
      */
     BUSY_DELAY_MS = 4500,  /* while there are short tasks */
     SPARE_DELAY_MS = 2000, /* otherwise */
+    SPARE_WINDOW_MS = 500, /* after which unused capacity counts as spare */
 };
 
-/* Of the peak demand of short tasks, while the demand is lower. */
-static const double HALF_LIFE_MS = 15000.0;
+/*
+ * Short tasks come before services up to this fraction of all processors;
+ * beyond it, services that have waited come first.
+ */
+static const double SHORT_SHARE = 0.25;
 /* Processors kept for short tasks, as a multiple of their peak demand. */
 static const double PEAK_MARGIN = 1.3;
 /* Bounds of these processors, as fractions of all processors. */
 static const double MIN_SHARE = 0.06;
 static const double MAX_SHARE = 0.3;
 
-static bool
-is_short(const Jr__JobStep *step)
-{
-    return !step->service && !step->filler;
-}
-
 static int64_t
-waiting_milli(const jr_dispatch_t *d)
+running_milli(const jr_dispatch_t *d)
 {
-    const jr_job_t *job;
+    const jr_tracked_worker_t *w;
     int64_t sum = 0;
 
-    TAILQ_FOREACH (job, &d->jobs->live, link) {
-        size_t n = job->spec->n_steps * job->occurrences;
-
-        for (size_t i = 0; i < n; i++) {
-            uint32_t s = (uint32_t)(i % job->spec->n_steps);
-            const Jr__JobStep *step = job->spec->steps[s];
-
-            if (job->steps[i].waiting > 0 && is_short(step) &&
-                jr_job_is_step_ready(job, (uint32_t)(i / job->spec->n_steps),
-                                     s)) {
-                sum += (int64_t)job->steps[i].waiting * step->cpu_milli;
-            }
-        }
+    TAILQ_FOREACH (w, &d->workers, link) {
+        sum += w->used.cpu_milli - w->services.cpu_milli;
     }
     return sum;
 }
 
-static int64_t
-running_milli(const jr_dispatch_t *d)
+static void
+note_demand(jr_dispatch_t *d)
+{
+    double now = (double)(running_milli(d) + d->short_waiting.cpu_milli);
+
+    jr_demand_note(&d->short_demand, now, d->now);
+    d->has_short_tasks = now > 0.0;
+}
+
+int64_t
+jr_reserve_left_for_services(const jr_dispatch_t *d, double short_milli)
 {
     const jr_tracked_worker_t *w;
-    int64_t sum = 0;
+    double all = 0.0;
+    double held = 0.0;
 
     TAILQ_FOREACH (w, &d->workers, link) {
-        sum += w->used.cpu_milli - w->services.cpu_milli;
+        if (w->is_usable) {
+            all += w->worker->info->cpu_milli;
+            held += (double)w->services.cpu_milli;
+        }
     }
-    return sum;
+    return (int64_t)(all - held - MIN(short_milli, SHORT_SHARE * all));
+}
+
+/* Processors of the worker that nothing used for at least a window. */
+static int64_t
+spare_milli(const jr_tracked_worker_t *w)
+{
+    return MIN(w->spare_milli[0], w->spare_milli[1]);
 }
 
 static void
-note_peak(jr_dispatch_t *d)
+note_spare(const jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
-    double now = (double)(running_milli(d) + waiting_milli(d));
-    double age = (double)(d->now - d->short_peak_at);
+    int64_t free_milli = w->worker->info->cpu_milli - w->used.cpu_milli;
 
-    d->short_peak_milli =
-        MAX(now, d->short_peak_milli * exp2(-age / HALF_LIFE_MS));
-    d->short_peak_at = d->now;
-    d->has_short_tasks = now > 0.0;
+    w->spare_milli[0] = MIN(w->spare_milli[0], free_milli);
+    if (d->now - w->spare_at >= SPARE_WINDOW_MS) {
+        w->spare_milli[1] = w->spare_milli[0];
+        w->spare_milli[0] = free_milli;
+        w->spare_at = d->now;
+    }
 }
 
 void
@@ -94,16 +100,19 @@
     double used = 0.0;
     double wanted, spare;
 
-    note_peak(d);
+    note_demand(d);
     TAILQ_FOREACH (w, &d->workers, link) {
         w->is_usable = jr_tracked_worker_is_usable(d, w);
+        note_spare(d, w);
         if (w->is_usable) {
             all += w->worker->info->cpu_milli;
             used += (double)w->used.cpu_milli;
         }
     }
+    d->left_for_services =
+        jr_reserve_left_for_services(d, d->short_demand.peak);
     d->is_mostly_idle = 2.0 * used < all;
-    wanted = MIN(PEAK_MARGIN * d->short_peak_milli, MAX_SHARE * all);
+    wanted = MIN(PEAK_MARGIN * d->short_demand.peak, MAX_SHARE * all);
     spare = MAX(MIN_SHARE * all - wanted, 0.0);
     TAILQ_FOREACH (w, &d->workers, link) {
         /* A worker that shrank may run more than it has capacity for. */
@@ -159,8 +168,19 @@
            (task->attempt > 0 ? RESTARTED_BONUS_MS : 0);
 }
 
+bool
+jr_reserve_allows_service(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
+                          const jr_job_task_t *task, const jr_need_t *need)
+{
+    if (jr_reserve_waited(d, task) < w->service_delay_ms) {
+        return false;
+    }
+    return d->left_for_services >= need->cpu_milli ||
+           spare_milli(w) >= need->cpu_milli;
+}
+
 static size_t
-reserve_for_step(jr_dispatch_t *d, jr_job_t *job, uint32_t s)
+reserve_for_step(jr_dispatch_t *d, jr_job_t *job, uint32_t s, int64_t *left)
 {
     const Jr__JobStep *step = job->spec->steps[s];
     jr_need_t need;
@@ -172,7 +192,8 @@
         jr_tracked_worker_t *w;
 
         if (task->phase != JR_PHASE_WAITING || task->run != NULL ||
-            jr_reserve_waited(d, task) < RESERVE_AFTER_MS) {
+            jr_reserve_waited(d, task) < RESERVE_AFTER_MS ||
+            *left < need.cpu_milli) {
             continue;
         }
         w = find_worker_to_reserve(d, task, &need);
@@ -180,6 +201,7 @@
             break;
         }
         jr_need_add(&w->reserved, &need, 1);
+        *left -= need.cpu_milli;
         n++;
     }
     return n;
@@ -192,6 +214,7 @@
     jr_job_t *job;
     size_t most = HASH_COUNT(d->jobs->workers) * RESERVED_PERCENT / 100 + 1;
     size_t n = 0;
+    int64_t left = jr_reserve_left_for_services(d, d->short_demand.latest);
 
     TAILQ_FOREACH (w, &d->workers, link) {
         w->reserved = (jr_need_t){0};
@@ -203,7 +226,7 @@
         for (uint32_t s = 0; s < job->spec->n_steps && n < most; s++) {
             if (job->spec->steps[s]->service && job->steps[s].waiting > 0 &&
                 jr_job_is_step_ready(job, 0, s)) {
-                n += reserve_for_step(d, job, s);
+                n += reserve_for_step(d, job, s, &left);
             }
         }
     }
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -12,6 +12,7 @@
     GRANTS_MAX = 512, /* in one command */
     LATE_FACTOR = 3,  /* beyond this multiple of the allowed time: LOST */
     MIN_ESTIMATE_PERMILLE = 500, /* estimates may be this much too long */
+    URGENT_PRIORITY = 0,
     SHAPES_MAX = 64, /* recorded as unplaceable; others are tried anew */
 };
 
@@ -89,6 +90,9 @@
     int64_t left_ms =
         critical_path_ms(job, progress) * MIN_ESTIMATE_PERMILLE / PERMILLE;
 
+    if (allowed_ms <= 0) {
+        return ON_TIME; /* its queue has no objective */
+    }
     if (d->wall_ms > begin + LATE_FACTOR * allowed_ms) {
         return LOST;
     }
@@ -117,6 +121,54 @@
     };
 }
 
+static bool
+is_short(const Jr__JobStep *step)
+{
+    return !step->service && !step->filler;
+}
+
+/* Tasks of a step that wait and have no run, without those of a gang. */
+static size_t
+count_waiting(const jr_job_t *job, const jr_step_progress_t *progress,
+              const Jr__JobStep *step)
+{
+    size_t n = 0;
+
+    for (uint32_t i = 0; i < step->count; i++) {
+        const jr_job_task_t *task = &job->tasks[progress->first + i];
+
+        n += task->phase == JR_PHASE_WAITING && task->run == NULL;
+    }
+    return n;
+}
+
+/*
+ * Capacity for the short tasks of the occurrence that wait; none for a job
+ * that is so late that it waits for what the others leave.
+ */
+static void
+add_short_demand(const candidate_t *candidate, jr_demand_sum_t *to)
+{
+    const jr_job_t *job = candidate->job;
+    uint32_t n_steps = (uint32_t)job->spec->n_steps;
+
+    for (uint32_t s = 0; s < n_steps && candidate->prospect != LOST; s++) {
+        const Jr__JobStep *step = job->spec->steps[s];
+        const jr_step_progress_t *progress =
+            &job->steps[candidate->occurrence * n_steps + s];
+        size_t n;
+
+        if (!is_short(step) || progress->waiting == 0 ||
+            !jr_job_is_step_ready(job, candidate->occurrence, s)) {
+            continue;
+        }
+        n = count_waiting(job, progress, step);
+        to->cpu_milli += (int64_t)n * step->cpu_milli;
+        to->memory_mb += (int64_t)n * step->memory_mb;
+        to->n += n;
+    }
+}
+
 static bool
 has_waiting(const jr_job_t *job, uint32_t occurrence)
 {
@@ -162,6 +214,9 @@
     if (x->priority != y->priority) {
         return x->priority < y->priority ? -1 : 1;
     }
+    if ((x->prospect == LOST) != (y->prospect == LOST)) {
+        return x->prospect == LOST ? 1 : -1;
+    }
     if (x->is_service != y->is_service) {
         return x->is_service ? 1 : -1;
     }
@@ -380,15 +435,33 @@
     }
 }
 
+/* Of the short tasks that wait, up to a priority. */
+static jr_demand_sum_t
+sum_demand(const GArray *candidates, uint32_t priority)
+{
+    jr_demand_sum_t sum = {0};
+
+    for (guint i = 0; i < candidates->len; i++) {
+        const candidate_t *candidate =
+            &g_array_index(candidates, candidate_t, i);
+
+        if (candidate->priority <= priority) {
+            add_short_demand(candidate, &sum);
+        }
+    }
+    return sum;
+}
+
 void
 jr_schedule(jr_dispatch_t *d)
 {
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
     unplaceable_t unplaceable = {.n = 0};
 
+    collect(d, candidates);
+    d->short_waiting = sum_demand(candidates, UINT32_MAX);
     jr_reserve_update(d);
     jr_reserve_for_services(d);
-    collect(d, candidates);
     if (candidates->len > 1) {
         qsort(candidates->data, candidates->len, sizeof(candidate_t),
               by_urgency);
@@ -398,5 +471,7 @@
         place_occurrence(d, &g_array_index(candidates, candidate_t, i),
                          &unplaceable);
     }
+    d->urgent_waiting = sum_demand(candidates, URGENT_PRIORITY);
     g_array_unref(candidates);
+    jr_urgent_make_room(d);
 }
--- /dev/null
+++ b/src/dispatch/urgent.c
@@ -0,0 +1,209 @@
+/*
+ * Capacity for urgent tasks. Services fill what short tasks leave, for long;
+ * when the demand of urgent short tasks rises, some services give way.
+ */
+#include "dispatch.h"
+
+#include "jayrelay/preempt.h"
+
+enum {
+    /* From the decision until the end of a stopped task is in the log. */
+    STOP_MS = 1000,
+    /* A service that was stopped starts again after about this time. */
+    SERVICE_LOST_MS = 5000,
+    /*
+     * Processors, of all, that may be lost to stopped tasks on average, in
+     * thousandths.
+     */
+    LOST_PERMILLE = 100,
+    LOST_WINDOW_MS = 10000, /* of that average */
+    COMPLETE_PERCENT = 100,
+    PERMILLE = 1000,
+};
+
+typedef struct {
+    jr_dispatch_t *d;
+    GArray *workers; /* of jr_preempt_worker_t */
+    GArray *victims; /* of jr_preempt_victim_t, by worker */
+    int64_t stopping_milli;
+} candidates_t;
+
+/* Is the task of a service at work, as far as is known? */
+static bool
+is_at_work(const jr_job_task_t *task)
+{
+    return task->run != NULL && task->run->state == JR_RUN_RUNNING &&
+           task->run->percent >= COMPLETE_PERCENT;
+}
+
+/* May one more task of the step be missing? */
+static bool
+may_miss_one_more(const jr_job_task_t *task)
+{
+    const Jr__JobStep *step = jr_task_step(task);
+    const jr_job_task_t *tasks =
+        &task->job->tasks[jr_task_step_progress(task)->first];
+    uint32_t n_missing = 0;
+
+    if (step->may_miss == 0) {
+        return true;
+    }
+    for (uint32_t i = 0; i < step->count; i++) {
+        n_missing += &tasks[i] != task && !is_at_work(&tasks[i]);
+    }
+    return n_missing < step->may_miss;
+}
+
+static void
+add_victims(candidates_t *candidates, jr_tracked_worker_t *w)
+{
+    const Jr__JobWorker *info = w->worker->info;
+    jr_preempt_worker_t worker = {
+        .free = {.cpu_milli = info->cpu_milli - w->used.cpu_milli,
+                 .memory_mb = info->memory_mb - w->used.memory_mb},
+    };
+    jr_run_t *run;
+
+    TAILQ_FOREACH (run, &w->runs, link) {
+        jr_preempt_victim_t victim = {
+            .size = {.cpu_milli = run->need.cpu_milli,
+                     .memory_mb = run->need.memory_mb},
+            .lost_ms = SERVICE_LOST_MS,
+            .ends_in_ms = INT64_MAX,
+            .stops = run->task->preempted,
+            .user = run,
+        };
+
+        if (run->state == JR_RUN_STOPPING) {
+            candidates->stopping_milli += run->need.cpu_milli;
+        }
+        else if (run->state == JR_RUN_RUNNING && !run->is_stop_wanted &&
+                 jr_task_step(run->task)->service &&
+                 may_miss_one_more(run->task)) {
+            g_array_append_val(candidates->victims, victim);
+            worker.n_victims++;
+        }
+    }
+    g_array_append_val(candidates->workers, worker);
+}
+
+/* The victims are in one array, which may have moved while it grew. */
+static void
+link_victims(candidates_t *candidates)
+{
+    const jr_preempt_victim_t *next =
+        (const jr_preempt_victim_t *)candidates->victims->data;
+
+    for (guint i = 0; i < candidates->workers->len; i++) {
+        jr_preempt_worker_t *worker =
+            &g_array_index(candidates->workers, jr_preempt_worker_t, i);
+
+        worker->victims = next;
+        next += worker->n_victims;
+    }
+}
+
+static void
+collect(candidates_t *candidates)
+{
+    jr_tracked_worker_t *w;
+
+    TAILQ_FOREACH (w, &candidates->d->workers, link) {
+        if (w->is_usable) {
+            add_victims(candidates, w);
+        }
+    }
+    link_victims(candidates);
+}
+
+/* What may be lost now, in milliseconds of one processor. */
+static int64_t
+remaining_budget(jr_dispatch_t *d)
+{
+    int64_t age = MIN(d->now - d->preempted_at, (int64_t)LOST_WINDOW_MS);
+    int64_t all_milli = 0;
+    const jr_tracked_worker_t *w;
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        all_milli += w->is_usable ? w->worker->info->cpu_milli : 0;
+    }
+    d->lost_to_urgent_ms -= d->lost_to_urgent_ms * age / LOST_WINDOW_MS;
+    d->preempted_at = d->now;
+    return all_milli * LOST_PERMILLE / PERMILLE * LOST_WINDOW_MS / PERMILLE -
+           d->lost_to_urgent_ms;
+}
+
+static void
+stop(jr_dispatch_t *d, const jr_preempt_result_t *result)
+{
+    for (size_t i = 0; i < result->n; i++) {
+        jr_run_t *run = result->chosen[i]->user;
+        char text[JR_RUN_TEXT_BYTES];
+
+        /* Another task of its step may be among the chosen. */
+        if (!may_miss_one_more(run->task)) {
+            continue;
+        }
+        run->task->preempted++;
+        jr_count(d->ctx, JR_C_PREEMPTIONS);
+        jr_log_job(d->ctx, JR_EV_RUN_PREEMPTED, run->task->job->id,
+                   "task=%s worker=%s urgent_waiting_cpu=%lld",
+                   jr_run_text(run, text, sizeof text),
+                   run->worker->worker->info->id,
+                   (long long)d->urgent_waiting.cpu_milli);
+        jr_run_stop(d, run);
+    }
+    d->lost_to_urgent_ms += result->lost;
+}
+
+static void
+choose_and_stop(jr_dispatch_t *d, candidates_t *candidates,
+                jr_preempt_request_t *request)
+{
+    jr_preempt_result_t result = {
+        .chosen = jr_alloc(d->ctx, (candidates->victims->len + 1) *
+                                       sizeof(jr_preempt_victim_t *)),
+    };
+
+    jr_preempt_choose(d->ctx, request,
+                      (const jr_preempt_worker_t *)candidates->workers->data,
+                      candidates->workers->len, &result);
+    stop(d, &result);
+    jr_free(d->ctx, result.chosen);
+}
+
+void
+jr_urgent_make_room(jr_dispatch_t *d)
+{
+    const jr_demand_sum_t *waiting = &d->urgent_waiting;
+    candidates_t candidates = {.d = d};
+    double expected = jr_demand_expected(&d->short_demand, STOP_MS);
+    int64_t rise = (int64_t)(expected - d->short_demand.latest);
+    int64_t lacking;
+
+    if (waiting->n == 0) {
+        return;
+    }
+    candidates.workers =
+        g_array_new(FALSE, FALSE, sizeof(jr_preempt_worker_t));
+    candidates.victims =
+        g_array_new(FALSE, FALSE, sizeof(jr_preempt_victim_t));
+    collect(&candidates);
+    lacking = MIN(waiting->cpu_milli + rise,
+                  -jr_reserve_left_for_services(d, d->short_demand.latest)) -
+              candidates.stopping_milli;
+    if (lacking > 0) {
+        jr_preempt_request_t request = {
+            .need = {.cpu_milli = waiting->cpu_milli / (int64_t)waiting->n,
+                     .memory_mb = waiting->memory_mb / (int64_t)waiting->n},
+            .stop_ms = STOP_MS,
+            .lost_max = remaining_budget(d),
+        };
+
+        request.wanted =
+            (size_t)(lacking / MAX(request.need.cpu_milli, (int64_t)1) + 1);
+        choose_and_stop(d, &candidates, &request);
+    }
+    g_array_unref(candidates.workers);
+    g_array_unref(candidates.victims);
+}
--- /dev/null
+++ b/src/dispatch/urgent_test.cc
@@ -0,0 +1,119 @@
+/* Tests of services that give way when urgent tasks lack capacity. */
+#include <gtest/gtest.h>
+
+#include "dispatch.h"
+#include "fleet_test.h"
+
+namespace {
+
+constexpr uint64_t kService = 1;
+
+/* Four workers with 4 processors each, full of services. */
+class UrgentTest : public testing::Test {
+  protected:
+    UrgentTest() : fleet(1, 4)
+    {
+    }
+
+    ~UrgentTest() override
+    {
+        for (const std::string &what : fleet.violations) {
+            ADD_FAILURE() << what;
+        }
+    }
+
+    void
+    FillWithServices(uint32_t may_miss = 0)
+    {
+        Jr__JobStep service = MakeStep(16, 1000);
+
+        service.service = 1;
+        service.may_miss = may_miss;
+        fleet.long_running_job = kService;
+        fleet.reported_percent = 100;
+        fleet.Submit(kService, {service});
+        fleet.Run(8000);
+        ASSERT_EQ(fleet.Running(kService), 16u);
+    }
+
+    /* Tasks of one second, wanted within three. */
+    Jr__JobStep
+    Urgent(uint32_t count)
+    {
+        Jr__JobStep step = MakeStep(count, 1000);
+
+        step.estimate_ms = 1500;
+        return step;
+    }
+
+    Fleet fleet;
+};
+
+} // namespace
+
+TEST_F(UrgentTest, ServicesGiveWayToUrgentTasksAndComeBack)
+{
+    FillWithServices();
+    fleet.task_ms = 1000;
+    fleet.Submit(2, {Urgent(3)});
+    fleet.Run(2200);
+    EXPECT_EQ(fleet.State(2), JR_JOB_DONE);
+    EXPECT_GE(fleet.Counter(JR_C_PREEMPTIONS), 3u);
+    EXPECT_LE(fleet.Counter(JR_C_PREEMPTIONS), 4u);
+    fleet.Run(6000);
+    EXPECT_EQ(fleet.Running(kService), 16u);
+}
+
+/* A burst gets no more than a quarter of the processors from services. */
+TEST_F(UrgentTest, ServicesKeepTheirShareInABurst)
+{
+    FillWithServices();
+    fleet.task_ms = 1000;
+    for (uint64_t id = 2; id < 12; id++) {
+        fleet.Submit(id, {Urgent(8)});
+    }
+    for (int i = 0; i < 40; i++) {
+        fleet.Run(100);
+        ASSERT_GE(fleet.Running(kService), 11u);
+    }
+}
+
+TEST_F(UrgentTest, NoMoreTasksOfAServiceAreStoppedThanItMayMiss)
+{
+    FillWithServices(1);
+    fleet.task_ms = 1000;
+    fleet.Submit(2, {Urgent(4)});
+    for (int i = 0; i < 25; i++) {
+        fleet.Run(100);
+        ASSERT_GE(fleet.Running(kService), 15u);
+    }
+}
+
+/* Jobs that are too late for anybody stop nothing. */
+TEST_F(UrgentTest, JobsThatAreTooLateStopNothing)
+{
+    Jr__JobStep late = Urgent(64);
+
+    FillWithServices();
+    fleet.task_ms = 60000;
+    late.estimate_ms = 10;
+    fleet.Submit(2, {late});
+    fleet.Run(3000);
+    uint64_t stopped = fleet.Counter(JR_C_PREEMPTIONS);
+
+    fleet.Run(20000);
+    EXPECT_EQ(fleet.Counter(JR_C_PREEMPTIONS), stopped);
+}
+
+/* Urgent tasks of a wave use each stopped service's capacity in turn. */
+TEST_F(UrgentTest, AWaveDoesNotStopServicesOverAndOver)
+{
+    FillWithServices();
+    fleet.task_ms = 500;
+    for (uint64_t id = 2; id < 42; id++) {
+        fleet.Submit(id, {Urgent(2)});
+        fleet.Run(250);
+    }
+    EXPECT_LE(fleet.Counter(JR_C_PREEMPTIONS), 12u);
+    EXPECT_GE(fleet.Running(kService), 11u);
+}
