The end of each job is one line that says where its time went

Change: job-ended is written for each job, with the time that its objective allows and the time waited, starting, lost and run; counters of jobs in time, late and too late by priority.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -84,6 +84,18 @@
       "submissions answered from an earlier one")                             \
     X(JOBS_ACCEPTED, "jobs_accepted_total", "jobs taken into the log")        \
     X(JOBS_DONE, "jobs_done_total", "jobs that ended as done")                \
+    X(URGENT_IN_TIME, "jobs_urgent_in_time_total",                            \
+      "jobs of priority 0 that were done within their objective")             \
+    X(URGENT_LATE, "jobs_urgent_late_total",                                  \
+      "jobs of priority 0 that were done later")                              \
+    X(URGENT_TOO_LATE, "jobs_urgent_too_late_total",                          \
+      "jobs of priority 0 that were done after three times their objective")  \
+    X(OTHER_IN_TIME, "jobs_other_in_time_total",                              \
+      "jobs of other priorities that were done within their objective")       \
+    X(OTHER_LATE, "jobs_other_late_total",                                    \
+      "jobs of other priorities that were done later")                        \
+    X(OTHER_TOO_LATE, "jobs_other_too_late_total",                            \
+      "jobs of other priorities that were done after three times it")         \
     X(JOBS_FAILED, "jobs_failed_total", "jobs that ended as failed")          \
     X(JOBS_CANCELLED, "jobs_cancelled_total", "jobs that were cancelled")     \
     X(REFUSED_NO_CONFIG, "refused_no_config_total",                           \
--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -45,6 +45,20 @@
 
 struct jr_run;
 
+/**
+ * struct jr_spent_t - where the time of a task or job went, ms
+ * @capacity: it waited for capacity, or for its turn
+ * @start: from grants to the worker's word that the runs begin
+ * @lost: runs that did not finish
+ * @run: the runs that finished
+ */
+typedef struct {
+    int64_t capacity;
+    int64_t start;
+    int64_t lost;
+    int64_t run;
+} jr_spent_t;
+
 enum {
     /* So soon after its start, a task is a likely cause of a crash, in ms. */
     JR_CRASH_EARLY_MS = 2000,
@@ -66,6 +80,7 @@
  *               granted to it, else 0
  * @is_done: an earlier run than the granted one is done; when the granted
  *           one ends, however it does, the task is done
+ * @spent: since its step is ready, under this leader; not replicated
  * @preempted: how often this leader stopped it for urgent tasks; not
  *             replicated
  * @run: leader-local state of the run; not replicated
@@ -86,6 +101,7 @@
     struct jr_job_worker *worker;
     int64_t incarnation;
     bool is_done;
+    jr_spent_t spent;
     uint32_t preempted;
     TAILQ_ENTRY(jr_job_task) worker_link;
     struct jr_run *run;
@@ -125,6 +141,10 @@
  *              accepted
  * @n_runs: runs that the leader has granted or proposed to grant; not
  *          replicated
+ * @step_ended_ms: when its latest step ended under this leader, 0: none did;
+ *                 not replicated
+ * @spent: of the tasks that ended its steps last, under this leader; not
+ *         replicated
  */
 typedef struct jr_job {
     uint64_t id;
@@ -136,6 +156,8 @@
     int64_t ended_ms;
     int64_t idle_since;
     uint32_t n_runs;
+    int64_t step_ended_ms;
+    jr_spent_t spent;
     uint32_t occurrences;
     uint32_t n_tasks;
     uint32_t n_granted;
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -43,6 +43,7 @@
         run->state = JR_RUN_STARTING;
         jr_run_set_due(d, run);
         observe_wait(d, run->task);
+        jr_spent_granted(d, run);
     }
     if (run->task->is_done) {
         jr_run_stop(d, run);
@@ -83,6 +84,7 @@
     if (run != NULL) {
         const jr_tracked_worker_t *w = run->worker;
 
+        jr_spent_ended(d, run);
         jr_run_free(d, run);
         jr_drain_on_run_ended(d, w);
         d->is_dirty = true;
@@ -140,10 +142,7 @@
         return;
     }
     count_job(d->ctx, job->state);
-    jr_log_job(d->ctx, JR_EV_JOB_ENDED, job->id,
-               "job=%016llx state=%s after_ms=%lld",
-               (unsigned long long)job->id, jr_job_state_name(job->state),
-               (long long)(job->ended_ms - job->accepted_ms));
+    jr_spent_report(d, job);
     for (uint32_t i = 0; i < job->n_tasks; i++) {
         if (job->tasks[i].run != NULL) {
             jr_run_stop(d, job->tasks[i].run);
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -368,6 +368,19 @@
 
 /* schedule.c: one scheduling pass over the waiting tasks. */
 void jr_schedule(jr_dispatch_t *d);
+/* Time in which a job, or an occurrence of it, is to end; 0: no objective. */
+int64_t jr_schedule_allowed_ms(const jr_job_t *job);
+/* So late that it is of little use, that long after it was due. */
+bool jr_schedule_is_too_late(int64_t after_ms, int64_t allowed_ms);
+
+/* spent.c: where the time of jobs goes. */
+/* A grant of the run is in the log. */
+void jr_spent_granted(const jr_dispatch_t *d, jr_run_t *run);
+/* The run has ended; the phase of its task says how. */
+void jr_spent_ended(const jr_dispatch_t *d, jr_run_t *run);
+/* Log and count a job that has ended. */
+void jr_spent_report(jr_dispatch_t *d, const jr_job_t *job);
+
 /*
  * reserve.c: capacity reserved for short tasks, and for services that have
  * waited long.
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -93,20 +93,33 @@
     if (allowed_ms <= 0) {
         return ON_TIME; /* its queue has no objective */
     }
-    if (d->wall_ms > begin + LATE_FACTOR * allowed_ms) {
+    if (jr_schedule_is_too_late(d->wall_ms - begin, allowed_ms)) {
         return LOST;
     }
     return d->wall_ms + left_ms > begin + allowed_ms ? LATE : ON_TIME;
 }
 
+int64_t
+jr_schedule_allowed_ms(const jr_job_t *job)
+{
+    const Jr__JobQueue *config = job->queue->last_config;
+
+    return config->objective_ms +
+           critical_path_ms(job, NULL) * config->stretch_permille / PERMILLE;
+}
+
+bool
+jr_schedule_is_too_late(int64_t after_ms, int64_t allowed_ms)
+{
+    return allowed_ms > 0 && after_ms > LATE_FACTOR * allowed_ms;
+}
+
 static candidate_t
 make_candidate(const jr_dispatch_t *d, jr_job_t *job, uint32_t occurrence)
 {
     const Jr__JobQueue *config = job->queue->last_config;
     int64_t begin = jr_job_due_ms(job, occurrence);
-    int64_t allowed = config->objective_ms + critical_path_ms(job, NULL) *
-                                                 config->stretch_permille /
-                                                 PERMILLE;
+    int64_t allowed = jr_schedule_allowed_ms(job);
 
     return (candidate_t){
         .job = job,
