Services give way only where the urgent tasks can run

Cause: the demand of all urgent tasks that wait was one sum, and any worker was looked at. So tasks with a label that no worker has, tasks of another service (executors of its own) and tasks that wait for accelerators stopped services on workers where they can never run, again and again up to the budget; the freed capacity went back to services.

Change: the waiting urgent tasks are summed for each set of workers on which they may run (service and label), and only services on such workers give way. Tasks with accelerators stop nothing. The missing tasks of a step with may_miss are counted once for each decision, not once for each of its tasks (the work was quadratic in the tasks of a step), and nothing is collected while services hold no more than their share.

Tested: UrgentTest.TasksThatFitNowhereStopNothing, red before (services were stopped), green now; the other tests of urgent_test as before.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -14,11 +14,15 @@
     int64_t accelerators;
 } jr_need_t;
 
-/* Capacity for a number of tasks. */
+/*
+ * Capacity for a number of tasks. Of urgent ones, which may run on the same
+ * workers: @example is one of them.
+ */
 typedef struct {
     size_t n;
     int64_t cpu_milli;
     int64_t memory_mb;
+    const jr_job_task_t *example;
 } jr_demand_sum_t;
 
 typedef enum {
@@ -209,10 +213,9 @@
     bool is_dirty; /* a scheduling pass may place tasks */
     int64_t scheduled_at;
     jr_demand_t short_demand; /* processors for short tasks, thousandths */
-    jr_demand_sum_t short_waiting;  /* before the latest pass */
-    jr_demand_sum_t urgent_waiting; /* after it */
-    int64_t preempted_at;           /* when lost_to_urgent_ms was updated */
-    int64_t lost_to_urgent_ms;      /* of one processor, decaying */
+    jr_demand_sum_t short_waiting; /* before the latest pass */
+    int64_t preempted_at;          /* when lost_to_urgent_ms was updated */
+    int64_t lost_to_urgent_ms;     /* of one processor, decaying */
     /* Of the recent peak of short tasks; see jr_reserve_left_for_services().
      */
     int64_t left_for_services;
@@ -392,8 +395,11 @@
  * urgent.c: capacity for urgent tasks that wait, from tasks that can wait
  * longer.
  */
-/* After a pass: stop tasks, if that serves the urgent ones that wait. */
-void jr_urgent_make_room(jr_dispatch_t *d);
+/*
+ * After a pass: stop tasks, if that serves the urgent ones that wait. These
+ * are jr_demand_sum_t, one for each set of workers on which they may run.
+ */
+void jr_urgent_make_room(jr_dispatch_t *d, const GArray *waiting);
 
 /* choose.c: the best worker for a task now, or NULL. */
 jr_tracked_worker_t *jr_choose_worker(jr_dispatch_t *d,
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -127,7 +127,7 @@
     return !step->service && !step->filler;
 }
 
-/* Tasks of a step that wait and have no run, without those of a gang. */
+/* Tasks of a step that wait and have no run. */
 static size_t
 count_waiting(const jr_job_t *job, const jr_step_progress_t *progress,
               const Jr__JobStep *step)
@@ -142,12 +142,14 @@
     return n;
 }
 
-/*
- * Capacity for the short tasks of the occurrence that wait; none for a job
- * that is so late that it waits for what the others leave.
- */
+/* Called with each step of short tasks that wait. */
+typedef void for_demand_t(void *user, const jr_job_t *job,
+                          const jr_step_progress_t *progress,
+                          const Jr__JobStep *step);
+
+/* None of a job that is so late that it waits for what the others leave. */
 static void
-add_short_demand(const candidate_t *candidate, jr_demand_sum_t *to)
+for_short_demand(const candidate_t *candidate, for_demand_t *call, void *user)
 {
     const jr_job_t *job = candidate->job;
     uint32_t n_steps = (uint32_t)job->spec->n_steps;
@@ -156,16 +158,63 @@
         const Jr__JobStep *step = job->spec->steps[s];
         const jr_step_progress_t *progress =
             &job->steps[candidate->occurrence * n_steps + s];
-        size_t n;
 
-        if (!is_short(step) || progress->waiting == 0 ||
-            !jr_job_is_step_ready(job, candidate->occurrence, s)) {
-            continue;
+        if (is_short(step) && progress->waiting > 0 &&
+            jr_job_is_step_ready(job, candidate->occurrence, s)) {
+            call(user, job, progress, step);
+        }
+    }
+}
+
+static void
+add_demand(void *user, const jr_job_t *job, const jr_step_progress_t *progress,
+           const Jr__JobStep *step)
+{
+    jr_demand_sum_t *to = user;
+    size_t n = count_waiting(job, progress, step);
+
+    to->cpu_milli += (int64_t)n * step->cpu_milli;
+    to->memory_mb += (int64_t)n * step->memory_mb;
+    to->n += n;
+}
+
+/* May the tasks run on the same workers as those of the step? */
+static bool
+has_same_workers(const jr_demand_sum_t *sum, const jr_job_t *job,
+                 const Jr__JobStep *step)
+{
+    const jr_job_task_t *other = sum->example;
+
+    return strcmp(jr_task_step(other)->label, step->label) == 0 &&
+           strcmp(other->job->queue->last_config->service,
+                  job->queue->last_config->service) == 0;
+}
+
+/*
+ * Tasks with accelerators wait for accelerators, which no service frees that
+ * gives way for its processors.
+ */
+static void
+add_urgent_demand(void *user, const jr_job_t *job,
+                  const jr_step_progress_t *progress, const Jr__JobStep *step)
+{
+    GArray *sums = user;
+    jr_demand_sum_t sum = {.example = &job->tasks[progress->first]};
+
+    if (step->accelerators > 0) {
+        return;
+    }
+    for (guint i = 0; i < sums->len; i++) {
+        jr_demand_sum_t *known = &g_array_index(sums, jr_demand_sum_t, i);
+
+        if (has_same_workers(known, job, step)) {
+            add_demand(known, job, progress, step);
+            return;
         }
-        n = count_waiting(job, progress, step);
-        to->cpu_milli += (int64_t)n * step->cpu_milli;
-        to->memory_mb += (int64_t)n * step->memory_mb;
-        to->n += n;
+    }
+    add_demand(&sum, job, progress, step);
+    if (sum.n > 0) {
+        g_array_append_val(sums, sum);
     }
 }
 
@@ -436,30 +485,30 @@
 }
 
 /* Of the short tasks that wait, up to a priority. */
-static jr_demand_sum_t
-sum_demand(const GArray *candidates, uint32_t priority)
+static void
+for_demand(const GArray *candidates, uint32_t priority, for_demand_t *call,
+           void *user)
 {
-    jr_demand_sum_t sum = {0};
-
     for (guint i = 0; i < candidates->len; i++) {
         const candidate_t *candidate =
             &g_array_index(candidates, candidate_t, i);
 
         if (candidate->priority <= priority) {
-            add_short_demand(candidate, &sum);
+            for_short_demand(candidate, call, user);
         }
     }
-    return sum;
 }
 
 void
 jr_schedule(jr_dispatch_t *d)
 {
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+    GArray *urgent = g_array_new(FALSE, FALSE, sizeof(jr_demand_sum_t));
     unplaceable_t unplaceable = {.n = 0};
 
     collect(d, candidates);
-    d->short_waiting = sum_demand(candidates, UINT32_MAX);
+    d->short_waiting = (jr_demand_sum_t){0};
+    for_demand(candidates, UINT32_MAX, add_demand, &d->short_waiting);
     jr_reserve_update(d);
     jr_reserve_for_services(d);
     if (candidates->len > 1) {
@@ -471,7 +520,8 @@
         place_occurrence(d, &g_array_index(candidates, candidate_t, i),
                          &unplaceable);
     }
-    d->urgent_waiting = sum_demand(candidates, URGENT_PRIORITY);
+    for_demand(candidates, URGENT_PRIORITY, add_urgent_demand, urgent);
+    jr_urgent_make_room(d, urgent);
+    g_array_unref(urgent);
     g_array_unref(candidates);
-    jr_urgent_make_room(d);
 }
--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -23,8 +23,10 @@
 
 typedef struct {
     jr_dispatch_t *d;
-    GArray *workers; /* of jr_preempt_worker_t */
-    GArray *victims; /* of jr_preempt_victim_t, by worker */
+    const jr_demand_sum_t *waiting;
+    GHashTable *missing; /* step progress -> number of its missing tasks */
+    GArray *workers;     /* of jr_preempt_worker_t */
+    GArray *victims;     /* of jr_preempt_victim_t, by worker */
     int64_t stopping_milli;
 } candidates_t;
 
@@ -32,26 +34,59 @@
 static bool
 is_at_work(const jr_job_task_t *task)
 {
-    return task->run != NULL && task->run->state == JR_RUN_RUNNING &&
-           task->run->percent >= COMPLETE_PERCENT;
+    const jr_run_t *run = task->run;
+
+    return run != NULL && run->state == JR_RUN_RUNNING &&
+           run->percent >= COMPLETE_PERCENT;
+}
+
+/* Tasks of the step that are not at work; counted once for each decision. */
+static uint32_t
+count_missing(const candidates_t *candidates, const jr_job_task_t *task)
+{
+    jr_step_progress_t *progress = jr_task_step_progress(task);
+    const jr_job_task_t *tasks = &task->job->tasks[progress->first];
+    uint32_t count = jr_task_step(task)->count;
+    gpointer known;
+    uint32_t n = 0;
+
+    if (g_hash_table_lookup_extended(candidates->missing, progress, NULL,
+                                     &known)) {
+        return GPOINTER_TO_UINT(known);
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        n += !is_at_work(&tasks[i]);
+    }
+    g_hash_table_insert(candidates->missing, progress, GUINT_TO_POINTER(n));
+    return n;
 }
 
 /* May one more task of the step be missing? */
 static bool
-may_miss_one_more(const jr_job_task_t *task)
+may_miss_one_more(const candidates_t *candidates, const jr_job_task_t *task)
 {
-    const Jr__JobStep *step = jr_task_step(task);
-    const jr_job_task_t *tasks =
-        &task->job->tasks[jr_task_step_progress(task)->first];
-    uint32_t n_missing = 0;
+    uint32_t may_miss = jr_task_step(task)->may_miss;
+    uint32_t n_others;
 
-    if (step->may_miss == 0) {
+    if (may_miss == 0) {
         return true;
     }
-    for (uint32_t i = 0; i < step->count; i++) {
-        n_missing += &tasks[i] != task && !is_at_work(&tasks[i]);
+    n_others = count_missing(candidates, task) - !is_at_work(task);
+    return n_others < may_miss;
+}
+
+/* The task is about to be stopped. */
+static void
+note_missing(const candidates_t *candidates, const jr_job_task_t *task)
+{
+    uint32_t n;
+
+    if (jr_task_step(task)->may_miss == 0 || !is_at_work(task)) {
+        return;
     }
-    return n_missing < step->may_miss;
+    n = count_missing(candidates, task);
+    g_hash_table_insert(candidates->missing, jr_task_step_progress(task),
+                        GUINT_TO_POINTER(n + 1));
 }
 
 static void
@@ -79,7 +114,7 @@
         }
         else if (run->state == JR_RUN_RUNNING && !run->is_stop_wanted &&
                  jr_task_step(run->task)->service &&
-                 may_miss_one_more(run->task)) {
+                 may_miss_one_more(candidates, run->task)) {
             g_array_append_val(candidates->victims, victim);
             worker.n_victims++;
         }
@@ -109,7 +144,8 @@
     jr_tracked_worker_t *w;
 
     TAILQ_FOREACH (w, &candidates->d->workers, link) {
-        if (w->is_usable) {
+        if (w->is_usable &&
+            jr_worker_is_eligible(w, candidates->waiting->example)) {
             add_victims(candidates, w);
         }
     }
@@ -134,32 +170,27 @@
 }
 
 static void
-stop(jr_dispatch_t *d, const jr_preempt_result_t *result)
+stop(const candidates_t *candidates, jr_run_t *run)
 {
-    for (size_t i = 0; i < result->n; i++) {
-        jr_run_t *run = result->chosen[i]->user;
-        char text[JR_RUN_TEXT_BYTES];
+    jr_dispatch_t *d = candidates->d;
+    char text[JR_RUN_TEXT_BYTES];
 
-        /* Another task of its step may be among the chosen. */
-        if (!may_miss_one_more(run->task)) {
-            continue;
-        }
-        run->task->preempted++;
-        jr_count(d->ctx, JR_C_PREEMPTIONS);
-        jr_log_job(d->ctx, JR_EV_RUN_PREEMPTED, run->task->job->id,
-                   "task=%s worker=%s urgent_waiting_cpu=%lld",
-                   jr_run_text(run, text, sizeof text),
-                   run->worker->worker->info->id,
-                   (long long)d->urgent_waiting.cpu_milli);
-        jr_run_stop(d, run);
-    }
-    d->lost_to_urgent_ms += result->lost;
+    note_missing(candidates, run->task);
+    run->task->preempted++;
+    jr_count(d->ctx, JR_C_PREEMPTIONS);
+    jr_log_job(d->ctx, JR_EV_RUN_PREEMPTED, run->task->job->id,
+               "task=%s worker=%s urgent_waiting_cpu=%lld",
+               jr_run_text(run, text, sizeof text),
+               run->worker->worker->info->id,
+               (long long)candidates->waiting->cpu_milli);
+    jr_run_stop(d, run);
 }
 
 static void
-choose_and_stop(jr_dispatch_t *d, candidates_t *candidates,
-                jr_preempt_request_t *request)
+choose_and_stop(const candidates_t *candidates,
+                const jr_preempt_request_t *request)
 {
+    jr_dispatch_t *d = candidates->d;
     jr_preempt_result_t result = {
         .chosen = jr_alloc(d->ctx, (candidates->victims->len + 1) *
                                        sizeof(jr_preempt_victim_t *)),
@@ -168,42 +199,71 @@
     jr_preempt_choose(d->ctx, request,
                       (const jr_preempt_worker_t *)candidates->workers->data,
                       candidates->workers->len, &result);
-    stop(d, &result);
+    for (size_t i = 0; i < result.n; i++) {
+        jr_run_t *run = result.chosen[i]->user;
+
+        /* Another task of its step may be among the chosen. */
+        if (may_miss_one_more(candidates, run->task)) {
+            stop(candidates, run);
+        }
+    }
+    d->lost_to_urgent_ms += result.lost;
     jr_free(d->ctx, result.chosen);
 }
 
-void
-jr_urgent_make_room(jr_dispatch_t *d)
+/* Capacity that these tasks lack and services hold beyond their share. */
+static int64_t
+lacking_milli(const jr_dispatch_t *d, const jr_demand_sum_t *waiting)
 {
-    const jr_demand_sum_t *waiting = &d->urgent_waiting;
-    candidates_t candidates = {.d = d};
     double expected = jr_demand_expected(&d->short_demand, STOP_MS);
     int64_t rise = (int64_t)(expected - d->short_demand.latest);
-    int64_t lacking;
 
-    if (waiting->n == 0) {
+    return MIN(waiting->cpu_milli + rise,
+               -jr_reserve_left_for_services(d, d->short_demand.latest));
+}
+
+static void
+make_room_for(candidates_t *candidates)
+{
+    const jr_demand_sum_t *waiting = candidates->waiting;
+    int64_t lacking = lacking_milli(candidates->d, waiting);
+
+    if (lacking <= 0) {
         return;
     }
-    candidates.workers =
-        g_array_new(FALSE, FALSE, sizeof(jr_preempt_worker_t));
-    candidates.victims =
-        g_array_new(FALSE, FALSE, sizeof(jr_preempt_victim_t));
-    collect(&candidates);
-    lacking = MIN(waiting->cpu_milli + rise,
-                  -jr_reserve_left_for_services(d, d->short_demand.latest)) -
-              candidates.stopping_milli;
+    collect(candidates);
+    lacking -= candidates->stopping_milli;
     if (lacking > 0) {
         jr_preempt_request_t request = {
             .need = {.cpu_milli = waiting->cpu_milli / (int64_t)waiting->n,
                      .memory_mb = waiting->memory_mb / (int64_t)waiting->n},
             .stop_ms = STOP_MS,
-            .lost_max = remaining_budget(d),
+            .lost_max = remaining_budget(candidates->d),
         };
 
         request.wanted =
             (size_t)(lacking / MAX(request.need.cpu_milli, (int64_t)1) + 1);
-        choose_and_stop(d, &candidates, &request);
+        choose_and_stop(candidates, &request);
+    }
+}
+
+void
+jr_urgent_make_room(jr_dispatch_t *d, const GArray *waiting)
+{
+    GHashTable *missing = g_hash_table_new(g_direct_hash, g_direct_equal);
+
+    for (guint i = 0; i < waiting->len; i++) {
+        candidates_t candidates = {
+            .d = d,
+            .waiting = &g_array_index(waiting, jr_demand_sum_t, i),
+            .missing = missing,
+            .workers = g_array_new(FALSE, FALSE, sizeof(jr_preempt_worker_t)),
+            .victims = g_array_new(FALSE, FALSE, sizeof(jr_preempt_victim_t)),
+        };
+
+        make_room_for(&candidates);
+        g_array_unref(candidates.workers);
+        g_array_unref(candidates.victims);
     }
-    g_array_unref(candidates.workers);
-    g_array_unref(candidates.victims);
+    g_hash_table_unref(missing);
 }
--- a/src/dispatch/urgent_test.cc
+++ b/src/dispatch/urgent_test.cc
@@ -105,6 +105,18 @@
     EXPECT_EQ(fleet.Counter(JR_C_PREEMPTIONS), stopped);
 }
 
+/* No worker has the label that the urgent tasks ask for. */
+TEST_F(UrgentTest, TasksThatFitNowhereStopNothing)
+{
+    Jr__JobStep step = Urgent(4);
+
+    FillWithServices();
+    step.label = const_cast<char *>("large");
+    fleet.Submit(2, {step});
+    fleet.Run(3000);
+    EXPECT_EQ(fleet.Counter(JR_C_PREEMPTIONS), 0u);
+}
+
 /* Urgent tasks of a wave use each stopped service's capacity in turn. */
 TEST_F(UrgentTest, AWaveDoesNotStopServicesOverAndOver)
 {
