A pass counts the waiting tasks of jobs without runs by the job's own count

Cause: each pass counts the short tasks that wait twice, task by task, to leave out those with a run: two walks over all waiting tasks.

Change: a job without runs has its waiting tasks counted already.

Tested: with the tests of dispatch; the decisions are the same.

--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -134,6 +134,9 @@
 {
     size_t n = 0;
 
+    if (job->n_runs == 0) {
+        return progress->waiting;
+    }
     for (uint32_t i = 0; i < step->count; i++) {
         const jr_job_task_t *task = &job->tasks[progress->first + i];
 
