Tasks on a worker that may be lost count as missing

Cause: a task of a service counted as at work until its worker's lease had lapsed. A worker that no longer answers orders, that has ended or that leaves has probably lost its tasks already, and one more was stopped beside them: more tasks of the step away than may_miss allows.

Change: such tasks are not at work.

Tested: UrgentTest.TasksOnASuspectWorkerCountAsMissing, red before (one task stopped), green now.

--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -30,14 +30,15 @@
     int64_t stopping_milli;
 } candidates_t;
 
-/* Is the task of a service at work, as far as is known? */
+/* Is the task of a service at work, for certain? */
 static bool
 is_at_work(const jr_job_task_t *task)
 {
     const jr_run_t *run = task->run;
 
     return run != NULL && run->state == JR_RUN_RUNNING &&
-           run->percent >= COMPLETE_PERCENT;
+           run->percent >= COMPLETE_PERCENT && run->worker->suspect_at == 0 &&
+           !run->worker->has_ended && !run->worker->is_leaving;
 }
 
 /* Tasks of the step that are not at work; counted once for each decision. */
--- a/src/dispatch/urgent_test.cc
+++ b/src/dispatch/urgent_test.cc
@@ -117,6 +117,18 @@
     EXPECT_EQ(fleet.Counter(JR_C_PREEMPTIONS), 0u);
 }
 
+/* Its tasks on a worker that answers nothing may be missing already. */
+TEST_F(UrgentTest, TasksOnASuspectWorkerCountAsMissing)
+{
+    FillWithServices(1);
+    fleet.task_ms = 1000;
+    fleet.SetPartitioned(0, true);
+    fleet.Run(2000);
+    fleet.Submit(2, {Urgent(4)});
+    fleet.Run(500);
+    EXPECT_EQ(fleet.Counter(JR_C_PREEMPTIONS), 0u);
+}
+
 /* Urgent tasks of a wave use each stopped service's capacity in turn. */
 TEST_F(UrgentTest, AWaveDoesNotStopServicesOverAndOver)
 {
