Capacity of a run whose release is on its way to the log counts as coming

Cause: what is being stopped is subtracted from what lacks, but a run that is known to have ended, and whose release is not in the log yet, was neither free nor being stopped. A pass in between stopped one service more.

Change: it counts with the runs that are being stopped.

Tested: the tests of urgent_test; no test of its own (the window is one commit of the log).

--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -110,7 +110,7 @@
             .user = run,
         };
 
-        if (run->state == JR_RUN_STOPPING) {
+        if (run->state == JR_RUN_STOPPING || run->state == JR_RUN_RELEASING) {
             candidates->stopping_milli += run->need.cpu_milli;
         }
         else if (run->state == JR_RUN_RUNNING && !run->is_stop_wanted &&
