While a zone is drained, no submission and no end of a run walks all workers

Cause: while any zone was drained, each submission looked for a worker of its service in another zone from the start of the table, past all workers of the drained zone; and each worker of the zone whose last run ended had the granted tasks of the whole zone counted. With 6,000 of 18,000 workers drained that is thousands of steps a submission, and 18,000 for each of 6,000 workers within the seconds in which the zone empties, all on the leader.

Change: a queue remembers a worker in a zone that is in use; the search for a busy worker in the zone ends at the first one.

Tested: DrainTest.AQueueIsDrainedWhileAllItsWorkersAre (the worker that is remembered is drained, taken back, removed), AZoneIsEmptyOnceNoWorkerOfItRuns Anything. The cost itself was not measured.

--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -156,6 +156,8 @@
  *               use it when the queue has been removed from the
  *               configuration. NULL if there never was one
  * @pending: jobs of which no task has been granted or is known to have run
+ * @open_worker: a worker of its service in a zone that was not drained when it
+ *               was looked up, or NULL; not replicated
  *
  * Queues are removed only when the whole state is cleared or replaced, since
  * jobs refer to them.
@@ -165,6 +167,7 @@
     const Jr__JobQueue *config;
     Jr__JobQueue *last_config;
     uint64_t pending;
+    struct jr_job_worker *open_worker;
     UT_hash_handle hh;
 } jr_job_queue_t;
 
@@ -273,6 +276,12 @@
  */
 bool jr_jobs_is_service_drained(const jr_jobs_t *jobs, const char *service);
 
+/** jr_jobs_is_queue_drained - the same for a queue that is configured */
+bool jr_jobs_is_queue_drained(const jr_jobs_t *jobs, jr_job_queue_t *queue);
+
+/** jr_jobs_is_zone_empty - is no task granted to a worker in the zone? */
+bool jr_jobs_is_zone_empty(const jr_jobs_t *jobs, const char *zone);
+
 /** jr_jobs_count_granted - granted tasks of all workers in a zone */
 size_t jr_jobs_count_granted(const jr_jobs_t *jobs, const char *zone);
 
--- a/src/dispatch/drain.c
+++ b/src/dispatch/drain.c
@@ -31,7 +31,7 @@
     const char *zone = w->worker->info->zone;
 
     if (TAILQ_EMPTY(&w->runs) && jr_zones_is_drained(d->jobs->zones, zone) &&
-        jr_jobs_count_granted(d->jobs, zone) == 0) {
+        jr_jobs_is_zone_empty(d->jobs, zone)) {
         jr_log(d->ctx, JR_EV_ZONE_EMPTY, "zone=%s", zone);
     }
 }
--- a/src/dispatch/drain_test.cc
+++ b/src/dispatch/drain_test.cc
@@ -102,6 +102,41 @@
     EXPECT_EQ(fleet.workers[1].running.size(), 4u);
 }
 
+/* A worker that the queue remembers is drained, comes back, and is removed. */
+TEST_F(DrainTest, AQueueIsDrainedWhileAllItsWorkersAre)
+{
+    jr_job_queue_t *queue = fleet.jobs->queues;
+
+    EXPECT_FALSE(jr_jobs_is_queue_drained(fleet.jobs, queue));
+    fleet.DrainZone("a");
+    fleet.Run(100);
+    EXPECT_FALSE(jr_jobs_is_queue_drained(fleet.jobs, queue));
+    fleet.DrainZone("b");
+    fleet.Run(100);
+    EXPECT_TRUE(jr_jobs_is_queue_drained(fleet.jobs, queue));
+    fleet.DrainZone("a", false);
+    fleet.Run(100);
+    EXPECT_FALSE(jr_jobs_is_queue_drained(fleet.jobs, queue));
+    fleet.Crash(0);
+    fleet.Run(30000);
+    ASSERT_EQ(jr_jobs_worker(fleet.jobs, "w0"), nullptr);
+    EXPECT_TRUE(jr_jobs_is_queue_drained(fleet.jobs, queue));
+}
+
+/* The last run ends on one worker while another of the zone is busy. */
+TEST_F(DrainTest, AZoneIsEmptyOnceNoWorkerOfItRunsAnything)
+{
+    fleet.task_ms = 3000;
+    fleet.Submit(1, {MakeStep(8)});
+    fleet.Run(500);
+    fleet.DrainZone("a");
+    fleet.Run(500);
+    EXPECT_FALSE(jr_jobs_is_zone_empty(fleet.jobs, "a"));
+    EXPECT_TRUE(jr_jobs_is_zone_empty(fleet.jobs, "c"));
+    fleet.Run(5000);
+    EXPECT_TRUE(jr_jobs_is_zone_empty(fleet.jobs, "a"));
+}
+
 /* All zones: accepted tasks wait until one is taken back. */
 TEST_F(DrainTest, TasksWaitWhileAllZonesAreDrained)
 {
--- a/src/group/job_request.c
+++ b/src/group/job_request.c
@@ -65,7 +65,7 @@
         reply_code(group, reply_to, JR_OK);
         return;
     }
-    if (jr_jobs_is_service_drained(jobs, queue->config->service)) {
+    if (jr_jobs_is_queue_drained(jobs, queue)) {
         jr_count(group->ctx, JR_C_REFUSED_ZONES_DRAINED);
         reply_code(group, reply_to, JR_NO_UPSTREAM);
         return;
--- a/src/job/jobs.c
+++ b/src/job/jobs.c
@@ -379,6 +379,13 @@
 void
 jr_worker_free(jr_jobs_t *jobs, jr_job_worker_t *worker)
 {
+    jr_job_queue_t *queue;
+
+    for (queue = jobs->queues; queue != NULL; queue = queue->hh.next) {
+        if (queue->open_worker == worker) {
+            queue->open_worker = NULL;
+        }
+    }
     if (jobs->hooks.worker_removed != NULL) {
         jobs->hooks.worker_removed(jobs->hooks.user, worker);
     }
@@ -453,25 +460,77 @@
     return job;
 }
 
+/* Is it a worker of the service in a zone that is in use? */
+static bool
+is_open(const jr_jobs_t *jobs, const jr_job_worker_t *worker,
+        const char *service)
+{
+    return strcmp(worker->info->service, service) == 0 &&
+           !jr_zones_is_drained(jobs->zones, worker->info->zone);
+}
+
+static jr_job_worker_t *
+find_open_worker(const jr_jobs_t *jobs, const char *service)
+{
+    jr_job_worker_t *worker;
+
+    for (worker = jobs->workers; worker != NULL; worker = worker->hh.next) {
+        if (is_open(jobs, worker, service)) {
+            return worker;
+        }
+    }
+    return NULL;
+}
+
+static bool
+has_workers(const jr_jobs_t *jobs, const char *service)
+{
+    const jr_job_worker_t *worker;
+
+    for (worker = jobs->workers; worker != NULL; worker = worker->hh.next) {
+        if (strcmp(worker->info->service, service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 jr_jobs_is_service_drained(const jr_jobs_t *jobs, const char *service)
 {
-    const jr_job_worker_t *worker;
-    bool has_workers = false;
+    return jobs->zones->n_drained > 0 &&
+           find_open_worker(jobs, service) == NULL &&
+           has_workers(jobs, service);
+}
+
+/* Asked for each submission, so it remembers a worker. */
+bool
+jr_jobs_is_queue_drained(const jr_jobs_t *jobs, jr_job_queue_t *queue)
+{
+    const char *service = queue->config->service;
 
     if (jobs->zones->n_drained == 0) {
         return false;
     }
+    if (queue->open_worker == NULL ||
+        !is_open(jobs, queue->open_worker, service)) {
+        queue->open_worker = find_open_worker(jobs, service);
+    }
+    return queue->open_worker == NULL && has_workers(jobs, service);
+}
+
+bool
+jr_jobs_is_zone_empty(const jr_jobs_t *jobs, const char *zone)
+{
+    const jr_job_worker_t *worker;
+
     for (worker = jobs->workers; worker != NULL; worker = worker->hh.next) {
-        if (strcmp(worker->info->service, service) != 0) {
-            continue;
-        }
-        if (!jr_zones_is_drained(jobs->zones, worker->info->zone)) {
+        if (!TAILQ_EMPTY(&worker->granted) &&
+            strcmp(worker->info->zone, zone) == 0) {
             return false;
         }
-        has_workers = true;
     }
-    return has_workers;
+    return true;
 }
 
 size_t
