--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -15,6 +15,9 @@
     BACKOFF_MAX_MS = 2000,
 };
 
+/* No clock of a worker is later; one that is said to be is not known. */
+static const int64_t CLOCK_MAX_MS = INT64_MAX / 4;
+
 bool
 jr_renewal_is_due(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
 {
@@ -338,10 +341,18 @@
     w->renewal_at = d->now + w->renewal_backoff_ms;
 }
 
+static int64_t
+known_clock_ms(const jr_answer_t *answer)
+{
+    return answer->clock_ms <= CLOCK_MAX_MS ? MAX(answer->clock_ms, 0) : 0;
+}
+
 static void
 on_renewed(jr_dispatch_t *d, jr_tracked_worker_t *w, int64_t sent_at,
            const jr_answer_t *answer)
 {
+    int64_t clock_ms = known_clock_ms(answer);
+
     if (answer->incarnation != 0 && answer->incarnation < w->incarnation) {
         back_off(d, w); /* from an earlier incarnation */
         return;
@@ -352,8 +363,8 @@
         return;
     }
     g_array_set_size(w->lapsed, 0); /* it was cut off */
-    note_lease(d, w, answer->clock_ms);
-    jr_tracked_worker_set_clock(w, answer->clock_ms, d->now);
+    note_lease(d, w, clock_ms);
+    jr_tracked_worker_set_clock(w, clock_ms, d->now);
     w->answered_at = sent_at;
     w->renewal_backoff_ms = 0;
     w->renewal_at = d->now;
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -37,7 +37,7 @@
     jr_job_t *job;
 
     while ((job = TAILQ_FIRST(&jobs->ended)) != NULL && job->n_granted == 0 &&
-           job->ended_ms + JR_JOB_RETENTION_MS < jobs->now) {
+           jobs->now - job->ended_ms > JR_JOB_RETENTION_MS) {
         jr_job_free(jobs, job);
     }
 }
--- a/src/quorum/replicate.c
+++ b/src/quorum/replicate.c
@@ -308,7 +308,8 @@
         jr_count(q->ctx, JR_C_BUS_BAD);
         return;
     }
-    if (jr_log_term(&q->log, from->index) == from->term) {
+    if (from->index <= jr_log_last(&q->log) &&
+        jr_log_term(&q->log, from->index) == from->term) {
         /* Keep the entries after the snapshot: they may be acknowledged. */
         q->commit = MAX(q->commit, from->index);
         reply_append(q, m, true, from->index, m->install->sent_at);
