A service that has waited for long takes capacity that comes and goes

While services hold more than their share, one was placed only where nothing had used the capacity for half a second; short tasks used all of it in turns. Tested: AServiceStartsInCapacityThatComesAndGoes, red before.

--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -21,6 +21,11 @@
      */
     BUSY_DELAY_MS = 4500,  /* while there are short tasks */
     SPARE_DELAY_MS = 2000, /* otherwise */
+    /*
+     * Then a service takes any free capacity, also for a moment: it must not
+     * wait for long beside capacity that comes and goes.
+     */
+    ANY_FREE_AFTER_MS = 6000,
     SPARE_WINDOW_MS = 500, /* after which unused capacity counts as spare */
 };
 
@@ -172,10 +177,13 @@
 jr_reserve_allows_service(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
                           const jr_job_task_t *task, const jr_need_t *need)
 {
-    if (jr_reserve_waited(d, task) < w->service_delay_ms) {
+    int64_t waited = jr_reserve_waited(d, task);
+
+    if (waited < w->service_delay_ms) {
         return false;
     }
-    return d->left_for_services >= need->cpu_milli ||
+    return waited >= ANY_FREE_AFTER_MS ||
+           d->left_for_services >= need->cpu_milli ||
            spare_milli(w) >= need->cpu_milli;
 }
 
--- a/src/dispatch/urgent_test.cc
+++ b/src/dispatch/urgent_test.cc
@@ -141,3 +141,32 @@
     EXPECT_LE(fleet.Counter(JR_C_PREEMPTIONS), 12u);
     EXPECT_GE(fleet.Running(kService), 11u);
 }
+
+/*
+ * Urgent tasks use the last capacity in turns, so that none of it is unused
+ * for long. A service that waits beside it still starts.
+ */
+TEST_F(UrgentTest, AServiceStartsInCapacityThatComesAndGoes)
+{
+    Jr__JobStep service = MakeStep(14, 1000);
+
+    service.service = 1;
+    fleet.long_running_job = kService;
+    fleet.reported_percent = 100;
+    fleet.Submit(kService, {service});
+    fleet.Run(8000);
+    ASSERT_EQ(fleet.Running(kService), 14u);
+    service.count = 1;
+    fleet.task_ms = 200;
+    for (uint64_t id = 3; id < 35; id++) {
+        fleet.Submit(id, {Urgent(2)});
+        fleet.Run(125);
+        if (id == 3) {
+            fleet.task_ms = 60000;
+            fleet.Submit(2, {service});
+            fleet.task_ms = 200;
+        }
+        fleet.Run(125);
+    }
+    EXPECT_GE(fleet.StartsOf({2, 0, 0, 0}), 1u);
+}
