--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -24,6 +24,10 @@
     JR_JOB_PAYLOAD_MAX_BYTES = 4000,
     JR_JOB_RETENTION_MS = 600 * 1000, /* of ended jobs */
     JR_JOB_CHECKPOINT_MAX_BYTES = 256,
+    /* failures of a task that fail its job, if the queue sets no limit */
+    JR_JOB_DEFAULT_MAX_FAILURES = 3,
+    /* of a queue's host and prefix together; the rest does not count */
+    JR_JOB_QUEUE_NAME_MAX_BYTES = 510,
 };
 
 /** enum jr_job_state_t - state of a job; values as in the snapshot */
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -3,9 +3,6 @@
 
 #include <string.h>
 
-/* Failures of one task that fail its job, if the queue sets no limit. */
-enum { DEFAULT_MAX_FAILURES = 3 };
-
 static void
 notify_task(jr_jobs_t *jobs, jr_job_task_t *task)
 {
@@ -212,8 +209,9 @@
 {
     const Jr__JobQueue *config = job->queue->last_config;
 
-    return config != NULL && config->max_failures > 0 ? config->max_failures
-                                                      : DEFAULT_MAX_FAILURES;
+    return config != NULL && config->max_failures > 0
+               ? config->max_failures
+               : JR_JOB_DEFAULT_MAX_FAILURES;
 }
 
 static bool
--- a/src/job/jobs.c
+++ b/src/job/jobs.c
@@ -4,7 +4,10 @@
 #include <ctype.h>
 #include <string.h>
 
-enum { ID_DIGITS = 16, KEY_BYTES = 512 };
+enum {
+    ID_DIGITS = 16,
+    KEY_BYTES = JR_JOB_QUEUE_NAME_MAX_BYTES + 2, /* '\n' and '\0' */
+};
 
 static const char *const state_names[] = {
     [JR_JOB_QUEUED] = "queued",       [JR_JOB_RUNNING] = "running",
