--- a/src/base/fuzz_test.cc
+++ b/src/base/fuzz_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 extern "C" {
+#include <glib.h>
 #include <jansson.h>
 
 #include "jayrelay/group.h"
@@ -20,6 +21,8 @@
 #include "jayrelay/store.h"
 #include "ledger/convert.h"
 #include "net/wire.pb-c.h"
+#include "platform/check.h"
+#include "platform/platform.h"
 #include "quorum/store.h"
 }
 
@@ -144,6 +147,48 @@
     }
 }
 
+/* The check of a configuration and the decoder of the control processes agree,
+ * and all texts can be printed. */
+TEST_F(FuzzTest, ConfigCheck)
+{
+    const std::string good =
+        "{\"version\":7,\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/q/\","
+        "\"timeout_ms\":3000,\"slo_ms\":300,\"priority\":2,\"service\":\"s\","
+        "\"max_attempts\":4,\"stretch\":1.5,\"advice\":{\"decide_ms\":1}},"
+        "{\"host\":\"h\",\"path_prefix\":\"/r/\",\"timeout_ms\":30,"
+        "\"service\":\"s\"}],\"services\":[{\"name\":\"s\"},"
+        "{\"name\":\"t\"}],\"limits\":{}}";
+    jr_platform_text_t in_force = {good.data(), good.size()};
+    Mutator mutator(good);
+
+    for (int i = 0; i < Rounds(); i++) {
+        std::string text = mutator.Next();
+        jr_platform_text_t subject = {text.c_str(), text.size()};
+        jr_platform_findings_t *findings =
+            jr_platform_check(ctx_, &subject, nullptr);
+        Jr__JobConfig *config =
+            jr_platform_decode_config(ctx_, text.c_str(), text.size());
+
+        ASSERT_EQ(config == nullptr, findings->counts[JR_SEVERITY_ERROR] > 0)
+            << text;
+        for (size_t k = 0; k < findings->n; k++) {
+            ASSERT_TRUE(g_utf8_validate(findings->findings[k].text, -1, NULL));
+            ASSERT_TRUE(
+                g_utf8_validate(findings->findings[k].place, -1, NULL));
+        }
+        jr_platform_drop_findings(findings);
+        findings = jr_platform_check(ctx_, &subject, &in_force);
+        ASSERT_NE(findings, nullptr);
+        jr_platform_drop_findings(findings);
+        findings = jr_platform_check(ctx_, &in_force, &subject);
+        ASSERT_EQ(config == nullptr, findings == nullptr) << text;
+        jr_platform_drop_findings(findings);
+        if (config != nullptr) {
+            jr__job_config__free_unpacked(config, nullptr);
+        }
+    }
+}
+
 /* A damaged log is truncated or rejected, but never yields other entries. */
 TEST_F(FuzzTest, LogRecords)
 {
