jayrelay config check

Cause: the findings in a configuration had no command. An answer to the command-line tool ends at 64 MiB. jobs_path also checks against the configuration in force at a control process.

--- a/src/cli/ask.c
+++ b/src/cli/ask.c
@@ -4,18 +4,28 @@
 
 #include "cli.h"
 
-enum { TIMEOUT_MS = 8000, CONNECT_TIMEOUT_MS = 1000, HTTP_OK_MAX = 299 };
+enum {
+    TIMEOUT_MS = 8000,
+    CONNECT_TIMEOUT_MS = 1000,
+    HTTP_OK_MAX = 299,
+    ANSWER_MAX_BYTES = 64 * 1024 * 1024,
+};
 
 static size_t
 on_data(char *data, size_t size, size_t n, void *user)
 {
-    g_string_append_len(user, data, (gssize)(size * n));
+    GString *to = user;
+
+    if (to->len + size * n > ANSWER_MAX_BYTES) {
+        return 0; /* ends the request */
+    }
+    g_string_append_len(to, data, (gssize)(size * n));
     return size * n;
 }
 
 static long
 request_one(const char *address, const char *method, const char *path,
-            const char *body, GString *answer)
+            const char *body, long timeout_ms, GString *answer)
 {
     CURL *curl = curl_easy_init();
     char *url = g_strdup_printf("http://%s%s", address, path);
@@ -25,7 +35,7 @@
     curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_data);
     curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
-    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)TIMEOUT_MS);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, timeout_ms);
     curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)CONNECT_TIMEOUT_MS);
     curl_easy_setopt(curl, CURLOPT_PROXY, "");
@@ -53,13 +63,26 @@
 
     for (int i = 0; cli->entries[i] != NULL && status == 0; i++) {
         g_string_truncate(text, 0);
-        status = request_one(cli->entries[i], method, path, body, text);
+        status =
+            request_one(cli->entries[i], method, path, body, TIMEOUT_MS, text);
     }
     *answer = json_loadb(text->str, text->len, 0, NULL);
     g_string_free(text, TRUE);
     return status;
 }
 
+long
+jr_cli_get(const char *address, const char *path, long timeout_ms,
+           char **answer, size_t *len)
+{
+    GString *text = g_string_new(NULL);
+    long status = request_one(address, "GET", path, NULL, timeout_ms, text);
+
+    *len = text->len;
+    *answer = g_string_free(text, FALSE);
+    return status;
+}
+
 const char *
 jr_cli_text(const json_t *object, const char *key)
 {
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -19,6 +19,12 @@
  */
 long jr_cli_request(jr_cli_t *cli, const char *method, const char *path,
                     const char *body, json_t **answer);
+/*
+ * Gets a path from one address. Returns the HTTP status, or 0 when no answer
+ * came within the time limit. The caller frees *answer with g_free().
+ */
+long jr_cli_get(const char *address, const char *path, long timeout_ms,
+                char **answer, size_t *len);
 /* Prints an error answer; returns the exit status. */
 int jr_cli_fail(jr_cli_t *cli, long status, const json_t *answer);
 /* Text of a member of an object, "" when it is missing; borrowed. */
@@ -45,5 +51,11 @@
 /* Prints the timeline of a job or task from log files or standard input. */
 int jr_cli_explain(jr_cli_t *cli, char **arguments);
 int jr_cli_keys_new(jr_cli_t *cli, char **arguments);
+/*
+ * Command config check with options of its own; argv[0] is ignored. Returns 0
+ * when nothing was found, 1 with findings, and 2 if the check could not be
+ * made.
+ */
+int jr_cli_config_check(jr_cli_t *cli, int argc, char **argv);
 
 #endif
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -47,6 +47,10 @@
      jr_cli_settings_check},
 };
 
+static const char CONFIG_CHECK_USAGE[] =
+    "config check FILE    check a configuration of jobs before it is sent; "
+    "see config check --help";
+
 static char *
 make_description(void)
 {
@@ -55,6 +59,7 @@
     for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
         g_string_append_printf(text, "  %s\n", commands[i].usage);
     }
+    g_string_append_printf(text, "  %s\n", CONFIG_CHECK_USAGE);
     g_string_append(
         text, "\nWithout --entry, the value of JAYRELAY_ENTRY is used, or "
               "127.0.0.1:8080. "
@@ -101,10 +106,16 @@
                        argc > 2 ? " " : "", argc > 2 ? argv[2] : "");
 }
 
-int
-main(int argc, char **argv)
+static bool
+is_config_check(int argc, char **argv)
+{
+    return argc > 2 && strcmp(argv[1], "config") == 0 &&
+           strcmp(argv[2], "check") == 0;
+}
+
+static int
+run_program(jr_cli_t *cli, int argc, char **argv)
 {
-    jr_cli_t cli = {.ctx = jr_new_ctx("jayrelay", stderr)};
     gchar *entry = NULL;
     gboolean json = FALSE;
     gboolean version = FALSE;
@@ -140,14 +151,25 @@
             entry = g_strdup(from_environment != NULL ? from_environment
                                                       : DEFAULT_ENTRY);
         }
-        cli.entries = g_strsplit(entry, ",", -1);
-        cli.is_json = json;
-        status = check ? jr_cli_check(&cli) : run_command(&cli, argc, argv);
-        g_strfreev(cli.entries);
+        cli->entries = g_strsplit(entry, ",", -1);
+        cli->is_json = json;
+        status = check ? jr_cli_check(cli) : run_command(cli, argc, argv);
+        g_strfreev(cli->entries);
     }
     g_free(description);
     g_free(entry);
     g_option_context_free(options);
+    return status;
+}
+
+int
+main(int argc, char **argv)
+{
+    jr_cli_t cli = {.ctx = jr_new_ctx("jayrelay", stderr)};
+    int status = is_config_check(argc, argv)
+                     ? jr_cli_config_check(&cli, argc - 2, argv + 2)
+                     : run_program(&cli, argc, argv);
+
     jr_drop_ctx(cli.ctx);
     return status;
 }
--- a/tests/jobs_test.sh
+++ b/tests/jobs_test.sh
@@ -157,6 +157,16 @@
         fail "configuration version 2, older than 3, did not return 200"
     [[ $(request GET "127.0.0.13:$control_port" /Config.Get) == \
         *'"version":3'* ]] || fail "Config.Get did not return version 3"
+    config 4 > "$dir/config-4.json"
+    "$bin/jayrelay" config check "$dir/config-4.json" \
+        --control "127.0.0.13:$control_port" > "$dir/check" ||
+        fail "config check of version 4 against 3 found $(cat "$dir/check")"
+    config 3 > "$dir/config-3.json"
+    "$bin/jayrelay" config check "$dir/config-3.json" \
+        --control "127.0.0.13:$control_port" > "$dir/check" &&
+        fail "config check did not find that version 3 is in force"
+    grep -qF 'is 3, and 3 is in force' "$dir/check" ||
+        fail "config check against version 3 printed $(cat "$dir/check")"
     "$bin/jayrelay" explain 0000000000000001 "$dir"/*.log > "$dir/timeline" ||
         fail "jayrelay explain failed for job 1"
     grep -q 'job-answered' "$dir/timeline" && grep -q 'run-confirmed' \
