--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -16,6 +16,10 @@
 "$build/dispatch" --benchmark_out="$out/dispatch.json" \
     --benchmark_out_format=json 2> /dev/null |
     grep -vE '^(Running|Run on|CPU|L1|  L|Load)' || status=1
+echo "== check of a configuration, by routes"
+"$build/config_check" --benchmark_out="$out/config-check.json" \
+    --benchmark_out_format=json 2> /dev/null |
+    grep -vE '^(Running|Run on|CPU|L1|  L|Load)' || status=1
 echo "== slopes for docs/CAPACITY.md"
 "$build/capacity" "$out/capacity.json" || status=1
 echo "== scenarios"
