config check: a prefix with a query is said to match few requests, not none

Cause: paths are decoded before they are compared, so a prefix with a '?' still matches requests that encode it; the finding said that none matches. Tested: check_test, config_check_test, platform_test, fuzz_test, tables_test and config_check_command pass.

--- a/include/jayrelay/check.h
+++ b/include/jayrelay/check.h
@@ -34,7 +34,7 @@
     X(BAD_FIELD, ERROR, "bad-field")                                          \
     X(IGNORED_FIELD, WARNING, "ignored-field")                                \
     X(HOST_NEVER_MATCHES, WARNING, "host-never-matches")                      \
-    X(PREFIX_NEVER_MATCHES, WARNING, "prefix-never-matches")                  \
+    X(PREFIX_HAS_QUERY, WARNING, "prefix-has-query")                          \
     X(NAME_TOO_LONG, WARNING, "name-too-long")                                \
     X(SERVICE_REPEATED, WARNING, "service-repeated")                          \
     X(SERVICE_UNUSED, WARNING, "service-unused")                              \
--- a/src/check/check.c
+++ b/src/check/check.c
@@ -63,7 +63,7 @@
         tell(c, JR_CHECK_HOST_NEVER_MATCHES, i, i);
     }
     if (strpbrk(queue->prefix, "?#") != NULL) {
-        tell(c, JR_CHECK_PREFIX_NEVER_MATCHES, i, i);
+        tell(c, JR_CHECK_PREFIX_HAS_QUERY, i, i);
     }
     if (strlen(queue->host) + strlen(queue->prefix) >
         JR_JOB_QUEUE_NAME_MAX_BYTES) {
--- a/src/check/check_test.cc
+++ b/src/check/check_test.cc
@@ -149,14 +149,14 @@
                         {JR_CHECK_HOST_NEVER_MATCHES, 1, 1, 0}}));
 }
 
-TEST(Check, APrefixWithAQueryNeverMatches)
+TEST(Check, APrefixWithAQueryIsFound)
 {
     Config config;
 
     config.Service("s");
     config.Queue("h", "/q?x=");
     EXPECT_EQ(config.Check(),
-              (Findings{{JR_CHECK_PREFIX_NEVER_MATCHES, 0, 0, 0}}));
+              (Findings{{JR_CHECK_PREFIX_HAS_QUERY, 0, 0, 0}}));
 }
 
 /* Jobs of two such queues would be counted as those of one. */
--- a/tests/config_check_test.sh
+++ b/tests/config_check_test.sh
@@ -3,7 +3,7 @@
 # addresses that do not answer.
 # Usage: config_check_test.sh BUILD
 set -uo pipefail
-cd "$(dirname "$0")/.."
+cd "$(dirname "$0")/.." || exit 1
 bin=$(realpath "$1")
 dir=$(mktemp -d)
 listener=
