A worker's check-in says how much longer it is cold

Cause: workers are slow for a while after a start, or after their zone was taken back, and say so in cold_remaining_ms, which was not read.

It counts down, so it is logged when it appears in an incarnation, and again only once the logged time was over for 10 s. A check-in that is logged for another reason brings it up to date.

--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -288,9 +288,11 @@
 /**
  * jr_worker_is_unchanged - does @info say nothing that is not in the log?
  *
- * False for another incarnation of the worker.
+ * False for another incarnation of the worker, and for a worker that became
+ * cold; how much longer it is cold is nothing new.
  */
-bool jr_worker_is_unchanged(const jr_job_worker_t *worker,
+bool jr_worker_is_unchanged(const jr_jobs_t *jobs,
+                            const jr_job_worker_t *worker,
                             const Jr__JobWorker *info);
 
 /** jr_jobs_task - find the task of a run; NULL if unknown or freed */
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -569,7 +569,7 @@
             known->local->left_at = 0; /* of an earlier incarnation */
         }
     }
-    return !jr_worker_is_unchanged(known, info);
+    return !jr_worker_is_unchanged(d->jobs, known, info);
 }
 
 /* A leave request may be delayed until a later incarnation has started. */
--- a/src/gen/job/job.pb-c.c
+++ b/src/gen/job/job.pb-c.c
@@ -1938,7 +1938,7 @@
   (ProtobufCMessageInit) jr__job_config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_worker__field_descriptors[14] =
+static const ProtobufCFieldDescriptor jr__job_worker__field_descriptors[16] =
 {
   {
     "id",
@@ -2108,11 +2108,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_remaining_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobWorker, cold_remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_until_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobWorker, cold_until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_worker__field_indices_by_name[] = {
   8,   /* field[8] = accelerators */
   2,   /* field[2] = address */
   1,   /* field[1] = born */
+  14,   /* field[14] = cold_remaining_ms */
+  15,   /* field[15] = cold_until_ms */
   6,   /* field[6] = cpu_milli */
   10,   /* field[10] = draining */
   11,   /* field[11] = ends_seen */
@@ -2128,7 +2154,7 @@
 static const ProtobufCIntRange jr__job_worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor jr__job_worker__descriptor =
 {
@@ -2138,7 +2164,7 @@
   "Jr__JobWorker",
   "jr",
   sizeof(Jr__JobWorker),
-  14,
+  16,
   jr__job_worker__field_descriptors,
   jr__job_worker__field_indices_by_name,
   1,  jr__job_worker__number_ranges,
--- a/src/gen/job/job.pb-c.h
+++ b/src/gen/job/job.pb-c.h
@@ -262,10 +262,19 @@
    * of the latest check-in that said something new.
    */
   uint64_t sequence;
+  /*
+   * How much longer it is slow after its start; 0: not cold. In the log: as
+   * it was when it appeared.
+   */
+  uint32_t cold_remaining_ms;
+  /*
+   * wall clock; set when the entry is applied
+   */
+  int64_t cold_until_ms;
 };
 #define JR__JOB_WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__job_worker__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/group/job_request.c
+++ b/src/group/job_request.c
@@ -304,15 +304,16 @@
 static bool
 is_known_check_in(const jr_group_t *group, const Jr__Request *request)
 {
+    jr_jobs_t *jobs = group->as.jobs.jobs;
     const jr_job_worker_t *worker;
 
     if (request->body_case != JR__REQUEST__BODY_JOB_WORKER ||
         !jr_quorum_hears_leader(group->quorum, group->now)) {
         return false;
     }
-    worker = jr_jobs_worker(group->as.jobs.jobs, request->job_worker->id);
+    worker = jr_jobs_worker(jobs, request->job_worker->id);
     return worker != NULL &&
-           jr_worker_is_unchanged(worker, request->job_worker);
+           jr_worker_is_unchanged(jobs, worker, request->job_worker);
 }
 
 bool
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -535,6 +535,23 @@
     return JR_OK;
 }
 
+/*
+ * When the worker is warm, by the clock of the log, so that each replica has
+ * the same. A check-in without a remaining time says that it is warm by now.
+ */
+static int64_t
+cold_until(const jr_jobs_t *jobs, const Jr__JobWorker *known,
+           const Jr__JobWorker *info)
+{
+    if (info->cold_remaining_ms > 0) {
+        return jobs->now + info->cold_remaining_ms;
+    }
+    if (known == NULL || known->born != info->born) {
+        return 0;
+    }
+    return known->cold_until_ms < jobs->now ? known->cold_until_ms : jobs->now;
+}
+
 /* Updates that a later one of the worker has overtaken are ignored. */
 static jr_result_t
 apply_worker(jr_jobs_t *jobs, Jr__JobCommand *command)
@@ -551,6 +568,8 @@
         info->draining |= known->info->draining;
         info->leaving |= known->info->leaving;
     }
+    info->cold_until_ms =
+        cold_until(jobs, known != NULL ? known->info : NULL, info);
     command->body_case = JR__JOB_COMMAND__BODY__NOT_SET;
     command->worker = NULL;
     notify_worker(jobs, jr_worker_insert(jobs, info));
--- a/src/job/job_test.cc
+++ b/src/job/job_test.cc
@@ -260,6 +260,63 @@
     EXPECT_EQ(jr_jobs_worker(jobs_, "w")->info->born, 5);
 }
 
+/*
+ * Load: a remaining time that counts down, stays, or flaps in each check-in
+ * would make each one an entry of the log.
+ */
+TEST_F(JobTest, ARemainingColdTimeIsLoggedWhenItAppears)
+{
+    Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+    Jr__JobWorker worker = JR__JOB_WORKER__INIT;
+    uint64_t entries = 0;
+
+    worker.id = const_cast<char *>("w");
+    worker.born = 1;
+    command.body_case = JR__JOB_COMMAND__BODY_WORKER;
+    command.worker = &worker;
+    Apply(&command);
+    for (int64_t at = 1000; at < 21000; at += 500) {
+        worker.cold_remaining_ms =
+            at % 1000 == 0 ? 5000 : static_cast<uint32_t>(21000 - at);
+        if (!jr_worker_is_unchanged(jobs_, jr_jobs_worker(jobs_, "w"),
+                                    &worker)) {
+            command.at_ms = at;
+            Apply(&command);
+            entries++;
+        }
+        jobs_->now = at;
+    }
+    EXPECT_EQ(entries, 2u); /* again once it was warm for long */
+    worker.cold_remaining_ms = 0;
+    EXPECT_TRUE(
+        jr_worker_is_unchanged(jobs_, jr_jobs_worker(jobs_, "w"), &worker));
+}
+
+/* All replicas, and those that load a snapshot, know when it is warm. */
+TEST_F(JobTest, AWorkerIsWarmAtATimeOfTheLog)
+{
+    Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+    Jr__JobWorker worker = JR__JOB_WORKER__INIT;
+
+    worker.id = const_cast<char *>("w");
+    worker.born = 1;
+    worker.cold_remaining_ms = 4000;
+    worker.cold_until_ms = 77; /* not the sender's to say */
+    command.at_ms = 10000;
+    command.body_case = JR__JOB_COMMAND__BODY_WORKER;
+    command.worker = &worker;
+    Apply(&command);
+    EXPECT_EQ(jr_jobs_worker(jobs_, "w")->info->cold_until_ms, 14000);
+    worker.cold_remaining_ms = 0;
+    worker.cpu_milli = 1;
+    command.at_ms = 11000;
+    Apply(&command);
+    EXPECT_EQ(jr_jobs_worker(jobs_, "w")->info->cold_until_ms, 11000);
+    worker.born = 2;
+    Apply(&command);
+    EXPECT_EQ(jr_jobs_worker(jobs_, "w")->info->cold_until_ms, 0);
+}
+
 TEST_F(JobTest, FailuresEndAJob)
 {
     Submit(1, 2);
--- a/src/job/jobs.c
+++ b/src/job/jobs.c
@@ -4,7 +4,12 @@
 #include <ctype.h>
 #include <string.h>
 
-enum { ID_DIGITS = 16, KEY_BYTES = 512 };
+enum {
+    ID_DIGITS = 16,
+    KEY_BYTES = 512,
+    /* Bounds the entries of a worker whose remaining time stays the same. */
+    COLD_AGAIN_MS = 10000,
+};
 
 static const char *const state_names[] = {
     [JR_JOB_QUEUED] = "queued",       [JR_JOB_RUNNING] = "running",
@@ -501,6 +506,22 @@
     return worker;
 }
 
+/*
+ * A value that counts down, or that stays, must not make each check-in an
+ * entry. It says something new when a worker became cold, which may be again
+ * in one incarnation: after its zone was taken back.
+ */
+static bool
+is_newly_cold(const jr_jobs_t *jobs, const Jr__JobWorker *known,
+              const Jr__JobWorker *info)
+{
+    if (info->cold_remaining_ms == 0) {
+        return false;
+    }
+    return known->cold_until_ms == 0 ||
+           jobs->now > known->cold_until_ms + COLD_AGAIN_MS;
+}
+
 static bool
 is_same_info(const Jr__JobWorker *a, const Jr__JobWorker *b)
 {
@@ -526,11 +547,12 @@
 }
 
 bool
-jr_worker_is_unchanged(const jr_job_worker_t *worker,
+jr_worker_is_unchanged(const jr_jobs_t *jobs, const jr_job_worker_t *worker,
                        const Jr__JobWorker *info)
 {
     return worker->info->born == info->born &&
            (worker->info->draining || !info->draining) &&
+           !is_newly_cold(jobs, worker->info, info) &&
            is_same_info(worker->info, info);
 }
 
