Placement by what workers are worth

Cause: urgent tasks were placed on slow, grey and cold workers as on others.

Change: src/dispatch/worth.c brings the evidence to module quality and turns the verdict into a cost: urgent tasks go to sound, warm workers as long as these have capacity; best-effort and long ones go first to cold or slow workers, by a bounded amount that shrinks as a worker fills up; failing workers come last. With all workers sound the cost is 0. A task on a cold or slow worker gets more time before it counts as stalled, so no worker is quarantined for being cold.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -79,6 +79,10 @@
     X(MOVES, "moves_total", "fillers moved away from services")               \
     X(PACES, "paces_total", "changes of the pace of a filler")                \
     X(QUARANTINES, "quarantines_total", "workers quarantined")                \
+    X(WORKERS_SLOW, "workers_slow_total", "workers found to be slow")         \
+    X(WORKERS_FAILING, "workers_failing_total",                               \
+      "workers found to fail more than others")                               \
+    X(WORKERS_COLD, "workers_cold_total", "workers that said they are cold")  \
     X(IMPOSSIBLE, "impossible_total", "tasks that can never run")             \
     X(SUBMIT_REPEATED, "submit_repeated_total",                               \
       "submissions answered from an earlier one")                             \
--- a/include/jayrelay/event.h
+++ b/include/jayrelay/event.h
@@ -44,6 +44,7 @@
     X(WORKER_SUSPECT, 505, 5, "worker-suspect")                               \
     X(WORKER_LIFE, 506, 5, "worker-life")                                     \
     X(FENCED, 507, 4, "fenced")                                               \
+    X(WORKER_QUALITY, 508, 5, "worker-quality")                               \
     X(RUN_RELEASED, 510, 5, "run-released")                                   \
     X(RUN_STRAY, 511, 4, "run-stray")                                         \
     X(RUN_CONFIRMED, 512, 6, "run-confirmed")                                 \
--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -92,6 +92,13 @@
     return false;
 }
 
+bool
+jr_worker_is_far(const jr_tracked_worker_t *w, const Jr__JobStep *step)
+{
+    return *step->data_rack != '\0' &&
+           !has_label(w->worker->info, step->data_rack);
+}
+
 /* Tasks of the same step and occurrence on this worker. */
 static uint32_t
 count_siblings(const jr_tracked_worker_t *w, const jr_job_task_t *task)
@@ -262,8 +269,7 @@
     const Jr__JobWorker *info = w->worker->info;
     int64_t sum = 0;
 
-    if (*request->step->data_rack != '\0' &&
-        !has_label(info, request->step->data_rack)) {
+    if (jr_worker_is_far(w, request->step)) {
         sum += (d->options.far_permille - PERMILLE) * FAR_WEIGHT;
     }
     if (task->failed_on != NULL && strcmp(task->failed_on, info->id) == 0) {
@@ -272,7 +278,7 @@
     if (task->failures > 0) {
         sum += (int64_t)w->failure_streak * STREAK_COST;
     }
-    return sum + crash_cost(d, w, task);
+    return sum + crash_cost(d, w, task) + jr_worth_cost(d, w, task);
 }
 
 /*
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -172,6 +172,7 @@
     if (worker->info->leaving && worker->info->born == w->incarnation) {
         jr_tracked_worker_leave(d, w);
     }
+    jr_worth_on_worker(d, w);
     w->is_end_pending = false;
     d->is_dirty = true;
 }
@@ -220,6 +221,7 @@
     TAILQ_INIT(&d->due);
     STAILQ_INIT(&d->commands);
     d->tails = jr_new_tails(ctx);
+    d->quality = jr_new_quality(ctx);
     d->releases = g_ptr_array_new();
     d->crashes = g_array_new(FALSE, FALSE, sizeof(jr_crashed_run_t));
     d->proposed = g_ptr_array_new();
@@ -270,6 +272,7 @@
     jr_dispatch_resign(d);
     jr_jobs_set_hooks(d->jobs, &none);
     jr_drop_tails(d->tails);
+    jr_drop_quality(d->ctx, d->quality);
     g_ptr_array_unref(d->releases);
     g_array_unref(d->crashes);
     g_ptr_array_unref(d->proposed);
@@ -564,6 +567,7 @@
     }
     if (known->local != NULL) {
         known->local->checked_in_at = d->now;
+        jr_worth_on_check_in(d, known->local, info);
         /* A worker that drains is never ready again: its check-in is late. */
         if (!info->draining && !known->info->draining) {
             known->local->left_at = 0; /* of an earlier incarnation */
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -6,6 +6,7 @@
 
 #include "jayrelay/demand.h"
 #include "jayrelay/dispatch.h"
+#include "jayrelay/quality.h"
 #include "jayrelay/tail.h"
 
 typedef struct {
@@ -84,6 +85,10 @@
     int64_t granted_at;
     int64_t crashed_after_ms; /* age when its worker crashed, 0: it did not */
     char *checkpoint;         /* the latest that the worker listed */
+    /* From when on its speed is measured, 0: never; and its progress then. */
+    int64_t speed_from_at;
+    uint32_t speed_from_percent;
+    bool is_speed_noted;
 } jr_run_t;
 
 TAILQ_HEAD(jr_run_list, jr_run);
@@ -152,6 +157,13 @@
     int64_t quarantine_ms;
     int64_t backoff_until; /* it refused a start for lack of capacity */
 
+    jr_quality_record_t quality;
+    jr_quality_verdict_t verdict; /* as of the latest pass */
+    int64_t logged_cold_until;    /* as in the log, wall clock */
+    bool is_slow;                 /* as logged last */
+    bool is_failing;
+    bool is_cold;
+
     uint32_t rank;            /* hash of its id, so equal on all leaders */
     bool is_usable;           /* as of the latest pass */
     int64_t service_delay_ms; /* services wait this long before they may
@@ -200,6 +212,8 @@
     bool is_limit_proposed;  /* the limit that it wants, for the log */
     jr_jobs_t *jobs;
     jr_tails_t *tails;
+    jr_quality_t *quality;
+    bool has_set_back; /* usable workers that are slow or cold */
     bool is_leading;
     uint64_t fence;
     uint64_t fence_epoch; /* of the latest restart or removal of a worker */
@@ -306,6 +320,35 @@
 void jr_health_end(jr_dispatch_t *d, jr_tracked_worker_t *w,
                    const jr_run_t *run, const jr_ended_t *end);
 
+/*
+ * worth.c: what workers are worth, by what their runs do and by what they say.
+ */
+/* The worker said that the run has started. */
+void jr_worth_on_started(const jr_dispatch_t *d, jr_run_t *run);
+/* The run is listed, with its progress. */
+void jr_worth_on_progress(jr_dispatch_t *d, jr_run_t *run, uint32_t percent);
+/* It is listed as ended, for a reason that may be the worker. */
+void jr_worth_on_end(jr_dispatch_t *d, const jr_run_t *run,
+                     Jr__JobEnd__How how);
+/* It refused a start, though it has the capacity. */
+void jr_worth_on_refused(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* It ended without notice, and no task is known to have caused it. */
+void jr_worth_on_crash(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* The log says something new of the worker, or this leader is new. */
+void jr_worth_on_worker(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* A check-in that need not be logged may say that it is warm sooner. */
+void jr_worth_on_check_in(const jr_dispatch_t *d, jr_tracked_worker_t *w,
+                          const Jr__JobWorker *info);
+/* Another incarnation has begun. */
+void jr_worth_on_restart(jr_tracked_worker_t *w);
+/* Before a pass: judge all workers. */
+void jr_worth_update(jr_dispatch_t *d);
+/* Added to the cost of the task there; 0 while all workers are sound. */
+int64_t jr_worth_cost(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
+                      const jr_job_task_t *task);
+/* Time that something may take there which takes @sound_ms elsewhere. */
+int64_t jr_worth_patience_ms(const jr_tracked_worker_t *w, int64_t sound_ms);
+
 /* crash.c: workers that crash, and the tasks that ran there. */
 /* Its incarnation has ended: a crash, unless the worker announced it. */
 void jr_crash_note(jr_dispatch_t *d, jr_tracked_worker_t *w);
@@ -421,6 +464,8 @@
 /* Has it capacity if only services and reservations are counted? */
 bool jr_worker_has_capacity_beside_services(const jr_need_t *need,
                                             const jr_tracked_worker_t *w);
+/* Is it in another rack than the data of the step? */
+bool jr_worker_is_far(const jr_tracked_worker_t *w, const Jr__JobStep *step);
 void jr_need_add(jr_need_t *a, const jr_need_t *b, int sign);
 /* Do the constraints of the step allow the worker, capacity aside? */
 bool jr_worker_is_eligible(const jr_tracked_worker_t *w,
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -164,6 +164,10 @@
     info.memory_mb = 1000;
     info.draining = worker.is_draining;
     info.sequence = ++worker.sequence;
+    if (worker.cold_until > now && !worker.hides_cold) {
+        info.cold_remaining_ms =
+            static_cast<uint32_t>(worker.cold_until - now);
+    }
     bytes.resize(jr__job_worker__get_packed_size(&info));
     jr__job_worker__pack(&info, bytes.data());
     return bytes;
@@ -231,6 +235,14 @@
     workers[i].cpu = cpu;
 }
 
+void
+Fleet::MakeCold(size_t i, int64_t ms)
+{
+    Trace("cold", workers[i].id, {}, static_cast<uint32_t>(ms));
+    workers[i].cold_until = now + ms;
+    CheckIn(i);
+}
+
 void
 Fleet::Submit(uint64_t id, const std::vector<Jr__JobStep> &steps)
 {
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -70,6 +70,11 @@
     std::string zone = "z";
     int64_t incarnation = 1;     /* its start time */
     int64_t cpu = 4000;          /* thousandths of a processor */
+    int64_t run_permille = 1000; /* run times there, of those elsewhere */
+    int fails = 0;               /* percent of its runs */
+    int refuses = 0;             /* percent of its starts, as unhealthy */
+    int64_t cold_until = 0;      /* runs take three times as long until then */
+    bool hides_cold = false;     /* its check-ins do not say so */
     bool checks_capacity = true; /* refuses a start that does not fit */
     std::vector<FleetCapacity> past_capacities;
     uint64_t sequence = 0;   /* of its latest check-in */
@@ -160,6 +165,8 @@
     void CheckIn(size_t worker, bool draining = false);
     /* Shrinks or grows, which the next check-in says; what runs stays. */
     void SetCapacity(size_t worker, int64_t cpu);
+    /* It runs slowly for @ms, and says so in its check-ins. */
+    void MakeCold(size_t worker, int64_t ms);
     /* A check-in as it is now, which arrives later. */
     void DelayCheckIn(size_t worker, int64_t ms);
 
@@ -169,6 +176,8 @@
     size_t CrashesUnder(const TaskName &task) const;
     /* Workers that are up and get tasks. */
     size_t Up() const;
+    /* Starts that the worker carried out, of all its incarnations. */
+    size_t StartsOn(size_t worker) const;
     size_t StartsOf(const TaskName &task) const;
     uint64_t Counter(jr_counter_t counter) const;
     bool IsStalled() const;
@@ -299,6 +308,8 @@
     void Trace(const char *what, const std::string &worker,
                const TaskName &task, uint32_t attempt) const;
     bool Chance(int percent);
+    /* Run time of a task that begins there now. */
+    int64_t RunTime(const FleetWorker &worker) const;
     int64_t SlowClock();
     int64_t WorkerClock(const FleetWorker &worker) const;
     FleetWorker *FindWorker(const std::string &id);
@@ -315,6 +326,7 @@
     std::vector<DelayedCheckIn> check_ins_;
     std::vector<SentOrder> sent_orders_;
     std::map<TaskName, size_t> starts_;
+    std::map<std::string, size_t> starts_on_;
     std::set<TaskName> done_; /* tasks whose end is in the log */
     /* Attempts whose failures are in the log. */
     std::map<TaskName, std::set<uint32_t>> failed_;
--- a/src/dispatch/health.c
+++ b/src/dispatch/health.c
@@ -89,7 +89,8 @@
                           STALL_MIN_MS, STALL_MAX_MS);
 
     return !step->service && !step->gang && run->state == JR_RUN_RUNNING &&
-           run->percent < COMPLETE_PERCENT && d->now - run->percent_at > bound;
+           run->percent < COMPLETE_PERCENT &&
+           d->now - run->percent_at > jr_worth_patience_ms(run->worker, bound);
 }
 
 void
@@ -133,6 +134,9 @@
               const jr_ended_t *end)
 {
     if (end->how == JR__JOB_END__HOW__DONE) {
+        if (run != NULL) {
+            jr_worth_on_end(d, run, end->how);
+        }
         end_probation(w);
         return;
     }
@@ -142,6 +146,7 @@
         return;
     }
     note_failure(d, w, end);
+    jr_worth_on_end(d, run, end->how);
     /* Runs granted before the quarantine give no new evidence. */
     if (is_on_probation(w) ? is_probe(run)
                            : w->failure_streak >= STREAK_FAILURES) {
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -116,6 +116,7 @@
     run->is_listed = true;
     run->crashed_after_ms = 0;
     jr_health_running(d, run);
+    jr_worth_on_progress(d, run, row->percent);
     if (row->percent != run->percent) {
         run->percent = row->percent;
         run->percent_at = d->now;
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -461,6 +461,7 @@
     collect(d, candidates);
     d->short_waiting = sum_demand(candidates, UINT32_MAX);
     jr_reserve_update(d);
+    jr_worth_update(d);
     jr_reserve_for_services(d);
     if (candidates->len > 1) {
         qsort(candidates->data, candidates->len, sizeof(candidate_t),
