Services of a worker that is lost twice run again in time

Cause: a run of an earlier leader was released only 15 s and a lease after its worker came back under its id and was lost again before its first list, as the leader can't know whether start orders of the earlier one are still under way to the new incarnation.

Change: a leader says in the log which services are settled: an incarnation listed them as running, and no start order for them has an unknown outcome. Such a run has ended when its worker comes back as a later incarnation, also for the next leader. Runs without that, and answers that name no incarnation, wait as before.

--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -64,6 +64,9 @@
  * @worker: worker that the task is granted to, else NULL
  * @incarnation: start time of the worker's incarnation when the task was
  *               granted to it, else 0
+ * @settled_in: start time of the incarnation that listed the granted run as
+ *              running when none of its start orders was under way any more:
+ *              the run ends with that incarnation; 0: not known
  * @is_done: an earlier run than the granted one is done; when the granted
  *           one ends, however it does, the task is done
  * @preempted: how often this leader stopped it for urgent tasks; not
@@ -85,6 +88,7 @@
     int64_t waiting_since;
     struct jr_job_worker *worker;
     int64_t incarnation;
+    int64_t settled_in;
     bool is_done;
     uint32_t preempted;
     TAILQ_ENTRY(jr_job_task) worker_link;
--- a/src/dispatch/failover_test.cc
+++ b/src/dispatch/failover_test.cc
@@ -107,7 +107,7 @@
  * Guards against a worker that comes back and is lost again before its first
  * list: runs of an earlier leader wait until late start orders are excluded.
  */
-TEST_P(FailoverTest, DISABLED_AServiceRunsAgainInTimeWhenItsWorkerIsLostTwice)
+TEST_P(FailoverTest, AServiceRunsAgainInTimeWhenItsWorkerIsLostTwice)
 {
     int64_t lost_at;
     size_t host;
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -299,6 +299,54 @@
     jr_free(d->ctx, rows);
 }
 
+/* The next leader can't know which start orders this one has sent. */
+static bool
+is_newly_settled(const jr_run_t *run)
+{
+    return run->state == JR_RUN_RUNNING && run->is_listed &&
+           !run->is_settled && !run->is_inherited &&
+           !run->is_outcome_unknown && run->serial == 0 &&
+           jr_task_step(run->task)->service;
+}
+
+/*
+ * Says in the log which services run for certain in the incarnation that
+ * listed them: when it is over, the next leader need not wait for late start
+ * orders of this one. Others have ended before that matters.
+ */
+static void
+propose_settled(jr_dispatch_t *d, const jr_tracked_worker_t *w)
+{
+    GArray *names = g_array_new(FALSE, FALSE, sizeof(Jr__JobRun));
+    Jr__JobSettled body = JR__JOB_SETTLED__INIT;
+    Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+    jr_run_t *run;
+
+    TAILQ_FOREACH (run, &w->runs, link) {
+        if (is_newly_settled(run)) {
+            Jr__JobRun name;
+
+            jr_run_name(run, &name);
+            g_array_append_val(names, name);
+            run->is_settled = true;
+        }
+    }
+    if (names->len > 0) {
+        body.worker = w->worker->info->id;
+        body.born = w->incarnation;
+        body.n_runs = names->len;
+        body.runs = jr_alloc(d->ctx, names->len * sizeof(Jr__JobRun *));
+        for (guint i = 0; i < names->len; i++) {
+            body.runs[i] = &g_array_index(names, Jr__JobRun, i);
+        }
+        command.body_case = JR__JOB_COMMAND__BODY_SETTLED;
+        command.settled = &body;
+        jr_queue_command(d, &command);
+        jr_free(d->ctx, body.runs);
+    }
+    g_array_unref(names);
+}
+
 /*
  * The worker has accepted the fencing token of this leader, so earlier leaders
  * can no longer renew its lease. A lease that they gave before ends within
@@ -376,6 +424,9 @@
         w->late_orders_until = 0;
     }
     reconcile(d, w, sent_at, answer);
+    if (answer->incarnation != 0) {
+        propose_settled(d, w);
+    }
     jr_guard_worker(d, w);
     propose_ends(d, w, answer);
     d->is_dirty = true;
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -260,8 +260,12 @@
 static bool
 has_ended_with_incarnation(const jr_run_t *run)
 {
-    return run->is_listed && !run->is_inherited && !run->is_outcome_unknown &&
-           run->serial == 0;
+    int64_t settled_in = run->task->settled_in;
+
+    if (run->is_inherited) {
+        return settled_in != 0 && settled_in < run->worker->incarnation;
+    }
+    return run->is_listed && !run->is_outcome_unknown && run->serial == 0;
 }
 
 /*
--- a/src/gen/job/job.pb-c.c
+++ b/src/gen/job/job.pb-c.c
@@ -817,6 +817,51 @@
   assert(message->base.descriptor == &jr__job_zone_request__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jr__job_settled__init
+                     (Jr__JobSettled         *message)
+{
+  static const Jr__JobSettled init_value = JR__JOB_SETTLED__INIT;
+  *message = init_value;
+}
+size_t jr__job_settled__get_packed_size
+                     (const Jr__JobSettled *message)
+{
+  assert(message->base.descriptor == &jr__job_settled__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jr__job_settled__pack
+                     (const Jr__JobSettled *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jr__job_settled__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jr__job_settled__pack_to_buffer
+                     (const Jr__JobSettled *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jr__job_settled__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jr__JobSettled *
+       jr__job_settled__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jr__JobSettled *)
+     protobuf_c_message_unpack (&jr__job_settled__descriptor,
+                                allocator, len, data);
+}
+void   jr__job_settled__free_unpacked
+                     (Jr__JobSettled *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jr__job_settled__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jr__job_worker_gone__init
                      (Jr__JobWorkerGone         *message)
 {
@@ -2897,6 +2942,70 @@
   (ProtobufCMessageInit) jr__job_zone_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor jr__job_settled__field_descriptors[3] =
+{
+  {
+    "worker",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobSettled, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobSettled, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runs",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__JobSettled, n_runs),
+    offsetof(Jr__JobSettled, runs),
+    &jr__job_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jr__job_settled__field_indices_by_name[] = {
+  1,   /* field[1] = born */
+  2,   /* field[2] = runs */
+  0,   /* field[0] = worker */
+};
+static const ProtobufCIntRange jr__job_settled__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor jr__job_settled__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jr.JobSettled",
+  "JobSettled",
+  "Jr__JobSettled",
+  "jr",
+  sizeof(Jr__JobSettled),
+  3,
+  jr__job_settled__field_descriptors,
+  jr__job_settled__field_indices_by_name,
+  1,  jr__job_settled__number_ranges,
+  (ProtobufCMessageInit) jr__job_settled__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor jr__job_worker_gone__field_descriptors[2] =
 {
   {
@@ -2948,7 +3057,7 @@
   (ProtobufCMessageInit) jr__job_worker_gone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_command__field_descriptors[12] =
+static const ProtobufCFieldDescriptor jr__job_command__field_descriptors[13] =
 {
   {
     "at_ms",
@@ -3094,6 +3203,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "settled",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jr__JobCommand, body_case),
+    offsetof(Jr__JobCommand, settled),
+    &jr__job_settled__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_command__field_indices_by_name[] = {
   0,   /* field[0] = at_ms */
@@ -3103,6 +3224,7 @@
   4,   /* field[4] = grants */
   10,   /* field[10] = lease_limit */
   6,   /* field[6] = releases */
+  12,   /* field[12] = settled */
   2,   /* field[2] = submit */
   7,   /* field[7] = worker */
   8,   /* field[8] = worker_gone */
@@ -3112,7 +3234,7 @@
 static const ProtobufCIntRange jr__job_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor jr__job_command__descriptor =
 {
@@ -3122,7 +3244,7 @@
   "Jr__JobCommand",
   "jr",
   sizeof(Jr__JobCommand),
-  12,
+  13,
   jr__job_command__field_descriptors,
   jr__job_command__field_indices_by_name,
   1,  jr__job_command__number_ranges,
@@ -3338,7 +3460,7 @@
   (ProtobufCMessageInit) jr__job_leave__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_task_state__field_descriptors[11] =
+static const ProtobufCFieldDescriptor jr__job_task_state__field_descriptors[12] =
 {
   {
     "phase",
@@ -3472,6 +3594,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "settled_born",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobTaskState, settled_born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_task_state__field_indices_by_name[] = {
   1,   /* field[1] = attempt */
@@ -3483,13 +3617,14 @@
   7,   /* field[7] = failed_on */
   2,   /* field[2] = failures */
   0,   /* field[0] = phase */
+  11,   /* field[11] = settled_born */
   8,   /* field[8] = waiting_since_ms */
   4,   /* field[4] = worker */
 };
 static const ProtobufCIntRange jr__job_task_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor jr__job_task_state__descriptor =
 {
@@ -3499,7 +3634,7 @@
   "Jr__JobTaskState",
   "jr",
   sizeof(Jr__JobTaskState),
-  11,
+  12,
   jr__job_task_state__field_descriptors,
   jr__job_task_state__field_indices_by_name,
   1,  jr__job_task_state__number_ranges,
--- a/src/gen/job/job.pb-c.h
+++ b/src/gen/job/job.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Jr__JobWorkerLeaving Jr__JobWorkerLeaving;
 typedef struct Jr__JobLeaseLimit Jr__JobLeaseLimit;
 typedef struct Jr__JobZoneRequest Jr__JobZoneRequest;
+typedef struct Jr__JobSettled Jr__JobSettled;
 typedef struct Jr__JobWorkerGone Jr__JobWorkerGone;
 typedef struct Jr__JobCommand Jr__JobCommand;
 typedef struct Jr__JobAsk Jr__JobAsk;
@@ -446,6 +447,23 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * These runs began in this incarnation, and no start order for them is under
+ * way any more.
+ */
+struct  Jr__JobSettled
+{
+  ProtobufCMessage base;
+  char *worker;
+  int64_t born;
+  size_t n_runs;
+  Jr__JobRun **runs;
+};
+#define JR__JOB_SETTLED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jr__job_settled__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
 struct  Jr__JobWorkerGone
 {
   ProtobufCMessage base;
@@ -469,7 +487,8 @@
   JR__JOB_COMMAND__BODY_WORKER_GONE = 9,
   JR__JOB_COMMAND__BODY_WORKER_LEAVING = 10,
   JR__JOB_COMMAND__BODY_LEASE_LIMIT = 11,
-  JR__JOB_COMMAND__BODY_ZONE = 12
+  JR__JOB_COMMAND__BODY_ZONE = 12,
+  JR__JOB_COMMAND__BODY_SETTLED = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JR__JOB_COMMAND__BODY__CASE)
 } Jr__JobCommand__BodyCase;
 
@@ -493,6 +512,7 @@
     Jr__JobWorkerLeaving *worker_leaving;
     Jr__JobLeaseLimit *lease_limit;
     Jr__JobZoneRequest *zone;
+    Jr__JobSettled *settled;
   };
 };
 #define JR__JOB_COMMAND__INIT \
@@ -570,10 +590,14 @@
    * latest run that was counted in it
    */
   uint32_t crash_attempt;
+  /*
+   * see settled_in of jr_job_task_t; 0: not
+   */
+  int64_t settled_born;
 };
 #define JR__JOB_TASK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__job_task_state__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
@@ -1004,6 +1028,25 @@
 void   jr__job_zone_request__free_unpacked
                      (Jr__JobZoneRequest *message,
                       ProtobufCAllocator *allocator);
+/* Jr__JobSettled methods */
+void   jr__job_settled__init
+                     (Jr__JobSettled         *message);
+size_t jr__job_settled__get_packed_size
+                     (const Jr__JobSettled   *message);
+size_t jr__job_settled__pack
+                     (const Jr__JobSettled   *message,
+                      uint8_t             *out);
+size_t jr__job_settled__pack_to_buffer
+                     (const Jr__JobSettled   *message,
+                      ProtobufCBuffer     *buffer);
+Jr__JobSettled *
+       jr__job_settled__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jr__job_settled__free_unpacked
+                     (Jr__JobSettled *message,
+                      ProtobufCAllocator *allocator);
 /* Jr__JobWorkerGone methods */
 void   jr__job_worker_gone__init
                      (Jr__JobWorkerGone         *message);
@@ -1250,6 +1293,9 @@
 typedef void (*Jr__JobZoneRequest_Closure)
                  (const Jr__JobZoneRequest *message,
                   void *closure_data);
+typedef void (*Jr__JobSettled_Closure)
+                 (const Jr__JobSettled *message,
+                  void *closure_data);
 typedef void (*Jr__JobWorkerGone_Closure)
                  (const Jr__JobWorkerGone *message,
                   void *closure_data);
@@ -1305,6 +1351,7 @@
 extern const ProtobufCMessageDescriptor jr__job_worker_leaving__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_lease_limit__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_zone_request__descriptor;
+extern const ProtobufCMessageDescriptor jr__job_settled__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_worker_gone__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_command__descriptor;
 extern const ProtobufCMessageDescriptor jr__job_ask__descriptor;
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -569,6 +569,21 @@
     return JR_OK;
 }
 
+static jr_result_t
+apply_settled(jr_jobs_t *jobs, const Jr__JobSettled *settled)
+{
+    for (size_t i = 0; i < settled->n_runs; i++) {
+        jr_job_task_t *task = jr_jobs_task(jobs, settled->runs[i]);
+
+        if (task != NULL && task->phase == JR_PHASE_GRANTED &&
+            task->attempt == settled->runs[i]->attempt &&
+            strcmp(task->worker->info->id, settled->worker) == 0) {
+            task->settled_in = settled->born;
+        }
+    }
+    return JR_OK;
+}
+
 static jr_result_t
 apply_worker_removal(jr_jobs_t *jobs, const Jr__JobWorkerGone *removal)
 {
@@ -632,6 +647,8 @@
         return apply_lease_limit(jobs, command->lease_limit);
     case JR__JOB_COMMAND__BODY_ZONE:
         return apply_zone_request(jobs, command->zone);
+    case JR__JOB_COMMAND__BODY_SETTLED:
+        return apply_settled(jobs, command->settled);
     default:
         return JR_BAD_REQUEST;
     }
--- a/src/job/job_test.cc
+++ b/src/job/job_test.cc
@@ -128,6 +128,30 @@
         Apply(&command);
     }
 
+    void
+    Settle(const char *worker, Jr__JobRun run)
+    {
+        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+        Jr__JobSettled settled = JR__JOB_SETTLED__INIT;
+        Jr__JobRun *rows[] = {&run};
+
+        settled.worker = const_cast<char *>(worker);
+        settled.born = 1;
+        settled.n_runs = 1;
+        settled.runs = rows;
+        command.body_case = JR__JOB_COMMAND__BODY_SETTLED;
+        command.settled = &settled;
+        Apply(&command);
+    }
+
+    int64_t
+    SettledIn(uint64_t job, uint32_t index)
+    {
+        Jr__JobRun run = Run(job, index, 1);
+
+        return jr_jobs_task(jobs_, &run)->settled_in;
+    }
+
     void
     End(uint64_t job, uint32_t index, uint32_t attempt, Jr__JobEnd__How how)
     {
@@ -250,6 +274,22 @@
     EXPECT_EQ(Phase(1, 0), JR_PHASE_WAITING);
 }
 
+/* Guards against a later run that counts as settled before it has begun. */
+TEST_F(JobTest, OnlyTheCurrentRunOnItsWorkerIsSettled)
+{
+    Submit(1, 1);
+    Grant(1, 0, 1);
+    Settle("other", Run(1, 0, 1));
+    EXPECT_EQ(SettledIn(1, 0), 0);
+    Settle("w", Run(1, 0, 2));
+    EXPECT_EQ(SettledIn(1, 0), 0);
+    Settle("w", Run(1, 0, 1));
+    EXPECT_EQ(SettledIn(1, 0), 1);
+    End(1, 0, 1, JR__JOB_END__HOW__STOPPED);
+    Grant(1, 0, 2);
+    EXPECT_EQ(SettledIn(1, 0), 0);
+}
+
 TEST_F(JobTest, AGrantToAnEarlierIncarnationIsVoid)
 {
     Announce("w", 5);
--- a/src/job/jobs.c
+++ b/src/job/jobs.c
@@ -333,6 +333,7 @@
         TAILQ_REMOVE(&task->worker->granted, task, worker_link);
         task->worker = NULL;
         task->incarnation = 0;
+        task->settled_in = 0;
         task->is_done = false;
     }
     task->job->n_done -= task->phase == JR_PHASE_DONE;
--- a/src/job/snapshot.c
+++ b/src/job/snapshot.c
@@ -34,6 +34,7 @@
     if (task->phase == JR_PHASE_GRANTED) {
         to->worker = task->worker->info->id;
         to->born = task->incarnation;
+        to->settled_born = task->settled_in;
         to->done = task->is_done;
     }
 }
@@ -229,6 +230,7 @@
             return false;
         }
         jr_task_grant(task, worker, from->born, from->attempt);
+        task->settled_in = from->settled_born;
         task->is_done = from->done;
         return true;
     }
--- a/src/job/snapshot_test.cc
+++ b/src/job/snapshot_test.cc
@@ -86,8 +86,9 @@
        << OrNone(task.checkpoint) << " failed_on " << OrNone(task.failed_on)
        << " waiting_since " << task.waiting_since << " worker "
        << (task.worker != nullptr ? task.worker->info->id : "-")
-       << " incarnation " << task.incarnation << " done " << task.is_done
-       << "\n";
+       << " incarnation " << task.incarnation << " settled_in "
+       << task.settled_in << " crashes " << task.crash_score << " to "
+       << task.crash_attempt << " done " << task.is_done << "\n";
 }
 
 void
@@ -466,6 +467,23 @@
         Apply(&command, JR__JOB_COMMAND__BODY_RELEASES);
     }
 
+    void
+    Settle()
+    {
+        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+        Jr__JobSettled settled = JR__JOB_SETTLED__INIT;
+        Jr__JobRun run = RandomRun();
+        Jr__JobRun *rows[] = {&run};
+        std::string id = WorkerOf(run);
+
+        settled.worker = id.data();
+        settled.born = Born(id);
+        settled.n_runs = 1;
+        settled.runs = rows;
+        command.settled = &settled;
+        Apply(&command, JR__JOB_COMMAND__BODY_SETTLED);
+    }
+
     /* Some have seen an older state of the zone. */
     void
     RequestZone()
@@ -487,7 +505,7 @@
     {
         now_ +=
             Chance(EXPIRE_PERCENT) ? int64_t{JR_JOB_RETENTION_MS} : Below(500);
-        switch (Below(20)) {
+        switch (Below(21)) {
         case 0:
             Configure();
             break;
@@ -519,6 +537,9 @@
         case 12:
             RequestZone();
             break;
+        case 13:
+            Settle();
+            break;
         default:
             Grant();
             break;
