Crashes known after a lapse count also for the next leader

Cause: a run whose lease lapsed is released before it is known whether its worker had crashed.

Change: the release says how long after its start the run lapsed, and the task keeps that until the crash is counted, or until the leader says that the worker was only cut off or had announced its end. A new leader takes the lapses over.

--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -50,6 +50,20 @@
     JR_CRASH_EARLY_MS = 2000,
 };
 
+/**
+ * struct jr_lapse_t - a run that was released since its lease had lapsed
+ * @worker: id of the worker that it was granted to, owned
+ * @incarnation: of the worker; if a later one comes back, it had crashed
+ * @attempt: number of the run
+ * @after_ms: from its start until the worker was last known to be well
+ */
+typedef struct {
+    char *worker;
+    int64_t incarnation;
+    uint32_t attempt;
+    int64_t after_ms;
+} jr_lapse_t;
+
 /**
  * struct jr_job_task_t - one task of a job
  * @attempt: number of the latest run; increases with each grant
@@ -59,6 +73,9 @@
  * @crash_score: rises with each worker that crashes under the task, the more
  *               the sooner after the start; at a limit the job fails
  * @crash_attempt: latest run that was counted in @crash_score
+ * @lapse: latest run whose lease lapsed, while it is not known whether its
+ *         worker had crashed; owned, or NULL. Counted if @crash_attempt is
+ *         not lower
  * @waiting_since: when the job was accepted, the latest run ended, or its lost
  *                 worker was last in contact
  * @worker: worker that the task is granted to, else NULL
@@ -85,6 +102,7 @@
     uint32_t crash_attempt;
     char *checkpoint;
     char *failed_on;
+    jr_lapse_t *lapse;
     int64_t waiting_since;
     struct jr_job_worker *worker;
     int64_t incarnation;
--- a/src/dispatch/command.c
+++ b/src/dispatch/command.c
@@ -30,6 +30,8 @@
     jr_run_name(run, to->run);
     to->began = run->confirmed_at > 0;
     to->crashed_after_ms = run->crashed_after_ms;
+    to->lapsed_after_ms =
+        run->crashed_after_ms == 0 ? run->lapsed_after_ms : 0;
     to->silent_ms = silent_ms(d, run->worker);
     to->checkpoint = run->checkpoint != NULL ? run->checkpoint : none;
 }
@@ -59,6 +61,7 @@
 
             runs[i] = crashed->name;
             rows[i].crashed_after_ms = crashed->after_ms;
+            rows[i].not_crashed = crashed->after_ms == 0;
         }
     }
     command.body_case = JR__JOB_COMMAND__BODY_RELEASES;
--- a/src/dispatch/crash.c
+++ b/src/dispatch/crash.c
@@ -40,17 +40,31 @@
 }
 
 void
-jr_crash_add_lapsed(jr_dispatch_t *d, const jr_run_t *run)
+jr_crash_add_lapsed(jr_dispatch_t *d, jr_run_t *run)
 {
     jr_crashed_run_t lapsed = {.after_ms = age_at_crash(d, run)};
 
     if (has_not_begun(run)) {
         return;
     }
+    run->lapsed_after_ms = lapsed.after_ms;
     jr_run_name(run, &lapsed.name);
     g_array_append_val(run->worker->lapsed, lapsed);
 }
 
+void
+jr_crash_forget_lapsed(jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    for (guint i = 0; i < w->lapsed->len; i++) {
+        jr_crashed_run_t lapsed =
+            g_array_index(w->lapsed, jr_crashed_run_t, i);
+
+        lapsed.after_ms = 0;
+        g_array_append_val(d->crashes, lapsed);
+    }
+    g_array_set_size(w->lapsed, 0);
+}
+
 static void
 report_lapsed(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
@@ -89,7 +103,7 @@
     jr_run_t *run;
 
     if (is_expected(w)) {
-        g_array_set_size(w->lapsed, 0);
+        jr_crash_forget_lapsed(d, w);
         return;
     }
     report_lapsed(d, w);
@@ -114,3 +128,52 @@
         run->crashed_after_ms = JR_CRASH_EARLY_MS + 1;
     }
 }
+
+/*
+ * The worker is back as a later incarnation, but the earlier leader did not
+ * say so in the log; whether other workers crashed with it is not known.
+ */
+static void
+add_inherited_crash(jr_dispatch_t *d, jr_crashed_run_t *lapsed)
+{
+    lapsed->after_ms = MAX(lapsed->after_ms, JR_CRASH_EARLY_MS + 1);
+    g_array_append_vals(d->crashes, lapsed, 1);
+}
+
+static void
+take_over_lapse(jr_dispatch_t *d, const jr_job_task_t *task)
+{
+    const jr_lapse_t *lapse = task->lapse;
+    jr_crashed_run_t lapsed = {.after_ms = lapse->after_ms};
+    jr_job_worker_t *worker = jr_jobs_worker(d->jobs, lapse->worker);
+
+    if (worker == NULL || lapse->attempt <= task->crash_attempt) {
+        return;
+    }
+    jr__job_run__init(&lapsed.name);
+    lapsed.name.job = task->job->id;
+    lapsed.name.occurrence = task->occurrence;
+    lapsed.name.step = task->step;
+    lapsed.name.index = task->index;
+    lapsed.name.attempt = lapse->attempt;
+    if (worker->info->born > lapse->incarnation) {
+        add_inherited_crash(d, &lapsed);
+    }
+    else {
+        g_array_append_val(worker->local->lapsed, lapsed);
+    }
+}
+
+void
+jr_crash_take_over(jr_dispatch_t *d)
+{
+    const jr_job_t *job;
+
+    TAILQ_FOREACH (job, &d->jobs->live, link) {
+        for (uint32_t i = 0; i < job->n_tasks; i++) {
+            if (job->tasks[i].lapse != NULL) {
+                take_over_lapse(d, &job->tasks[i]);
+            }
+        }
+    }
+}
--- a/src/dispatch/crash_test.cc
+++ b/src/dispatch/crash_test.cc
@@ -173,6 +173,59 @@
     ExpectClean(fleet);
 }
 
+/*
+ * Guards against a crash that nobody counts: the leader changes when the lease
+ * of the crashed worker has lapsed, before the worker is back.
+ */
+TEST(CrashTest, CrashesThatAreKnownAfterALapseAndAChangeOfLeaderCount)
+{
+    Fleet fleet(1, 6);
+
+    fleet.crashed_for_ms = 6000;
+    SubmitCrashingJob(&fleet);
+    for (int i = 0; i < 8; i++) {
+        uint64_t lapses = fleet.Counter(JR_C_EXPIRIES);
+
+        for (int k = 0; k < 1500; k++) {
+            fleet.Run(10);
+            if (fleet.Counter(JR_C_EXPIRIES) != lapses) {
+                break;
+            }
+        }
+        fleet.ChangeLeader(true);
+    }
+    fleet.Run(10000);
+    EXPECT_EQ(fleet.State(kCrashingJob), JR_JOB_FAILED);
+    ExpectClean(fleet);
+}
+
+/* Guards against a lapse that counts as a crash long after it was explained.
+ */
+TEST(CrashTest, AWorkerThatWasCutOffHasNotCrashedForTheNextLeader)
+{
+    Fleet fleet(1, 1);
+    Jr__JobRun name = JR__JOB_RUN__INIT;
+
+    name.job = kServiceJob;
+    fleet.long_running_job = kServiceJob;
+    fleet.Submit(kServiceJob, {MakeStep(1)});
+    fleet.Run(1000);
+    fleet.SetPartitioned(0, true);
+    fleet.Run(5000);
+    EXPECT_EQ(jr_jobs_task(fleet.jobs, &name)->phase, JR_PHASE_WAITING);
+    EXPECT_NE(jr_jobs_task(fleet.jobs, &name)->lapse, nullptr);
+    fleet.SetPartitioned(0, false);
+    fleet.Run(3000);
+    EXPECT_EQ(jr_jobs_task(fleet.jobs, &name)->lapse, nullptr);
+    fleet.Drain(0);
+    fleet.Run(4000);
+    fleet.Restart(0);
+    fleet.Run(100);
+    fleet.ChangeLeader(true);
+    fleet.Run(5000);
+    EXPECT_EQ(jr_jobs_task(fleet.jobs, &name)->crash_score, 0u);
+}
+
 /* Guards against jobs that are given up since they ran beside a crashing task.
  */
 TEST(CrashTest, TasksBesideACrashingOneAreNotGivenUp)
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -324,6 +324,7 @@
         take_over(d, g_ptr_array_index(workers, i));
     }
     g_ptr_array_unref(workers);
+    jr_crash_take_over(d);
     d->next_worker = TAILQ_FIRST(&d->workers);
     d->scanned_at = INT64_MIN;
 }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -84,6 +84,7 @@
     int64_t slowed_ms;          /* time lost by running below full pace */
     int64_t granted_at;
     int64_t crashed_after_ms; /* age when its worker crashed, 0: it did not */
+    int64_t lapsed_after_ms;  /* the same when its lease lapsed */
     char *checkpoint;         /* the latest that the worker listed */
 } jr_run_t;
 
@@ -92,7 +93,7 @@
 /* A run under which its worker crashed, or may have. */
 typedef struct {
     Jr__JobRun name;
-    int64_t after_ms; /* from its start */
+    int64_t after_ms; /* from its start; 0: the worker had not crashed */
 } jr_crashed_run_t;
 
 /* A worker; leader-local state, not replicated. */
@@ -228,7 +229,9 @@
     jr_sent_t *sent;
     STAILQ_HEAD(, jr_queued_command) commands;
     GPtrArray *releases; /* of runs */
-    /* Runs (jr_crashed_run_t) that were released before the crash was known.
+    /*
+     * Runs (jr_crashed_run_t) that were released before it was known whether
+     * their worker had crashed.
      */
     GArray *crashes;
     GPtrArray *proposed; /* runs whose grant is to be proposed */
@@ -318,7 +321,11 @@
 /* So recently that the worker itself may be unstable. */
 bool jr_crash_is_recent(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
 /* The lease of the run lapsed; the cause is not known yet. */
-void jr_crash_add_lapsed(jr_dispatch_t *d, const jr_run_t *run);
+void jr_crash_add_lapsed(jr_dispatch_t *d, jr_run_t *run);
+/* The worker whose leases lapsed had not crashed. */
+void jr_crash_forget_lapsed(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* Runs that lapsed under an earlier leader. */
+void jr_crash_take_over(jr_dispatch_t *d);
 
 /* guard.c: protects services against best-effort tasks. */
 void jr_guard_worker(jr_dispatch_t *d, jr_tracked_worker_t *w);
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -410,7 +410,7 @@
         jr_tracked_worker_restart(d, w, answer->incarnation);
         return;
     }
-    g_array_set_size(w->lapsed, 0); /* it was cut off */
+    jr_crash_forget_lapsed(d, w); /* it was cut off */
     note_lease(d, w, clock_ms);
     jr_tracked_worker_set_clock(w, clock_ms, d->now);
     w->answered_at = sent_at;
--- a/src/gen/job/job.pb-c.c
+++ b/src/gen/job/job.pb-c.c
@@ -2661,7 +2661,7 @@
   (ProtobufCMessageInit) jr__job_ends__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_release__field_descriptors[5] =
+static const ProtobufCFieldDescriptor jr__job_release__field_descriptors[7] =
 {
   {
     "run",
@@ -2723,18 +2723,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lapsed_after_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobRelease, lapsed_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "not_crashed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobRelease, not_crashed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_release__field_indices_by_name[] = {
   2,   /* field[2] = began */
   1,   /* field[1] = checkpoint */
   4,   /* field[4] = crashed_after_ms */
+  5,   /* field[5] = lapsed_after_ms */
+  6,   /* field[6] = not_crashed */
   0,   /* field[0] = run */
   3,   /* field[3] = silent_ms */
 };
 static const ProtobufCIntRange jr__job_release__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor jr__job_release__descriptor =
 {
@@ -2744,7 +2770,7 @@
   "Jr__JobRelease",
   "jr",
   sizeof(Jr__JobRelease),
-  5,
+  7,
   jr__job_release__field_descriptors,
   jr__job_release__field_indices_by_name,
   1,  jr__job_release__number_ranges,
@@ -3460,7 +3486,7 @@
   (ProtobufCMessageInit) jr__job_leave__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_task_state__field_descriptors[12] =
+static const ProtobufCFieldDescriptor jr__job_task_state__field_descriptors[16] =
 {
   {
     "phase",
@@ -3606,6 +3632,54 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lapsed_on",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobTaskState, lapsed_on),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lapsed_born",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobTaskState, lapsed_born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lapsed_attempt",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobTaskState, lapsed_attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lapsed_after_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobTaskState, lapsed_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_task_state__field_indices_by_name[] = {
   1,   /* field[1] = attempt */
@@ -3616,6 +3690,10 @@
   6,   /* field[6] = done */
   7,   /* field[7] = failed_on */
   2,   /* field[2] = failures */
+  15,   /* field[15] = lapsed_after_ms */
+  14,   /* field[14] = lapsed_attempt */
+  13,   /* field[13] = lapsed_born */
+  12,   /* field[12] = lapsed_on */
   0,   /* field[0] = phase */
   11,   /* field[11] = settled_born */
   8,   /* field[8] = waiting_since_ms */
@@ -3624,7 +3702,7 @@
 static const ProtobufCIntRange jr__job_task_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor jr__job_task_state__descriptor =
 {
@@ -3634,7 +3712,7 @@
   "Jr__JobTaskState",
   "jr",
   sizeof(Jr__JobTaskState),
-  12,
+  16,
   jr__job_task_state__field_descriptors,
   jr__job_task_state__field_indices_by_name,
   1,  jr__job_task_state__number_ranges,
--- a/src/gen/job/job.pb-c.h
+++ b/src/gen/job/job.pb-c.h
@@ -385,10 +385,19 @@
    * The worker crashed under the run, so long after its start; 0: it did not.
    */
   int64_t crashed_after_ms;
+  /*
+   * The lease of the worker lapsed so long after the start; 0: it did not. If
+   * the worker comes back as another incarnation, it had crashed.
+   */
+  int64_t lapsed_after_ms;
+  /*
+   * The run ended before, with its lease, and its worker had not crashed.
+   */
+  protobuf_c_boolean not_crashed;
 };
 #define JR__JOB_RELEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__job_release__descriptor) \
-    , NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Jr__JobReleases
@@ -594,10 +603,17 @@
    * see settled_in of jr_job_task_t; 0: not
    */
   int64_t settled_born;
+  /*
+   * see jr_lapse_t; empty: none
+   */
+  char *lapsed_on;
+  int64_t lapsed_born;
+  uint32_t lapsed_attempt;
+  int64_t lapsed_after_ms;
 };
 #define JR__JOB_TASK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__job_task_state__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -499,6 +499,30 @@
     }
 }
 
+static void
+note_lapse(jr_jobs_t *jobs, jr_job_task_t *task, const Jr__JobRelease *release)
+{
+    jr_lapse_t lapse = {
+        .worker = task->worker->info->id,
+        .incarnation = task->incarnation,
+        .attempt = task->attempt,
+        .after_ms = release->lapsed_after_ms,
+    };
+
+    if (release->lapsed_after_ms > 0) {
+        jr_task_set_lapse(jobs, task, &lapse);
+    }
+}
+
+/* The worker was only cut off, or had announced its end. */
+static void
+forget_lapse(jr_jobs_t *jobs, jr_job_task_t *task, uint32_t attempt)
+{
+    if (task->lapse != NULL && task->lapse->attempt == attempt) {
+        jr_task_set_lapse(jobs, task, NULL);
+    }
+}
+
 /*
  * A run whose lease lapsed is released before it is known that its worker
  * crashed: such a crash is reported afterwards.
@@ -509,8 +533,13 @@
 {
     jr_job_t *job = task->job;
 
+    if (release->not_crashed) {
+        forget_lapse(jobs, task, release->run->attempt);
+        return;
+    }
     if (task->phase == JR_PHASE_GRANTED &&
         task->attempt == release->run->attempt) {
+        note_lapse(jobs, task, release);
         end_run(jobs, task, release->checkpoint, release->began);
         credit_wait(task, release->silent_ms);
         notify_task(jobs, task);
--- a/src/job/crash.c
+++ b/src/job/crash.c
@@ -21,6 +21,21 @@
     return task->crash_score > 0 && is_early ? EARLY_SCORE : SCORE;
 }
 
+void
+jr_task_set_lapse(jr_jobs_t *jobs, jr_job_task_t *task,
+                  const jr_lapse_t *lapse)
+{
+    if (task->lapse != NULL) {
+        jr_free(jobs->ctx, task->lapse->worker);
+        jr_free(jobs->ctx, task->lapse);
+        task->lapse = NULL;
+    }
+    if (lapse != NULL) {
+        task->lapse = jr_memdup(jobs->ctx, lapse, sizeof *lapse);
+        task->lapse->worker = jr_strdup(jobs->ctx, lapse->worker);
+    }
+}
+
 bool
 jr_task_count_crash(jr_job_task_t *task, uint32_t attempt, int64_t after_ms)
 {
--- a/src/job/jobs.c
+++ b/src/job/jobs.c
@@ -274,6 +274,7 @@
     for (uint32_t i = 0; i < job->n_tasks; i++) {
         jr_free(jobs->ctx, job->tasks[i].checkpoint);
         jr_free(jobs->ctx, job->tasks[i].failed_on);
+        jr_task_set_lapse(jobs, &job->tasks[i], NULL);
     }
     for (size_t i = 0; i < n_steps; i++) {
         free_failed_attempts(jobs, &job->steps[i]);
--- a/src/job/jobs.h
+++ b/src/job/jobs.h
@@ -29,6 +29,9 @@
 /* Count an attempt of a gang as a failure. */
 void jr_step_add_failed_attempt(jr_jobs_t *jobs, jr_step_progress_t *step,
                                 uint32_t attempt);
+/* Replaces the lapse of the task by a copy; NULL: by none. */
+void jr_task_set_lapse(jr_jobs_t *jobs, jr_job_task_t *task,
+                       const jr_lapse_t *lapse);
 /*
  * The worker of a run crashed so long after the start of the run. Returns true
  * when the task is to be given up.
--- a/src/job/snapshot.c
+++ b/src/job/snapshot.c
@@ -18,6 +18,33 @@
     return since != job->accepted_ms ? since : 0;
 }
 
+static void
+fill_lapse(const jr_lapse_t *lapse, Jr__JobTaskState *to)
+{
+    to->lapsed_on = empty;
+    if (lapse != NULL) {
+        to->lapsed_on = lapse->worker;
+        to->lapsed_born = lapse->incarnation;
+        to->lapsed_attempt = lapse->attempt;
+        to->lapsed_after_ms = lapse->after_ms;
+    }
+}
+
+static void
+load_lapse(jr_jobs_t *jobs, jr_job_task_t *task, const Jr__JobTaskState *from)
+{
+    jr_lapse_t lapse = {
+        .worker = from->lapsed_on,
+        .incarnation = from->lapsed_born,
+        .attempt = from->lapsed_attempt,
+        .after_ms = from->lapsed_after_ms,
+    };
+
+    if (*from->lapsed_on != '\0') {
+        jr_task_set_lapse(jobs, task, &lapse);
+    }
+}
+
 static void
 fill_task(const jr_job_task_t *task, Jr__JobTaskState *to)
 {
@@ -30,6 +57,7 @@
     to->checkpoint = or_empty(task->checkpoint);
     to->failed_on = or_empty(task->failed_on);
     to->waiting_since_ms = since_or_zero(task->job, task->waiting_since);
+    fill_lapse(task->lapse, to);
     to->worker = empty;
     if (task->phase == JR_PHASE_GRANTED) {
         to->worker = task->worker->info->id;
@@ -224,6 +252,7 @@
     task->failures = from->failures;
     task->crash_score = from->crash_score;
     task->crash_attempt = from->crash_attempt;
+    load_lapse(jobs, task, from);
     if (from->phase == JR_PHASE_GRANTED) {
         worker = jr_jobs_worker(jobs, from->worker);
         if (worker == NULL) {
--- a/src/job/snapshot_test.cc
+++ b/src/job/snapshot_test.cc
@@ -77,6 +77,19 @@
     return Packed(queue, jr__job_queue__get_packed_size, jr__job_queue__pack);
 }
 
+std::string
+LapseText(const jr_job_task_t &task)
+{
+    const jr_lapse_t *lapse = task.lapse;
+
+    return lapse == nullptr
+               ? "-"
+               : std::string(lapse->worker) + "/" +
+                     std::to_string(lapse->incarnation) + " attempt " +
+                     std::to_string(lapse->attempt) + " after " +
+                     std::to_string(lapse->after_ms);
+}
+
 void
 PrintTask(const jr_job_task_t &task, std::ostream &to)
 {
@@ -88,7 +101,8 @@
        << (task.worker != nullptr ? task.worker->info->id : "-")
        << " incarnation " << task.incarnation << " settled_in "
        << task.settled_in << " crashes " << task.crash_score << " to "
-       << task.crash_attempt << " done " << task.is_done << "\n";
+       << task.crash_attempt << " lapse " << LapseText(task) << " done "
+       << task.is_done << "\n";
 }
 
 void
@@ -460,6 +474,8 @@
         release.run = &run;
         release.began = Chance(50);
         release.crashed_after_ms = Chance(20) ? Below(40000) : 0;
+        release.lapsed_after_ms = Chance(30) ? Below(40000) : 0;
+        release.not_crashed = Chance(10);
         release.silent_ms = Chance(50) ? Below(20000) : 0;
         releases.n_releases = 1;
         releases.releases = rows;
