A start is repeated after a lost answer, also if one was unreached

Cause: a start that did not reach its worker marked the run, and the mark stayed when a later one was sent and its answer was lost. The start then waited for a list of the worker, also while none could come.

Change: a start order that was sent takes the mark away; the next one that is not sent sets it again, and then the list decides as before.

--- a/src/dispatch/grant_test.cc
+++ b/src/dispatch/grant_test.cc
@@ -114,6 +114,30 @@
         return workers;
     }
 
+    /* Answers all orders so for a while; returns the number of starts. */
+    int
+    RunWith(jr_answer_kind_t start, jr_answer_kind_t renewal, int64_t ms)
+    {
+        int n_starts = 0;
+
+        for (int64_t end = now_ + ms; now_ < end;) {
+            jr_order_t order;
+
+            Tick();
+            while (jr_dispatch_take_order(dispatch_, &order)) {
+                bool is_start = order.kind == JR_ORDER_START;
+                jr_answer_t answer = {};
+
+                answer.kind = is_start ? start : renewal;
+                answer.clock_ms = now_;
+                answer.incarnation = kBorn;
+                n_starts += is_start;
+                jr_dispatch_answer(dispatch_, order.serial, &answer, now_);
+            }
+        }
+        return n_starts;
+    }
+
     /* Returns the proposal that grants the task. */
     Bytes
     GrantTo(const std::string &id)
@@ -214,4 +238,32 @@
     ADD_FAILURE() << "the task is not started again";
 }
 
+/*
+ * Guards against a start that is not repeated: one that did not reach the
+ * worker at first, and whose answer is lost after it did.
+ */
+TEST_F(GrantTest, AStartThatWasOnceUnreachedIsRepeatedAfterALostAnswer)
+{
+    Submit();
+    Apply(GrantTo("w0"));
+    EXPECT_EQ(RunWith(JR_ANSWER_UNREACHED, JR_ANSWER_DONE, kTickMs), 1);
+    EXPECT_EQ(RunWith(JR_ANSWER_UNKNOWN, JR_ANSWER_DONE, 3 * kTickMs), 1);
+    EXPECT_GT(RunWith(JR_ANSWER_UNKNOWN, JR_ANSWER_UNKNOWN, 10 * kTickMs), 0);
+}
+
+/*
+ * Guards against a start that crashes its worker twice: the worker may have
+ * crashed under the one without an answer, and can't be reached since.
+ */
+TEST_F(GrantTest, AStartWithoutAnswerIsNotRepeatedOnceItsWorkerIsUnreached)
+{
+    Submit();
+    Apply(GrantTo("w0"));
+    EXPECT_EQ(RunWith(JR_ANSWER_UNKNOWN, JR_ANSWER_UNREACHED, kTickMs), 1);
+    EXPECT_EQ(RunWith(JR_ANSWER_UNREACHED, JR_ANSWER_UNREACHED, 4 * kTickMs),
+              1);
+    EXPECT_EQ(RunWith(JR_ANSWER_UNKNOWN, JR_ANSWER_UNREACHED, 10 * kTickMs),
+              0);
+}
+
 } // namespace
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -404,6 +404,7 @@
         break;
     case JR_ANSWER_UNKNOWN:
         run->is_outcome_unknown = true;
+        run->is_unreached = false; /* this one was sent */
         jr_tracked_worker_suspect(d, run->worker);
         retry(d, run);
         break;
