A refusal for drained zones says nothing of an earlier attempt

Cause: after an attempt without an answer, a later one that was refused since all zones of a service were drained, or by another configuration, was answered as a refusal (503, 400), which says that nothing was executed. The first attempt may arrive later, when its reason does not hold any more.

Change: these two codes are refusals like the others: the outcome of a command is unknown then (504).

Tested: UnansweredAttemptTest, red before for both codes; two more tests hold what is said of a request that is given up.

--- a/src/net/ask.c
+++ b/src/net/ask.c
@@ -246,16 +246,21 @@
     pending->attempt_at = now + RETRY_DELAY_MS;
 }
 
-/* Does the code say that a command had no effect? */
+/*
+ * Does the code say that a command had no effect, for a reason that may not
+ * have held for an earlier attempt?
+ */
 static bool
 is_refusal(uint32_t code)
 {
     switch (code) {
+    case JR_BAD_REQUEST: /* by another configuration, or other rules */
     case JR_NOT_FOUND:
     case JR_QUOTA:
     case JR_OVERLOADED:
     case JR_NO_QUORUM:
     case JR_NO_CONFIG:
+    case JR_NO_UPSTREAM:
         return true;
     default:
         return false;
--- a/src/net/ask_test.cc
+++ b/src/net/ask_test.cc
@@ -40,6 +40,7 @@
         AskTest *test;
         jr_bus_t *bus = nullptr;
         bool answers = false;
+        jr_result_t code = JR_OK;
     };
 
     void
@@ -93,6 +94,7 @@
             return;
         }
         reply.id = envelope->request->id;
+        reply.code = server->code;
         answer.body_case = JR__ENVELOPE__BODY_REPLY;
         answer.reply = &reply;
         jr_bus_reply(server->bus, route, &answer);
@@ -105,6 +107,7 @@
 
         if (envelope->body_case == JR__ENVELOPE__BODY_REPLY) {
             jr_requester_handle_reply(test->requester_, envelope->reply);
+            test->n_replies_++;
         }
     }
 
@@ -161,6 +164,29 @@
         return outcome.code;
     }
 
+    /* The outcome of a request that is given up after so many replies. */
+    jr_result_t
+    AskAndAbandon(jr_requester_t *requester, int n_replies)
+    {
+        jr_result_t outcome = JR_OK;
+        Jr__Join join = JR__JOIN__INIT;
+        Jr__Request request = JR__REQUEST__INIT;
+
+        request.body_case = JR__REQUEST__BODY_JOIN;
+        request.join = &join;
+        jr_requester_send(
+            requester, &request, kTimeoutMs,
+            [](void *user, jr_result_t code, const Jr__Reply *) {
+                *static_cast<jr_result_t *>(user) = code;
+            },
+            &outcome);
+        for (n_replies_ = 0; n_replies_ < n_replies;) {
+            ev_run(loop_, EVRUN_ONCE);
+        }
+        jr_requester_abandon_all(requester);
+        return outcome;
+    }
+
     jr_ctx_t *ctx_ = nullptr;
     struct ev_loop *loop_ = nullptr;
     jr_bus_keys_t keys_ = {};
@@ -168,6 +194,7 @@
     jr_requester_t *requester_ = nullptr;
     Server servers_[kServers];
     int peers_[kServers] = {};
+    int n_replies_ = 0;
 };
 
 /* A request whose time ends with two silent processes must not hide a third.
@@ -185,6 +212,29 @@
     EXPECT_EQ(Ask(), JR_OK);
 }
 
+/* Guards against "not executed" for a request that a process may have. */
+TEST_F(AskTest, ARequestThatWasSentIsUnknownWhenItIsGivenUp)
+{
+    EXPECT_EQ(AskAndAbandon(requester_, 0), JR_UNKNOWN);
+}
+
+/* "Not executed" needs an answer of each process that was asked. */
+TEST_F(AskTest, ARequestThatNobodyTookIsNotExecutedWhenItIsGivenUp)
+{
+    std::string address = FreeAddress(); /* nothing listens there */
+    int peer = jr_bus_connect(client_, "nobody", address.c_str());
+    jr_requester_t *requester =
+        jr_new_requester(ctx_, loop_, client_, &peer, 1);
+
+    EXPECT_EQ(AskAndAbandon(requester, 0), JR_NO_QUORUM);
+    jr_drop_requester(requester);
+    for (Server &server : servers_) {
+        server.answers = true;
+        server.code = JR_NOT_LEADER;
+    }
+    EXPECT_EQ(AskAndAbandon(requester_, 1), JR_NO_QUORUM);
+}
+
 /* A control process that leaves the first attempt of a request unanswered. */
 class UnansweredAttemptTest : public ::testing::Test {
   protected:
@@ -294,6 +344,22 @@
     EXPECT_EQ(Ask(&request, JR_KEY_REUSED), JR_KEY_REUSED);
 }
 
+/*
+ * The same for refusals that depend on what may change between two attempts:
+ * drained zones, the configuration and the rules.
+ */
+TEST_F(UnansweredAttemptTest, ARefusedSubmissionIsUnknownAfterAnUnanswered)
+{
+    Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+    Jr__Request request = JR__REQUEST__INIT;
+
+    request.body_case = JR__REQUEST__BODY_JOB_COMMAND;
+    request.job_command = &command;
+    for (jr_result_t refusal : {JR_NO_UPSTREAM, JR_BAD_REQUEST}) {
+        EXPECT_EQ(Ask(&request, refusal), JR_UNKNOWN);
+    }
+}
+
 TEST_F(UnansweredAttemptTest, AReadIsAnsweredByItsLastAttempt)
 {
     static char none[] = "";
