--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -66,6 +66,7 @@
     bool is_inherited;       /* granted by an earlier leader */
     bool is_suspect;         /* a worker crashed under an earlier run */
     bool is_listed;          /* its incarnation listed it as running */
+    bool is_settled;         /* said so to the log, see jr_job_task_t */
     bool is_stop_wanted;
     uint64_t serial;      /* of the pending order, 0 for none */
     int64_t expires_ms;   /* lease of its first start, on the worker's clock */
@@ -88,6 +89,7 @@
     int64_t slowed_ms;          /* time lost by running below full pace */
     int64_t granted_at;
     int64_t crashed_after_ms; /* age when its worker crashed, 0: it did not */
+    int64_t lapsed_after_ms;  /* the same when its lease lapsed */
     char *checkpoint;         /* the latest that the worker listed */
     /* From when on its speed is measured, 0: never; and its progress then. */
     int64_t speed_from_at;
@@ -100,7 +102,7 @@
 /* A run under which its worker crashed, or may have. */
 typedef struct {
     Jr__JobRun name;
-    int64_t after_ms; /* from its start */
+    int64_t after_ms; /* from its start; 0: the worker had not crashed */
 } jr_crashed_run_t;
 
 /* A worker; leader-local state, not replicated. */
@@ -244,7 +246,9 @@
     jr_sent_t *sent;
     STAILQ_HEAD(, jr_queued_command) commands;
     GPtrArray *releases; /* of runs */
-    /* Runs (jr_crashed_run_t) that were released before the crash was known.
+    /*
+     * Runs (jr_crashed_run_t) that were released before it was known whether
+     * their worker had crashed.
      */
     GArray *crashes;
     GPtrArray *proposed; /* runs whose grant is to be proposed */
@@ -363,7 +367,11 @@
 /* So recently that the worker itself may be unstable. */
 bool jr_crash_is_recent(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
 /* The lease of the run lapsed; the cause is not known yet. */
-void jr_crash_add_lapsed(jr_dispatch_t *d, const jr_run_t *run);
+void jr_crash_add_lapsed(jr_dispatch_t *d, jr_run_t *run);
+/* The worker whose leases lapsed had not crashed. */
+void jr_crash_forget_lapsed(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* Runs that lapsed under an earlier leader. */
+void jr_crash_take_over(jr_dispatch_t *d);
 
 /* guard.c: protects services against best-effort tasks. */
 void jr_guard_worker(jr_dispatch_t *d, jr_tracked_worker_t *w);
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -497,6 +497,30 @@
     }
 }
 
+static void
+note_lapse(jr_jobs_t *jobs, jr_job_task_t *task, const Jr__JobRelease *release)
+{
+    jr_lapse_t lapse = {
+        .worker = task->worker->info->id,
+        .incarnation = task->incarnation,
+        .attempt = task->attempt,
+        .after_ms = release->lapsed_after_ms,
+    };
+
+    if (release->lapsed_after_ms > 0) {
+        jr_task_set_lapse(jobs, task, &lapse);
+    }
+}
+
+/* The worker was only cut off, or had announced its end. */
+static void
+forget_lapse(jr_jobs_t *jobs, jr_job_task_t *task, uint32_t attempt)
+{
+    if (task->lapse != NULL && task->lapse->attempt == attempt) {
+        jr_task_set_lapse(jobs, task, NULL);
+    }
+}
+
 /*
  * A run whose lease lapsed is released before it is known that its worker
  * crashed: such a crash is reported afterwards.
@@ -507,8 +531,13 @@
 {
     jr_job_t *job = task->job;
 
+    if (release->not_crashed) {
+        forget_lapse(jobs, task, release->run->attempt);
+        return;
+    }
     if (task->phase == JR_PHASE_GRANTED &&
         task->attempt == release->run->attempt) {
+        note_lapse(jobs, task, release);
         end_run(jobs, task, release->checkpoint, release->began);
         credit_wait(task, release->silent_ms);
         notify_task(jobs, task);
@@ -586,6 +615,21 @@
     return JR_OK;
 }
 
+static jr_result_t
+apply_settled(jr_jobs_t *jobs, const Jr__JobSettled *settled)
+{
+    for (size_t i = 0; i < settled->n_runs; i++) {
+        jr_job_task_t *task = jr_jobs_task(jobs, settled->runs[i]);
+
+        if (task != NULL && task->phase == JR_PHASE_GRANTED &&
+            task->attempt == settled->runs[i]->attempt &&
+            strcmp(task->worker->info->id, settled->worker) == 0) {
+            task->settled_in = settled->born;
+        }
+    }
+    return JR_OK;
+}
+
 static jr_result_t
 apply_worker_removal(jr_jobs_t *jobs, const Jr__JobWorkerGone *removal)
 {
@@ -649,6 +693,8 @@
         return apply_lease_limit(jobs, command->lease_limit);
     case JR__JOB_COMMAND__BODY_ZONE:
         return apply_zone_request(jobs, command->zone);
+    case JR__JOB_COMMAND__BODY_SETTLED:
+        return apply_settled(jobs, command->settled);
     default:
         return JR_BAD_REQUEST;
     }
--- a/src/job/jobs.c
+++ b/src/job/jobs.c
@@ -279,6 +279,7 @@
     for (uint32_t i = 0; i < job->n_tasks; i++) {
         jr_free(jobs->ctx, job->tasks[i].checkpoint);
         jr_free(jobs->ctx, job->tasks[i].failed_on);
+        jr_task_set_lapse(jobs, &job->tasks[i], NULL);
     }
     for (size_t i = 0; i < n_steps; i++) {
         free_failed_attempts(jobs, &job->steps[i]);
@@ -338,6 +339,7 @@
         TAILQ_REMOVE(&task->worker->granted, task, worker_link);
         task->worker = NULL;
         task->incarnation = 0;
+        task->settled_in = 0;
         task->is_done = false;
     }
     task->job->n_done -= task->phase == JR_PHASE_DONE;
--- a/src/job/snapshot_test.cc
+++ b/src/job/snapshot_test.cc
@@ -77,6 +77,19 @@
     return Packed(queue, jr__job_queue__get_packed_size, jr__job_queue__pack);
 }
 
+std::string
+LapseText(const jr_job_task_t &task)
+{
+    const jr_lapse_t *lapse = task.lapse;
+
+    return lapse == nullptr
+               ? "-"
+               : std::string(lapse->worker) + "/" +
+                     std::to_string(lapse->incarnation) + " attempt " +
+                     std::to_string(lapse->attempt) + " after " +
+                     std::to_string(lapse->after_ms);
+}
+
 void
 PrintTask(const jr_job_task_t &task, std::ostream &to)
 {
@@ -86,8 +99,10 @@
        << OrNone(task.checkpoint) << " failed_on " << OrNone(task.failed_on)
        << " waiting_since " << task.waiting_since << " worker "
        << (task.worker != nullptr ? task.worker->info->id : "-")
-       << " incarnation " << task.incarnation << " done " << task.is_done
-       << "\n";
+       << " incarnation " << task.incarnation << " settled_in "
+       << task.settled_in << " crashes " << task.crash_score << " to "
+       << task.crash_attempt << " lapse " << LapseText(task) << " done "
+       << task.is_done << "\n";
 }
 
 void
@@ -459,6 +474,8 @@
         release.run = &run;
         release.began = Chance(50);
         release.crashed_after_ms = Chance(20) ? Below(40000) : 0;
+        release.lapsed_after_ms = Chance(30) ? Below(40000) : 0;
+        release.not_crashed = Chance(10);
         release.silent_ms = Chance(50) ? Below(20000) : 0;
         releases.n_releases = 1;
         releases.releases = rows;
@@ -466,6 +483,23 @@
         Apply(&command, JR__JOB_COMMAND__BODY_RELEASES);
     }
 
+    void
+    Settle()
+    {
+        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+        Jr__JobSettled settled = JR__JOB_SETTLED__INIT;
+        Jr__JobRun run = RandomRun();
+        Jr__JobRun *rows[] = {&run};
+        std::string id = WorkerOf(run);
+
+        settled.worker = id.data();
+        settled.born = Born(id);
+        settled.n_runs = 1;
+        settled.runs = rows;
+        command.settled = &settled;
+        Apply(&command, JR__JOB_COMMAND__BODY_SETTLED);
+    }
+
     /* Some have seen an older state of the zone. */
     void
     RequestZone()
@@ -487,7 +521,7 @@
     {
         now_ +=
             Chance(EXPIRE_PERCENT) ? int64_t{JR_JOB_RETENTION_MS} : Below(500);
-        switch (Below(20)) {
+        switch (Below(21)) {
         case 0:
             Configure();
             break;
@@ -519,6 +553,9 @@
         case 12:
             RequestZone();
             break;
+        case 13:
+            Settle();
+            break;
         default:
             Grant();
             break;
