Only services that are stopped count against the bound of preemption

Cause: the run time that is lost was added for all services that were chosen, also for those that may_miss kept at work. With one of a step of 16 allowed, one stop of 5 s used up 15 s of the 16 s of the test's workers, and urgent tasks got no other capacity for seconds. What was below 10 s divided by the time between two passes did not decay either, as the decay was rounded down.

Change: each stop adds its own loss; the sum is a floating-point number.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -215,7 +215,7 @@
     jr_demand_t short_demand; /* processors for short tasks, thousandths */
     jr_demand_sum_t short_waiting; /* before the latest pass */
     int64_t preempted_at;          /* when lost_to_urgent_ms was updated */
-    int64_t lost_to_urgent_ms;     /* of one processor, decaying */
+    double lost_to_urgent_ms;      /* of one processor, decaying */
     /* Of the recent peak of short tasks; see jr_reserve_left_for_services().
      */
     int64_t left_for_services;
--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -157,26 +157,30 @@
 static int64_t
 remaining_budget(jr_dispatch_t *d)
 {
-    int64_t age = MIN(d->now - d->preempted_at, (int64_t)LOST_WINDOW_MS);
+    double age_ms =
+        (double)MIN(d->now - d->preempted_at, (int64_t)LOST_WINDOW_MS);
     int64_t all_milli = 0;
     const jr_tracked_worker_t *w;
 
     TAILQ_FOREACH (w, &d->workers, link) {
         all_milli += w->is_usable ? w->worker->info->cpu_milli : 0;
     }
-    d->lost_to_urgent_ms -= d->lost_to_urgent_ms * age / LOST_WINDOW_MS;
+    d->lost_to_urgent_ms -= d->lost_to_urgent_ms * age_ms / LOST_WINDOW_MS;
     d->preempted_at = d->now;
     return all_milli * LOST_PERMILLE / PERMILLE * LOST_WINDOW_MS / PERMILLE -
-           d->lost_to_urgent_ms;
+           (int64_t)d->lost_to_urgent_ms;
 }
 
 static void
-stop(const candidates_t *candidates, jr_run_t *run)
+stop(const candidates_t *candidates, const jr_preempt_victim_t *victim)
 {
     jr_dispatch_t *d = candidates->d;
+    jr_run_t *run = victim->user;
     char text[JR_RUN_TEXT_BYTES];
 
     note_missing(candidates, run->task);
+    d->lost_to_urgent_ms +=
+        (double)(victim->lost_ms * victim->size.cpu_milli / PERMILLE);
     run->task->preempted++;
     jr_count(d->ctx, JR_C_PREEMPTIONS);
     jr_log_job(d->ctx, JR_EV_RUN_PREEMPTED, run->task->job->id,
@@ -201,14 +205,13 @@
                       (const jr_preempt_worker_t *)candidates->workers->data,
                       candidates->workers->len, &result);
     for (size_t i = 0; i < result.n; i++) {
-        jr_run_t *run = result.chosen[i]->user;
+        const jr_run_t *run = result.chosen[i]->user;
 
         /* Another task of its step may be among the chosen. */
         if (may_miss_one_more(candidates, run->task)) {
-            stop(candidates, run);
+            stop(candidates, result.chosen[i]);
         }
     }
-    d->lost_to_urgent_ms += result.lost;
     jr_free(d->ctx, result.chosen);
 }
 
@@ -251,8 +254,9 @@
 void
 jr_urgent_make_room(jr_dispatch_t *d, const GArray *waiting)
 {
-    GHashTable *missing = g_hash_table_new(g_direct_hash, g_direct_equal);
+    GHashTable *missing;
 
+    missing = g_hash_table_new(g_direct_hash, g_direct_equal);
     for (guint i = 0; i < waiting->len; i++) {
         candidates_t candidates = {
             .d = d,
--- a/src/dispatch/urgent_test.cc
+++ b/src/dispatch/urgent_test.cc
@@ -129,6 +129,16 @@
     EXPECT_EQ(fleet.Counter(JR_C_PREEMPTIONS), 0u);
 }
 
+/* One may go at a time: the others that were looked at cost nothing. */
+TEST_F(UrgentTest, OnlyServicesThatAreStoppedCountAgainstTheBound)
+{
+    FillWithServices(1);
+    fleet.Submit(2, {Urgent(4)});
+    fleet.Run(100);
+    ASSERT_EQ(fleet.Counter(JR_C_PREEMPTIONS), 1u);
+    EXPECT_LE(fleet.dispatch->lost_to_urgent_ms, 5000);
+}
+
 /* Urgent tasks of a wave use each stopped service's capacity in turn. */
 TEST_F(UrgentTest, AWaveDoesNotStopServicesOverAndOver)
 {
