A new leader stops no services in its first two seconds

Cause: a task that was ordered to stop is in its worker's list as running until it has ended. A leader that takes over in between counts it as at work, and stops another of the same step: one more away than may_miss allows.

Change: a new leader waits for 2 s before its first stop; by then the tasks that its predecessor stopped have ended, or are late by its own fault.

Tested: UrgentTest.ANewLeaderStopsNothingBesideTheStopsOfTheLastOne, red before (2 stops), green now.

--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -9,6 +9,11 @@
 enum {
     /* From the decision until the end of a stopped task is in the log. */
     STOP_MS = 1000,
+    /*
+     * Of a new leader. Tasks that an earlier one has ordered to stop are
+     * listed as running until they have ended.
+     */
+    FIRST_STOP_MS = 2000,
     /* A service that was stopped starts again after about this time. */
     SERVICE_LOST_MS = 5000,
     /*
@@ -256,6 +261,9 @@
 {
     GHashTable *missing;
 
+    if (d->now < d->led_at + FIRST_STOP_MS) {
+        return;
+    }
     missing = g_hash_table_new(g_direct_hash, g_direct_equal);
     for (guint i = 0; i < waiting->len; i++) {
         candidates_t candidates = {
--- a/src/dispatch/urgent_test.cc
+++ b/src/dispatch/urgent_test.cc
@@ -36,6 +36,20 @@
         ASSERT_EQ(fleet.Running(kService), 16u);
     }
 
+    /* Has a worker begun to stop a task, which still runs? */
+    bool
+    IsAnyStopping() const
+    {
+        for (const FleetWorker &worker : fleet.workers) {
+            for (const auto &[name, run] : worker.running) {
+                if (run.stops_at != 0) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     /* Tasks of one second, wanted within three. */
     Jr__JobStep
     Urgent(uint32_t count)
@@ -139,6 +153,24 @@
     EXPECT_LE(fleet.dispatch->lost_to_urgent_ms, 5000);
 }
 
+/*
+ * The leader changes between a stop and its end, and the list that the next
+ * leader reads has the task as running.
+ */
+TEST_F(UrgentTest, ANewLeaderStopsNothingBesideTheStopsOfTheLastOne)
+{
+    FillWithServices(1);
+    fleet.task_ms = 1000;
+    fleet.Submit(2, {Urgent(4)});
+    for (int i = 0; i < 50 && !IsAnyStopping(); i++) {
+        fleet.Run(10);
+    }
+    ASSERT_TRUE(IsAnyStopping());
+    fleet.ChangeLeader(true);
+    fleet.Run(140);
+    EXPECT_EQ(fleet.Counter(JR_C_PREEMPTIONS), 1u);
+}
+
 /* Urgent tasks of a wave use each stopped service's capacity in turn. */
 TEST_F(UrgentTest, AWaveDoesNotStopServicesOverAndOver)
 {
