A leader that stood still stops no services for two seconds

Cause: after a pause the first pass runs before the answers of meanwhile are read. Tasks that ended or whose leases lapsed still counted as at work, and one more of their step was stopped: more away than may_miss allows.

Change: more than a second between two ticks is a pause; then, as after an election, nothing is stopped for 2 s.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -8,6 +8,7 @@
 
 enum {
     SCHEDULE_EVERY_MS = 100, /* even when nothing has changed */
+    PAUSE_MS = 1000, /* between two ticks: the process has stood still */
     /*
      * Minimum gap between two passes, as the cost of a pass is proportional to
      * the number of workers.
@@ -328,6 +329,15 @@
     d->scanned_at = INT64_MIN;
 }
 
+static void
+note_pause(jr_dispatch_t *d)
+{
+    if (d->ticked_at != 0 && d->now - d->ticked_at > PAUSE_MS) {
+        d->paused_at = d->now;
+    }
+    d->ticked_at = d->now;
+}
+
 void
 jr_dispatch_tick(jr_dispatch_t *d, int64_t now, int64_t wall_ms)
 {
@@ -335,6 +345,7 @@
 
     d->now = MAX(d->now, now);
     d->wall_ms = wall_ms;
+    note_pause(d);
     if (!d->is_leading) {
         return;
     }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -209,6 +209,8 @@
     uint64_t fence_epoch; /* of the latest restart or removal of a worker */
     int64_t now;
     int64_t wall_ms;
+    int64_t ticked_at;
+    int64_t paused_at; /* when it was found to have stood still; 0: never */
     uint64_t next_serial;
     bool is_dirty; /* a scheduling pass may place tasks */
     int64_t scheduled_at;
--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -10,10 +10,11 @@
     /* From the decision until the end of a stopped task is in the log. */
     STOP_MS = 1000,
     /*
-     * Of a new leader. Tasks that an earlier one has ordered to stop are
-     * listed as running until they have ended.
+     * After a leader took over, or stood still: its lists of tasks may be old,
+     * and tasks that an earlier leader has ordered to stop are listed as
+     * running until they have ended.
      */
-    FIRST_STOP_MS = 2000,
+    SETTLE_MS = 2000,
     /* A service that was stopped starts again after about this time. */
     SERVICE_LOST_MS = 5000,
     /*
@@ -261,7 +262,7 @@
 {
     GHashTable *missing;
 
-    if (d->now < d->led_at + FIRST_STOP_MS) {
+    if (d->now < MAX(d->led_at, d->paused_at) + SETTLE_MS) {
         return;
     }
     missing = g_hash_table_new(g_direct_hash, g_direct_equal);
--- a/src/dispatch/urgent_test.cc
+++ b/src/dispatch/urgent_test.cc
@@ -171,6 +171,16 @@
     EXPECT_EQ(fleet.Counter(JR_C_PREEMPTIONS), 1u);
 }
 
+/* Tasks may have ended meanwhile, and the answers that say so are unread. */
+TEST_F(UrgentTest, ALeaderThatStoodStillStopsNothingByOldLists)
+{
+    FillWithServices(1);
+    fleet.Submit(2, {Urgent(4)});
+    fleet.Stall(2000);
+    fleet.Run(2500);
+    EXPECT_EQ(fleet.Counter(JR_C_PREEMPTIONS), 0u);
+}
+
 /* Urgent tasks of a wave use each stopped service's capacity in turn. */
 TEST_F(UrgentTest, AWaveDoesNotStopServicesOverAndOver)
 {
