--- a/tests/jobs_test.sh
+++ b/tests/jobs_test.sh
@@ -91,7 +91,8 @@
 
 start_cluster() { # TASK_MS
     local ip n=0
-    local -a executor_zones=(${executor_zones:-z z z})
+    local -a zone_of
+    read -ra zone_of <<< "${executor_zones:-z z z}"
     for ip in $controls; do
         control_settings "$ip" true
         start_control "$ip"
@@ -107,7 +108,7 @@
         n=$((n + 1))
         start "executor-$n" python3 tests/fake_executor.py "i-$n" \
             "$ip:$exec_port" "${seeds//, /,}" "$1" \
-            "${executor_zones[n - 1]}"
+            "${zone_of[n - 1]}"
     done
     wait_until 20 has_status 200 GET "127.0.0.21:$ready_port" /ready ||
         fail "gate 127.0.0.21 is not ready after 20 s"
