--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -225,13 +225,15 @@
     uint64_t fence_epoch; /* of the latest restart or removal of a worker */
     int64_t now;
     int64_t wall_ms;
+    int64_t ticked_at;
+    int64_t paused_at; /* when it was found to have stood still; 0: never */
     uint64_t next_serial;
     bool is_dirty; /* a scheduling pass may place tasks */
     int64_t scheduled_at;
     jr_demand_t short_demand; /* processors for short tasks, thousandths */
     jr_demand_sum_t short_waiting; /* before the latest pass */
     int64_t preempted_at;          /* when lost_to_urgent_ms was updated */
-    int64_t lost_to_urgent_ms;     /* of one processor, decaying */
+    double lost_to_urgent_ms;      /* of one processor, decaying */
     /* Of the recent peak of short tasks; see jr_reserve_left_for_services().
      */
     int64_t left_for_services;
