Placement tests prove the cost; half of a cold worker attracts

Cause: the tests of slow and grey workers and of a cold zone passed without the cost, as placement by rank left out the chosen workers anyway. A cold worker attracted best-effort tasks until it was full.

Change: the tests use the worker that is preferred while all are sound, and both halves of the fleet. A cold or slow worker attracts only until half of it is used.

--- a/src/dispatch/worth.c
+++ b/src/dispatch/worth.c
@@ -234,26 +234,26 @@
 }
 
 /*
- * How strongly a worker attracts tasks that lose little on it. A full one
- * attracts no more than a sound one, so that a whole zone that comes back cold
- * is not filled before the others.
+ * How strongly a worker attracts tasks that lose little on it. One of which
+ * half is used attracts no more than a sound one, so that a whole zone that
+ * comes back cold is not filled before the others.
  */
 static int64_t
 pull_of(const jr_tracked_worker_t *w, bool is_by_speed)
 {
     const Jr__JobWorker *info = w->worker->info;
-    int64_t free_milli =
-        info->cpu_milli - w->used.cpu_milli - w->best_effort_milli;
+    int64_t half_milli = info->cpu_milli / 2;
+    int64_t used_milli = w->used.cpu_milli + w->best_effort_milli;
     int64_t pull =
         is_by_speed ? w->verdict.speed_permille - JR_QUALITY_SOUND : 0;
 
-    if (w->verdict.failing_permille > 0 || free_milli <= 0) {
+    if (w->verdict.failing_permille > 0 || used_milli >= half_milli) {
         return 0;
     }
     if (w->verdict.cold_ms > 0) {
         pull += COLD_PULL;
     }
-    return MIN(pull, PULL_MAX) * free_milli / info->cpu_milli;
+    return MIN(pull, PULL_MAX) * (half_milli - used_milli) / half_milli;
 }
 
 void
@@ -306,7 +306,7 @@
 {
     int64_t failing = w->verdict.failing_permille;
 
-    return FAILING_WEIGHT * PERMILLE * failing / (PERMILLE - failing);
+    return failing * PERMILLE / (PERMILLE - failing) * FAILING_WEIGHT;
 }
 
 int64_t
--- a/src/dispatch/worth_test.cc
+++ b/src/dispatch/worth_test.cc
@@ -2,6 +2,8 @@
  */
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "fleet_test.h"
 
 static void
@@ -105,36 +107,78 @@
     ExpectClean(fleet);
 }
 
+/* One half of the workers is in a zone that was drained and comes back cold.
+ */
+static void
+ReturnColdZone(Fleet *fleet, size_t first)
+{
+    for (size_t i = first; i < first + 4; i++) {
+        fleet->workers[i].zone = "b";
+        fleet->CheckIn(i);
+    }
+    fleet->Run(200);
+    fleet->DrainZone("b");
+    fleet->Run(2000);
+    fleet->DrainZone("b", false);
+    for (size_t i = first; i < first + 4; i++) {
+        fleet->MakeCold(i, 10000);
+    }
+    fleet->Run(300);
+}
+
 /*
  * Load: a zone comes back cold, while urgent tasks ask for three quarters of
  * all processors: the others are full first, and nothing waits.
  */
 TEST(WorthTest, AColdZoneIsNeitherFloodedNorStarved)
 {
-    Fleet fleet(3, 8);
-    size_t cold = 0, warm = 0;
+    for (size_t first : {0, 4}) { /* one of them is preferred by rank */
+        Fleet fleet(3, 8);
+        size_t cold = 0, warm = 0;
 
-    for (size_t i = 0; i < 4; i++) {
-        fleet.workers[i].zone = "b";
-        fleet.CheckIn(i);
-    }
-    fleet.Run(200);
-    fleet.DrainZone("b");
-    fleet.Run(2000);
-    fleet.DrainZone("b", false);
-    for (size_t i = 0; i < 4; i++) {
-        fleet.MakeCold(i, 10000);
+        ReturnColdZone(&fleet, first);
+        fleet.task_ms = 400;
+        fleet.Submit(1, {MakeStep(24)});
+        fleet.Run(300);
+        for (size_t i = 0; i < 8; i++) {
+            (i >= first && i < first + 4 ? cold : warm) += fleet.StartsOn(i);
+        }
+        EXPECT_EQ(warm, 16u);
+        EXPECT_EQ(cold, 8u);
+        ExpectClean(fleet);
     }
-    fleet.Run(300);
-    fleet.task_ms = 400;
-    fleet.Submit(1, {MakeStep(24)});
-    fleet.Run(300);
-    for (size_t i = 0; i < 8; i++) {
-        (i < 4 ? cold : warm) += fleet.StartsOn(i);
+}
+
+/* They take half of each cold worker, and do not fill one after another. */
+TEST(WorthTest, BestEffortTasksSpreadOverAColdZone)
+{
+    for (size_t first : {0, 4}) {
+        Fleet fleet(3, 8);
+        Jr__JobStep step = MakeStep(8);
+
+        step.filler = 1;
+        fleet.task_ms = 5000;
+        ReturnColdZone(&fleet, first);
+        fleet.Submit(1, {step});
+        fleet.Run(1000);
+        for (size_t i = first; i < first + 4; i++) {
+            EXPECT_EQ(fleet.StartsOn(i), 2u);
+        }
+        ExpectClean(fleet);
     }
-    EXPECT_EQ(warm, 16u);
-    EXPECT_EQ(cold, 8u);
-    ExpectClean(fleet);
+}
+
+/* The worker that gets most tasks while all are sound. */
+static size_t
+PreferredWorker(uint32_t seed)
+{
+    Fleet fleet(seed, 10);
+    std::vector<size_t> starts;
+
+    SubmitEach(&fleet, 1, 10, 20, 1000);
+    starts = StartsOnEach(fleet);
+    return static_cast<size_t>(std::max_element(starts.begin(), starts.end()) -
+                               starts.begin());
 }
 
 /* Load: one worker of ten takes four times as long; half of all is used. */
@@ -142,17 +186,15 @@
 {
     for (uint32_t seed = 1; seed <= 3; seed++) {
         Fleet fleet(seed, 10);
-        std::vector<size_t> before;
-        size_t slow;
+        size_t slow = PreferredWorker(seed);
+        size_t before;
 
-        fleet.workers[4].run_permille = 4000;
-        SubmitEach(&fleet, 1, 30, 40, 1000); /* all workers are needed */
+        fleet.workers[slow].run_permille = 4000;
+        SubmitEach(&fleet, 1, 20, 20, 1000);
         EXPECT_EQ(fleet.Counter(JR_C_WORKERS_SLOW), 1u);
-        fleet.Run(3000);
-        before = StartsOnEach(fleet);
+        before = fleet.StartsOn(slow);
         SubmitEach(&fleet, 100, 30, 20, 1000);
-        slow = fleet.StartsOn(4) - before[4];
-        EXPECT_LE(slow, 600u / 40) << seed; /* a quarter of its part */
+        EXPECT_LE(fleet.StartsOn(slow) - before, 600u / 40) << seed;
         ExpectClean(fleet);
     }
 }
@@ -162,16 +204,14 @@
 {
     for (uint32_t seed = 1; seed <= 3; seed++) {
         Fleet fleet(seed, 10);
-        std::vector<size_t> before;
-        size_t grey;
+        size_t grey = PreferredWorker(seed);
+        size_t before;
 
-        fleet.workers[4].fails = 50;
-        SubmitEach(&fleet, 1, 15, 36, 1000);
-        fleet.Run(3000);
-        before = StartsOnEach(fleet);
+        fleet.workers[grey].fails = 50;
+        SubmitEach(&fleet, 1, 20, 20, 1000);
+        before = fleet.StartsOn(grey);
         SubmitEach(&fleet, 100, 30, 20, 1000);
-        grey = fleet.StartsOn(4) - before[4];
-        EXPECT_LE(grey, 600u / 30) << seed;
+        EXPECT_LE(fleet.StartsOn(grey) - before, 600u / 30) << seed;
         ExpectClean(fleet);
     }
 }
