Test: services go to cold workers first

Cause: only best-effort tasks were shown to do so. Tested: without the attraction of cold workers it is red (and the test of best-effort tasks), with it services go to 3 of 4 cold workers or more.

--- a/src/dispatch/worth_test.cc
+++ b/src/dispatch/worth_test.cc
@@ -91,6 +91,33 @@
     }
 }
 
+/*
+ * Services run for minutes: they leave the warm workers to short tasks. Where
+ * capacity is kept for short tasks they wait, cold or not.
+ */
+TEST(WorthTest, ServicesGoToColdWorkersFirst)
+{
+    for (uint32_t target_ms : {0u, 100u}) {
+        size_t on_cold = 0;
+
+        for (size_t cold = 0; cold < 4; cold++) {
+            Fleet fleet(1, 4);
+            Jr__JobStep step = MakeStep(1);
+
+            step.service = 1;
+            step.tail_target_ms = target_ms;
+            fleet.long_running_job = 1;
+            fleet.MakeCold(cold, 10000);
+            fleet.Run(1500);
+            fleet.Submit(1, {step});
+            fleet.Run(2000);
+            on_cold += fleet.StartsOn(cold);
+            ExpectClean(fleet);
+        }
+        EXPECT_GE(on_cold, 3u) << target_ms; /* 1 when it does not matter */
+    }
+}
+
 /* The log says when a worker is warm, so a new leader knows. */
 TEST(WorthTest, ANewLeaderKeepsUrgentTasksOffColdWorkers)
 {
