Jobs that can't end in time are refused before they are proposed

Change: the dispatcher sums the accepted work after a scheduling pass, at most every 50 ms, and learns run times from ends; the leader asks before it proposes a job. It is given only when the leader was confirmed recently and no submission of the same job is on its way to the log, so "not run" is true. For 5 s after an election, and for services, repeated jobs, jobs without an objective or without an estimate, nothing is refused. Counters for both reasons, event job-refused. An absurd stretch no longer overflows the allowed time.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -94,6 +94,10 @@
       "refused: to drain a zone, or take it back, after a later request")     \
     X(REFUSED_ZONES_DRAINED, "refused_zones_drained_total",                   \
       "not run: all workers of the service are in drained zones")             \
+    X(REFUSED_QUEUE_BACKLOG, "refused_queue_backlog_total",                   \
+      "not run: too late because of its own queue's backlog")                 \
+    X(REFUSED_URGENT_BACKLOG, "refused_urgent_backlog_total",                 \
+      "not run: too late because of more urgent queues")                      \
     X(REFUSED_NO_QUEUE, "refused_no_queue_total", "refused: no such queue")   \
     X(REFUSED_NO_JOB, "refused_no_job_total", "asked for a job not known")    \
     X(ANSWERED_UNKNOWN, "answered_unknown_total",                             \
--- a/include/jayrelay/dispatch.h
+++ b/include/jayrelay/dispatch.h
@@ -16,6 +16,7 @@
 #ifndef JAYRELAY_DISPATCH_H
 #define JAYRELAY_DISPATCH_H
 
+#include "jayrelay/intake.h"
 #include "jayrelay/job.h"
 
 /** enum jr_order_kind_t - kinds of orders to a worker */
@@ -206,4 +207,17 @@
 bool jr_dispatch_left(jr_dispatch_t *d, const char *worker,
                       int64_t incarnation, int64_t now);
 
+/**
+ * jr_dispatch_admit - may a new job be proposed to the log?
+ * @queue: its queue, in the current configuration
+ * @spec: a valid job that is not known yet
+ * @verdict: set to the reasons
+ *
+ * A job that may be is counted as accepted work from now on.
+ *
+ * Return: false when the job can't end in time.
+ */
+bool jr_dispatch_admit(jr_dispatch_t *d, const jr_job_queue_t *queue,
+                       const Jr__JobSpec *spec, jr_intake_verdict_t *verdict);
+
 #endif
--- a/include/jayrelay/event.h
+++ b/include/jayrelay/event.h
@@ -56,6 +56,7 @@
     X(ORDER_FAILED, 514, 5, "order-failed")                                   \
     X(JOB_ANSWERED, 520, 6, "job-answered")                                   \
     X(JOB_ENDED, 521, 6, "job-ended")                                         \
+    X(JOB_REFUSED, 523, 5, "job-refused")                                     \
     X(LEADER_REACHED, 522, 5, "leader-reached")                               \
     X(CONFIG_ACCEPTED, 530, 5, "config-accepted")                             \
     X(CONFIG_REFUSED, 531, 4, "config-refused")                               \
--- /dev/null
+++ b/src/dispatch/backlog.c
@@ -0,0 +1,293 @@
+/*
+ * What the module intake needs to know: accepted work that is not done, and
+ * the processors that it can get. It is summed anew after a scheduling pass,
+ * when a job asks; jobs accepted since then are added to the sums.
+ */
+#include "dispatch.h"
+
+#include "jayrelay/intake.h"
+
+enum {
+    REFRESH_MS = 50, /* least time between two sums */
+    /* A new leader first learns which workers answer. */
+    SETTLE_MS = 5000,
+    /* Workers that answered within this time may well come back. */
+    RECENT_ANSWER_MS = 5000,
+};
+
+static const double SHORT_SHARE = JR_SHORT_SHARE_PERCENT / 100.0;
+
+struct jr_backlog {
+    bool is_known;
+    int64_t at;           /* when it was summed */
+    int64_t pass_at;      /* the latest pass before that */
+    GArray *queues;       /* of jr_intake_queue_t */
+    GArray *pools;        /* of jr_intake_pool_t */
+    GHashTable *by_queue; /* jr_job_queue_t to index; as are the next */
+    GHashTable *by_name;  /* of a service, owned, to index of a pool */
+    jr_intake_ratio_t ratios[JR_INTAKE_CLASSES];
+};
+
+jr_backlog_t *
+jr_new_backlog(jr_ctx_t *ctx)
+{
+    jr_backlog_t *backlog = jr_alloc(ctx, sizeof *backlog);
+
+    backlog->queues = g_array_new(FALSE, TRUE, sizeof(jr_intake_queue_t));
+    backlog->pools = g_array_new(FALSE, TRUE, sizeof(jr_intake_pool_t));
+    backlog->by_queue = g_hash_table_new(NULL, NULL);
+    backlog->by_name =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    return backlog;
+}
+
+void
+jr_drop_backlog(jr_ctx_t *ctx, jr_backlog_t *backlog)
+{
+    if (backlog == NULL) {
+        return;
+    }
+    g_array_unref(backlog->queues);
+    g_array_unref(backlog->pools);
+    g_hash_table_unref(backlog->by_queue);
+    g_hash_table_unref(backlog->by_name);
+    jr_free(ctx, backlog);
+}
+
+void
+jr_backlog_clear(jr_backlog_t *backlog)
+{
+    backlog->is_known = false;
+    g_array_set_size(backlog->queues, 0);
+    g_array_set_size(backlog->pools, 0);
+    g_hash_table_remove_all(backlog->by_queue);
+    g_hash_table_remove_all(backlog->by_name);
+}
+
+static size_t
+pool_index(jr_backlog_t *backlog, const char *service)
+{
+    gpointer index;
+
+    if (!g_hash_table_lookup_extended(backlog->by_name, service, NULL,
+                                      &index)) {
+        index = GUINT_TO_POINTER(backlog->pools->len);
+        g_hash_table_insert(backlog->by_name, g_strdup(service), index);
+        g_array_set_size(backlog->pools, backlog->pools->len + 1);
+    }
+    return GPOINTER_TO_UINT(index);
+}
+
+static size_t
+queue_index(jr_backlog_t *backlog, const jr_job_queue_t *queue)
+{
+    const Jr__JobQueue *config = queue->last_config;
+    jr_intake_queue_t *added;
+    gpointer index;
+
+    if (!g_hash_table_lookup_extended(backlog->by_queue, queue, NULL,
+                                      &index)) {
+        index = GUINT_TO_POINTER(backlog->queues->len);
+        g_hash_table_insert(backlog->by_queue, (gpointer)queue, index);
+        g_array_set_size(backlog->queues, backlog->queues->len + 1);
+        added = &g_array_index(backlog->queues, jr_intake_queue_t,
+                               GPOINTER_TO_UINT(index));
+        added->pool = pool_index(backlog, config->service);
+        added->priority = config->priority;
+        added->weight = 1;
+    }
+    return GPOINTER_TO_UINT(index);
+}
+
+static jr_intake_class_t
+class_of(const Jr__JobStep *step)
+{
+    return step->filler ? JR_INTAKE_BEST_EFFORT : JR_INTAKE_SHORT;
+}
+
+/* Of tasks that run, half of the time is left on average. */
+static void
+add_step(jr_intake_queue_t *queue, const Jr__JobStep *step, uint32_t waiting,
+         uint32_t running, int64_t due_in_ms)
+{
+    jr_intake_class_t work_class = class_of(step);
+
+    if (step->service) {
+        return;
+    }
+    if (waiting > 0) {
+        jr_intake_add(queue, work_class, (double)waiting * step->cpu_milli,
+                      step->estimate_ms, due_in_ms);
+    }
+    if (running > 0) {
+        jr_intake_add(queue, work_class, (double)running * step->cpu_milli,
+                      step->estimate_ms / 2, 0);
+    }
+}
+
+/* A job that is too late waits for what the others leave. */
+static void
+add_occurrence(const jr_dispatch_t *d, const jr_job_t *job,
+               uint32_t occurrence, int64_t allowed_ms)
+{
+    const Jr__JobSpec *spec = job->spec;
+    const jr_step_progress_t *progress =
+        &job->steps[(size_t)occurrence * spec->n_steps];
+    int64_t begin = jr_job_due_ms(job, occurrence);
+    bool is_lost =
+        allowed_ms > 0 && d->wall_ms > begin + JR_LATE_FACTOR * allowed_ms;
+    jr_intake_queue_t *queue =
+        &g_array_index(d->backlog->queues, jr_intake_queue_t,
+                       queue_index(d->backlog, job->queue));
+
+    for (size_t s = 0; s < spec->n_steps; s++) {
+        add_step(queue, spec->steps[s], is_lost ? 0 : progress[s].waiting,
+                 progress[s].granted, begin + allowed_ms - d->wall_ms);
+    }
+}
+
+static void
+add_jobs(jr_dispatch_t *d)
+{
+    const jr_job_t *job;
+
+    TAILQ_FOREACH (job, &d->jobs->live, link) {
+        int64_t allowed_ms;
+
+        if (job->queue->last_config == NULL) {
+            continue;
+        }
+        allowed_ms = jr_allowed_ms(job->queue->last_config, job->spec);
+        for (uint32_t k = 0; k < job->occurrences; k++) {
+            if (job->spec->repeats > 0 && jr_job_due_ms(job, k) > d->wall_ms) {
+                break;
+            }
+            add_occurrence(d, job, k, allowed_ms);
+        }
+    }
+}
+
+static bool
+may_run_tasks(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
+{
+    if (w->is_usable) {
+        return true;
+    }
+    return !w->has_ended && !w->is_leaving && !jr_drain_forbids_starts(d, w) &&
+           d->now - w->answered_at <= RECENT_ANSWER_MS;
+}
+
+static void
+add_workers(const jr_dispatch_t *d)
+{
+    const jr_tracked_worker_t *w;
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        const Jr__JobWorker *info = w->worker->info;
+        size_t index = pool_index(d->backlog, info->service);
+        jr_intake_pool_t *pool =
+            &g_array_index(d->backlog->pools, jr_intake_pool_t, index);
+
+        if (may_run_tasks(d, w)) {
+            pool->milli[JR_INTAKE_BEST_EFFORT] += info->cpu_milli;
+            pool->milli[JR_INTAKE_SHORT] +=
+                MAX((double)info->cpu_milli - (double)w->services.cpu_milli,
+                    SHORT_SHARE * info->cpu_milli);
+        }
+    }
+}
+
+static void
+refresh(jr_dispatch_t *d)
+{
+    jr_backlog_t *backlog = d->backlog;
+
+    if (backlog->is_known && (backlog->pass_at == d->scheduled_at ||
+                              d->now - backlog->at < REFRESH_MS)) {
+        return;
+    }
+    jr_backlog_clear(backlog);
+    add_jobs(d);
+    add_workers(d);
+    backlog->at = d->now;
+    backlog->pass_at = d->scheduled_at;
+    backlog->is_known = true;
+}
+
+void
+jr_backlog_learn(jr_dispatch_t *d, const jr_run_t *run)
+{
+    const Jr__JobStep *step = jr_task_step(run->task);
+
+    if (step->service || run->is_inherited || run->confirmed_at == 0 ||
+        run->task->checkpoint != NULL) {
+        return;
+    }
+    jr_intake_learn(&d->backlog->ratios[class_of(step)], step->estimate_ms,
+                    d->now - run->confirmed_at - run->slowed_ms);
+}
+
+static jr_intake_job_t
+describe(const Jr__JobQueue *config, const Jr__JobSpec *spec)
+{
+    int64_t allowed_ms = jr_allowed_ms(config, spec);
+    jr_intake_job_t job = {
+        .id = spec->id,
+        .chain_ms = jr_critical_path_ms(spec, NULL),
+        .allowed_ms = allowed_ms,
+        .late_ms = JR_LATE_FACTOR * allowed_ms,
+        .is_exempt = spec->repeats > 0 || config->objective_ms == 0,
+    };
+
+    for (size_t s = 0; s < spec->n_steps; s++) {
+        const Jr__JobStep *step = spec->steps[s];
+
+        job.is_exempt |= step->service || step->estimate_ms == 0;
+        job.milli_ms[class_of(step)] +=
+            (double)step->count * step->cpu_milli * step->estimate_ms;
+    }
+    return job;
+}
+
+/* It counts from now on, for those that ask before the next sums. */
+static void
+add_accepted(jr_dispatch_t *d, const Jr__JobSpec *spec,
+             const jr_intake_job_t *job)
+{
+    jr_intake_queue_t *queue =
+        &g_array_index(d->backlog->queues, jr_intake_queue_t, job->queue);
+
+    for (size_t s = 0; s < spec->n_steps && spec->repeats == 0; s++) {
+        add_step(queue, spec->steps[s], spec->steps[s]->count, 0,
+                 job->allowed_ms);
+    }
+}
+
+bool
+jr_dispatch_admit(jr_dispatch_t *d, const jr_job_queue_t *queue,
+                  const Jr__JobSpec *spec, jr_intake_verdict_t *verdict)
+{
+    jr_intake_job_t job = describe(queue->last_config, spec);
+    jr_intake_backlog_t backlog;
+
+    *verdict = (jr_intake_verdict_t){.reason = JR_INTAKE_ACCEPTED};
+    if (d->now - d->led_at < SETTLE_MS) {
+        return true;
+    }
+    refresh(d);
+    job.queue = queue_index(d->backlog, queue);
+    backlog = (jr_intake_backlog_t){
+        .queues = (const jr_intake_queue_t *)d->backlog->queues->data,
+        .n_queues = d->backlog->queues->len,
+        .pools = (const jr_intake_pool_t *)d->backlog->pools->data,
+    };
+    for (int i = 0; i < JR_INTAKE_CLASSES; i++) {
+        backlog.ratio_permille[i] =
+            jr_intake_ratio_permille(&d->backlog->ratios[i]);
+    }
+    *verdict = jr_intake_decide(&backlog, &job);
+    if (verdict->reason == JR_INTAKE_ACCEPTED) {
+        add_accepted(d, spec, &job);
+    }
+    return verdict->reason == JR_INTAKE_ACCEPTED;
+}
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -223,6 +223,7 @@
     d->releases = g_ptr_array_new();
     d->crashes = g_array_new(FALSE, FALSE, sizeof(jr_crashed_run_t));
     d->proposed = g_ptr_array_new();
+    d->backlog = jr_new_backlog(ctx);
     jr_jobs_set_hooks(jobs, &hooks);
     return d;
 }
@@ -257,6 +258,7 @@
     g_ptr_array_set_size(d->releases, 0);
     g_array_set_size(d->crashes, 0);
     g_ptr_array_set_size(d->proposed, 0);
+    jr_backlog_clear(d->backlog);
 }
 
 void
@@ -273,6 +275,7 @@
     g_ptr_array_unref(d->releases);
     g_array_unref(d->crashes);
     g_ptr_array_unref(d->proposed);
+    jr_drop_backlog(d->ctx, d->backlog);
     jr_free(d->ctx, d);
 }
 
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -231,6 +231,7 @@
      */
     GArray *crashes;
     GPtrArray *proposed; /* runs whose grant is to be proposed */
+    struct jr_backlog *backlog;
 };
 
 /* worker.c: leases, clocks and incarnations of workers. */
@@ -368,6 +369,24 @@
 
 /* schedule.c: one scheduling pass over the waiting tasks. */
 void jr_schedule(jr_dispatch_t *d);
+/*
+ * Critical path of one occurrence by estimated run times: of the whole
+ * occurrence, or of what is left when the progress of its steps is given.
+ */
+int64_t jr_critical_path_ms(const Jr__JobSpec *spec,
+                            const jr_step_progress_t *progress);
+/* Time in which a job of the queue should end; 0: it has no objective. */
+int64_t jr_allowed_ms(const Jr__JobQueue *config, const Jr__JobSpec *spec);
+
+/* backlog.c: accepted work that is not done, and processors for it. */
+typedef struct jr_backlog jr_backlog_t;
+jr_backlog_t *jr_new_backlog(jr_ctx_t *ctx);
+void jr_drop_backlog(jr_ctx_t *ctx, jr_backlog_t *backlog);
+/* Forget the work, but not what was learned about run times. */
+void jr_backlog_clear(jr_backlog_t *backlog);
+/* The run is done. */
+void jr_backlog_learn(jr_dispatch_t *d, const jr_run_t *run);
+
 /*
  * reserve.c: capacity reserved for short tasks, and for services that have
  * waited long.
@@ -434,6 +453,14 @@
 
 enum {
     JR_RUN_TEXT_BYTES = 80,
+    /*
+     * Short tasks come before services up to this part of all processors;
+     * beyond it, services that have waited come first.
+     */
+    JR_SHORT_SHARE_PERCENT = 25,
+    /* After this multiple of its allowed time, a job's result is of little
+     * use. */
+    JR_LATE_FACTOR = 3,
     JR_LAPSE_MARGIN_MS = 50,    /* after the end of a lease */
     JR_ANSWER_TIMEOUT_MS = 600, /* of an order that does not wait */
     JR_RETRY_MS = 250,          /* delay before an order is sent again */
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -273,6 +273,9 @@
         }
         run = find_run(d, w, &end->run);
         jr_health_end(d, w, run, end);
+        if (run != NULL && end->how == JR__JOB_END__HOW__DONE) {
+            jr_backlog_learn(d, run);
+        }
         log_end(d, w, end, run != NULL);
         jr__job_end__init(row);
         row->number = end->number;
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -24,11 +24,7 @@
     SPARE_WINDOW_MS = 500, /* after which unused capacity counts as spare */
 };
 
-/*
- * Short tasks come before services up to this fraction of all processors;
- * beyond it, services that have waited come first.
- */
-static const double SHORT_SHARE = 0.25;
+static const double SHORT_SHARE = JR_SHORT_SHARE_PERCENT / 100.0;
 /* Processors kept for short tasks, as a multiple of their peak demand. */
 static const double PEAK_MARGIN = 1.3;
 /* Bounds of these processors, as fractions of all processors. */
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -9,13 +9,15 @@
 
 enum {
     PERMILLE = 1000,
-    GRANTS_MAX = 512, /* in one command */
-    LATE_FACTOR = 3,  /* beyond this multiple of the allowed time: LOST */
+    GRANTS_MAX = 512,            /* in one command */
     MIN_ESTIMATE_PERMILLE = 500, /* estimates may be this much too long */
     URGENT_PRIORITY = 0,
     SHAPES_MAX = 64, /* recorded as unplaceable; others are tried anew */
 };
 
+/* A century: keeps sums of bad estimates within their type. */
+static const int64_t ALLOWED_MAX_MS = INT64_C(36525) * 24 * 3600 * 1000;
+
 /* Whether a job can still meet its objective. */
 typedef enum {
     ON_TIME, /* it may meet its objective */
@@ -56,18 +58,15 @@
     size_t n;
 } unplaceable_t;
 
-/*
- * Critical path of one occurrence by estimated run times: of the whole
- * occurrence, or of what is left when the progress of its steps is given.
- */
-static int64_t
-critical_path_ms(const jr_job_t *job, const jr_step_progress_t *progress)
+int64_t
+jr_critical_path_ms(const Jr__JobSpec *spec,
+                    const jr_step_progress_t *progress)
 {
     int64_t ends[JR_JOB_STEPS_MAX];
     int64_t longest = 0;
 
-    for (size_t s = 0; s < job->spec->n_steps; s++) {
-        const Jr__JobStep *step = job->spec->steps[s];
+    for (size_t s = 0; s < spec->n_steps; s++) {
+        const Jr__JobStep *step = spec->steps[s];
         bool is_done = progress != NULL && progress[s].done == step->count;
         int64_t start = 0;
 
@@ -80,6 +79,17 @@
     return longest;
 }
 
+int64_t
+jr_allowed_ms(const Jr__JobQueue *config, const Jr__JobSpec *spec)
+{
+    int64_t path_ms = jr_critical_path_ms(spec, NULL);
+    int64_t stretch = MAX((int64_t)config->stretch_permille, (int64_t)1);
+
+    path_ms = MIN(path_ms, ALLOWED_MAX_MS * PERMILLE / stretch);
+    return config->objective_ms +
+           path_ms * config->stretch_permille / PERMILLE;
+}
+
 static prospect_t
 prospect_of(const jr_dispatch_t *d, const jr_job_t *job, uint32_t occurrence,
             int64_t allowed_ms)
@@ -87,13 +97,13 @@
     const jr_step_progress_t *progress =
         &job->steps[occurrence * job->spec->n_steps];
     int64_t begin = jr_job_due_ms(job, occurrence);
-    int64_t left_ms =
-        critical_path_ms(job, progress) * MIN_ESTIMATE_PERMILLE / PERMILLE;
+    int64_t left_ms = jr_critical_path_ms(job->spec, progress) *
+                      MIN_ESTIMATE_PERMILLE / PERMILLE;
 
     if (allowed_ms <= 0) {
         return ON_TIME; /* its queue has no objective */
     }
-    if (d->wall_ms > begin + LATE_FACTOR * allowed_ms) {
+    if (d->wall_ms > begin + JR_LATE_FACTOR * allowed_ms) {
         return LOST;
     }
     return d->wall_ms + left_ms > begin + allowed_ms ? LATE : ON_TIME;
@@ -104,9 +114,7 @@
 {
     const Jr__JobQueue *config = job->queue->last_config;
     int64_t begin = jr_job_due_ms(job, occurrence);
-    int64_t allowed = config->objective_ms + critical_path_ms(job, NULL) *
-                                                 config->stretch_permille /
-                                                 PERMILLE;
+    int64_t allowed = jr_allowed_ms(config, job->spec);
 
     return (candidate_t){
         .job = job,
--- a/src/gate/requests.c
+++ b/src/gate/requests.c
@@ -38,6 +38,9 @@
     case JR_GONE:
         jr_count(ctx, JR_C_REFUSED_NO_JOB);
         break;
+    case JR_OVERLOADED:
+        jr_count(ctx, JR_C_REFUSED_OVERLOAD);
+        break;
     case JR_NO_CONFIG:
         jr_count(ctx, JR_C_REFUSED_NO_CONFIG);
         break;
--- a/src/gen/net/wire.pb-c.c
+++ b/src/gen/net/wire.pb-c.c
@@ -2802,7 +2802,7 @@
   (ProtobufCMessageInit) jr__answer_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor jr__reply__field_descriptors[11] =
 {
   {
     "id",
@@ -2924,6 +2924,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retry_after_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jr__Reply, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__reply__field_indices_by_name[] = {
   1,   /* field[1] = code */
@@ -2934,13 +2946,14 @@
   3,   /* field[3] = leader */
   4,   /* field[4] = ledger */
   2,   /* field[2] = message */
+  10,   /* field[10] = retry_after_ms */
   6,   /* field[6] = rules */
   7,   /* field[7] = status */
 };
 static const ProtobufCIntRange jr__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor jr__reply__descriptor =
 {
@@ -2950,7 +2963,7 @@
   "Jr__Reply",
   "jr",
   sizeof(Jr__Reply),
-  10,
+  11,
   jr__reply__field_descriptors,
   jr__reply__field_indices_by_name,
   1,  jr__reply__number_ranges,
--- a/src/gen/net/wire.pb-c.h
+++ b/src/gen/net/wire.pb-c.h
@@ -427,6 +427,10 @@
    * name of the leader when code is not-leader
    */
   char *leader;
+  /*
+   * of a refusal; 0: not known
+   */
+  uint32_t retry_after_ms;
   Jr__Reply__BodyCase body_case;
   union {
     Jr__LedgerResult *ledger;
@@ -439,7 +443,7 @@
 };
 #define JR__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__reply__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, JR__REPLY__BODY__NOT_SET, {0} }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, JR__REPLY__BODY__NOT_SET, {0} }
 
 
 /*
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -12,6 +12,8 @@
     uint64_t index;
     uint64_t term;
     jr_reply_address_t reply_to;
+    bool is_submit;
+    uint64_t job; /* that it submits */
 } jr_pending_reply_t;
 
 /* A read that is served once a majority has confirmed the leader. */
@@ -71,9 +73,13 @@
 /* Reply to a question about jobs, from what has been applied here. */
 void jr_group_serve_ask(jr_group_t *group, const jr_reply_address_t *reply_to,
                         const Jr__JobAsk *ask);
-/* Propose a packed command; the reply is sent when it is applied. */
-void jr_group_propose(jr_group_t *group, const jr_reply_address_t *reply_to,
-                      const uint8_t *bytes, size_t len);
+/*
+ * Propose a packed command; the reply is sent when it is applied. Returns NULL
+ * when this replica does not lead, which is replied at once.
+ */
+jr_pending_reply_t *jr_group_propose(jr_group_t *group,
+                                     const jr_reply_address_t *reply_to,
+                                     const uint8_t *bytes, size_t len);
 void jr_group_send_reply(jr_group_t *group, const jr_reply_address_t *reply_to,
                          Jr__Reply *reply);
 /* Queue a copy of a read until the leader is confirmed. */
--- a/src/group/job_request.c
+++ b/src/group/job_request.c
@@ -9,6 +9,7 @@
      * confirmed the leader within this time, so a reply may be this stale.
      */
     MAX_CONFIRMATION_AGE_MS = 500,
+    QUEUE_TEXT_BYTES = 128, /* of its host or prefix, in a log line */
 };
 
 static void
@@ -18,10 +19,11 @@
     jr_group_reply_code(group, reply_to, code, jr_result_text(code));
 }
 
-static void
+static jr_pending_reply_t *
 propose_command(jr_group_t *group, const jr_reply_address_t *reply_to,
                 Jr__JobCommand *command)
 {
+    jr_pending_reply_t *pending;
     uint8_t *bytes;
     size_t len;
 
@@ -29,8 +31,63 @@
     len = jr__job_command__get_packed_size(command);
     bytes = jr_alloc(group->ctx, len + 1);
     jr__job_command__pack(command, bytes);
-    jr_group_propose(group, reply_to, bytes, len);
+    pending = jr_group_propose(group, reply_to, bytes, len);
     jr_free(group->ctx, bytes);
+    return pending;
+}
+
+/* A submission of the job is on its way to the log. */
+static bool
+is_proposed(const jr_group_t *group, uint64_t id)
+{
+    const jr_pending_reply_t *pending;
+
+    TAILQ_FOREACH (pending, &group->pending_replies, link) {
+        if (pending->is_submit && pending->job == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+refuse_backlog(jr_group_t *group, const jr_reply_address_t *reply_to,
+               const Jr__JobSpec *spec, const jr_job_queue_t *queue,
+               const jr_intake_verdict_t *verdict)
+{
+    bool is_urgent = verdict->reason == JR_INTAKE_URGENT_BACKLOG;
+    char host[QUEUE_TEXT_BYTES];
+    char prefix[QUEUE_TEXT_BYTES];
+    Jr__Reply reply = JR__REPLY__INIT;
+
+    jr_count(group->ctx, is_urgent ? JR_C_REFUSED_URGENT_BACKLOG
+                                   : JR_C_REFUSED_QUEUE_BACKLOG);
+    jr_log(group->ctx, JR_EV_JOB_REFUSED,
+           "job=%016llx host=%s prefix=%s backlog=%s wait_ms=%lld "
+           "limit_ms=%lld retry_after_ms=%lld",
+           (unsigned long long)spec->id,
+           jr_log_value(host, sizeof host, queue->config->host),
+           jr_log_value(prefix, sizeof prefix, queue->config->prefix),
+           is_urgent ? "urgent" : "queue", (long long)verdict->wait_ms,
+           (long long)verdict->limit_ms, (long long)verdict->retry_after_ms);
+    reply.code = JR_OVERLOADED;
+    reply.message = (char *)jr_result_text(JR_OVERLOADED);
+    reply.retry_after_ms = (uint32_t)verdict->retry_after_ms;
+    jr_group_send_reply(group, reply_to, &reply);
+}
+
+/*
+ * A refusal says that the job does not run, so an earlier submission of it
+ * must not be on its way: to this leader, or to one that replaced it without
+ * its knowledge. Then the log decides.
+ */
+static bool
+may_refuse(const jr_group_t *group, uint64_t id)
+{
+    return jr_quorum_is_confirmed(group->quorum, group->now,
+                                  MIN(group->options.quorum.election_ms,
+                                      (int64_t)MAX_CONFIRMATION_AGE_MS)) &&
+           !is_proposed(group, id);
 }
 
 /* The request path selects the queue; its remainder is the job id. */
@@ -40,7 +97,9 @@
 {
     jr_jobs_t *jobs = group->as.jobs.jobs;
     Jr__JobSpec *spec = command->submit->spec;
+    jr_intake_verdict_t verdict;
     jr_job_queue_t *queue;
+    jr_pending_reply_t *pending;
     const char *rest;
     char *path;
 
@@ -70,10 +129,19 @@
         reply_code(group, reply_to, JR_NO_UPSTREAM);
         return;
     }
+    if (!jr_dispatch_admit(group->as.jobs.dispatch, queue, spec, &verdict) &&
+        may_refuse(group, spec->id)) {
+        refuse_backlog(group, reply_to, spec, queue, &verdict);
+        return;
+    }
     path = spec->prefix;
     spec->prefix = queue->config->prefix;
-    propose_command(group, reply_to, command);
+    pending = propose_command(group, reply_to, command);
     spec->prefix = path;
+    if (pending != NULL) {
+        pending->is_submit = true;
+        pending->job = spec->id;
+    }
 }
 
 static void
--- a/src/group/request.c
+++ b/src/group/request.c
@@ -43,7 +43,7 @@
                         jr_result_text(JR_NOT_LEADER));
 }
 
-void
+jr_pending_reply_t *
 jr_group_propose(jr_group_t *group, const jr_reply_address_t *reply_to,
                  const uint8_t *bytes, size_t len)
 {
@@ -53,13 +53,14 @@
 
     if (result != JR_OK) {
         refuse_not_leader(group, reply_to);
-        return;
+        return NULL;
     }
     pending = jr_alloc(group->ctx, sizeof *pending);
     pending->index = index;
     pending->term = jr_quorum_term(group->quorum);
     pending->reply_to = *reply_to;
     TAILQ_INSERT_TAIL(&group->pending_replies, pending, link);
+    return pending;
 }
 
 static jr_result_t
