Work that is too late counts against new jobs until it is stuck

Cause: the scheduler places jobs on time before late ones, so a job that became too late left the sums without having been served, and another one was accepted in its place.

Change: the work of an accepted job counts for four times its late bound, except tasks that fit no worker, and, without an objective, tasks with constraints that others do not have.

--- a/src/dispatch/backlog.c
+++ b/src/dispatch/backlog.c
@@ -13,16 +13,30 @@
     SETTLE_MS = 5000,
     /* Workers that answered within this time may well come back. */
     RECENT_ANSWER_MS = 5000,
+    /*
+     * Work of a job counts until this multiple of its allowed time, also once
+     * it is of little use: it was accepted, and its processors will be needed.
+     * What waits for longer is stuck.
+     */
+    STUCK_FACTOR = 4 * JR_LATE_FACTOR,
 };
 
 static const double SHORT_SHARE = JR_SHORT_SHARE_PERCENT / 100.0;
 
+/* The largest worker of a pool. */
+typedef struct {
+    uint32_t cpu_milli;
+    uint32_t memory_mb;
+    uint32_t accelerators;
+} largest_t;
+
 struct jr_backlog {
     bool is_known;
     int64_t at;           /* when it was summed */
     int64_t pass_at;      /* the latest pass before that */
     GArray *queues;       /* of jr_intake_queue_t */
     GArray *pools;        /* of jr_intake_pool_t */
+    GArray *largest;      /* of largest_t, by pool */
     GHashTable *by_queue; /* jr_job_queue_t to index; as are the next */
     GHashTable *by_name;  /* of a service, owned, to index of a pool */
     jr_intake_ratio_t ratios[JR_INTAKE_CLASSES];
@@ -35,6 +49,7 @@
 
     backlog->queues = g_array_new(FALSE, TRUE, sizeof(jr_intake_queue_t));
     backlog->pools = g_array_new(FALSE, TRUE, sizeof(jr_intake_pool_t));
+    backlog->largest = g_array_new(FALSE, TRUE, sizeof(largest_t));
     backlog->by_queue = g_hash_table_new(NULL, NULL);
     backlog->by_name =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -49,6 +64,7 @@
     }
     g_array_unref(backlog->queues);
     g_array_unref(backlog->pools);
+    g_array_unref(backlog->largest);
     g_hash_table_unref(backlog->by_queue);
     g_hash_table_unref(backlog->by_name);
     jr_free(ctx, backlog);
@@ -60,6 +76,7 @@
     backlog->is_known = false;
     g_array_set_size(backlog->queues, 0);
     g_array_set_size(backlog->pools, 0);
+    g_array_set_size(backlog->largest, 0);
     g_hash_table_remove_all(backlog->by_queue);
     g_hash_table_remove_all(backlog->by_name);
 }
@@ -74,6 +91,7 @@
         index = GUINT_TO_POINTER(backlog->pools->len);
         g_hash_table_insert(backlog->by_name, g_strdup(service), index);
         g_array_set_size(backlog->pools, backlog->pools->len + 1);
+        g_array_set_size(backlog->largest, backlog->pools->len);
     }
     return GPOINTER_TO_UINT(index);
 }
@@ -105,17 +123,32 @@
     return step->filler ? JR_INTAKE_BEST_EFFORT : JR_INTAKE_SHORT;
 }
 
+/* A task that no worker has the capacity for keeps no other one waiting. */
+static bool
+fits_some_worker(const jr_backlog_t *backlog, const jr_intake_queue_t *queue,
+                 const Jr__JobStep *step)
+{
+    const largest_t *largest =
+        &g_array_index(backlog->largest, largest_t, queue->pool);
+
+    return step->cpu_milli <= largest->cpu_milli &&
+           step->memory_mb <= largest->memory_mb &&
+           step->accelerators <= largest->accelerators;
+}
+
 /* Of tasks that run, half of the time is left on average. */
 static void
-add_step(jr_intake_queue_t *queue, const Jr__JobStep *step, uint32_t waiting,
-         uint32_t running, int64_t due_in_ms)
+add_step(jr_backlog_t *backlog, size_t index, const Jr__JobStep *step,
+         uint32_t waiting, uint32_t running, int64_t due_in_ms)
 {
+    jr_intake_queue_t *queue =
+        &g_array_index(backlog->queues, jr_intake_queue_t, index);
     jr_intake_class_t work_class = class_of(step);
 
     if (step->service) {
         return;
     }
-    if (waiting > 0) {
+    if (waiting > 0 && fits_some_worker(backlog, queue, step)) {
         jr_intake_add(queue, work_class, (double)waiting * step->cpu_milli,
                       step->estimate_ms, due_in_ms);
     }
@@ -125,7 +158,22 @@
     }
 }
 
-/* A job that is too late waits for what the others leave. */
+/* It may wait for something that other tasks do not need. */
+static bool
+has_constraints(const Jr__JobStep *step)
+{
+    return step->gang || step->per_worker > 0 || *step->label != '\0';
+}
+
+/* Without an objective nothing tells how long a job may wait. */
+static bool
+is_stuck(const jr_dispatch_t *d, const Jr__JobStep *step, int64_t begin,
+         int64_t allowed_ms)
+{
+    return allowed_ms > 0 ? d->wall_ms > begin + STUCK_FACTOR * allowed_ms
+                          : has_constraints(step);
+}
+
 static void
 add_occurrence(const jr_dispatch_t *d, const jr_job_t *job,
                uint32_t occurrence, int64_t allowed_ms)
@@ -134,14 +182,13 @@
     const jr_step_progress_t *progress =
         &job->steps[(size_t)occurrence * spec->n_steps];
     int64_t begin = jr_job_due_ms(job, occurrence);
-    bool is_lost =
-        allowed_ms > 0 && d->wall_ms > begin + JR_LATE_FACTOR * allowed_ms;
-    jr_intake_queue_t *queue =
-        &g_array_index(d->backlog->queues, jr_intake_queue_t,
-                       queue_index(d->backlog, job->queue));
+    size_t index = queue_index(d->backlog, job->queue);
 
     for (size_t s = 0; s < spec->n_steps; s++) {
-        add_step(queue, spec->steps[s], is_lost ? 0 : progress[s].waiting,
+        const Jr__JobStep *step = spec->steps[s];
+        bool counts = !is_stuck(d, step, begin, allowed_ms);
+
+        add_step(d->backlog, index, step, counts ? progress[s].waiting : 0,
                  progress[s].granted, begin + allowed_ms - d->wall_ms);
     }
 }
@@ -188,7 +235,14 @@
         jr_intake_pool_t *pool =
             &g_array_index(d->backlog->pools, jr_intake_pool_t, index);
 
+        largest_t *largest =
+            &g_array_index(d->backlog->largest, largest_t, index);
+
         if (may_run_tasks(d, w)) {
+            largest->cpu_milli = MAX(largest->cpu_milli, info->cpu_milli);
+            largest->memory_mb = MAX(largest->memory_mb, info->memory_mb);
+            largest->accelerators =
+                MAX(largest->accelerators, info->accelerators);
             pool->milli[JR_INTAKE_BEST_EFFORT] += info->cpu_milli;
             pool->milli[JR_INTAKE_SHORT] +=
                 MAX((double)info->cpu_milli - (double)w->services.cpu_milli,
@@ -207,8 +261,8 @@
         return;
     }
     jr_backlog_clear(backlog);
-    add_jobs(d);
     add_workers(d);
+    add_jobs(d);
     backlog->at = d->now;
     backlog->pass_at = d->scheduled_at;
     backlog->is_known = true;
@@ -254,12 +308,9 @@
 add_accepted(jr_dispatch_t *d, const Jr__JobSpec *spec,
              const jr_intake_job_t *job)
 {
-    jr_intake_queue_t *queue =
-        &g_array_index(d->backlog->queues, jr_intake_queue_t, job->queue);
-
     for (size_t s = 0; s < spec->n_steps && spec->repeats == 0; s++) {
-        add_step(queue, spec->steps[s], spec->steps[s]->count, 0,
-                 job->allowed_ms);
+        add_step(d->backlog, job->queue, spec->steps[s], spec->steps[s]->count,
+                 0, job->allowed_ms);
     }
 }
 
