--- a/src/dispatch/spent.c
+++ b/src/dispatch/spent.c
@@ -72,7 +72,8 @@
 jr_spent_report(jr_dispatch_t *d, const jr_job_t *job)
 {
     bool has_queue = job->queue->last_config != NULL;
-    int64_t allowed_ms = has_queue ? jr_schedule_allowed_ms(job) : 0;
+    int64_t allowed_ms =
+        has_queue ? jr_allowed_ms(job->queue->last_config, job->spec) : 0;
     int64_t after_ms = job->ended_ms - job->accepted_ms;
 
     if (has_queue && job->spec->repeats == 0) {
