A task whose end is on the way to the log is not at work

Cause: between the list that tells of an end and its entry in the log the task counted as at work, so one more of its step was stopped: more away than may_miss allows. Its capacity, which is about to be free, counted as held.

Change: a run whose end is listed is marked, counts as missing, and its capacity as coming.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -65,6 +65,7 @@
     bool is_inherited;       /* granted by an earlier leader */
     bool is_suspect;         /* a worker crashed under an earlier run */
     bool is_listed;          /* its incarnation listed it as running */
+    bool is_end_listed;      /* its end is on the way to the log */
     bool is_stop_wanted;
     uint64_t serial;      /* of the pending order, 0 for none */
     int64_t expires_ms;   /* lease of its first start, on the worker's clock */
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -266,12 +266,15 @@
     for (size_t i = 0; i < answer->n_ended; i++) {
         const jr_ended_t *end = &answer->ended[i];
         Jr__JobEnd *row = &rows[body.n_ends];
-        const jr_run_t *run;
+        jr_run_t *run;
 
         if (end->number <= seen) {
             continue;
         }
         run = find_run(d, w, &end->run);
+        if (run != NULL) {
+            run->is_end_listed = true;
+        }
         jr_health_end(d, w, run, end);
         log_end(d, w, end, run != NULL);
         jr__job_end__init(row);
--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -43,8 +43,17 @@
     const jr_run_t *run = task->run;
 
     return run != NULL && run->state == JR_RUN_RUNNING &&
-           run->percent >= COMPLETE_PERCENT && run->worker->suspect_at == 0 &&
-           !run->worker->has_ended && !run->worker->is_leaving;
+           !run->is_end_listed && run->percent >= COMPLETE_PERCENT &&
+           run->worker->suspect_at == 0 && !run->worker->has_ended &&
+           !run->worker->is_leaving;
+}
+
+/* Is the run about to free its capacity? */
+static bool
+is_ending(const jr_run_t *run)
+{
+    return run->state == JR_RUN_STOPPING || run->state == JR_RUN_RELEASING ||
+           run->is_end_listed;
 }
 
 /* Tasks of the step that are not at work; counted once for each decision. */
@@ -116,7 +125,7 @@
             .user = run,
         };
 
-        if (run->state == JR_RUN_STOPPING || run->state == JR_RUN_RELEASING) {
+        if (is_ending(run)) {
             candidates->stopping_milli += run->need.cpu_milli;
         }
         else if (run->state == JR_RUN_RUNNING && !run->is_stop_wanted &&
--- a/src/dispatch/urgent_test.cc
+++ b/src/dispatch/urgent_test.cc
@@ -181,6 +181,18 @@
     EXPECT_EQ(fleet.Counter(JR_C_PREEMPTIONS), 0u);
 }
 
+/* It has ended, its worker said so, and the log does not say it yet. */
+TEST_F(UrgentTest, ATaskThatIsListedAsEndedIsMissing)
+{
+    FillWithServices(1);
+    fleet.log_delay_ms = 300;
+    fleet.Submit(2, {Urgent(4)});
+    fleet.Run(260);
+    fleet.workers[0].running.begin()->second.ends_at = fleet.now;
+    fleet.Run(240);
+    EXPECT_EQ(fleet.Counter(JR_C_PREEMPTIONS), 0u);
+}
+
 /* Urgent tasks of a wave use each stopped service's capacity in turn. */
 TEST_F(UrgentTest, AWaveDoesNotStopServicesOverAndOver)
 {
