--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -270,12 +270,15 @@
     for (size_t i = 0; i < answer->n_ended; i++) {
         const jr_ended_t *end = &answer->ended[i];
         Jr__JobEnd *row = &rows[body.n_ends];
-        const jr_run_t *run;
+        jr_run_t *run;
 
         if (end->number <= seen) {
             continue;
         }
         run = find_run(d, w, &end->run);
+        if (run != NULL) {
+            run->is_end_listed = true;
+        }
         jr_health_end(d, w, run, end);
         if (run != NULL && end->how == JR__JOB_END__HOW__DONE) {
             jr_backlog_learn(d, run);
