--- a/include/jayrelay/quorum.h
+++ b/include/jayrelay/quorum.h
@@ -74,6 +74,9 @@
 /** enum jr_role_t - role of a replica in the current term */
 typedef enum { JR_FOLLOWER, JR_CANDIDATE, JR_LEADER } jr_role_t;
 
+/** typedef jr_snapshot_check_t - can the state machine load this state? */
+typedef bool jr_snapshot_check_t(void *user, const uint8_t *data, size_t len);
+
 /**
  * struct jr_quorum_options_t - parameters of a core
  * @group: number of the consensus group, sent in every message
@@ -85,6 +88,9 @@
  *          learner is promoted, and only replaced voters are removed
  * @is_preferred_leader: use shorter election timeouts, so that this replica
  *          usually starts an election before the others
+ * @check_snapshot: called for a snapshot from the leader; one that can't be
+ *          loaded is ignored, so the replica stays behind; NULL: all can be
+ * @check_user: passed to @check_snapshot
  */
 typedef struct {
     uint32_t group;
@@ -94,6 +100,8 @@
     int64_t heartbeat_ms;
     size_t voters;
     bool is_preferred_leader;
+    jr_snapshot_check_t *check_snapshot;
+    void *check_user;
 } jr_quorum_options_t;
 
 /**
--- a/src/base/messages_test.cc
+++ b/src/base/messages_test.cc
@@ -251,6 +251,124 @@
     jr_drop_quorum(quorum);
 }
 
+class FollowersTest : public MessagesTest,
+                      public ::testing::WithParamInterface<jr_group_kind_t> {
+  protected:
+    /* One of three, with an empty log. */
+    void
+    SetUp() override
+    {
+        jr_group_options_t options = {};
+
+        MessagesTest::SetUp();
+        store_ = jr_new_memory_store(ctx_);
+        options.kind = GetParam();
+        options.quorum.self = 2;
+        options.quorum.election_ms = kElectionMs;
+        options.quorum.heartbeat_ms = kElectionMs / 5;
+        options.coord.n_groups = 2;
+        options.dispatch.lease_ms = 3000;
+        options.snapshot_every = 500;
+        options.hooks.send = [](void *, const jr_member_t *, const uint8_t *,
+                                size_t) {};
+        options.hooks.rules = [](void *, uint64_t, const char *) {};
+        options.hooks.reply = [](void *, const jr_reply_address_t *,
+                                 Jr__Reply *) {};
+        group_ = jr_new_group(ctx_, &options, store_, 0);
+    }
+
+    void
+    TearDown() override
+    {
+        jr_drop_group(group_);
+        jr_drop_store(store_);
+        MessagesTest::TearDown();
+    }
+
+    jr_result_t
+    Receive(Jr__QuorumMsg *message, int64_t now)
+    {
+        std::string packed;
+
+        message->group = 0;
+        message->to = 2;
+        packed.resize(jr__quorum_msg__get_packed_size(message));
+        jr__quorum_msg__pack(message, (uint8_t *)packed.data());
+        jr_group_receive(group_, Data(packed), packed.size(), now);
+        jr_group_tick(group_, now);
+        return jr_group_pump(group_, now);
+    }
+
+    /* A packed state without any contents. */
+    std::string
+    EmptyState()
+    {
+        jr_register_t *reg = jr_new_register(ctx_);
+        size_t len;
+        uint8_t *bytes = jr_register_save(reg, &len);
+        std::string state((char *)bytes, len);
+
+        jr_free(ctx_, bytes);
+        jr_drop_register(reg);
+        return GetParam() == JR_GROUP_RULES ? state : "";
+    }
+
+    jr_store_t *store_ = nullptr;
+    jr_group_t *group_ = nullptr;
+};
+
+/* Guards against a process that ends since it was sent a bad snapshot. */
+TEST_P(FollowersTest, ASnapshotThatCannotBeLoadedIsIgnored)
+{
+    Jr__QuorumMsg message = JR__QUORUM_MSG__INIT;
+    Jr__Install install = JR__INSTALL__INIT;
+    Jr__Snapshot snapshot = JR__SNAPSHOT__INIT;
+    Jr__Config config = JR__CONFIG__INIT;
+    Jr__Member member = JR__MEMBER__INIT;
+    Jr__Member *members[] = {&member};
+    std::string bad = "\xff\xff no state";
+    std::string good = EmptyState();
+
+    member.id = 1;
+    member.voter = true;
+    config.n_members = 1;
+    config.members = members;
+    snapshot.config = &config;
+    snapshot.index = 5;
+    snapshot.term = 1;
+    snapshot.data.data = (uint8_t *)bad.data();
+    snapshot.data.len = bad.size();
+    install.snapshot = &snapshot;
+    message.term = 1;
+    message.from = 1;
+    message.body_case = JR__QUORUM_MSG__BODY_INSTALL;
+    message.install = &install;
+    EXPECT_EQ(Receive(&message, 10), JR_OK);
+    EXPECT_EQ(jr_quorum_commit(jr_group_quorum(group_)), 0u);
+    snapshot.data.data = (uint8_t *)good.data();
+    snapshot.data.len = good.size();
+    EXPECT_EQ(Receive(&message, 20), JR_OK);
+    EXPECT_EQ(jr_quorum_commit(jr_group_quorum(group_)), 5u);
+}
+
+TEST_P(FollowersTest, NoMessageEndsAFollower)
+{
+    maker_.Nest("data", &jr__job_snapshot__descriptor);
+    for (int i = 0; i < Rounds(); i++) {
+        std::string packed = maker_.Make(&jr__quorum_msg__descriptor);
+        Jr__QuorumMsg *message =
+            jr__quorum_msg__unpack(nullptr, packed.size(), Data(packed));
+
+        ASSERT_NE(message, nullptr);
+        ASSERT_EQ(Receive(message, i), JR_OK) << ctx_->error.text;
+        jr__quorum_msg__free_unpacked(message, nullptr);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Groups, FollowersTest,
+                         ::testing::Values(JR_GROUP_RULES, JR_GROUP_LEDGER,
+                                           JR_GROUP_JOBS));
+
 TEST_F(MessagesTest, JobCommandsLeaveAStateThatCanBeSavedAndLoaded)
 {
     const ProtobufCMessageDescriptor *type = &jr__job_command__descriptor;
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -111,11 +111,13 @@
 
     group->ctx = ctx;
     group->options = *options;
+    group->options.quorum.check_snapshot = jr_group_can_restore;
+    group->options.quorum.check_user = group;
     group->store = store;
     group->now = now;
     TAILQ_INIT(&group->pending_replies);
     TAILQ_INIT(&group->reads);
-    group->quorum = jr_new_quorum(ctx, &options->quorum, now);
+    group->quorum = jr_new_quorum(ctx, &group->options.quorum, now);
     new_state_machine(group);
     if (load(group) != JR_OK) {
         jr_drop_group(group);
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -58,6 +58,11 @@
 void jr_group_fail_pending(jr_group_t *group);
 /* Apply a committed entry and reply to the request that proposed it. */
 void jr_group_apply(jr_group_t *group, const jr_entry_t *entry);
+/*
+ * Is this a valid state? @user is the group, whose state is not changed. The
+ * leader sends snapshots rarely, so that loading each twice costs little.
+ */
+bool jr_group_can_restore(void *user, const uint8_t *bytes, size_t len);
 /* Replace the state by that of a snapshot; JR_OK or JR_DAMAGED. */
 jr_result_t jr_group_restore(jr_group_t *group, const uint8_t *bytes,
                              size_t len);
--- a/src/group/machine.c
+++ b/src/group/machine.c
@@ -178,6 +178,39 @@
     return NULL;
 }
 
+bool
+jr_group_can_restore(void *user, const uint8_t *bytes, size_t len)
+{
+    jr_group_t *group = user;
+    bool ok = false;
+
+    switch (group->options.kind) {
+    case JR_GROUP_RULES: {
+        jr_register_t *reg = jr_new_register(group->ctx);
+
+        ok = jr_register_load(reg, bytes, len);
+        jr_drop_register(reg);
+        break;
+    }
+    case JR_GROUP_LEDGER: {
+        jr_ledger_t *ledger =
+            jr_new_ledger(group->ctx, group->options.quorum.group);
+
+        ok = jr_ledger_load(ledger, bytes, len);
+        jr_drop_ledger(ledger);
+        break;
+    }
+    case JR_GROUP_JOBS: {
+        jr_jobs_t *jobs = jr_new_jobs(group->ctx);
+
+        ok = jr_jobs_load(jobs, bytes, len);
+        jr_drop_jobs(jobs);
+        break;
+    }
+    }
+    return ok;
+}
+
 jr_result_t
 jr_group_restore(jr_group_t *group, const uint8_t *bytes, size_t len)
 {
--- a/src/quorum/replicate.c
+++ b/src/quorum/replicate.c
@@ -295,6 +295,16 @@
     jr_quorum_replicate(q, (size_t)i, false);
 }
 
+static bool
+is_loadable(const jr_quorum_t *q, const Jr__Snapshot *snapshot)
+{
+    const jr_quorum_options_t *options = &q->options;
+
+    return options->check_snapshot == NULL ||
+           options->check_snapshot(options->check_user, snapshot->data.data,
+                                   snapshot->data.len);
+}
+
 void
 jr_quorum_handle_install(jr_quorum_t *q, const Jr__QuorumMsg *m)
 {
@@ -315,6 +325,16 @@
         reply_append(q, m, true, from->index, m->install->sent_at);
         return;
     }
+    if (from->index > q->commit &&
+        (snapshot.config.n == 0 || !is_loadable(q, from))) {
+        jr_count(q->ctx, JR_C_BUS_BAD);
+        jr_log(q->ctx, JR_EV_BAD_MESSAGE,
+               "group %u: snapshot of %zu bytes to index %llu has no "
+               "members or no valid state, and is ignored",
+               q->options.group, from->data.len,
+               (unsigned long long)from->index);
+        return;
+    }
     if (from->index > q->commit) {
         snapshot.index = from->index;
         snapshot.term = from->term;
