Errors keep their outcome when they quote a text that was cut

Cause: an error message quotes at most 40 bytes of a text; cut within a character it was no valid UTF-8, and the whole answer became {}, without its outcome and code. A task or an assignment with missing parts, as a later version may send it, was read through a null pointer.

Change: such an error has the general text of its code. Assignments and tasks without the parts that are shown are left out or answered as errors.

Tested: process_bad_input with such a class, red before.

--- a/src/entry/answer.c
+++ b/src/entry/answer.c
@@ -29,10 +29,14 @@
                 const char *reason, jr_result_t code, const char *message,
                 int64_t retry_after_ms)
 {
-    json_t *object = json_pack("{s:s, s:s, s:i, s:s}", "outcome", outcome,
-                               "reason", reason, "code", (int)code, "message",
-                               message != NULL ? message : "");
+    json_t *text = json_string(message != NULL ? message : "");
+    json_t *object;
 
+    if (text == NULL) { /* it quotes a text that was cut in a character */
+        text = json_string(jr_result_text(code));
+    }
+    object = json_pack("{s:s, s:s, s:i, s:o}", "outcome", outcome, "reason",
+                       reason, "code", (int)code, "message", text);
     if (retry_after_ms > 0) {
         json_object_set_new(object, "retry_after_ms",
                             json_integer(retry_after_ms));
--- a/src/entry/tasks.c
+++ b/src/entry/tasks.c
@@ -36,7 +36,7 @@
     jr_pending_t *pending = user;
 
     if (code == JR_OK && reply->body_case == JR__REPLY__BODY_LEDGER &&
-        reply->ledger->task != NULL) {
+        reply->ledger->task != NULL && reply->ledger->task->spec != NULL) {
         jr_answer_json(pending->exchange, HTTP_OK,
                        task_to_json(reply->ledger->task), 0);
     }
--- a/src/entry/workers.c
+++ b/src/entry/workers.c
@@ -21,12 +21,17 @@
     [JR__ASSIGNMENT__ACTION__THROTTLE] = "throttle",
 };
 
+/* NULL for one that a later version may send. */
 static json_t *
 assignment_to_json(const Jr__Assignment *a)
 {
     char id[TASK_ID_BYTES];
     json_t *object;
 
+    if (a->action > JR__ASSIGNMENT__ACTION__THROTTLE ||
+        (a->spec != NULL && a->spec->need == NULL)) {
+        return NULL;
+    }
     snprintf(id, sizeof id, "%llu", (unsigned long long)a->task);
     object =
         json_pack("{s:s, s:I, s:s}", "id", id, "epoch", (json_int_t)a->epoch,
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -250,6 +250,9 @@
     expect_error 400 /v1/tasks '{"key": '
     expect_error 400 /v1/tasks '{"key":"x","team":"t","class":"watch",'\
 '"need":{"cpu_milli":-1,"memory_mb":1}}'
+    # Its message quotes the class, cut within a character.
+    expect_error 400 /v1/tasks '{"key":"x","team":"t","class":"x'\
+"$(printf 'ä%.0s' {1..40})"'","need":{"cpu_milli":1,"memory_mb":1}}'
     expect_error 400 /v1/tasks '[]'
     expect_error 400 /v1/upstreams '{"name":"x","slots":-8}'
     expect_error 400 /v1/workers/heartbeat '{"worker":""}'
