A request whose time is over is not sent after a pause

Cause: libcurl counts the time of a request from when it first handles it. A process that was paused between giving an order and that moment sent it after the pause, however long it was, when its leadership, or the limit of age of a carried order, had run out.

Change: the client keeps the time of the request itself, and looks at it just before the first byte would leave; the outcome is that nothing was sent.

Tested: ClientTest.ARequestIsNotSentOnceItsTimeIsOver, red before (a pause of 300 ms, a time of 100 ms: sent and given up); http_test green.

--- a/include/jayrelay/http.h
+++ b/include/jayrelay/http.h
@@ -121,7 +121,8 @@
 
 /**
  * struct jr_fetch_t - a request; it is sent at most once
- * @timeout_ms: for the complete response
+ * @timeout_ms: for the complete response; a request that was not sent in this
+ *              time, as the process was paused, is not sent any more
  * @is_fresh: use a new connection. The server may close a reused one just when
  *            the request is sent, and then nobody knows whether it has run.
  */
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -11,6 +11,8 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 
+#include "jayrelay/program.h"
+
 enum {
     CONNECT_TIMEOUT_MS = 500,
     UNACKED_MAX_MS = 2000,     /* sent data unacknowledged: connection lost */
@@ -31,6 +33,7 @@
     bool is_too_large;
     bool has_socket; /* opened for this request */
     bool was_sent;
+    int64_t expires_at; /* it must not be sent later */
     jr_fetched_t fetched;
     jr_fetch_handler_t *handler;
     void *user;
@@ -105,6 +108,10 @@
  * connection fails without a response, libcurl repeats the request on another
  * one. The outcome would then be that of the repetition, while the server may
  * have received the first request as well.
+ *
+ * libcurl counts the time of a request only from when it first handles it, and
+ * this process may have been paused before that. An order whose time is over
+ * must not leave: another leader may have given others since.
  */
 static int
 on_connected(void *user, char *to, char *from, int to_port, int from_port)
@@ -115,7 +122,7 @@
     (void)from;
     (void)to_port;
     (void)from_port;
-    if (fetch->was_sent) {
+    if (fetch->was_sent || jr_clock_ms() > fetch->expires_at) {
         return CURL_PREREQFUNC_ABORT;
     }
     fetch->was_sent = true;
@@ -440,6 +447,7 @@
     fetch->client = client;
     fetch->handler = from->handler;
     fetch->user = from->user;
+    fetch->expires_at = jr_clock_ms() + from->timeout_ms;
     fetch->easy = acquire_handle(client);
     if (fetch->easy == NULL) {
         jr_free(client->ctx, fetch);
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <chrono>
 #include <string>
 #include <thread>
 #include <vector>
@@ -475,7 +476,7 @@
     }
 
     void
-    Start(const std::string &url, Result *result)
+    Start(const std::string &url, Result *result, int64_t timeout_ms = 5000)
     {
         jr_fetch_t fetch = {};
 
@@ -483,7 +484,7 @@
         fetch.url = url.c_str();
         fetch.body = "{}";
         fetch.len = 2;
-        fetch.timeout_ms = 5000;
+        fetch.timeout_ms = timeout_ms;
         fetch.user = result;
         fetch.handler = [](void *user, const jr_fetched_t *fetched) {
             *static_cast<Result *>(user) = {
@@ -599,6 +600,41 @@
     close(listener);
 }
 
+/*
+ * Guards against an order that leaves after a pause of this process, whose
+ * permission has run out meanwhile.
+ */
+TEST_F(ClientTest, ARequestIsNotSentOnceItsTimeIsOver)
+{
+    constexpr int64_t kPauseMs = 300;
+    sockaddr_in address = Address(0);
+    socklen_t len = sizeof address;
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    std::string url;
+    Result result;
+    pollfd connected = {listener, POLLIN, 0};
+    char byte;
+    int fd;
+
+    bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof address);
+    listen(listener, 4);
+    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &len);
+    url = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port)) + "/";
+    Start(url, &result, kPauseMs / 3);
+    std::this_thread::sleep_for(std::chrono::milliseconds(kPauseMs));
+    while (!result.is_done) {
+        ev_run(loop_, EVRUN_ONCE);
+    }
+    EXPECT_EQ(result.outcome, JR_FETCH_NOT_CONNECTED);
+    EXPECT_FALSE(result.is_refused);
+    if (poll(&connected, 1, 0) == 1) {
+        fd = accept(listener, nullptr, nullptr);
+        EXPECT_LE(recv(fd, &byte, 1, MSG_DONTWAIT), 0);
+        close(fd);
+    }
+    close(listener);
+}
+
 /* Guards against errors for requests whose connection was closed while idle.
  */
 TEST_F(ClientTest, AConnectionThatWasClosedIdleIsReplaced)
