A task of a worker that was silent is not stalled

Cause: the time without progress of a task ran on while its worker could not be heard. With the first list after 2 to 10 s of silence, well within its lease, each of its short tasks was judged stalled, even if the list showed progress; it was stopped, ran again elsewhere, and the worker was quarantined.

Change: the progress that a list shows counts before the judgement, and after a silence the time without progress begins anew.

--- a/src/dispatch/health_test.cc
+++ b/src/dispatch/health_test.cc
@@ -66,6 +66,36 @@
     ExpectClean(fleet);
 }
 
+/*
+ * Guards against tasks that are stopped and run again elsewhere, since their
+ * worker could not be heard for less than its lease. Some of them tell their
+ * progress in steps.
+ */
+TEST(HealthTest, ATaskOfAWorkerThatWasSilentIsNotStalled)
+{
+    for (uint32_t percent : {0U, 30U}) { /* 0: its actual progress */
+        Fleet fleet(1, 2, {}, {.lease_ms = 8000});
+
+        fleet.task_ms = 20000;
+        fleet.reported_percent = percent;
+        fleet.Submit(1, {MakeStep(1)});
+        fleet.Run(1500);
+        for (size_t i = 0; i < 2; i++) {
+            fleet.SetPartitioned(i, !fleet.workers[i].running.empty());
+        }
+        fleet.Run(4000);
+        for (size_t i = 0; i < 2; i++) {
+            fleet.SetPartitioned(i, false);
+        }
+        fleet.Run(1500);
+        EXPECT_EQ(fleet.Running(1), 1u);
+        EXPECT_EQ(fleet.StartsOf({1, 0, 0, 0}), 1u);
+        EXPECT_EQ(fleet.Counter(JR_C_RUNS_STALLED), 0u);
+        EXPECT_EQ(fleet.Counter(JR_C_QUARANTINES), 0u);
+        ExpectClean(fleet);
+    }
+}
+
 /* Tasks make no progress on a worker that still answers. */
 TEST(HealthTest, AStalledTaskRunsElsewhere)
 {
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -118,11 +118,11 @@
     }
     run->is_listed = true;
     run->crashed_after_ms = 0;
-    jr_health_running(d, run);
     if (row->percent != run->percent) {
         run->percent = row->percent;
         run->percent_at = d->now;
     }
+    jr_health_running(d, run);
     run->gauge = row->gauge;
     if (run->pace_wanted < JR_PACE_FULL) {
         run->percent_at = d->now; /* a slowed task is not stalled */
@@ -395,6 +395,20 @@
     return answer->clock_ms <= CLOCK_MAX_MS ? MAX(answer->clock_ms, 0) : 0;
 }
 
+/*
+ * The worker could not be heard, or stood still: that its runs made no
+ * progress meanwhile is no sign that they are stalled.
+ */
+static void
+forgive_silence(const jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    jr_run_t *run;
+
+    TAILQ_FOREACH (run, &w->runs, link) {
+        run->percent_at = d->now;
+    }
+}
+
 static void
 on_renewed(jr_dispatch_t *d, jr_tracked_worker_t *w, int64_t sent_at,
            const jr_answer_t *answer)
@@ -418,6 +432,7 @@
     w->renewal_at = d->now;
     if (w->suspect_at != 0 && sent_at >= w->suspect_at) {
         w->suspect_at = 0;
+        forgive_silence(d, w);
     }
     if (!w->is_synced) {
         mark_synced(d, w);
