--- a/src/dispatch/grant_test.cc
+++ b/src/dispatch/grant_test.cc
@@ -238,6 +238,27 @@
     ADD_FAILURE() << "the task is not started again";
 }
 
+/*
+ * Guards against a worker that is in use again after it was removed: its last
+ * check-in arrives late. It gets no task before it has answered.
+ */
+TEST_F(GrantTest, ALateCheckInOfARemovedWorkerBringsItNoTask)
+{
+    Submit();
+    CheckIn("w0");
+    Remove("w0");
+    CheckIn("w0");
+    EXPECT_EQ(RunWith(JR_ANSWER_DONE, JR_ANSWER_UNREACHED, 15000), 0);
+    EXPECT_EQ(Task()->phase, JR_PHASE_WAITING);
+    EXPECT_NE(jr_jobs_worker(jobs_, "w0"), nullptr);
+    for (int i = 0; i < 100; i++) {
+        for (const Bytes &command : Tick()) {
+            Apply(command);
+        }
+    }
+    EXPECT_EQ(jr_jobs_worker(jobs_, "w0"), nullptr);
+}
+
 /*
  * Guards against a start that is not repeated: one that did not reach the
  * worker at first, and whose answer is lost after it did.
