--- a/src/gate/requests.c
+++ b/src/gate/requests.c
@@ -41,6 +41,9 @@
     case JR_OVERLOADED:
         jr_count(ctx, JR_C_REFUSED_OVERLOAD);
         break;
+    case JR_NO_UPSTREAM:
+        jr_count(ctx, JR_C_REFUSED_NO_UPSTREAM);
+        break;
     case JR_NO_CONFIG:
         jr_count(ctx, JR_C_REFUSED_NO_CONFIG);
         break;
--- a/src/group/job_request.c
+++ b/src/group/job_request.c
@@ -90,6 +90,32 @@
            !is_proposed(group, id);
 }
 
+/*
+ * A job that can't be served now is refused at once. Not one whose earlier
+ * submission is on its way to the log: the refusal would be untrue.
+ */
+static bool
+refuse_unserved(jr_group_t *group, const jr_reply_address_t *reply_to,
+                const Jr__JobSpec *spec, jr_job_queue_t *queue)
+{
+    jr_intake_verdict_t verdict;
+
+    if (jr_jobs_is_queue_drained(group->as.jobs.jobs, queue)) {
+        if (!may_refuse(group, spec->id)) {
+            return false;
+        }
+        jr_count(group->ctx, JR_C_REFUSED_ZONES_DRAINED);
+        reply_code(group, reply_to, JR_NO_UPSTREAM);
+        return true;
+    }
+    if (jr_dispatch_admit(group->as.jobs.dispatch, queue, spec, &verdict) ||
+        !may_refuse(group, spec->id)) {
+        return false;
+    }
+    refuse_backlog(group, reply_to, spec, queue, &verdict);
+    return true;
+}
+
 /* The request path selects the queue; its remainder is the job id. */
 static void
 on_submit(jr_group_t *group, const jr_reply_address_t *reply_to,
@@ -97,7 +123,6 @@
 {
     jr_jobs_t *jobs = group->as.jobs.jobs;
     Jr__JobSpec *spec = command->submit->spec;
-    jr_intake_verdict_t verdict;
     jr_job_queue_t *queue;
     jr_pending_reply_t *pending;
     const char *rest;
@@ -124,14 +149,7 @@
         reply_code(group, reply_to, JR_OK);
         return;
     }
-    if (jr_jobs_is_queue_drained(jobs, queue)) {
-        jr_count(group->ctx, JR_C_REFUSED_ZONES_DRAINED);
-        reply_code(group, reply_to, JR_NO_UPSTREAM);
-        return;
-    }
-    if (!jr_dispatch_admit(group->as.jobs.dispatch, queue, spec, &verdict) &&
-        may_refuse(group, spec->id)) {
-        refuse_backlog(group, reply_to, spec, queue, &verdict);
+    if (refuse_unserved(group, reply_to, spec, queue)) {
         return;
     }
     path = spec->prefix;
