--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -195,7 +195,7 @@
 
     note_missing(candidates, run->task);
     d->lost_to_urgent_ms +=
-        (double)(victim->lost_ms * victim->size.cpu_milli / PERMILLE);
+        (double)victim->lost_ms * (double)victim->size.cpu_milli / PERMILLE;
     run->task->preempted++;
     jr_count(d->ctx, JR_C_PREEMPTIONS);
     jr_log_job(d->ctx, JR_EV_RUN_PREEMPTED, run->task->job->id,
