The soak drains zones

Cause: no drain was among what the soak does. A start in a drained zone later than 5 s after the ack and before the zone is asked for again breaks EVAC, as does a zone that can't be drained or taken back.

--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -240,3 +240,52 @@
             self.note("CONFIG", "%s gave version %d with other content"
                       % (reader.addresses[0], version))
         return version
+
+
+class DrainRecord:
+    """What the operator knows of a drain; times of the steady clock."""
+
+    def __init__(self, drain):
+        self.drain = drain
+        self.acked_at = 0.0
+        self.return_sent_at = 0.0  # the first time, 0: never
+        self.returned_at = 0.0
+
+
+class DrainOperator(threading.Thread):
+    """Drains zones and takes them back, one after the other."""
+
+    def __init__(self, drains, controls, began_at, stop, note):
+        super().__init__(daemon=True)
+        self.records = [DrainRecord(drain) for drain in drains]
+        self.connection = Connection(controls, 1)
+        self.began_at = began_at
+        self.stop = stop
+        self.note = note
+
+    def send(self, path):
+        """Sends until it is acknowledged; returns when, or 0."""
+        while not self.stop.is_set():
+            status, _ = self.connection.ask("POST", path)
+            if status == 200:
+                return time.monotonic()
+            if status not in REJECTED + UNCLEAR:
+                self.note("EVAC", "POST of %s was answered %d"
+                          % (path, status))
+                return 0.0
+            self.connection.close()
+            self.connection.index += 1
+            self.stop.wait(RETRY_S)
+        return 0.0
+
+    def run(self):
+        for record in self.records:
+            drain = record.drain
+            due = self.began_at + drain.at_s
+            if self.stop.wait(max(due - time.monotonic(), 0)):
+                return
+            record.acked_at = self.send("/Evacuate.Start/" + drain.zone)
+            if self.stop.wait(drain.for_s):
+                return
+            record.return_sent_at = time.monotonic()
+            record.returned_at = self.send("/Evacuate.Finish/" + drain.zone)
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 CRASHES_TO_GIVE_UP = 2  # of executors under one task
+DRAINED_S = 5.0  # from the ack of a drain until nothing starts in the zone
 
 
 @dataclass
@@ -154,3 +155,18 @@
         judge_task(runs, note)
     for record in records:
         judge_job(record, tasks, note)
+
+
+def judge_drains(records, tasks, zones, note):
+    """@zones: zone of each executor's log."""
+    runs = [run for task in tasks.values() for run in task]
+    for record in records:
+        if not record.acked_at:
+            continue
+        end = record.return_sent_at or math.inf
+        for run in runs:
+            after_s = run.started_at - record.acked_at
+            if (zones[run.log] == record.drain.zone and
+                    after_s > DRAINED_S and run.started_at < end):
+                note("EVAC", "%s starts in zone %s, %.2f s after the ack of "
+                     "its drain" % (run, record.drain.zone, after_s))
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -24,6 +24,23 @@
 
 CLIENTS = 4
 
+ZONES = ("z", "y", "x")  # of the executors, in turn
+DRAIN_GAP_S = 4.0  # mean, from the end of a drain to the next one
+DRAIN_S = (6.0, 12.0)  # shortest and longest
+
+
+@dataclass
+class Drain:
+    """One zone is drained and taken back; one at a time."""
+    at_s: float
+    zone: str
+    for_s: float
+
+    def __str__(self):
+        return "%7.2f  zone %-5s  drain    %5.2f" % (self.at_s, self.zone,
+                                                   self.for_s)
+
+
 @dataclass
 class Fault:
     at_s: float
@@ -72,6 +89,20 @@
     return sorted(faults, key=lambda f: (f.at_s, f.process))
 
 
+def draw_drains(seed, seconds):
+    rng = random.Random("%d/drains" % seed)
+    drains = []
+    at_s = CALM_S + rng.expovariate(1 / DRAIN_GAP_S)
+    while at_s < seconds:
+        drains.append(Drain(at_s, rng.choice(ZONES), rng.uniform(*DRAIN_S)))
+        at_s += drains[-1].for_s + rng.expovariate(1 / DRAIN_GAP_S)
+    return drains
+
+
+def zone_of(executor):
+    return ZONES[(int(executor.split("-")[1]) - 1) % len(ZONES)]
+
+
 def draw_steps(rng, work_ms):
     steps = [{"count": rng.randint(1, 4), "cpu": 1000, "mem_mb": 1,
               "est_runtime_ms": work_ms}]
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -115,7 +115,8 @@
             return ["python3", here + "/../../tests/fake_executor.py",
                     "i-%s-%d" % (name.split("-")[1], n),
                     "%s:%d" % (self.ip[name], self.port["executor"]),
-                    ",".join(self.controls), str(TASK_MS)]
+                    ",".join(self.controls), str(TASK_MS),
+                    plan.zone_of(name)]
         return ["%s/jayrelay-%s" % (self.build, name.split("-")[0]),
                 "--settings", "%s/%s.yaml" % (self.dir, name)]
 
