A request to a leader is not repeated once its time is over

Cause: after a pause of the process, an answer that named another leader was read before the timer gave the request up, and the request was sent again, after its caller's time.

--- a/src/net/ask_test.cc
+++ b/src/net/ask_test.cc
@@ -41,6 +41,7 @@
         jr_bus_t *bus = nullptr;
         bool answers = false;
         jr_result_t code = JR_OK;
+        int n_requests = 0;
     };
 
     void
@@ -55,6 +56,7 @@
             std::string address = FreeAddress();
 
             servers_[i].test = this;
+            leader_name_ = i == 1 ? address : leader_name_;
             servers_[i].bus =
                 jr_new_bus(ctx_, loop_, address.c_str(), address.c_str(),
                            &keys_, OnRequest, &servers_[i]);
@@ -89,8 +91,11 @@
         Jr__Reply reply = JR__REPLY__INIT;
         Jr__Envelope answer = JR__ENVELOPE__INIT;
 
-        if (!server->answers ||
-            envelope->body_case != JR__ENVELOPE__BODY_REQUEST) {
+        if (envelope->body_case != JR__ENVELOPE__BODY_REQUEST) {
+            return;
+        }
+        server->n_requests++;
+        if (!server->answers) {
             return;
         }
         reply.id = envelope->request->id;
@@ -195,6 +200,7 @@
     Server servers_[kServers];
     int peers_[kServers] = {};
     int n_replies_ = 0;
+    std::string leader_name_; /* of the second server */
 };
 
 /* A request whose time ends with two silent processes must not hide a third.
@@ -235,6 +241,37 @@
     EXPECT_EQ(AskAndAbandon(requester_, 1), JR_NO_QUORUM);
 }
 
+/*
+ * Guards against a request that is sent after a pause of this process, when
+ * its caller has given up: the answer to the first attempt comes too late.
+ */
+TEST_F(AskTest, ARequestIsNotRepeatedOnceItsTimeIsOver)
+{
+    constexpr int64_t kShortMs = 20;
+    jr_result_t outcome = JR_OK;
+    Jr__Join join = JR__JOIN__INIT;
+    Jr__Request request = JR__REQUEST__INIT;
+    Jr__Reply reply = JR__REPLY__INIT;
+
+    request.body_case = JR__REQUEST__BODY_JOIN;
+    request.join = &join;
+    jr_requester_send(
+        requester_, &request, kShortMs,
+        [](void *user, jr_result_t code, const Jr__Reply *) {
+            *static_cast<jr_result_t *>(user) = code;
+        },
+        &outcome);
+    usleep(10 * 1000 * kShortMs);
+    ev_now_update(loop_);
+    reply.id = request.id;
+    reply.code = JR_NOT_LEADER;
+    reply.leader = const_cast<char *>(leader_name_.c_str());
+    jr_requester_handle_reply(requester_, &reply);
+    RunFor(0.2);
+    EXPECT_EQ(outcome, JR_NO_QUORUM);
+    EXPECT_EQ(servers_[1].n_requests, 0);
+}
+
 /* A control process that leaves the first attempt of a request unanswered. */
 class UnansweredAttemptTest : public ::testing::Test {
   protected:
