--- a/include/jayrelay/quality.h
+++ b/include/jayrelay/quality.h
@@ -1,5 +1,5 @@
 /**
- * DOC: quality - what a worker is worth
+ * DOC: quality - how fast and how reliable a worker is
  *
  * Load: some workers are slow (tasks take 2 to 5 times as long), grey (a share
  * of starts or runs fails while they look healthy), or cold after a start.
@@ -63,7 +63,7 @@
 } jr_quality_run_t;
 
 /**
- * struct jr_quality_verdict_t - what a worker is worth now
+ * struct jr_quality_verdict_t - how fast and reliable a worker is now
  * @speed_permille: expected run time of a warm worker, in thousandths of that
  *                  on a sound one; JR_QUALITY_SOUND to JR_QUALITY_EXPECTED_MAX
  * @failing_permille: share of runs that fail there beyond what fails
--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -278,7 +278,7 @@
     if (task->failures > 0) {
         sum += (int64_t)w->failure_streak * STREAK_COST;
     }
-    return sum + crash_cost(d, w, task) + jr_worth_cost(d, w, task);
+    return sum + crash_cost(d, w, task) + jr_worker_quality_cost(d, w, task);
 }
 
 /*
--- a/src/dispatch/crash.c
+++ b/src/dispatch/crash.c
@@ -110,7 +110,7 @@
     w->crashed_at = d->now;
     jr_count(d->ctx, JR_C_WORKER_CRASHES);
     if (w->n_suspects == 0) {
-        jr_worth_on_crash(d, w);
+        jr_worker_quality_on_crash(d, w);
     }
     TAILQ_FOREACH (run, &w->runs, link) {
         bool is_cause_unclear = is_host_suspect || run->is_inherited;
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -172,7 +172,7 @@
     if (worker->info->leaving && worker->info->born == w->incarnation) {
         jr_tracked_worker_leave(d, w);
     }
-    jr_worth_on_worker(d, w);
+    jr_worker_quality_on_worker(d, w);
     w->is_end_pending = false;
     d->is_dirty = true;
 }
@@ -581,7 +581,7 @@
     }
     if (known->local != NULL) {
         known->local->checked_in_at = d->now;
-        jr_worth_on_check_in(d, known->local, info);
+        jr_worker_quality_on_check_in(d, known->local, info);
         /* A worker that drains is never ready again: its check-in is late. */
         if (!info->draining && !known->info->draining) {
             known->local->left_at = 0; /* of an earlier incarnation */
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -332,33 +332,38 @@
                    const jr_run_t *run, const jr_ended_t *end);
 
 /*
- * worth.c: what workers are worth, by what their runs do and by what they say.
+ * worker_quality.c: what workers are worth, by what their runs do and by what
+ * they say.
  */
 /* The worker said that the run has started. */
-void jr_worth_on_started(const jr_dispatch_t *d, jr_run_t *run);
+void jr_worker_quality_on_started(const jr_dispatch_t *d, jr_run_t *run);
 /* The run is listed, with its progress. */
-void jr_worth_on_progress(jr_dispatch_t *d, jr_run_t *run, uint32_t percent);
+void jr_worker_quality_on_progress(jr_dispatch_t *d, jr_run_t *run,
+                                   uint32_t percent);
 /* It is listed as ended, for a reason that may be the worker. */
-void jr_worth_on_end(jr_dispatch_t *d, const jr_run_t *run,
-                     Jr__JobEnd__How how);
+void jr_worker_quality_on_end(jr_dispatch_t *d, const jr_run_t *run,
+                              Jr__JobEnd__How how);
 /* It refused a start, though it has the capacity. */
-void jr_worth_on_refused(jr_dispatch_t *d, jr_tracked_worker_t *w);
+void jr_worker_quality_on_refused(jr_dispatch_t *d, jr_tracked_worker_t *w);
 /* It ended without notice, and no task is known to have caused it. */
-void jr_worth_on_crash(jr_dispatch_t *d, jr_tracked_worker_t *w);
+void jr_worker_quality_on_crash(jr_dispatch_t *d, jr_tracked_worker_t *w);
 /* The log says something new of the worker, or this leader is new. */
-void jr_worth_on_worker(jr_dispatch_t *d, jr_tracked_worker_t *w);
+void jr_worker_quality_on_worker(jr_dispatch_t *d, jr_tracked_worker_t *w);
 /* A check-in that need not be logged may say that it is warm sooner. */
-void jr_worth_on_check_in(const jr_dispatch_t *d, jr_tracked_worker_t *w,
-                          const Jr__JobWorker *info);
+void jr_worker_quality_on_check_in(const jr_dispatch_t *d,
+                                   jr_tracked_worker_t *w,
+                                   const Jr__JobWorker *info);
 /* Another incarnation has begun. */
-void jr_worth_on_restart(jr_tracked_worker_t *w);
+void jr_worker_quality_on_restart(jr_tracked_worker_t *w);
 /* Before a pass: judge all workers. */
-void jr_worth_update(jr_dispatch_t *d);
+void jr_worker_quality_update(jr_dispatch_t *d);
 /* Added to the cost of the task there; 0 while all workers are sound. */
-int64_t jr_worth_cost(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
-                      const jr_job_task_t *task);
+int64_t jr_worker_quality_cost(const jr_dispatch_t *d,
+                               const jr_tracked_worker_t *w,
+                               const jr_job_task_t *task);
 /* Time that something may take there which takes @sound_ms elsewhere. */
-int64_t jr_worth_patience_ms(const jr_tracked_worker_t *w, int64_t sound_ms);
+int64_t jr_worker_quality_patience_ms(const jr_tracked_worker_t *w,
+                                      int64_t sound_ms);
 
 /* crash.c: workers that crash, and the tasks that ran there. */
 /* Its incarnation has ended: a crash, unless the worker announced it. */
--- a/src/dispatch/health.c
+++ b/src/dispatch/health.c
@@ -90,7 +90,8 @@
 
     return !step->service && !step->gang && run->state == JR_RUN_RUNNING &&
            run->percent < COMPLETE_PERCENT &&
-           d->now - run->percent_at > jr_worth_patience_ms(run->worker, bound);
+           d->now - run->percent_at >
+               jr_worker_quality_patience_ms(run->worker, bound);
 }
 
 void
@@ -135,7 +136,7 @@
 {
     if (end->how == JR__JOB_END__HOW__DONE) {
         if (run != NULL) {
-            jr_worth_on_end(d, run, end->how);
+            jr_worker_quality_on_end(d, run, end->how);
         }
         end_probation(w);
         return;
@@ -146,7 +147,7 @@
         return;
     }
     note_failure(d, w, end);
-    jr_worth_on_end(d, run, end->how);
+    jr_worker_quality_on_end(d, run, end->how);
     /* Runs granted before the quarantine give no new evidence. */
     if (is_on_probation(w) ? is_probe(run)
                            : w->failure_streak >= STREAK_FAILURES) {
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -118,7 +118,7 @@
     }
     run->is_listed = true;
     run->crashed_after_ms = 0;
-    jr_worth_on_progress(d, run, row->percent);
+    jr_worker_quality_on_progress(d, run, row->percent);
     if (row->percent != run->percent) {
         run->percent = row->percent;
         run->percent_at = d->now;
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -372,7 +372,7 @@
         run->state = JR_RUN_RUNNING;
         run->confirmed_at = d->now;
         run->percent_at = d->now;
-        jr_worth_on_started(d, run);
+        jr_worker_quality_on_started(d, run);
         log_started(d, run);
         break;
     case JR_ANSWER_FENCED:
@@ -392,11 +392,11 @@
         break;
     case JR_ANSWER_UNHEALTHY:
         run->worker->backoff_until = d->now + REFUSED_BACKOFF_MS;
-        jr_worth_on_refused(d, run->worker);
+        jr_worker_quality_on_refused(d, run->worker);
         start_failed(d, run, "unhealthy");
         break;
     case JR_ANSWER_REFUSED:
-        jr_worth_on_refused(d, run->worker);
+        jr_worker_quality_on_refused(d, run->worker);
         start_failed(d, run, "refused");
         break;
     case JR_ANSWER_OTHER_INCARNATION:
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -527,7 +527,7 @@
     d->short_waiting = (jr_demand_sum_t){0};
     for_demand(candidates, UINT32_MAX, add_demand, &d->short_waiting);
     jr_reserve_update(d);
-    jr_worth_update(d);
+    jr_worker_quality_update(d);
     jr_reserve_for_services(d);
     if (candidates->len > 1) {
         qsort(candidates->data, candidates->len, sizeof(candidate_t),
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -63,7 +63,7 @@
     TAILQ_INIT(&w->runs);
     insert_by_rank(d, w);
     worker->local = w;
-    jr_worth_on_worker(d, w);
+    jr_worker_quality_on_worker(d, w);
     return w;
 }
 
@@ -319,7 +319,7 @@
     w->failure_streak = 0;
     w->quarantined_until = 0;
     w->quarantine_ms = 0;
-    jr_worth_on_restart(w);
+    jr_worker_quality_on_restart(w);
     w->is_end_pending = false;
     w->renewal_at = d->now;
     TAILQ_FOREACH (run, &w->runs, link) {
--- a/src/dispatch/worth.c
+++ b/src/dispatch/worker_quality.c
@@ -1,4 +1,4 @@
-/* What workers are worth for a task: evidence for, and use of the verdict. */
+/* The quality of workers: evidence for it, and its use in placement. */
 #include "dispatch.h"
 
 #include <string.h>
@@ -88,7 +88,7 @@
 }
 
 void
-jr_worth_on_started(const jr_dispatch_t *d, jr_run_t *run)
+jr_worker_quality_on_started(const jr_dispatch_t *d, jr_run_t *run)
 {
     if (run->task->checkpoint == NULL) {
         run->speed_from_at = d->now;
@@ -96,7 +96,8 @@
 }
 
 void
-jr_worth_on_progress(jr_dispatch_t *d, jr_run_t *run, uint32_t percent)
+jr_worker_quality_on_progress(jr_dispatch_t *d, jr_run_t *run,
+                              uint32_t percent)
 {
     if (run->speed_from_at == 0 || percent < run->speed_from_percent) {
         run->speed_from_at = d->now;
@@ -127,7 +128,8 @@
 }
 
 void
-jr_worth_on_end(jr_dispatch_t *d, const jr_run_t *run, Jr__JobEnd__How how)
+jr_worker_quality_on_end(jr_dispatch_t *d, const jr_run_t *run,
+                         Jr__JobEnd__How how)
 {
     jr_tracked_worker_t *w = run->worker;
     jr_quality_run_t name = name_run(run);
@@ -147,20 +149,20 @@
 }
 
 void
-jr_worth_on_refused(jr_dispatch_t *d, jr_tracked_worker_t *w)
+jr_worker_quality_on_refused(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
     jr_quality_note_refused(d->quality, &w->quality, d->now);
 }
 
 void
-jr_worth_on_crash(jr_dispatch_t *d, jr_tracked_worker_t *w)
+jr_worker_quality_on_crash(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
     jr_quality_note_lost(d->quality, &w->quality, d->now);
 }
 
 /* What the log says; the leader counts the time down by its own clock. */
 void
-jr_worth_on_worker(jr_dispatch_t *d, jr_tracked_worker_t *w)
+jr_worker_quality_on_worker(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
     const Jr__JobWorker *info = w->worker->info;
     int64_t remaining_ms = info->cold_until_ms - d->jobs->now;
@@ -175,8 +177,8 @@
 }
 
 void
-jr_worth_on_check_in(const jr_dispatch_t *d, jr_tracked_worker_t *w,
-                     const Jr__JobWorker *info)
+jr_worker_quality_on_check_in(const jr_dispatch_t *d, jr_tracked_worker_t *w,
+                              const Jr__JobWorker *info)
 {
     if (info->born == w->incarnation &&
         d->now + info->cold_remaining_ms < w->quality.cold_until) {
@@ -185,7 +187,7 @@
 }
 
 void
-jr_worth_on_restart(jr_tracked_worker_t *w)
+jr_worker_quality_on_restart(jr_tracked_worker_t *w)
 {
     w->logged_cold_until = 0;
     jr_quality_note_cold(&w->quality, 0, 0);
@@ -257,7 +259,7 @@
 }
 
 void
-jr_worth_update(jr_dispatch_t *d)
+jr_worker_quality_update(jr_dispatch_t *d)
 {
     jr_tracked_worker_t *w;
 
@@ -310,8 +312,8 @@
 }
 
 int64_t
-jr_worth_cost(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
-              const jr_job_task_t *task)
+jr_worker_quality_cost(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
+                       const jr_job_task_t *task)
 {
     const Jr__JobStep *step = jr_task_step(task);
     bool is_urgent =
@@ -329,7 +331,7 @@
 }
 
 int64_t
-jr_worth_patience_ms(const jr_tracked_worker_t *w, int64_t sound_ms)
+jr_worker_quality_patience_ms(const jr_tracked_worker_t *w, int64_t sound_ms)
 {
     int64_t permille = w->verdict.cold_ms > 0 ? JR_QUALITY_EXPECTED_MAX
                                               : w->verdict.speed_permille;
--- a/src/dispatch/worth_test.cc
+++ b/src/dispatch/worker_quality_test.cc
@@ -37,7 +37,7 @@
 }
 
 /* Load: half of the workers has just restarted. */
-TEST(WorthTest, UrgentTasksGoToWarmWorkersFirst)
+TEST(WorkerQualityTest, UrgentTasksGoToWarmWorkersFirst)
 {
     Fleet fleet(1, 4);
 
@@ -58,7 +58,7 @@
 }
 
 /* A worker that was cold gets urgent tasks as any other. */
-TEST(WorthTest, AWorkerIsWarmInTime)
+TEST(WorkerQualityTest, AWorkerIsWarmInTime)
 {
     Fleet fleet(1, 2);
     size_t cold_starts;
@@ -75,7 +75,7 @@
     ExpectClean(fleet);
 }
 
-TEST(WorthTest, BestEffortTasksGoToColdWorkersFirst)
+TEST(WorkerQualityTest, BestEffortTasksGoToColdWorkersFirst)
 {
     for (size_t cold = 0; cold < 4; cold++) {
         Fleet fleet(1, 4);
@@ -95,7 +95,7 @@
  * Services run for minutes: they leave the warm workers to short tasks. Where
  * capacity is kept for short tasks they wait, cold or not.
  */
-TEST(WorthTest, ServicesGoToColdWorkersFirst)
+TEST(WorkerQualityTest, ServicesGoToColdWorkersFirst)
 {
     for (uint32_t target_ms : {0u, 100u}) {
         size_t on_cold = 0;
@@ -119,7 +119,7 @@
 }
 
 /* The log says when a worker is warm, so a new leader knows. */
-TEST(WorthTest, ANewLeaderKeepsUrgentTasksOffColdWorkers)
+TEST(WorkerQualityTest, ANewLeaderKeepsUrgentTasksOffColdWorkers)
 {
     Fleet fleet(1, 4);
 
@@ -157,7 +157,7 @@
  * Load: a zone comes back cold, while urgent tasks ask for three quarters of
  * all processors: the others are full first, and nothing waits.
  */
-TEST(WorthTest, AColdZoneIsNeitherFloodedNorStarved)
+TEST(WorkerQualityTest, AColdZoneIsNeitherFloodedNorStarved)
 {
     for (size_t first : {0, 4}) { /* one of them is preferred by rank */
         Fleet fleet(3, 8);
@@ -177,7 +177,7 @@
 }
 
 /* They take half of each cold worker, and do not fill one after another. */
-TEST(WorthTest, BestEffortTasksSpreadOverAColdZone)
+TEST(WorkerQualityTest, BestEffortTasksSpreadOverAColdZone)
 {
     for (size_t first : {0, 4}) {
         Fleet fleet(3, 8);
@@ -209,7 +209,7 @@
 }
 
 /* Load: one worker of ten takes four times as long; half of all is used. */
-TEST(WorthTest, ASlowWorkerGetsFewUrgentTasks)
+TEST(WorkerQualityTest, ASlowWorkerGetsFewUrgentTasks)
 {
     for (uint32_t seed = 1; seed <= 3; seed++) {
         Fleet fleet(seed, 10);
@@ -227,7 +227,7 @@
 }
 
 /* Load: one worker of ten fails half of its runs. */
-TEST(WorthTest, AGreyWorkerGetsFewTasks)
+TEST(WorkerQualityTest, AGreyWorkerGetsFewTasks)
 {
     for (uint32_t seed = 1; seed <= 3; seed++) {
         Fleet fleet(seed, 10);
@@ -244,7 +244,7 @@
 }
 
 /* Load: one worker refuses half of its starts, as unhealthy. */
-TEST(WorthTest, AWorkerThatRefusesStartsIsFound)
+TEST(WorkerQualityTest, AWorkerThatRefusesStartsIsFound)
 {
     Fleet fleet(1, 10);
 
@@ -256,7 +256,7 @@
 }
 
 /* Load: tasks that fail by themselves, one in ten, on all workers alike. */
-TEST(WorthTest, FailuresOfTasksSetFewWorkersBack)
+TEST(WorkerQualityTest, FailuresOfTasksSetFewWorkersBack)
 {
     Fleet fleet(2, 10, {.task_fails = 10});
 
@@ -267,7 +267,7 @@
 }
 
 /* Tasks make little progress on a cold worker, but are not stalled there. */
-TEST(WorthTest, AColdWorkerIsNotQuarantinedForBeingCold)
+TEST(WorkerQualityTest, AColdWorkerIsNotQuarantinedForBeingCold)
 {
     for (bool hides_cold : {false, true}) {
         Fleet fleet(1, 1);
@@ -285,7 +285,7 @@
 }
 
 /* Bad input: progress over 100, and a size that changes in each check-in. */
-TEST(WorthTest, OddListsSetNoWorkerBack)
+TEST(WorkerQualityTest, OddListsSetNoWorkerBack)
 {
     Fleet fleet(1, 4);
 
