--- a/src/dispatch/fleet_check_test.cpp
+++ b/src/dispatch/fleet_check_test.cpp
@@ -7,6 +7,13 @@
     SHRINK_KNOWN_AFTER_MS = 4000, /* a check-in, and time out of contact */
     CRASHES_MAX = 3, /* then a task is started at most so many times more: */
     STARTS_AFTER_CRASHES_MAX = 2,
+    /* A carrier may send an order for 2 s, by a clock that drifts by 1 %. */
+    CARRIED_AGE_MAX_MS = 2030,
+    /*
+     * Until the dispatcher knows that a task runs, or no longer runs: renewals
+     * that get no answer, and pauses of the leader.
+     */
+    TASK_KNOWN_AFTER_MS = 4000,
 };
 
 TaskName
@@ -225,6 +232,102 @@
     }
 }
 
+/*
+ * EVAC: once the drain is in its log, a leader sends no start there; a carrier
+ * none that is older than the limit of age.
+ */
+void
+Fleet::CheckDrain(const jr_order_t &order, int sender)
+{
+    const FleetWorker *worker = FindWorker(order.worker);
+    auto drain = drained_.find(worker->zone);
+    int64_t allowed_ms = sender == FLEET_LEADER ? 0 : CARRIED_AGE_MAX_MS;
+
+    if (drain != drained_.end() && now >= drain->second + allowed_ms) {
+        AddViolation("EVAC: start of " + TextOf(NameOf(order.run)) +
+                     " is sent to " + worker->id + ", its zone " +
+                     worker->zone + " is drained for " +
+                     std::to_string(now - drain->second) + " ms");
+    }
+}
+
+bool
+Fleet::IsStopped(const FleetWorker &worker, const TaskName &task,
+                 const FleetRun &run) const
+{
+    auto stop = stopped_.find(task);
+
+    return run.stops_at != 0 ||
+           (stop != stopped_.end() && run.attempt <= stop->second.attempt &&
+            worker.fence <= stop->second.fence);
+}
+
+/* Which tasks of the checked service run nowhere, or are being stopped. */
+void
+Fleet::NoteAway()
+{
+    const jr_job_t *job = jr_jobs_find(jobs, checked_service);
+    std::set<TaskName> running;
+
+    if (job == nullptr || !jr_job_is_live(job)) {
+        away_.clear();
+        return;
+    }
+    for (const FleetWorker &worker : workers) {
+        for (const auto &[name, run] : worker.running) {
+            if (name.job == checked_service && name.step == 0 &&
+                !IsStopped(worker, name, run)) {
+                running.insert(name);
+                began_[name] = run.attempt;
+            }
+        }
+    }
+    for (uint32_t i = 0; i < job->spec->steps[0]->count; i++) {
+        TaskName name = {checked_service, 0, 0, i};
+
+        if (running.count(name) > 0) {
+            away_.erase(name);
+        }
+        else {
+            away_.emplace(name, now);
+        }
+    }
+}
+
+/*
+ * Only stops of a task that the dispatcher must know to run. Others that were
+ * stopped count as away at once.
+ */
+void
+Fleet::CheckAvailability(const jr_order_t &order)
+{
+    TaskName task = NameOf(order.run);
+    const FleetWorker *worker = FindWorker(order.worker);
+    auto run = worker->running.find(task);
+    size_t n_away = 0;
+
+    NoteAway(); /* some may have started in this step */
+    if (run == worker->running.end() ||
+        run->second.attempt != order.run.attempt || away_.count(task) > 0 ||
+        !jr_job_is_live(jr_jobs_find(jobs, task.job))) {
+        return;
+    }
+    for (const auto &[name, since] : away_) {
+        auto stop = stopped_.find(name);
+
+        n_away +=
+            now - since >= TASK_KNOWN_AFTER_MS ||
+            (stop != stopped_.end() && stop->second.attempt >= began_[name]);
+    }
+    if (now - run->second.started_at >= TASK_KNOWN_AFTER_MS &&
+        n_away >= checked_may_miss) {
+        AddViolation("AVAIL: " + TextOf(task) + " is stopped while " +
+                     std::to_string(n_away) + " others are away");
+    }
+    stopped_[task] = {order.run.attempt, order.fence};
+    away_.emplace(task, now);
+}
+
 size_t
 Fleet::CrashesUnder(const TaskName &task) const
 {
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -289,7 +289,7 @@
         proposals_.clear();
     }
     for (Proposal &p : proposals_) {
-        jr_jobs_apply(jobs, p.bytes.data(), p.bytes.size());
+        ApplyCommand(p.bytes, now);
     }
     proposals_.clear();
     epoch_++;
@@ -399,11 +399,34 @@
     }
 }
 
+void
+Fleet::ApplyCommand(const std::vector<uint8_t> &bytes, int64_t at)
+{
+    Jr__JobCommand *command =
+        jr__job_command__unpack(nullptr, bytes.size(), bytes.data());
+    bool is_zone = command->body_case == JR__JOB_COMMAND__BODY_ZONE;
+    std::string zone = is_zone ? command->zone->zone : "";
+    bool is_drained = is_zone && command->zone->drains;
+
+    if (!is_zone || !forgets_drains) {
+        jr_jobs_apply(jobs, bytes.data(), bytes.size());
+        is_drained = is_zone && jr_zones_is_drained(jobs->zones, zone.c_str());
+    }
+    if (is_drained) {
+        drained_.emplace(zone, at);
+    }
+    else if (is_zone) {
+        drained_.erase(zone);
+    }
+    jr__job_command__free_unpacked(command, nullptr);
+}
+
 void
 Fleet::ApplyDue()
 {
     while (!proposals_.empty() && proposals_.front().due <= now) {
-        std::vector<uint8_t> bytes = proposals_.front().bytes;
+        Proposal proposal = proposals_.front();
+        const std::vector<uint8_t> &bytes = proposal.bytes;
         Jr__JobCommand *command =
             jr__job_command__unpack(nullptr, bytes.size(), bytes.data());
 
@@ -412,7 +435,7 @@
             RecordEnds(command->ends);
         }
         jr__job_command__free_unpacked(command, nullptr);
-        jr_jobs_apply(jobs, bytes.data(), bytes.size());
+        ApplyCommand(bytes, proposal.due);
     }
 }
 
@@ -449,6 +472,9 @@
     SentOrder sent = {};
     bool is_renewal = order.kind == JR_ORDER_RENEW;
 
+    if (order.kind == JR_ORDER_START) {
+        CheckDrain(order, sender);
+    }
     sent.sender = sender;
     sent.kind = order.kind;
     sent.serial = order.serial;
@@ -478,6 +504,10 @@
         if (order.kind == JR_ORDER_START && checks_sent_starts) {
             CheckCapacityAtSend(order);
         }
+        if (order.kind == JR_ORDER_STOP && order.run.job == checked_service &&
+            order.run.step == 0) {
+            CheckAvailability(order);
+        }
         order.serial |= epoch_ << EPOCH_SHIFT;
         if (relay != nullptr) {
             relay->Take(order);
@@ -666,6 +696,9 @@
     }
     CheckCapacity();
     CheckDoubles();
+    if (checked_service != 0) {
+        NoteAway();
+    }
 }
 
 void
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -59,6 +59,12 @@
     std::vector<int64_t> done;
 };
 
+/* A stop order for a run of a service. */
+struct FleetStop {
+    uint32_t attempt;
+    uint64_t fence; /* a worker that has received a higher one refuses it */
+};
+
 /* A capacity that a worker no longer has. */
 struct FleetCapacity {
     int64_t cpu;
@@ -203,6 +209,7 @@
     bool ignores_fences = false;
     bool ignores_leases = false;
     bool ignores_tombstones = false;
+    bool forgets_drains = false; /* of zones, as if not in the log */
     /* Report also what a start sent to an earlier incarnation begins. */
     bool checks_stale_starts = false;
     /*
@@ -210,6 +217,13 @@
      * log. For histories without restarts and best-effort tasks.
      */
     bool checks_sent_starts = false;
+    /*
+     * AVAIL: no task of the first step of this job, a service, is stopped
+     * while as many others are known to be away. Whatever the job itself
+     * says; 0: not checked.
+     */
+    uint64_t checked_service = 0;
+    uint32_t checked_may_miss = 0;
     /* What the leader gets done in a step; 0: everything. */
     size_t orders_per_step = 0;
     size_t answers_per_step = 0;
@@ -265,6 +279,8 @@
     void ChooseFaults(SentOrder &sent, FleetWay way);
     void TakeCommands();
     void ApplyDue();
+    /* A command that is in the log since @at. */
+    void ApplyCommand(const std::vector<uint8_t> &bytes, int64_t at);
     void TakeOrders();
     void DeliverOrders();
     void AdvanceWorkers();
@@ -292,6 +308,14 @@
     void CheckCapacityAtStart(const SentOrder &sent, const FleetWorker &worker,
                               int64_t used);
     void CheckDoubles();
+    /* A start is sent: not to a worker in a drained zone. */
+    void CheckDrain(const jr_order_t &order, int sender);
+    /* The dispatcher has ordered a stop. */
+    void CheckAvailability(const jr_order_t &order);
+    void NoteAway();
+    /* Is the run being stopped, or will it be? */
+    bool IsStopped(const FleetWorker &worker, const TaskName &task,
+                   const FleetRun &run) const;
     void CheckHistory(const TaskName &task);
     void CheckStart(const SentOrder &sent, const FleetWorker &worker);
     void AddViolation(const std::string &what);
@@ -321,6 +345,11 @@
     std::map<TaskName, FleetHistory> histories_;
     std::set<TaskName> doubled_; /* already reported */
     std::map<TaskName, size_t> crashes_;
+    std::map<std::string, int64_t> drained_; /* zone: in the log since */
+    /* Tasks of the checked service that do not run: since when. */
+    std::map<TaskName, int64_t> away_;
+    std::map<TaskName, FleetStop> stopped_; /* stops that were ordered */
+    std::map<TaskName, uint32_t> began_;    /* latest attempts that ran */
     /* Starts after the third crash. */
     std::map<TaskName, size_t> starts_after_crashes_;
 };
