--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -91,13 +91,13 @@
     X(URGENT_IN_TIME, "jobs_urgent_in_time_total",                            \
       "jobs of priority 0 that were done within their objective")             \
     X(URGENT_LATE, "jobs_urgent_late_total",                                  \
-      "jobs of priority 0 that were done later")                              \
+      "jobs of priority 0 done after it, within three times it")              \
     X(URGENT_TOO_LATE, "jobs_urgent_too_late_total",                          \
       "jobs of priority 0 that were done after three times their objective")  \
     X(OTHER_IN_TIME, "jobs_other_in_time_total",                              \
       "jobs of other priorities that were done within their objective")       \
     X(OTHER_LATE, "jobs_other_late_total",                                    \
-      "jobs of other priorities that were done later")                        \
+      "jobs of other priorities done after it, within three times it")        \
     X(OTHER_TOO_LATE, "jobs_other_too_late_total",                            \
       "jobs of other priorities that were done after three times it")         \
     X(JOBS_FAILED, "jobs_failed_total", "jobs that ended as failed")          \
@@ -105,9 +105,9 @@
     X(REFUSED_NO_CONFIG, "refused_no_config_total",                           \
       "refused: no configuration yet")                                        \
     X(REFUSED_ZONE, "refused_zone_total",                                     \
-      "refused: to drain an unknown zone, or take it back")                   \
+      "requests to drain or take back a zone that is not in the settings")    \
     X(REFUSED_OVERTAKEN, "refused_overtaken_total",                           \
-      "refused: to drain a zone, or take it back, after a later request")     \
+      "requests to drain or take back a zone after a later one")              \
     X(REFUSED_ZONES_DRAINED, "refused_zones_drained_total",                   \
       "not run: all workers of the service are in drained zones")             \
     X(REFUSED_QUEUE_BACKLOG, "refused_queue_backlog_total",                   \
--- a/include/jayrelay/intake.h
+++ b/include/jayrelay/intake.h
@@ -106,9 +106,10 @@
 
 /**
  * struct jr_intake_verdict_t - whether a job is accepted
- * @wait_ms: least wait by the estimate; 0 when nothing was estimated
- * @limit_ms: longest wait with which it may end before its late bound
- * @retry_after_ms: of a refusal: when to come back
+ * @wait_ms: of a refusal: least wait by the estimate, else 0
+ * @limit_ms: of a refusal: longest wait with which it may end before its late
+ *            bound, else 0
+ * @retry_after_ms: of a refusal: when to come back, else 0
  */
 typedef struct {
     jr_intake_reason_t reason;
--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -105,6 +105,8 @@
  * @is_done: an earlier run than the granted one is done; when the granted
  *           one ends, however it does, the task is done
  * @spent: since its step is ready, under this leader; not replicated
+ * @blame: part of its latest failure that the worker was charged with by this
+ *         leader; not replicated
  * @preempted: how often this leader stopped it for urgent tasks; not
  *             replicated
  * @run: leader-local state of the run; not replicated
@@ -128,6 +130,7 @@
     int64_t settled_in;
     bool is_done;
     jr_spent_t spent;
+    double blame;
     uint32_t preempted;
     TAILQ_ENTRY(jr_job_task) worker_link;
     struct jr_run *run;
--- a/include/jayrelay/quality.h
+++ b/include/jayrelay/quality.h
@@ -103,13 +103,20 @@
 /**
  * jr_quality_note_failed - a run ended as failed
  * @has_failed_elsewhere: an earlier run of the task failed on another worker
+ *
+ * Return: the part of a failure that the worker is charged with.
  */
-void jr_quality_note_failed(jr_quality_t *quality, jr_quality_record_t *record,
-                            const jr_quality_run_t *run,
-                            bool has_failed_elsewhere, int64_t now);
+double jr_quality_note_failed(jr_quality_t *quality,
+                              jr_quality_record_t *record,
+                              const jr_quality_run_t *run,
+                              bool has_failed_elsewhere, int64_t now);
 
-/** jr_quality_forgive - a task that failed here has failed elsewhere too */
-void jr_quality_forgive(jr_quality_record_t *record, int64_t now);
+/**
+ * jr_quality_forgive - a task that failed here has failed elsewhere too
+ * @charge: what the worker was charged with for the task's latest failure here
+ */
+void jr_quality_forgive(jr_quality_t *quality, jr_quality_record_t *record,
+                        double charge, int64_t now);
 
 /** jr_quality_note_refused - the worker refused a start, as unhealthy */
 void jr_quality_note_refused(jr_quality_t *quality,
--- a/include/jayrelay/zone.h
+++ b/include/jayrelay/zone.h
@@ -6,7 +6,7 @@
  * log, so all replicas have the same one.
  *
  * A request to drain a zone, or to take it back, may be delayed in a network
- * or in a process that stood still, and arrive after a later request was
+ * or in a process that was paused, and arrive after a later request was
  * accepted. So each zone counts the requests that were accepted, and a request
  * carries the count as the process that received it knew it: it changes
  * nothing once another request was accepted since.
@@ -24,7 +24,7 @@
 };
 
 /**
- * struct jr_zone_t - a zone that was drained at least once, or taken back
+ * struct jr_zone_t - a zone for which a request was accepted; never removed
  * @accepted: requests that were accepted
  * @drained_since: when it was drained, wall-clock ms; 0: it is in use
  */
--- a/src/control/jobs.c
+++ b/src/control/jobs.c
@@ -86,7 +86,7 @@
 }
 
 /*
- * A request that waited in a socket while this process stood still may be
+ * A request that waited in a socket while this process was paused may be
  * outdated, and its operator has closed the connection by now: it is not
  * carried out. The log refuses those that are overtaken later.
  */
--- a/src/control/status.c
+++ b/src/control/status.c
@@ -47,13 +47,21 @@
 } zone_gauges_t;
 
 static void
-append_gauge(GArray *to, const char *name, const char *help, double value)
+append_labelled(GArray *to, const char *name, const char *help, double value,
+                const char *label)
 {
-    jr_gauge_t gauge = {.name = name, .help = help, .value = value};
+    jr_gauge_t gauge = {
+        .name = name, .help = help, .value = value, .label = label};
 
     g_array_append_val(to, gauge);
 }
 
+static void
+append_gauge(GArray *to, const char *name, const char *help, double value)
+{
+    append_labelled(to, name, help, value, NULL);
+}
+
 static void
 append_zone_gauges(const jr_jobs_t *jobs, zone_gauges_t *storage, GArray *to)
 {
@@ -67,16 +75,15 @@
         row->drained_since_s = (double)zone->drained_since / MS_PER_S;
         row->runs = (double)jr_jobs_count_granted(jobs, zone->name);
     }
+    /* Two loops, since gauges of one name follow each other. */
     for (size_t i = 0; i < n; i++) {
-        append_gauge(to, "zone_drained_since_seconds",
-                     "Unix time since when the zone is drained; 0: in use",
-                     storage[i].drained_since_s);
-        g_array_index(to, jr_gauge_t, to->len - 1).label = storage[i].label;
+        append_labelled(to, "zone_drained_since_seconds",
+                        "Unix time since when the zone is drained; 0: in use",
+                        storage[i].drained_since_s, storage[i].label);
     }
     for (size_t i = 0; i < n; i++) {
-        append_gauge(to, "zone_runs", "granted tasks in the zone",
-                     storage[i].runs);
-        g_array_index(to, jr_gauge_t, to->len - 1).label = storage[i].label;
+        append_labelled(to, "zone_runs", "granted tasks in the zone",
+                        storage[i].runs, storage[i].label);
     }
 }
 
--- a/src/demand/demand_test.cc
+++ b/src/demand/demand_test.cc
@@ -90,7 +90,7 @@
     }
 }
 
-/* A leader that stood still, and two passes at one time. */
+/* A leader that was paused, and two passes at one time. */
 TEST(DemandTest, AnyGapBetweenPassesIsAccepted)
 {
     jr_demand_t demand = {};
--- a/src/dispatch/backlog.c
+++ b/src/dispatch/backlog.c
@@ -8,9 +8,9 @@
 #include "jayrelay/intake.h"
 
 enum {
-    REFRESH_MS = 50, /* least time between two sums */
+    REFRESH_GAP_MS = 50, /* minimum gap between two sums */
     /* A new leader first learns which workers answer. */
-    SETTLE_MS = 5000,
+    NO_REFUSALS_AFTER_ELECTION_MS = 5000,
     /* Workers that answered within this time may well come back. */
     RECENT_ANSWER_MS = 5000,
     /*
@@ -23,12 +23,12 @@
 
 static const double SHORT_SHARE = JR_SHORT_SHARE_PERCENT / 100.0;
 
-/* The largest worker of a pool. */
+/* Largest capacity of each kind in a pool, maybe of different workers. */
 typedef struct {
     uint32_t cpu_milli;
     uint32_t memory_mb;
     uint32_t accelerators;
-} largest_t;
+} capacity_max_t;
 
 struct jr_backlog {
     bool is_known;
@@ -36,8 +36,8 @@
     int64_t pass_at;      /* the latest pass before that */
     GArray *queues;       /* of jr_intake_queue_t */
     GArray *pools;        /* of jr_intake_pool_t */
-    GArray *largest;      /* of largest_t, by pool */
-    GHashTable *by_queue; /* jr_job_queue_t to index; as are the next */
+    GArray *largest;      /* of capacity_max_t, by pool */
+    GHashTable *by_queue; /* jr_job_queue_t to its index in @queues */
     GHashTable *by_name;  /* of a service, owned, to index of a pool */
     jr_intake_ratio_t ratios[JR_INTAKE_CLASSES];
 };
@@ -49,7 +49,7 @@
 
     backlog->queues = g_array_new(FALSE, TRUE, sizeof(jr_intake_queue_t));
     backlog->pools = g_array_new(FALSE, TRUE, sizeof(jr_intake_pool_t));
-    backlog->largest = g_array_new(FALSE, TRUE, sizeof(largest_t));
+    backlog->largest = g_array_new(FALSE, TRUE, sizeof(capacity_max_t));
     backlog->by_queue = g_hash_table_new(NULL, NULL);
     backlog->by_name =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -128,8 +128,8 @@
 fits_some_worker(const jr_backlog_t *backlog, const jr_intake_queue_t *queue,
                  const Jr__JobStep *step)
 {
-    const largest_t *largest =
-        &g_array_index(backlog->largest, largest_t, queue->pool);
+    const capacity_max_t *largest =
+        &g_array_index(backlog->largest, capacity_max_t, queue->pool);
 
     return step->cpu_milli <= largest->cpu_milli &&
            step->memory_mb <= largest->memory_mb &&
@@ -235,8 +235,8 @@
         jr_intake_pool_t *pool =
             &g_array_index(d->backlog->pools, jr_intake_pool_t, index);
 
-        largest_t *largest =
-            &g_array_index(d->backlog->largest, largest_t, index);
+        capacity_max_t *largest =
+            &g_array_index(d->backlog->largest, capacity_max_t, index);
 
         if (may_run_tasks(d, w)) {
             largest->cpu_milli = MAX(largest->cpu_milli, info->cpu_milli);
@@ -257,7 +257,7 @@
     jr_backlog_t *backlog = d->backlog;
 
     if (backlog->is_known && (backlog->pass_at == d->scheduled_at ||
-                              d->now - backlog->at < REFRESH_MS)) {
+                              d->now - backlog->at < REFRESH_GAP_MS)) {
         return;
     }
     jr_backlog_clear(backlog);
@@ -322,7 +322,7 @@
     jr_intake_backlog_t backlog;
 
     *verdict = (jr_intake_verdict_t){.reason = JR_INTAKE_ACCEPTED};
-    if (d->now - d->led_at < SETTLE_MS) {
+    if (d->now - d->led_at < NO_REFUSALS_AFTER_ELECTION_MS) {
         return true;
     }
     refresh(d);
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -8,7 +8,7 @@
 
 enum {
     SCHEDULE_EVERY_MS = 100, /* even when nothing has changed */
-    PAUSE_MS = 1000, /* between two ticks: the process has stood still */
+    PAUSE_MS = 1000,         /* between two ticks: the process was paused */
     /*
      * Minimum gap between two passes, as the cost of a pass is proportional to
      * the number of workers.
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -227,14 +227,14 @@
     int64_t now;
     int64_t wall_ms;
     int64_t ticked_at;
-    int64_t paused_at; /* when it was found to have stood still; 0: never */
+    int64_t paused_at; /* when it was found to have been paused; 0: never */
     uint64_t next_serial;
     bool is_dirty; /* a scheduling pass may place tasks */
     int64_t scheduled_at;
     jr_demand_t short_demand; /* processors for short tasks, thousandths */
     jr_demand_sum_t short_waiting; /* before the latest pass */
-    int64_t preempted_at;          /* when lost_to_urgent_ms was updated */
-    double lost_to_urgent_ms;      /* of one processor, decaying */
+    int64_t lost_updated_at;       /* when preempted_cpu_ms was updated */
+    double preempted_cpu_ms;       /* of one processor, decaying */
     /* Of the recent peak of short tasks; see jr_reserve_left_for_services().
      */
     int64_t left_for_services;
@@ -332,8 +332,7 @@
                    const jr_run_t *run, const jr_ended_t *end);
 
 /*
- * worker_quality.c: what workers are worth, by what their runs do and by what
- * they say.
+ * worker_quality.c: how fast and reliable workers are, from their runs.
  */
 /* The worker said that the run has started. */
 void jr_worker_quality_on_started(const jr_dispatch_t *d, jr_run_t *run);
@@ -538,6 +537,7 @@
     JR_SHORT_SHARE_PERCENT = 25,
     /* After this multiple of its allowed time, a job's result is of little
      * use. */
+    JR_URGENT_PRIORITY = 0,
     JR_LATE_FACTOR = 3,
     JR_LAPSE_MARGIN_MS = 50,    /* after the end of a lease */
     JR_ANSWER_TIMEOUT_MS = 600, /* of an order that does not wait */
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -252,11 +252,39 @@
                (unsigned long long)end->number, is_current, w->is_lease_held);
 }
 
+/* An end may be listed again until it is in the log; it counts once. */
+static void
+note_end(jr_dispatch_t *d, jr_tracked_worker_t *w, jr_run_t *run,
+         const jr_ended_t *end)
+{
+    if (run != NULL && run->is_end_listed) {
+        return;
+    }
+    jr_health_end(d, w, run, end);
+    if (run != NULL) {
+        run->is_end_listed = true;
+        if (end->how == JR__JOB_END__HOW__DONE) {
+            jr_backlog_learn(d, run);
+        }
+    }
+}
+
+static void
+fill_end(Jr__JobEnd *row, const jr_ended_t *end)
+{
+    static char none[] = "";
+
+    jr__job_end__init(row);
+    row->number = end->number;
+    row->run = (Jr__JobRun *)&end->run;
+    row->how = end->how;
+    row->checkpoint = end->checkpoint != NULL ? (char *)end->checkpoint : none;
+}
+
 static void
 propose_ends(jr_dispatch_t *d, jr_tracked_worker_t *w,
              const jr_answer_t *answer)
 {
-    static char none[] = "";
     uint64_t seen = w->worker->info->ends_seen;
     Jr__JobEnds body = JR__JOB_ENDS__INIT;
     Jr__JobCommand command = JR__JOB_COMMAND__INIT;
@@ -276,20 +304,9 @@
             continue;
         }
         run = find_run(d, w, &end->run);
-        if (run != NULL) {
-            run->is_end_listed = true;
-        }
-        jr_health_end(d, w, run, end);
-        if (run != NULL && end->how == JR__JOB_END__HOW__DONE) {
-            jr_backlog_learn(d, run);
-        }
+        note_end(d, w, run, end);
         log_end(d, w, end, run != NULL);
-        jr__job_end__init(row);
-        row->number = end->number;
-        row->run = (Jr__JobRun *)&end->run;
-        row->how = end->how;
-        row->checkpoint =
-            end->checkpoint != NULL ? (char *)end->checkpoint : none;
+        fill_end(row, end);
         body.ends[body.n_ends++] = row;
         body.up_to = MAX(body.up_to, end->number);
     }
@@ -403,7 +420,7 @@
 }
 
 /*
- * The worker could not be heard, or stood still: that its runs made no
+ * The worker could not be heard, or was paused: that its runs made no
  * progress meanwhile is no sign that they are stalled.
  */
 static void
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -22,10 +22,10 @@
     BUSY_DELAY_MS = 4500,  /* while there are short tasks */
     SPARE_DELAY_MS = 2000, /* otherwise */
     /*
-     * Then a service takes any free capacity, also for a moment: it must not
-     * wait for long beside capacity that comes and goes.
+     * After this wait a service may take any free capacity, also if it was
+     * free for less than SPARE_WINDOW_MS.
      */
-    ANY_FREE_AFTER_MS = 6000,
+    TAKE_ANY_AFTER_MS = 6000,
     SPARE_WINDOW_MS = 500, /* after which unused capacity counts as spare */
 };
 
@@ -178,7 +178,7 @@
     if (waited < w->service_delay_ms) {
         return false;
     }
-    return waited >= ANY_FREE_AFTER_MS ||
+    return waited >= TAKE_ANY_AFTER_MS ||
            d->left_for_services >= need->cpu_milli ||
            spare_milli(w) >= need->cpu_milli;
 }
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -11,7 +11,6 @@
     PERMILLE = 1000,
     GRANTS_MAX = 512,            /* in one command */
     MIN_ESTIMATE_PERMILLE = 500, /* estimates may be this much too long */
-    URGENT_PRIORITY = 0,
     SHAPES_MAX = 64, /* recorded as unplaceable; others are tried anew */
 };
 
@@ -538,7 +537,7 @@
         place_occurrence(d, &g_array_index(candidates, candidate_t, i),
                          &unplaceable);
     }
-    for_demand(candidates, URGENT_PRIORITY, add_urgent_demand, urgent);
+    for_demand(candidates, JR_URGENT_PRIORITY, add_urgent_demand, urgent);
     jr_urgent_make_room(d, urgent);
     g_array_unref(urgent);
     g_array_unref(candidates);
--- a/src/dispatch/spent.c
+++ b/src/dispatch/spent.c
@@ -51,7 +51,7 @@
 count_lateness(jr_dispatch_t *d, const jr_job_t *job, int64_t after_ms,
                int64_t allowed_ms)
 {
-    bool is_urgent = job->queue->last_config->priority == 0;
+    bool is_urgent = job->queue->last_config->priority == JR_URGENT_PRIORITY;
 
     if (allowed_ms <= 0 || job->state != JR_JOB_DONE) {
         return;
--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -10,11 +10,11 @@
     /* From the decision until the end of a stopped task is in the log. */
     STOP_MS = 1000,
     /*
-     * After a leader took over, or stood still: its lists of tasks may be old,
+     * After a leader took over, or was paused: its lists of tasks may be old,
      * and tasks that an earlier leader has ordered to stop are listed as
      * running until they have ended.
      */
-    SETTLE_MS = 2000,
+    NO_STOPS_AFTER_PAUSE_MS = 2000,
     /* A service that was stopped starts again after about this time. */
     SERVICE_LOST_MS = 5000,
     /*
@@ -173,17 +173,17 @@
 remaining_budget(jr_dispatch_t *d)
 {
     double age_ms =
-        (double)MIN(d->now - d->preempted_at, (int64_t)LOST_WINDOW_MS);
+        (double)MIN(d->now - d->lost_updated_at, (int64_t)LOST_WINDOW_MS);
     int64_t all_milli = 0;
     const jr_tracked_worker_t *w;
 
     TAILQ_FOREACH (w, &d->workers, link) {
         all_milli += w->is_usable ? w->worker->info->cpu_milli : 0;
     }
-    d->lost_to_urgent_ms -= d->lost_to_urgent_ms * age_ms / LOST_WINDOW_MS;
-    d->preempted_at = d->now;
+    d->preempted_cpu_ms -= d->preempted_cpu_ms * age_ms / LOST_WINDOW_MS;
+    d->lost_updated_at = d->now;
     return all_milli * LOST_PERMILLE / PERMILLE * LOST_WINDOW_MS / PERMILLE -
-           (int64_t)d->lost_to_urgent_ms;
+           (int64_t)d->preempted_cpu_ms;
 }
 
 static void
@@ -194,7 +194,7 @@
     char text[JR_RUN_TEXT_BYTES];
 
     note_missing(candidates, run->task);
-    d->lost_to_urgent_ms +=
+    d->preempted_cpu_ms +=
         (double)victim->lost_ms * (double)victim->size.cpu_milli / PERMILLE;
     run->task->preempted++;
     jr_count(d->ctx, JR_C_PREEMPTIONS);
@@ -230,26 +230,30 @@
     jr_free(d->ctx, result.chosen);
 }
 
-/* Capacity that these tasks lack and services hold beyond their share. */
+/* By how much the demand is expected to rise until stopped tasks have ended.
+ */
 static int64_t
-lacking_milli(const jr_dispatch_t *d, const jr_demand_sum_t *waiting)
+expected_rise_milli(const jr_dispatch_t *d)
 {
-    double expected = jr_demand_expected(&d->short_demand, STOP_MS);
-    int64_t rise = (int64_t)(expected - d->short_demand.latest);
-
-    return MIN(waiting->cpu_milli + rise,
-               -jr_reserve_left_for_services(d, d->short_demand.latest));
+    return (int64_t)(jr_demand_expected(&d->short_demand, STOP_MS) -
+                     d->short_demand.latest);
 }
 
+/*
+ * @excess: processors that services hold beyond their share; reduced by those
+ * that are freed for these tasks.
+ */
 static void
-make_room_for(candidates_t *candidates)
+make_room_for(candidates_t *candidates, int64_t *excess)
 {
     const jr_demand_sum_t *waiting = candidates->waiting;
-    int64_t lacking = lacking_milli(candidates->d, waiting);
+    int64_t lacking =
+        MIN(waiting->cpu_milli + expected_rise_milli(candidates->d), *excess);
 
     if (lacking <= 0) {
         return;
     }
+    *excess -= lacking;
     collect(candidates);
     lacking -= candidates->stopping_milli;
     if (lacking > 0) {
@@ -260,8 +264,9 @@
             .lost_max = remaining_budget(candidates->d),
         };
 
-        request.wanted =
-            (size_t)(lacking / MAX(request.need.cpu_milli, (int64_t)1) + 1);
+        int64_t size = MAX(request.need.cpu_milli, (int64_t)1);
+
+        request.wanted = (size_t)((lacking + size - 1) / size);
         choose_and_stop(candidates, &request);
     }
 }
@@ -269,9 +274,10 @@
 void
 jr_urgent_make_room(jr_dispatch_t *d, const GArray *waiting)
 {
+    int64_t excess = -jr_reserve_left_for_services(d, d->short_demand.latest);
     GHashTable *missing;
 
-    if (d->now < MAX(d->led_at, d->paused_at) + SETTLE_MS) {
+    if (d->now < MAX(d->led_at, d->paused_at) + NO_STOPS_AFTER_PAUSE_MS) {
         return;
     }
     missing = g_hash_table_new(g_direct_hash, g_direct_equal);
@@ -284,7 +290,7 @@
             .victims = g_array_new(FALSE, FALSE, sizeof(jr_preempt_victim_t)),
         };
 
-        make_room_for(&candidates);
+        make_room_for(&candidates, &excess);
         g_array_unref(candidates.workers);
         g_array_unref(candidates.victims);
     }
--- a/src/dispatch/urgent_test.cc
+++ b/src/dispatch/urgent_test.cc
@@ -150,7 +150,7 @@
     fleet.Submit(2, {Urgent(4)});
     fleet.Run(100);
     ASSERT_EQ(fleet.Counter(JR_C_PREEMPTIONS), 1u);
-    EXPECT_LE(fleet.dispatch->lost_to_urgent_ms, 5000);
+    EXPECT_LE(fleet.dispatch->preempted_cpu_ms, 5000);
 }
 
 /*
--- a/src/dispatch/worker_quality.c
+++ b/src/dispatch/worker_quality.c
@@ -6,7 +6,6 @@
 
 enum {
     PERMILLE = 1000,
-    URGENT_PRIORITY = 0,
     /* Costs as in choose.c; twice the run time costs more than packing. */
     URGENT_WEIGHT = 2,
     OTHER_WEIGHT = 1,
@@ -109,7 +108,10 @@
     }
 }
 
-/* The task failed on that worker before: it is rather the task's fault. */
+/*
+ * If an earlier run of the task failed on another worker, takes back most of
+ * the blame there. Returns whether one did.
+ */
 static bool
 forgive_earlier(jr_dispatch_t *d, const jr_run_t *run)
 {
@@ -122,7 +124,8 @@
     }
     earlier = jr_jobs_worker(d->jobs, failed_on);
     if (earlier != NULL && earlier->local != NULL) {
-        jr_quality_forgive(&earlier->local->quality, d->now);
+        jr_quality_forgive(d->quality, &earlier->local->quality,
+                           run->task->blame, d->now);
     }
     return true;
 }
@@ -143,8 +146,8 @@
     else if (how == JR__JOB_END__HOW__FAILED) {
         bool has_failed_elsewhere = forgive_earlier(d, run);
 
-        jr_quality_note_failed(d->quality, &w->quality, &name,
-                               has_failed_elsewhere, d->now);
+        run->task->blame = jr_quality_note_failed(
+            d->quality, &w->quality, &name, has_failed_elsewhere, d->now);
     }
 }
 
@@ -299,7 +302,7 @@
     const Jr__JobStep *step = jr_task_step(task);
 
     return step->service ||
-           (task->job->queue->last_config->priority != URGENT_PRIORITY &&
+           (task->job->queue->last_config->priority != JR_URGENT_PRIORITY &&
             step->estimate_ms >= LONG_WORK_MS);
 }
 
@@ -317,7 +320,7 @@
 {
     const Jr__JobStep *step = jr_task_step(task);
     bool is_urgent =
-        task->job->queue->last_config->priority == URGENT_PRIORITY;
+        task->job->queue->last_config->priority == JR_URGENT_PRIORITY;
     bool is_wanted = is_speed_wanted(step);
     int64_t sum = failing_cost(w);
 
--- a/src/intake/decide.c
+++ b/src/intake/decide.c
@@ -13,13 +13,13 @@
 
 enum {
     PERMILLE = 1000,
-    /* Of the estimated time of a single job, what it may take in fact. */
+    /* Part of the job's own estimated time that is assumed. */
     OWN_TIME_PERMILLE = 100,
-    /* Of the work that comes first, what is counted. */
+    /* Part of the work ahead that is assumed. */
     COUNTED_PERMILLE = 800,
     /*
-     * Of the work of other queues. More than all: else a queue that asks for
-     * too much takes each gap in what the others ask for.
+     * Work of other queues of the same priority counts for more than it is, so
+     * that a queue over its share is refused first.
      */
     OTHERS_PERMILLE = 1100,
     RETRY_BASE_MAX_MS = JR_INTAKE_RETRY_MAX_MS / 2,
--- a/src/net/ask.c
+++ b/src/net/ask.c
@@ -88,7 +88,7 @@
     int peer = requester->leaders[group] - 1;
 
     if (now >= pending->deadline) {
-        return; /* this process stood still; on_timer() gives it up */
+        return; /* this process was paused; on_timer() gives it up */
     }
     if (peer < 0 || pending->is_for_any) {
         peer = requester->peers[pending->next_peer++ % requester->n_peers];
--- a/src/quality/history.h
+++ b/src/quality/history.h
@@ -40,7 +40,10 @@
  */
 double jr_quality_history_median(const jr_quality_history_t *history,
                                  uint64_t worker, size_t *n);
-/* Share of the ends on other workers that failed. */
+/*
+ * Share of the entries of other workers that are failures; entries without one
+ * are ends as done, or run times.
+ */
 double jr_quality_history_failing(const jr_quality_history_t *history,
                                   uint64_t worker);
 
--- a/src/quality/quality.c
+++ b/src/quality/quality.c
@@ -13,28 +13,31 @@
     PERMILLE = 1000,
 };
 
-/* The shorter one for failures: a worker to which nothing goes proves none. */
+/*
+ * Failures are forgotten sooner: a worker that gets no tasks can't prove that
+ * it is well.
+ */
 static const double SPEED_HALF_LIFE_MS = 45000.0;
 static const double FAILURE_HALF_LIFE_MS = 30000.0;
-/* Added to both times that are compared: delays that do not grow with them. */
+/* Added to both run times before they are compared, for fixed delays. */
 static const double SLACK_MS = 200.0;
 /* Evidence that each worker is sound, in runs that were compared. */
 static const double PRIOR_SPEED = 1.5;
 /* A run that was compared with its estimate only. */
 static const double ESTIMATE_WEIGHT = 0.05;
-/* Bounds of what one run may prove, as logarithms. */
-static const double SLOWEST = 1.8;
-static const double FASTEST = -0.4;
-/* Closer to the others is sound: times of one step vary, too. */
+/* Bounds of the logarithm of one run's time against that of others. */
+static const double SLOWEST_LOG = 1.8;
+static const double FASTEST_LOG = -0.4;
+/* Below this ratio a worker counts as sound: times of one step vary. */
 static const double SOUND_PERMILLE = 1250.0;
-/* A failure or less is no evidence. */
+/* Failures that are ignored in each record. */
 static const double FREE_FAILURES = 1.0;
 static const double PRIOR_ENDS = 2.0;
-/* Less is not told from chance. */
+/* Smaller shares of failures count as 0. */
 static const double SOUND_FAILING = 0.05;
-/* Share that counts of a failure of a task that failed elsewhere too. */
+/* Factor of the blame if the task failed on another worker before. */
 static const double ELSEWHERE_BLAME = 0.25;
-/* The same, of a step of which another task failed here just before. */
+/* Factor of the blame if another task of the step failed here before. */
 static const double REPEAT_BLAME = 0.2;
 static const double REFUSED_BLAME = 0.5;
 
@@ -80,7 +83,7 @@
 static void
 add_speed(jr_quality_record_t *record, double value, double weight)
 {
-    record->speed_sum += weight * fmin(fmax(value, FASTEST), SLOWEST);
+    record->speed_sum += weight * fmin(fmax(value, FASTEST_LOG), SLOWEST_LOG);
     record->speed_weight += weight;
 }
 
@@ -169,7 +172,7 @@
     add_end(quality, record, 0.0, now);
 }
 
-void
+double
 jr_quality_note_failed(jr_quality_t *quality, jr_quality_record_t *record,
                        const jr_quality_run_t *run, bool has_failed_elsewhere,
                        int64_t now)
@@ -189,13 +192,24 @@
     record->failed_step = run->step;
     add_outcome(quality, run, true);
     add_end(quality, record, blame, now);
+    return blame;
 }
 
-void
-jr_quality_forgive(jr_quality_record_t *record, int64_t now)
+static void
+take_back(jr_quality_record_t *record, double charge, int64_t now)
 {
     *record = aged(record, now);
-    record->failures = fmax(0.0, record->failures - (1.0 - ELSEWHERE_BLAME));
+    record->failures = fmax(0.0, record->failures - charge);
+}
+
+void
+jr_quality_forgive(jr_quality_t *quality, jr_quality_record_t *record,
+                   double charge, int64_t now)
+{
+    double excess = charge * (1.0 - ELSEWHERE_BLAME);
+
+    take_back(record, excess, now);
+    take_back(&quality->all, excess, now);
 }
 
 void
--- a/src/quality/quality_test.cc
+++ b/src/quality/quality_test.cc
@@ -207,9 +207,10 @@
         jr_quality_run_t first = {step, step, 1, 1000};
         jr_quality_run_t second = {step, step, 2, 1000};
 
-        jr_quality_note_failed(load.quality, &load.records[0], &first, false,
-                               load.now);
-        jr_quality_forgive(&load.records[0], load.now);
+        double charge = jr_quality_note_failed(load.quality, &load.records[0],
+                                               &first, false, load.now);
+
+        jr_quality_forgive(load.quality, &load.records[0], charge, load.now);
         jr_quality_note_failed(load.quality, &load.records[1], &second, true,
                                load.now);
     }
@@ -217,6 +218,36 @@
     EXPECT_LT(load.Judge(1).failing_permille, 100);
 }
 
+/*
+ * Guards against a grey worker that is cleared by a task of its own fault:
+ * what it was not charged with is not taken back.
+ */
+TEST(QualityTest, ATaskThatFailsOnThreeWorkersClearsNoneOfOtherFailures)
+{
+    Load load(1);
+    double before;
+
+    for (uint64_t step = 1; step <= 6; step++) {
+        jr_quality_run_t own = {step, step, 2, 1000};
+
+        jr_quality_note_failed(load.quality, &load.records[1], &own, false,
+                               load.now);
+    }
+    before = load.records[1].failures;
+    for (uint64_t step = 101; step <= 106; step++) {
+        jr_quality_run_t first = {step, step, 1, 1000};
+        jr_quality_run_t second = {step, step, 2, 1000};
+        double charge = jr_quality_note_failed(load.quality, &load.records[0],
+                                               &first, false, load.now);
+
+        jr_quality_forgive(load.quality, &load.records[0], charge, load.now);
+        charge = jr_quality_note_failed(load.quality, &load.records[1],
+                                        &second, true, load.now);
+        jr_quality_forgive(load.quality, &load.records[1], charge, load.now);
+    }
+    EXPECT_GE(load.records[1].failures, before);
+}
+
 /* Load: a worker that restarts without notice every few seconds. */
 TEST(QualityTest, AWorkerThatFlapsIsFound)
 {
@@ -341,7 +372,8 @@
                 jr_quality_note_cold(record, times[rng() % 7], load.now);
                 break;
             default:
-                jr_quality_forgive(record, load.now);
+                jr_quality_forgive(load.quality, record,
+                                   (double)(rng() % 3) / 2.0, load.now);
                 break;
             }
             ExpectBounded(jr_quality_judge(load.quality, record, load.now));
