A job that is too late waits for a bounded time

Cause (review): jobs over three times their objective stop nothing and come after services, so they waited for as long as services that fill everything run. Change: after a minute of that they count as late again. Tested: AJobThatIsTooLateRunsAfterABoundedWait, red before.

--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -9,7 +9,12 @@
 
 enum {
     PERMILLE = 1000,
-    GRANTS_MAX = 512,            /* in one command */
+    GRANTS_MAX = 512, /* in one command */
+    /*
+     * So long a job that is too late gives way to all others of its priority;
+     * then it counts as late again, since it was accepted.
+     */
+    LOST_MAX_MS = 60 * 1000,
     MIN_ESTIMATE_PERMILLE = 500, /* estimates may be this much too long */
     SHAPES_MAX = 64, /* recorded as unplaceable; others are tried anew */
 };
@@ -108,7 +113,8 @@
     if (allowed_ms <= 0) {
         return ON_TIME; /* its queue has no objective */
     }
-    if (jr_schedule_is_too_late(d->wall_ms - begin, allowed_ms)) {
+    if (jr_schedule_is_too_late(d->wall_ms - begin, allowed_ms) &&
+        d->wall_ms - begin < JR_LATE_FACTOR * allowed_ms + LOST_MAX_MS) {
         return LOST;
     }
     return d->wall_ms + left_ms > begin + allowed_ms ? LATE : ON_TIME;
--- a/src/dispatch/urgent_test.cc
+++ b/src/dispatch/urgent_test.cc
@@ -234,3 +234,18 @@
     }
     EXPECT_GE(fleet.StartsOf({2, 0, 0, 0}), 1u);
 }
+
+/* Guards against accepted jobs that wait for as long as services run. */
+TEST_F(UrgentTest, AJobThatIsTooLateRunsAfterABoundedWait)
+{
+    Jr__JobStep late = Urgent(1);
+
+    FillWithServices();
+    late.estimate_ms = 1; /* too late before it is in the log */
+    fleet.task_ms = 500;
+    fleet.Submit(2, {late});
+    fleet.Run(50000);
+    ASSERT_EQ(fleet.State(2), JR_JOB_QUEUED);
+    fleet.Run(20000);
+    EXPECT_EQ(fleet.State(2), JR_JOB_DONE);
+}
