A cold worker's remaining time can't overflow the clock of the log

Change: it saturates. Tested: messages_test, job_test and snapshot_test in the sanitizer build, red before.

--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -571,7 +571,9 @@
            const Jr__JobWorker *info)
 {
     if (info->cold_remaining_ms > 0) {
-        return jobs->now + info->cold_remaining_ms;
+        return jobs->now > INT64_MAX - info->cold_remaining_ms
+                   ? INT64_MAX
+                   : jobs->now + info->cold_remaining_ms;
     }
     if (known == NULL || known->born != info->born) {
         return 0;
