The load of the loop is in the log: where the time of a leader goes

Cause: on a large deployment callers wait and nothing says whether the leader's processor is full of decisions, of answers or of syncs (hypotheses 1 to 3 of docs/incidents/2026-12-05-leader-out-of-processor.md). Change: each control process logs loop-load every 5 s, from the histograms of its loop and two new counters, scheduling passes and workers examined in them.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -150,6 +150,9 @@
       "workers whose incarnation ended without notice")                       \
     X(RUNS_STALLED, "runs_stalled_total",                                     \
       "runs stopped since they made no progress")                             \
+    X(PASSES, "passes_total", "scheduling passes over the waiting tasks")     \
+    X(WORKERS_EXAMINED, "workers_examined_total",                             \
+      "workers examined as a place for a task")                               \
     X(PREEMPTIONS, "preemptions_total",                                       \
       "tasks stopped for urgent tasks that waited")                           \
     X(RUNS_STRAY, "runs_stray_total", "runs that nobody granted, stopped")    \
--- a/include/jayrelay/event.h
+++ b/include/jayrelay/event.h
@@ -66,6 +66,7 @@
     X(ZONE_EMPTY, 561, 5, "zone-empty")                                       \
     X(ZONE_RETURNED, 562, 5, "zone-returned")                                 \
     X(ZONE_REFUSED, 563, 4, "zone-refused")                                   \
+    X(LOOP_LOAD, 112, 6, "loop-load")                                         \
     X(LOG_LINES_DROPPED, 111, 4, "log-lines-dropped")                         \
     X(RELOADED, 104, 5, "reloaded")
 
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -23,6 +23,31 @@
     char name[JR_NAME_BYTES];
 } jr_known_replica_t;
 
+/** struct jr_loop_totals_t - work and times (ms) since the process started */
+typedef struct {
+    uint64_t turns;
+    uint64_t events_ms;
+    uint64_t groups_ms;
+    uint64_t sync_ms;
+    uint64_t orders_ms;
+    uint64_t messages;
+    uint64_t answers;
+    uint64_t passes;
+    uint64_t examined;
+} jr_loop_totals_t;
+
+/**
+ * struct jr_loop_load_t - the load of the loop since its latest log line
+ * @since: when that line was written
+ * @longest_ms: longest turn since then
+ * @totals: as of that line
+ */
+typedef struct {
+    int64_t since;
+    int64_t longest_ms;
+    jr_loop_totals_t totals;
+} jr_loop_load_t;
+
 typedef struct jr_carry jr_carry_t;
 typedef struct jr_carry_session jr_carry_session_t;
 
@@ -31,6 +56,7 @@
  * @is_new_replica: no replica id was stored, so it is new and must join
  * @metrics_http: NULL unless metrics have an address of their own
  * @iteration_start_ms: when the event loop last began to handle events
+ * @load: see jr_control_note_turn()
  * @groups: group 0 holds rules, the others tasks; in a job process, group 0
  *          is the only one and holds jobs. NULL: no replica in this process
  * @stores: the logs of @groups
@@ -56,6 +82,7 @@
     jr_http_t *http;
     jr_http_t *metrics_http;
     int64_t iteration_start_ms;
+    jr_loop_load_t load;
     ev_check check;
     jr_group_t **groups;
     jr_store_t **stores;
@@ -135,6 +162,13 @@
  */
 jr_store_t *jr_control_open_store(jr_control_t *control, size_t group);
 
+/**
+ * jr_control_note_turn - a turn of the loop has ended
+ *
+ * Logs every few seconds where the time of the turns went.
+ */
+void jr_control_note_turn(jr_control_t *control, int64_t turn_ms, int64_t now);
+
 /** jr_control_watch_rules - propose the rules file now and on each change */
 void jr_control_watch_rules(jr_control_t *control);
 /** jr_control_poll_rules - fetch rules from the hosts of the rules group */
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -66,7 +66,7 @@
 on_prepare(struct ev_loop *loop, ev_prepare *prepare, int events)
 {
     jr_control_t *control = prepare->data;
-    int64_t pumped_at, sent_at;
+    int64_t pumped_at, sent_at, ended_at;
     int64_t began_at = jr_clock_ms();
 
     (void)loop;
@@ -83,8 +83,11 @@
     jr_observe(control->ctx, JR_H_LOOP_GROUPS, pumped_at - began_at);
     jr_observe(control->ctx, JR_H_LOOP_ORDERS, sent_at - pumped_at);
     jr_log_flush(control->ctx);
+    ended_at = jr_clock_ms();
     jr_observe(control->ctx, JR_H_LOOP,
-               jr_clock_ms() - control->iteration_start_ms);
+               ended_at - control->iteration_start_ms);
+    jr_control_note_turn(control, ended_at - control->iteration_start_ms,
+                         ended_at);
 }
 
 static void
@@ -318,6 +321,7 @@
     control->check.data = control;
     ev_check_start(loop, &control->check);
     control->iteration_start_ms = jr_clock_ms();
+    control->load.since = control->iteration_start_ms;
     ev_signal_init(&control->sigterm, on_signal, SIGTERM);
     control->sigterm.data = control;
     ev_signal_start(loop, &control->sigterm);
--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -352,6 +352,7 @@
 candidate_cost(jr_dispatch_t *d, jr_tracked_worker_t *w,
                const request_t *request)
 {
+    jr_count(d->ctx, JR_C_WORKERS_EXAMINED);
     return is_candidate(d, w, request) ? cost(d, w, request) : -1;
 }
 
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -528,6 +528,7 @@
     GArray *urgent = g_array_new(FALSE, FALSE, sizeof(jr_demand_sum_t));
     unplaceable_t unplaceable = {.n = 0};
 
+    jr_count(d->ctx, JR_C_PASSES);
     collect(d, candidates);
     d->short_waiting = (jr_demand_sum_t){0};
     for_demand(candidates, UINT32_MAX, add_demand, &d->short_waiting);
