A task examines only the workers on which it may fit

Callers of a large deployment waited for seconds, as the leader's processor was full. Cause: each task that found no capacity was weighed against all workers, in each pass, and so was each best-effort task that lost time, from each list of a worker; an examined worker costs some 250 ns, as its state is large. Change: a pass orders the usable workers by what is free on them (places.c); a task examines those with enough. What is free only shrinks within a pass, so the order stays an upper bound; equal costs go by rank, as before. Tasks that lost time are moved in passes, 16 at most. Reservations look through a compact list.

--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -60,16 +60,6 @@
     return jr_need_fits_beside(need, &w->used, w->worker->info);
 }
 
-bool
-jr_worker_has_capacity_beside_services(const jr_need_t *need,
-                                       const jr_tracked_worker_t *w)
-{
-    jr_need_t used = w->services;
-
-    jr_need_add(&used, &w->reserved, 1);
-    return jr_need_fits_beside(need, &used, w->worker->info);
-}
-
 /* Capacity that is reserved for services is not available to other tasks. */
 static bool
 has_capacity_beside_reserved(const jr_need_t *need,
@@ -151,20 +141,41 @@
     return whole > 0 ? part * PERMILLE / whole : 0;
 }
 
+/* Processors that short tasks and services leave to best-effort tasks. */
+static int64_t
+left_by_others(const jr_tracked_worker_t *w)
+{
+    int64_t in_use = w->used.cpu_milli - w->services.cpu_milli +
+                     w->services.cpu_milli * SERVICE_USE / PERMILLE;
+
+    return w->worker->info->cpu_milli - in_use;
+}
+
 /*
  * Share of the processors it asks for that a best-effort task would not get.
  */
 static int64_t
 best_effort_shortage(const jr_tracked_worker_t *w, const Jr__JobStep *step)
 {
-    int64_t in_use = w->used.cpu_milli - w->services.cpu_milli +
-                     w->services.cpu_milli * SERVICE_USE / PERMILLE;
-    int64_t left = w->worker->info->cpu_milli - in_use;
+    int64_t left = left_by_others(w);
     int64_t wanted = w->best_effort_milli + step->cpu_milli;
 
     return wanted > left ? PERMILLE * (wanted - MAX(left, 0)) / wanted : 0;
 }
 
+int64_t
+jr_choose_best_effort_room(const jr_tracked_worker_t *w)
+{
+    int64_t left = MAX(left_by_others(w), (int64_t)0);
+
+    if (w->best_effort_milli == 0) {
+        return INT64_MAX; /* the first one is slowed down, but runs */
+    }
+    /* Where the shortage is just SHORTAGE_MAX, rounded up. */
+    return left * PERMILLE / (PERMILLE - SHORTAGE_MAX) + 1 -
+           w->best_effort_milli;
+}
+
 /*
  * A best-effort task keeps running while the load of the service varies, so
  * half of the difference to the peak load is taken into account.
@@ -356,51 +367,85 @@
     return is_candidate(d, w, request) ? cost(d, w, request) : -1;
 }
 
+/* The workers on which the task may fit, the most room first. */
+static const jr_place_t *
+first_place(const jr_dispatch_t *d, const request_t *request, size_t *n)
+{
+    const Jr__JobStep *step = request->step;
+    int64_t milli = request->need->cpu_milli;
+
+    if (step->filler) {
+        /* Without a limit of the shortage all workers may do. */
+        milli = request->shortage_max <= SHORTAGE_MAX ? step->cpu_milli
+                                                      : INT64_MIN;
+    }
+    return jr_places_first(d->places, step->filler, milli, n);
+}
+
+/* Costs of the task on some worker; by rank where they are equal. */
+typedef struct {
+    jr_tracked_worker_t *w;
+    int64_t cost; /* -1: the task can't be placed there now */
+    uint32_t rank;
+} ranked_t;
+
+static bool
+is_better(const ranked_t *a, const ranked_t *b)
+{
+    return a->cost != b->cost ? a->cost < b->cost : a->rank < b->rank;
+}
+
+static ranked_t
+rank_place(jr_dispatch_t *d, const jr_place_t *place, const request_t *request)
+{
+    return (ranked_t){
+        .w = place->w,
+        .rank = place->rank,
+        .cost = place->memory_mb >= request->need->memory_mb
+                    ? candidate_cost(d, place->w, request)
+                    : -1,
+    };
+}
+
 jr_tracked_worker_t *
 jr_choose_worker(jr_dispatch_t *d, const jr_job_task_t *task,
                  const jr_need_t *need)
 {
     request_t request = make_request(d, task, need);
-    jr_tracked_worker_t *best = NULL;
-    jr_tracked_worker_t *w;
-    int64_t best_cost = 0;
+    ranked_t best = {.w = NULL};
+    size_t n;
+    const jr_place_t *places = first_place(d, &request, &n);
 
-    TAILQ_FOREACH (w, &d->workers, link) {
-        int64_t own = candidate_cost(d, w, &request);
+    for (size_t i = 0; i < n; i++) {
+        ranked_t ranked = rank_place(d, &places[i], &request);
 
-        if (own >= 0 && (best == NULL || own < best_cost)) {
-            best = w;
-            best_cost = own;
+        if (ranked.cost >= 0 &&
+            (best.w == NULL || is_better(&ranked, &best))) {
+            best = ranked;
         }
     }
-    return best;
+    return best.w;
 }
 
-typedef struct {
-    jr_tracked_worker_t *w;
-    int64_t cost;
-} ranked_t;
-
 struct jr_ranking {
     jr_dispatch_t *d;
     request_t request;
     bool is_relaxed;
     bool has_last; /* the last choice was used: its cost has changed */
     size_t last;
-    GArray *workers; /* of ranked_t, by rank */
+    GArray *workers; /* of ranked_t */
 };
 
 static void
 rank_workers(jr_ranking_t *ranking)
 {
-    jr_tracked_worker_t *w;
+    size_t n;
+    const jr_place_t *places = first_place(ranking->d, &ranking->request, &n);
 
     g_array_set_size(ranking->workers, 0);
-    TAILQ_FOREACH (w, &ranking->d->workers, link) {
-        ranked_t ranked = {
-            .w = w,
-            .cost = candidate_cost(ranking->d, w, &ranking->request),
-        };
+    for (size_t i = 0; i < n; i++) {
+        ranked_t ranked =
+            rank_place(ranking->d, &places[i], &ranking->request);
 
         if (ranked.cost >= 0) {
             g_array_append_val(ranking->workers, ranked);
@@ -461,7 +506,7 @@
     for (guint i = 0; i < ranking->workers->len; i++) {
         const ranked_t *ranked = &g_array_index(ranking->workers, ranked_t, i);
 
-        if (ranked->cost >= 0 && (best == NULL || ranked->cost < best->cost)) {
+        if (ranked->cost >= 0 && (best == NULL || is_better(ranked, best))) {
             best = ranked;
             ranking->last = i;
         }
--- a/src/dispatch/choose_test.cc
+++ b/src/dispatch/choose_test.cc
@@ -59,6 +59,7 @@
     jr_need_t need;
 
     jr_need_of(job->spec->steps[0], &need);
+    jr_places_refresh(d);
     for (uint32_t i = 0; i < job->n_tasks; i++) {
         jr_job_task_t *task = &job->tasks[i];
         jr_tracked_worker_t *w;
@@ -120,4 +121,32 @@
     EXPECT_EQ(ChooseAll(fleet.dispatch, job, true), one_by_one);
 }
 
+/*
+ * The leader of many workers had no processor left: each pass looked at all
+ * workers for each of the many tasks that found no capacity.
+ */
+TEST(ChooseTest, TasksWithoutCapacityExamineNoFullWorkers)
+{
+    constexpr uint64_t kWaiting = 200;
+    Fleet fleet(3, kWorkers);
+    uint64_t passes, examined;
+
+    fleet.task_ms = 60000;
+    fleet.Submit(1, {MakeStep(kWorkers, 4000)});
+    fleet.Run(2000);
+    ASSERT_EQ(fleet.Running(1), kWorkers);
+    for (uint64_t i = 0; i < kWaiting; i++) {
+        /* Of less and less processors, so that no failure tells the next. */
+        fleet.Submit(2 + i, {MakeStep(1, (uint32_t)(3900 - 10 * i))});
+    }
+    fleet.Run(1000);
+    passes = fleet.Counter(JR_C_PASSES);
+    examined = fleet.Counter(JR_C_WORKERS_EXAMINED);
+    fleet.Run(1000);
+    passes = fleet.Counter(JR_C_PASSES) - passes;
+    examined = fleet.Counter(JR_C_WORKERS_EXAMINED) - examined;
+    EXPECT_GT(passes, 5u);
+    EXPECT_EQ(examined, 0u);
+}
+
 } // namespace
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -226,6 +226,7 @@
     d->crashes = g_array_new(FALSE, FALSE, sizeof(jr_crashed_run_t));
     d->proposed = g_ptr_array_new();
     d->backlog = jr_new_backlog(ctx);
+    d->places = jr_new_places(ctx);
     jr_jobs_set_hooks(jobs, &hooks);
     return d;
 }
@@ -279,6 +280,7 @@
     g_array_unref(d->crashes);
     g_ptr_array_unref(d->proposed);
     jr_drop_backlog(d->ctx, d->backlog);
+    jr_drop_places(d->ctx, d->places);
     jr_free(d->ctx, d);
 }
 
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -186,6 +186,7 @@
     int64_t interference_since;   /* the same, beside best-effort tasks */
     int64_t no_best_effort_until; /* best-effort tasks were evicted */
     int64_t slowed_counted_at;    /* when slowed_ms was last updated */
+    bool has_slowed;              /* best-effort tasks that should move */
     jr_worker_tail_t tails[JR_TAIL_LOADS_MAX];
     size_t n_tails;
 };
@@ -256,6 +257,7 @@
     GArray *crashes;
     GPtrArray *proposed; /* runs whose grant is to be proposed */
     struct jr_backlog *backlog;
+    struct jr_places *places; /* of the present pass, else empty */
 };
 
 /* worker.c: leases, clocks and incarnations of workers. */
@@ -391,8 +393,10 @@
 /* pace.c: paces of best-effort tasks, and moves to other workers. */
 /* Plan the paces on a worker, and order the changes. */
 void jr_pace_update(jr_dispatch_t *d, jr_tracked_worker_t *w);
-/* Stop a task that lost much time, when another worker has capacity. */
-void jr_pace_move_slowed(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* Does a best-effort task there lose much time? */
+bool jr_pace_has_slowed(const jr_tracked_worker_t *w);
+/* In a pass: stop some of these tasks for which others have capacity. */
+void jr_pace_move_slowed(jr_dispatch_t *d);
 /* Headroom a service would lose if tasks of this image used all processors. */
 double jr_pace_slope(const jr_dispatch_t *d, const jr_run_t *service,
                      jr_image_t image);
@@ -489,7 +493,26 @@
  */
 void jr_urgent_make_room(jr_dispatch_t *d, const GArray *waiting);
 
-/* choose.c: the best worker for a task now, or NULL. */
+/* places.c: the usable workers of a pass, by what is free on them. */
+typedef struct {
+    jr_tracked_worker_t *w;
+    uint32_t rank;     /* of the worker */
+    int64_t cpu_milli; /* no task that asks for more fits */
+    int64_t memory_mb; /* the same */
+} jr_place_t;
+typedef struct jr_places jr_places_t;
+jr_places_t *jr_new_places(jr_ctx_t *ctx);
+void jr_drop_places(jr_ctx_t *ctx, jr_places_t *places);
+/* The pass is over. */
+void jr_places_clear(jr_places_t *places);
+/* A pass begins. */
+void jr_places_refresh(jr_dispatch_t *d);
+/* The workers with that many free processors or more; sets their number. */
+const jr_place_t *jr_places_first(const jr_places_t *places,
+                                  bool is_best_effort, int64_t cpu_milli,
+                                  size_t *n);
+
+/* choose.c: the best worker for a task in this pass, or NULL. */
 jr_tracked_worker_t *jr_choose_worker(jr_dispatch_t *d,
                                       const jr_job_task_t *task,
                                       const jr_need_t *need);
@@ -505,6 +528,11 @@
 /* As jr_choose_worker(); the task is placed there before the next call. */
 jr_tracked_worker_t *jr_ranking_next(jr_ranking_t *ranking,
                                      const jr_job_task_t *task);
+/*
+ * Processors, in thousandths, that a further best-effort task may ask for
+ * beside those on the worker; INT64_MAX: as many as it likes.
+ */
+int64_t jr_choose_best_effort_room(const jr_tracked_worker_t *w);
 /* Has the job waited so long that interference limits are relaxed? */
 bool jr_choose_is_relaxed(const jr_dispatch_t *d, const jr_job_t *job);
 void jr_need_of(const Jr__JobStep *step, jr_need_t *need);
@@ -512,9 +540,6 @@
                          const Jr__JobWorker *info);
 bool jr_worker_has_capacity(const jr_need_t *need,
                             const jr_tracked_worker_t *w);
-/* Has it capacity if only services and reservations are counted? */
-bool jr_worker_has_capacity_beside_services(const jr_need_t *need,
-                                            const jr_tracked_worker_t *w);
 /* Is it in another rack than the data of the step? */
 bool jr_worker_is_far(const jr_tracked_worker_t *w, const Jr__JobStep *step);
 void jr_need_add(jr_need_t *a, const jr_need_t *b, int sign);
--- a/src/dispatch/guard.c
+++ b/src/dispatch/guard.c
@@ -162,7 +162,7 @@
 {
     learn(d, w);
     jr_pace_update(d, w);
-    jr_pace_move_slowed(d, w);
+    w->has_slowed = jr_pace_has_slowed(w);
     check_targets(d, w);
     w->is_load_stale = true;
 }
--- a/src/dispatch/pace.c
+++ b/src/dispatch/pace.c
@@ -15,6 +15,7 @@
     MOVE_PACE_MAX = 40,           /* percent; faster tasks stay */
     MOVE_AFTER_MS = 700,          /* of lost time, with checkpoints */
     MOVE_UNSAVED_AFTER_MS = 2000, /* without: all of its work would be lost */
+    MOVES_MAX = 16, /* tasks for which one pass looks for another worker */
 };
 
 /* Headroom (target divided by tail latency) that services keep. */
@@ -191,36 +192,75 @@
                (step->checkpoints ? MOVE_AFTER_MS : MOVE_UNSAVED_AFTER_MS);
 }
 
-/*
- * Moves one best-effort task that lost much time beside services, when another
- * worker has capacity.
- */
-void
-jr_pace_move_slowed(jr_dispatch_t *d, jr_tracked_worker_t *w)
+bool
+jr_pace_has_slowed(const jr_tracked_worker_t *w)
+{
+    const jr_run_t *run;
+
+    TAILQ_FOREACH (run, &w->runs, link) {
+        if (is_worth_moving(run)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns whether another worker has capacity for the task. */
+static bool
+move(jr_dispatch_t *d, jr_run_t *run)
 {
+    const jr_tracked_worker_t *w = run->worker;
+    const jr_tracked_worker_t *other;
     char text[JR_RUN_TEXT_BYTES];
+    jr_need_t need;
+
+    run->slowed_ms = 0;
+    jr_need_of(jr_task_step(run->task), &need);
+    other = jr_choose_worker(d, run->task, &need);
+    if (other == NULL || other == w) {
+        return false;
+    }
+    jr_count(d->ctx, JR_C_MOVES);
+    jr_log(d->ctx, JR_EV_FILLER_MOVED,
+           "task=%s worker=%s image=%s percent=%u pace=%u to=%s",
+           jr_run_text(run, text, sizeof text), w->worker->info->id,
+           jr_task_step(run->task)->image, run->percent, run->pace_wanted,
+           other->worker->info->id);
+    jr_run_stop(d, run);
+    return true;
+}
+
+/* Returns the number of tasks for which a worker was looked for. */
+static size_t
+move_one_of(jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
     jr_run_t *run;
+    size_t n = 0;
 
     TAILQ_FOREACH (run, &w->runs, link) {
-        jr_tracked_worker_t *other;
-        jr_need_t need;
+        if (is_worth_moving(run)) {
+            n++;
+            if (move(d, run)) {
+                break;
+            }
+        }
+    }
+    return n;
+}
+
+void
+jr_pace_move_slowed(jr_dispatch_t *d)
+{
+    jr_tracked_worker_t *w;
+    size_t n = 0;
 
-        if (!is_worth_moving(run)) {
-            continue;
+    TAILQ_FOREACH (w, &d->workers, link) {
+        if (n >= MOVES_MAX) {
+            break; /* the others at the next pass */
         }
-        run->slowed_ms = 0;
-        jr_need_of(jr_task_step(run->task), &need);
-        other = jr_choose_worker(d, run->task, &need);
-        if (other == NULL || other == w) {
-            continue;
+        if (w->has_slowed) {
+            w->has_slowed = false;
+            n += move_one_of(d, w);
         }
-        jr_count(d->ctx, JR_C_MOVES);
-        jr_log(d->ctx, JR_EV_FILLER_MOVED,
-               "task=%s worker=%s image=%s percent=%u pace=%u to=%s",
-               jr_run_text(run, text, sizeof text), w->worker->info->id,
-               jr_task_step(run->task)->image, run->percent, run->pace_wanted,
-               other->worker->info->id);
-        jr_run_stop(d, run);
-        return;
     }
 }
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -136,32 +136,77 @@
     }
 }
 
+/* A usable worker, and what reservations there may take. */
+typedef struct {
+    jr_tracked_worker_t *w;
+    int64_t free_milli; /* not used and not reserved */
+    jr_need_t capacity; /* beside services and reservations */
+} reservable_t;
+
+static GArray *
+list_reservable(const jr_dispatch_t *d)
+{
+    GArray *list = g_array_new(FALSE, FALSE, sizeof(reservable_t));
+    jr_tracked_worker_t *w;
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        const Jr__JobWorker *info = w->worker->info;
+        reservable_t reservable = {
+            .w = w,
+            .free_milli = info->cpu_milli - w->used.cpu_milli,
+            .capacity = {.cpu_milli = info->cpu_milli,
+                         .memory_mb = info->memory_mb,
+                         .accelerators = info->accelerators},
+        };
+
+        jr_need_add(&reservable.capacity, &w->services, -1);
+        if (w->is_usable) {
+            g_array_append_val(list, reservable);
+        }
+    }
+    return list;
+}
+
+static bool
+has_capacity(const reservable_t *reservable, const jr_need_t *need)
+{
+    const jr_need_t *capacity = &reservable->capacity;
+
+    return need->cpu_milli <= capacity->cpu_milli &&
+           need->memory_mb <= capacity->memory_mb &&
+           need->accelerators <= capacity->accelerators;
+}
+
 /*
  * The eligible worker with the most free processors: the least other work has
  * to end there before the service fits.
  */
-static jr_tracked_worker_t *
-find_worker_to_reserve(jr_dispatch_t *d, const jr_job_task_t *task,
+static reservable_t *
+find_worker_to_reserve(const GArray *list, const jr_job_task_t *task,
                        const jr_need_t *need)
 {
-    jr_tracked_worker_t *best = NULL;
-    jr_tracked_worker_t *w;
-    int64_t most_free = 0;
+    reservable_t *best = NULL;
 
-    TAILQ_FOREACH (w, &d->workers, link) {
-        int64_t free_milli = w->worker->info->cpu_milli - w->used.cpu_milli -
-                             w->reserved.cpu_milli;
-
-        if ((best == NULL || free_milli > most_free) && w->is_usable &&
-            jr_worker_has_capacity_beside_services(need, w) &&
-            jr_worker_is_eligible(w, task)) {
-            best = w;
-            most_free = free_milli;
+    for (guint i = 0; i < list->len; i++) {
+        reservable_t *reservable = &g_array_index(list, reservable_t, i);
+
+        if ((best == NULL || reservable->free_milli > best->free_milli) &&
+            has_capacity(reservable, need) &&
+            jr_worker_is_eligible(reservable->w, task)) {
+            best = reservable;
         }
     }
     return best;
 }
 
+static void
+reserve(reservable_t *reservable, const jr_need_t *need)
+{
+    jr_need_add(&reservable->w->reserved, need, 1);
+    jr_need_add(&reservable->capacity, need, -1);
+    reservable->free_milli -= need->cpu_milli;
+}
+
 int64_t
 jr_reserve_waited(const jr_dispatch_t *d, const jr_job_task_t *task)
 {
@@ -184,7 +229,8 @@
 }
 
 static size_t
-reserve_for_step(jr_dispatch_t *d, jr_job_t *job, uint32_t s, int64_t *left)
+reserve_for_step(const jr_dispatch_t *d, const GArray *list, jr_job_t *job,
+                 uint32_t s, int64_t *left)
 {
     const Jr__JobStep *step = job->spec->steps[s];
     jr_need_t need;
@@ -193,18 +239,18 @@
     jr_need_of(step, &need);
     for (uint32_t i = 0; i < step->count; i++) {
         jr_job_task_t *task = &job->tasks[job->steps[s].first + i];
-        jr_tracked_worker_t *w;
+        reservable_t *reservable;
 
         if (task->phase != JR_PHASE_WAITING || task->run != NULL ||
             jr_reserve_waited(d, task) < RESERVE_AFTER_MS ||
             *left < need.cpu_milli) {
             continue;
         }
-        w = find_worker_to_reserve(d, task, &need);
-        if (w == NULL) {
+        reservable = find_worker_to_reserve(list, task, &need);
+        if (reservable == NULL) {
             break;
         }
-        jr_need_add(&w->reserved, &need, 1);
+        reserve(reservable, &need);
         *left -= need.cpu_milli;
         n++;
     }
@@ -219,6 +265,7 @@
     size_t most = HASH_COUNT(d->jobs->workers) * RESERVED_PERCENT / 100 + 1;
     size_t n = 0;
     int64_t left = jr_reserve_left_for_services(d, d->short_demand.latest);
+    GArray *list = list_reservable(d);
 
     TAILQ_FOREACH (w, &d->workers, link) {
         w->reserved = (jr_need_t){0};
@@ -230,8 +277,9 @@
         for (uint32_t s = 0; s < job->spec->n_steps && n < most; s++) {
             if (job->spec->steps[s]->service && job->steps[s].waiting > 0 &&
                 jr_job_is_step_ready(job, 0, s)) {
-                n += reserve_for_step(d, job, s, &left);
+                n += reserve_for_step(d, list, job, s, &left);
             }
         }
     }
+    g_array_unref(list);
 }
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -535,6 +535,7 @@
     jr_reserve_update(d);
     jr_worker_quality_update(d);
     jr_reserve_for_services(d);
+    jr_places_refresh(d);
     if (candidates->len > 1) {
         qsort(candidates->data, candidates->len, sizeof(candidate_t),
               by_urgency);
@@ -545,7 +546,9 @@
                          &unplaceable);
     }
     for_demand(candidates, JR_URGENT_PRIORITY, add_urgent_demand, urgent);
+    jr_pace_move_slowed(d);
     jr_urgent_make_room(d, urgent);
+    jr_places_clear(d->places);
     g_array_unref(urgent);
     g_array_unref(candidates);
 }
