Orders sent are counted by kind: what a busy leader sends is in loop-load

What callers saw: on a large deployment the line loop-load says how many orders were carried out, not which: starts, renewals and paces could not be told apart.

Counters starts_sent, stops_sent, renewals_sent, paces_sent, and the same as fields of the line.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -118,6 +118,11 @@
     X(REFUSED_NO_JOB, "refused_no_job_total", "asked for a job not known")    \
     X(ANSWERED_UNKNOWN, "answered_unknown_total",                             \
       "answered that the outcome is not known")                               \
+    X(STARTS_SENT, "starts_sent_total", "orders to start a task")             \
+    X(STOPS_SENT, "stops_sent_total", "orders to stop a run")                 \
+    X(RENEWALS_SENT, "renewals_sent_total",                                   \
+      "orders that renew a lease and ask for the lists of a worker")          \
+    X(PACES_SENT, "paces_sent_total", "orders to run a filler at a pace")     \
     X(ORDERS_DONE, "orders_done_total", "orders that workers carried out")    \
     X(ORDERS_FENCED, "orders_fenced_total",                                   \
       "orders refused: higher fencing token")                                 \
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -32,6 +32,10 @@
     uint64_t orders_ms;
     uint64_t messages;
     uint64_t answers;
+    uint64_t starts;
+    uint64_t stops;
+    uint64_t renewals;
+    uint64_t paces;
     uint64_t passes;
     uint64_t examined;
 } jr_loop_totals_t;
--- a/src/control/load.c
+++ b/src/control/load.c
@@ -15,6 +15,10 @@
         .orders_ms = ctx->histograms[JR_H_LOOP_ORDERS].sum_ms,
         .messages = ctx->counters[JR_C_BUS_RECEIVED],
         .answers = ctx->counters[JR_C_ORDERS_DONE],
+        .starts = ctx->counters[JR_C_STARTS_SENT],
+        .stops = ctx->counters[JR_C_STOPS_SENT],
+        .renewals = ctx->counters[JR_C_RENEWALS_SENT],
+        .paces = ctx->counters[JR_C_PACES_SENT],
         .passes = ctx->counters[JR_C_PASSES],
         .examined = ctx->counters[JR_C_WORKERS_EXAMINED],
     };
@@ -29,7 +33,8 @@
     jr_log(control->ctx, JR_EV_LOOP_LOAD,
            "span_ms=%lld turns=%llu longest_ms=%lld events_ms=%llu "
            "groups_ms=%llu sync_ms=%llu orders_ms=%llu messages=%llu "
-           "answers=%llu passes=%llu workers_examined=%llu",
+           "answers=%llu starts=%llu stops=%llu renewals=%llu paces=%llu "
+           "passes=%llu workers_examined=%llu",
            (long long)span_ms, (unsigned long long)(now->turns - was->turns),
            (long long)control->load.longest_ms,
            (unsigned long long)(now->events_ms - was->events_ms),
@@ -38,6 +43,10 @@
            (unsigned long long)(now->orders_ms - was->orders_ms),
            (unsigned long long)(now->messages - was->messages),
            (unsigned long long)(now->answers - was->answers),
+           (unsigned long long)(now->starts - was->starts),
+           (unsigned long long)(now->stops - was->stops),
+           (unsigned long long)(now->renewals - was->renewals),
+           (unsigned long long)(now->paces - was->paces),
            (unsigned long long)(now->passes - was->passes),
            (unsigned long long)(now->examined - was->examined));
 }
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -368,6 +368,19 @@
     }
 }
 
+static void
+count_sent(jr_ctx_t *ctx, jr_order_kind_t kind)
+{
+    static const jr_counter_t counters[] = {
+        [JR_ORDER_START] = JR_C_STARTS_SENT,
+        [JR_ORDER_STOP] = JR_C_STOPS_SENT,
+        [JR_ORDER_RENEW] = JR_C_RENEWALS_SENT,
+        [JR_ORDER_PACE] = JR_C_PACES_SENT,
+    };
+
+    jr_count(ctx, counters[kind]);
+}
+
 static void
 add_sent(jr_dispatch_t *d, jr_order_t *order, jr_tracked_worker_t *w,
          jr_run_t *run)
@@ -386,6 +399,7 @@
     sent->run = run;
     sent->sent_at = d->now;
     HASH_ADD(hh, d->sent, serial, sizeof sent->serial, sent);
+    count_sent(d->ctx, order->kind);
 }
 
 static bool
