--- a/bench/dispatch.cc
+++ b/bench/dispatch.cc
@@ -1,10 +1,12 @@
 /* Measures the cost of scheduling decisions by the number of workers. */
 #include <benchmark/benchmark.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
 extern "C" {
+#include "jayrelay/carrier.h"
 #include "jayrelay/dispatch.h"
 }
 
@@ -12,6 +14,7 @@
 
 constexpr int64_t kLeaseMs = 6000;
 constexpr uint32_t kCpuMilli = 64000;
+constexpr int64_t kHoldMs = 1500;
 
 /* A leader whose workers have all answered; commands are applied at once. */
 class Leader {
@@ -22,7 +25,7 @@
 
         options.lease_ms = kLeaseMs;
         options.drift_permille = 20;
-        options.hold_wait_ms = 1500;
+        options.hold_wait_ms = kHoldMs;
         options.far_permille = 2000;
         ctx_ = jr_new_ctx("bench", nullptr);
         jobs_ = jr_new_jobs(ctx_);
@@ -161,7 +164,210 @@
         AnswerOrders();
     }
 
+    /* On each worker some five services and some ten best-effort tasks. */
+    void
+    FillWithMixed(size_t n_workers)
+    {
+        for (size_t i = 0; i < n_workers / 40 + 1; i++) {
+            SubmitImage("service-" + std::to_string(i % 16), 200, true);
+            SubmitImage("filler-" + std::to_string(i % 30), 400, false);
+        }
+        for (int i = 0; i < 100; i++) {
+            RunPass();
+            ListStarted();
+        }
+    }
+
+    /* Takes the renewals that are due, and prepares their answers. */
+    void
+    TakeRenewals()
+    {
+        jr_order_t order;
+
+        now_ += kHoldMs;
+        round_++;
+        RunPass();
+        renewals_.clear();
+        while (jr_dispatch_take_order(dispatch_, &order)) {
+            if (order.kind == JR_ORDER_RENEW) {
+                renewals_.push_back(
+                    {order.serial, &lists_[order.worker], order.worker});
+            }
+            else {
+                serials_.push_back(order.serial);
+            }
+        }
+        AnswerTaken();
+        for (Renewal &renewal : renewals_) {
+            Measure(renewal.list);
+        }
+    }
+
+    void
+    AnswerRenewals()
+    {
+        for (const Renewal &renewal : renewals_) {
+            jr_answer_t answer = AnswerTo(renewal);
+
+            jr_dispatch_answer(dispatch_, renewal.serial, &answer, now_);
+        }
+    }
+
+    /* The answers as carriers pack them. */
+    std::vector<std::vector<uint8_t>>
+    PackAnswers()
+    {
+        std::vector<std::vector<uint8_t>> packed;
+
+        for (const Renewal &renewal : renewals_) {
+            jr_answer_t answer = AnswerTo(renewal);
+            size_t len;
+            uint8_t *bytes =
+                jr_answer_pack(ctx_, renewal.serial, &answer, &len);
+
+            packed.emplace_back(bytes, bytes + len);
+            jr_free(ctx_, bytes);
+        }
+        return packed;
+    }
+
+    void
+    AddToBook(jr_carry_book_t *book, int carrier)
+    {
+        for (const Renewal &renewal : renewals_) {
+            jr_order_t order = {};
+
+            order.kind = JR_ORDER_RENEW;
+            order.serial = renewal.serial;
+            order.worker = renewal.worker.c_str();
+            order.timeout_ms = kLeaseMs;
+            jr_carry_book_add(book, &order, carrier, now_);
+        }
+    }
+
+    jr_ctx_t *
+    ctx()
+    {
+        return ctx_;
+    }
+
+    int64_t
+    now() const
+    {
+        return now_;
+    }
+
+    size_t
+    n_renewals() const
+    {
+        return renewals_.size();
+    }
+
+    size_t
+    n_listed() const
+    {
+        size_t n = 0;
+
+        for (const Renewal &renewal : renewals_) {
+            n += renewal.list->size();
+        }
+        return n;
+    }
+
   private:
+    using List = std::vector<jr_running_t>;
+    struct Renewal {
+        uint64_t serial;
+        List *list;
+        std::string worker;
+    };
+
+    void
+    SubmitImage(const std::string &image, uint32_t tasks, bool is_service)
+    {
+        Jr__JobStep step = JR__JOB_STEP__INIT;
+
+        step.count = tasks;
+        step.estimate_ms = 2000;
+        step.memory_mb = 10;
+        step.image = const_cast<char *>(image.c_str());
+        step.cpu_milli = is_service ? 10000 : 6000;
+        step.service = is_service;
+        step.tail_target_ms = is_service ? 18 : 0;
+        step.filler = !is_service;
+        SubmitStep(&step);
+    }
+
+    /* The workers start what they are told to, and list it from now on. */
+    void
+    ListStarted()
+    {
+        jr_order_t order;
+
+        while (jr_dispatch_take_order(dispatch_, &order)) {
+            if (order.kind == JR_ORDER_START) {
+                jr_running_t row = {};
+
+                row.run = order.run;
+                row.percent = 100; /* a service that is ready */
+                lists_[order.worker].push_back(row);
+            }
+            if (order.kind == JR_ORDER_RENEW) {
+                renewals_.push_back(
+                    {order.serial, &lists_[order.worker], order.worker});
+            }
+            else {
+                serials_.push_back(order.serial);
+            }
+        }
+        AnswerTaken();
+        AnswerRenewals();
+        renewals_.clear();
+    }
+
+    void
+    AnswerTaken()
+    {
+        jr_answer_t answer = {};
+
+        answer.kind = JR_ANSWER_DONE;
+        answer.clock_ms = now_;
+        for (uint64_t serial : serials_) {
+            jr_dispatch_answer(dispatch_, serial, &answer, now_);
+        }
+        serials_.clear();
+    }
+
+    /* Gauges vary, and each fourth row has a new checkpoint. */
+    void
+    Measure(List *list)
+    {
+        static const char *const checkpoints[] = {
+            "c:9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822c",
+            "c:60303ae22b998861bce3b28f33eec1be758a213c86c93c07",
+        };
+
+        for (size_t i = 0; i < list->size(); i++) {
+            jr_running_t *row = &(*list)[i];
+
+            row->gauge = 9 + (round_ + i) % 7;
+            row->checkpoint = checkpoints[(round_ + i) / 4 % 2];
+        }
+    }
+
+    jr_answer_t
+    AnswerTo(const Renewal &renewal) const
+    {
+        jr_answer_t answer = {};
+
+        answer.kind = JR_ANSWER_DONE;
+        answer.clock_ms = now_;
+        answer.incarnation = 1;
+        answer.running = renewal.list->data();
+        answer.n_running = renewal.list->size();
+        return answer;
+    }
+
     void
     Apply(Jr__JobCommand *command)
     {
@@ -214,6 +420,9 @@
     uint64_t fence_ = 1;
     uint64_t last_id_ = 0;
     std::vector<uint64_t> serials_;
+    std::map<std::string, List> lists_;
+    std::vector<Renewal> renewals_;
+    size_t round_ = 0;
 };
 
 void
@@ -278,8 +487,73 @@
     state.SetComplexityN(state.range(0));
 }
 
+/* Each worker lists what runs there, as it renews its lease. */
+void
+AnswerRenewals(benchmark::State &state)
+{
+    Leader leader(static_cast<size_t>(state.range(0)));
+    size_t n = 0;
+    size_t listed = 0;
+
+    leader.FillWithMixed(static_cast<size_t>(state.range(0)));
+    for (auto _ : state) {
+        state.PauseTiming();
+        leader.TakeRenewals();
+        n += leader.n_renewals();
+        listed += leader.n_listed();
+        state.ResumeTiming();
+        leader.AnswerRenewals();
+    }
+    state.SetItemsProcessed(static_cast<int64_t>(n));
+    state.counters["listed"] = n > 0 ? static_cast<double>(listed) / n : 0.0;
+}
+
+void
+IgnoreOutcome(void *, uint64_t, const jr_answer_t *, int64_t)
+{
+}
+
+/* The same answers, as a carrier sends them to the leader. */
+void
+ReceiveAnswers(benchmark::State &state)
+{
+    constexpr uint64_t kSession = 1;
+    Leader leader(static_cast<size_t>(state.range(0)));
+    jr_carriers_t *carriers = jr_new_carriers(leader.ctx(), "z");
+    jr_carry_book_t *book = jr_new_carry_book(leader.ctx(), carriers, kSession,
+                                              IgnoreOutcome, nullptr);
+    std::vector<ProtobufCBinaryData> rows;
+    Jr__AnswerBatch batch = JR__ANSWER_BATCH__INIT;
+
+    leader.FillWithMixed(static_cast<size_t>(state.range(0)));
+    leader.TakeRenewals();
+    std::vector<std::vector<uint8_t>> packed = leader.PackAnswers();
+    for (std::vector<uint8_t> &bytes : packed) {
+        rows.push_back({bytes.size(), bytes.data()});
+    }
+    batch.session = kSession;
+    batch.name = const_cast<char *>("carrier");
+    batch.zone = const_cast<char *>("z");
+    jr_carriers_heard(carriers, batch.name, batch.zone, 1, leader.now());
+    batch.clock_ms = 1;
+    batch.n_answers = rows.size();
+    batch.answers = rows.data();
+    for (auto _ : state) {
+        state.PauseTiming();
+        leader.AddToBook(book, jr_carriers_find(carriers, batch.name));
+        state.ResumeTiming();
+        jr_carry_book_receive(book, &batch, leader.now());
+    }
+    state.SetItemsProcessed(static_cast<int64_t>(rows.size()) *
+                            state.iterations());
+    jr_drop_carry_book(book);
+    jr_drop_carriers(carriers);
+}
+
 } // namespace
 
+BENCHMARK(AnswerRenewals)->Arg(50)->Arg(1100)->Unit(benchmark::kMicrosecond);
+BENCHMARK(ReceiveAnswers)->Arg(50)->Arg(1100)->Unit(benchmark::kMicrosecond);
 BENCHMARK(PassWithABacklog)
     ->Arg(50)
     ->Arg(500)
