The slopes of a service are learnt from a bounded number of samples

What callers saw: on 1,100 workers answers to renewals took a fifth of the leader's time, and more than half of that was the guard of services.

Cause: each service task in each list updated the matrix of its image's regression, whose cost is the square of the images: some 9,000 samples a second for 16 services, of which some hundreds tell as much.

Change: a service's slopes learn from 50 samples a second in the mean and 25 at once; curves of jobs learn from each one as before. A small deployment stays below the bound. Rows of images that never ran beside the sampled ones are skipped (their change is 0).

--- a/src/interfere/tail.c
+++ b/src/interfere/tail.c
@@ -11,6 +11,17 @@
 
 #include "curve.h"
 
+/*
+ * The slopes of a service hold for all of its tasks, so that the samples of
+ * many say little more than those of some. What is learnt from is bounded, as
+ * its cost is proportional to the square of the number of images.
+ */
+enum {
+    SAMPLE_EVERY_MS = 20, /* in the mean, of one service */
+    SAMPLES_MAX = 25,     /* at once */
+    CREDIT_MAX_MS = SAMPLES_MAX * SAMPLE_EVERY_MS,
+};
+
 /* Assumed headroom loss to a whole worker of an unknown best-effort image. */
 static const double SLOPE_PRIOR = 2.0;
 static const double SLOPE_PRIOR_VARIANCE = 6.0; /* also the maximum */
@@ -36,6 +47,8 @@
 typedef struct {
     double slopes[JR_TAIL_IMAGES_MAX];
     double variances[JR_TAIL_IMAGES_MAX][JR_TAIL_IMAGES_MAX];
+    int64_t credit_ms; /* at credit_at; each sample costs SAMPLE_EVERY_MS */
+    int64_t credit_at;
 } regression_t;
 
 struct jr_tails {
@@ -106,6 +119,7 @@
             r->slopes[i] = SLOPE_PRIOR;
             r->variances[i][i] = SLOPE_PRIOR_VARIANCE;
         }
+        r->credit_ms = CREDIT_MAX_MS;
         tails->regressions[service] = r;
     }
     return r;
@@ -144,6 +158,9 @@
         scale += px[loads[k].image] * loads[k].share;
     }
     for (size_t i = 0; i < images; i++) {
+        if (px[i] == 0.0) {
+            continue; /* it never ran beside these */
+        }
         r->slopes[i] += px[i] * loss / scale;
         for (size_t k = 0; k < images; k++) {
             r->variances[i][k] -= px[i] * px[k] / scale;
@@ -156,6 +173,21 @@
     }
 }
 
+/* May the slopes be learnt from one more sample? */
+static bool
+take_credit(regression_t *r, int64_t at_ms)
+{
+    int64_t gained_ms = CLAMP(at_ms - r->credit_at, 0, CREDIT_MAX_MS);
+
+    r->credit_ms = MIN(r->credit_ms + gained_ms, CREDIT_MAX_MS);
+    r->credit_at = MAX(r->credit_at, at_ms);
+    if (r->credit_ms < SAMPLE_EVERY_MS) {
+        return false;
+    }
+    r->credit_ms -= SAMPLE_EVERY_MS;
+    return true;
+}
+
 void
 jr_tails_learn(jr_tails_t *tails, const jr_tail_sample_t *sample)
 {
@@ -181,7 +213,7 @@
     jr_curve_update(curve, headroom + loss,
                     noise + variance_of(r, sample->loads, sample->n_loads),
                     sample->at_ms);
-    if (sample->n_loads > 0) {
+    if (sample->n_loads > 0 && take_credit(r, sample->at_ms)) {
         update_regression(r, sample->loads, sample->n_loads, tails->n,
                           jr_curve_predict(curve, sample->at_ms) - headroom,
                           noise + jr_curve_variance(curve));
--- a/src/interfere/tail_test.cc
+++ b/src/interfere/tail_test.cc
@@ -3,6 +3,7 @@
 
 #include <cmath>
 #include <random>
+#include <set>
 
 extern "C" {
 #include "jayrelay/tail.h"
@@ -112,6 +113,27 @@
     EXPECT_LT(HeadroomLoss(light_, 0.1), 0.06);
 }
 
+/*
+ * The cost of learning grew with the tasks of a service, though its slopes are
+ * known from some of them: what is learnt of one instant is bounded, and goes
+ * on later.
+ */
+TEST_F(TailTest, TheSamplesOfOneInstantAreBounded)
+{
+    constexpr int kMany = 1000;
+    jr_tail_load_t load = {heavy_, 0.1};
+    std::set<double> learnt;
+
+    for (int i = 0; i < kMany; i++) {
+        AddSample(1, 1.0, &load, 1);
+        learnt.insert(HeadroomLoss(heavy_, 0.1));
+    }
+    EXPECT_LT(learnt.size(), 50u);
+    now_ += 1000;
+    AddSample(1, 3.0, &load, 1);
+    EXPECT_EQ(learnt.count(HeadroomLoss(heavy_, 0.1)), 0u);
+}
+
 /* The call rate of each job is periodic, with different phases. */
 TEST_F(TailTest, TracksThePeriodicLoadOfEachJob)
 {
