Paces are planned at most once in 1 ms for each worker, not with each answer

What callers saw: on 1,100 workers the guard's plans took 600 ms of 5 s of the leader's time, and paces were a fourth of the orders that it sent.

Cause: a worker answers its renewal as soon as a run ends there. Each answer planned the paces on the worker anew, though its gauges had hardly changed: the more runs, the more plans and orders, without a bound.

Change: the wait of 500 ms and 1 ms per worker, which bounds the plans of workers where nothing ends, counts from the latest plan: answers that come sooner than 1 ms per worker after it plan nothing. When a service begins to exceed its target, each answer plans as before. Small deployments see no difference (60 workers: 60 ms).

Before: PacesAreNotPlannedWithEachRunThatEnds failed with 80 orders for paces in 6 s (bound 52). A first form that planned only at the first answer over the target failed PacesArePlannedAtOnceForAServiceOverItsTarget (550 ms, bound 250), as the model does not believe the first measurement. pace_test, dispatch_test, choose_test, urgent_test, health_test, worker_test pass.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -182,6 +182,7 @@
     int64_t loads_at;
     jr_tail_load_t loads[JR_TAIL_LOADS_MAX]; /* at the paces wanted */
     size_t n_loads;
+    int64_t guarded_at;           /* when paces were planned last */
     int64_t over_target_since;    /* a service exceeds its target, or 0 */
     int64_t interference_since;   /* the same, beside best-effort tasks */
     int64_t no_best_effort_until; /* best-effort tasks were evicted */
@@ -385,6 +386,8 @@
 
 /* guard.c: protects services against best-effort tasks. */
 void jr_guard_worker(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* Longest wait of a renewal while the guard needs the loads of the worker. */
+int64_t jr_guard_wait_ms(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
 /* False while best-effort tasks must stay off the worker. */
 bool jr_guard_allows(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
 /* Does the worker run both services and best-effort tasks? */
--- a/src/dispatch/guard.c
+++ b/src/dispatch/guard.c
@@ -11,6 +11,12 @@
 enum {
     EVICT_AFTER_MS = 2000, /* over a target beside best-effort tasks */
     EVICTED_MS = 2000,     /* without them, to see whether it helps */
+    /*
+     * The longest wait is this plus the gap; the gap bounds the total load by
+     * all workers.
+     */
+    WAIT_MS = 500,
+    GAP_MS_PER_WORKER = 1,
 };
 
 static const double TARGET = 1.0; /* tail latency divided by target */
@@ -25,6 +31,27 @@
     return w->n_services > 0 && w->best_effort_milli > 0;
 }
 
+/*
+ * Least time between two plans for one worker. Its answers may come sooner,
+ * one with each run that ends.
+ */
+static int64_t
+gap_of(const jr_dispatch_t *d)
+{
+    int64_t gap_ms = (int64_t)HASH_COUNT(d->jobs->workers) * GAP_MS_PER_WORKER;
+
+    return MIN(gap_ms, d->options.hold_wait_ms);
+}
+
+/* Counted from the latest plan, not from an answer that came sooner. */
+int64_t
+jr_guard_wait_ms(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
+{
+    int64_t due_at = w->guarded_at + gap_of(d) + WAIT_MS;
+
+    return CLAMP(due_at - d->now, WAIT_MS, gap_of(d) + WAIT_MS);
+}
+
 static void
 evict_run(jr_dispatch_t *d, jr_tracked_worker_t *w, jr_run_t *run,
           const jr_run_t *service)
@@ -157,12 +184,28 @@
     }
 }
 
+/*
+ * With each answer when a service begins to exceed its target: the model may
+ * not believe the first measurement.
+ */
+static bool
+is_plan_due(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
+{
+    int64_t since = w->over_target_since != 0 ? w->over_target_since : d->now;
+
+    return d->now - w->guarded_at >= gap_of(d) ||
+           (d->now - since < gap_of(d) && find_over_target(w) != NULL);
+}
+
 void
 jr_guard_worker(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
-    learn(d, w);
-    jr_pace_update(d, w);
-    w->has_slowed = jr_pace_has_slowed(w);
+    if (is_plan_due(d, w)) {
+        w->guarded_at = d->now;
+        learn(d, w);
+        jr_pace_update(d, w);
+        w->has_slowed = jr_pace_has_slowed(w);
+    }
     check_targets(d, w);
     w->is_load_stale = true;
 }
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -5,11 +5,6 @@
 
 enum {
     ENDED_ROWS_MAX = 500, /* most ends that a worker lists at a time */
-    /*
-     * Longest wait of a renewal while the guard needs the loads, plus 1 ms
-     * per worker to bound the total load.
-     */
-    GUARD_WAIT_MS = 500,
     LEFT_WAIT_MS = 250,   /* longest wait of a renewal for a leaving worker */
     BACKOFF_MIN_MS = 250, /* first delay after a failed renewal; doubles */
     BACKOFF_MAX_MS = 2000,
@@ -29,10 +24,9 @@
 jr_renewal_order(jr_dispatch_t *d, jr_tracked_worker_t *w, jr_order_t *order)
 {
     bool may_wait = w->is_synced && w->suspect_at == 0;
-    int64_t guard_ms = GUARD_WAIT_MS + (int64_t)HASH_COUNT(d->jobs->workers);
-    int64_t longest_ms = jr_guard_is_needed(w)
-                             ? MIN(guard_ms, d->options.hold_wait_ms)
-                             : d->options.hold_wait_ms;
+    int64_t longest_ms = jr_guard_is_needed(w) ? MIN(jr_guard_wait_ms(d, w),
+                                                     d->options.hold_wait_ms)
+                                               : d->options.hold_wait_ms;
     int64_t patience_ms =
         w->left_at != 0 ? MIN(longest_ms, LEFT_WAIT_MS) : longest_ms;
     int64_t wait_ms = may_wait ? patience_ms : 0;
--- a/src/dispatch/pace_test.cc
+++ b/src/dispatch/pace_test.cc
@@ -182,3 +182,69 @@
     EXPECT_EQ(with_service, 1u);
     EXPECT_EQ(TotalPace(fleet), 400u);
 }
+
+/*
+ * Each run that ended made its worker answer, and each answer planned the
+ * paces anew: the more a leader had to do, the more orders for paces it sent.
+ * Time between two plans grows with the number of workers.
+ */
+TEST_F(PaceTest, PacesAreNotPlannedWithEachRunThatEnds)
+{
+    constexpr size_t kWorkers = 500;
+    constexpr int64_t kGapMs = 500; /* 1 ms for each of them */
+    constexpr int64_t kForMs = 6000;
+    Fleet fleet(1, kWorkers);
+    uint64_t before;
+
+    headroom_alone_ = 4.5;
+    for (size_t i = 1; i < kWorkers; i++) {
+        fleet.SetPartitioned(i, true);
+    }
+    SubmitJobs(fleet);
+    fleet.Run(2000);
+    ASSERT_EQ(fleet.Running(2), 4u);
+    /* The measured headroom varies, and never falls below the target. */
+    fleet.gauge_of = [this](const FleetWorker &worker, const TaskName &task) {
+        uint32_t gauge = Gauge(worker, task);
+
+        return task.job == 1 ? std::min(gauge, kTargetMs - 1) : gauge;
+    };
+    before = fleet.Counter(JR_C_PACES);
+    fleet.task_ms = 30;
+    for (int64_t ms = 0; ms < kForMs; ms += 60) {
+        headroom_alone_ = ms % 480 < 240 ? 2.0 : 4.5;
+        fleet.Submit(static_cast<uint64_t>(100 + ms), {MakeStep(1, 100)});
+        fleet.Run(60);
+    }
+    EXPECT_LE(fleet.Counter(JR_C_PACES) - before, 4 * (kForMs / kGapMs + 1));
+}
+
+/* A service that begins to exceed its target does not wait for that time. */
+TEST_F(PaceTest, PacesArePlannedAtOnceForAServiceOverItsTarget)
+{
+    constexpr size_t kWorkers = 500;
+    constexpr int64_t kStepMs = 50;
+    constexpr int64_t kSoonMs = 250;
+
+    for (int64_t phase_ms = 0; phase_ms < 500; phase_ms += 100) {
+        Fleet fleet(1, kWorkers);
+        int64_t late_ms = -600 - phase_ms;
+
+        headroom_alone_ = 4.5;
+        for (size_t i = 1; i < kWorkers; i++) {
+            fleet.SetPartitioned(i, true);
+        }
+        SubmitJobs(fleet);
+        fleet.Run(4000);
+        ASSERT_EQ(fleet.Running(2), 4u);
+        fleet.task_ms = 30;
+        for (uint64_t job = 100; TotalPace(fleet) == 400u && late_ms < 2000;
+             late_ms += kStepMs) {
+            headroom_alone_ = late_ms < 0 ? 4.5 : 2.0;
+            /* The worker answers as each of these ends. */
+            fleet.Submit(job++, {MakeStep(1, 100)});
+            fleet.Run(kStepMs);
+        }
+        EXPECT_LE(late_ms, kSoonMs) << phase_ms;
+    }
+}
