A long turn of the leader is not silence of its carriers or workers

What callers saw: large deployment, a leader with turns of up to 3 s: workers become suspect in groups of 24 to 300 at the end of a long turn, 200 lapse.

Cause, by reading: timers run before sockets are read, so after a long turn the book gave up each order whose time had passed, though its answer waited in the leader's own queue. The answer, with the worker's list and ends, was then dropped. The deadline knew no stall at all. The receipts of carriers were forgiven a stall in full, so a leader whose turns were all long never noticed the loss of a carrier.

Change: both count in time of listening, of which a turn adds 200 ms at most. A name that is too long no longer takes a place in the table of carriers.

--- a/include/jayrelay/carrier.h
+++ b/include/jayrelay/carrier.h
@@ -74,10 +74,17 @@
                         const char *worker, int64_t now);
 
 /**
- * jr_carriers_tick - forget failures that are long past
+ * jr_carriers_listened - milliseconds in which answers could be noticed
  *
- * To be called often. After a long gap the caller itself stood still, and its
- * carriers count as answering for as long again.
+ * Time as far as the leader can judge its carriers by it: of a long turn of
+ * its own only the first part counts. It rises with each turn.
+ */
+int64_t jr_carriers_listened(const jr_carriers_t *carriers, int64_t now);
+
+/**
+ * jr_carriers_tick - a turn of the leader; forget failures that are long past
+ *
+ * To be called in each turn: see jr_carriers_listened().
  */
 void jr_carriers_tick(jr_carriers_t *carriers, int64_t now);
 
--- a/src/base/messages_test.cc
+++ b/src/base/messages_test.cc
@@ -473,7 +473,10 @@
         }
         jr_carry_book_expire(book, now);
     }
-    jr_carry_book_expire(book, now + 1000000);
+    for (int i = 0; i < 100; i++, now += 1000) {
+        jr_carriers_tick(carriers, now);
+        jr_carry_book_expire(book, now);
+    }
     EXPECT_EQ(n_outcomes, 10L * Rounds());
     jr_drop_carry_book(book);
     jr_drop_carriers(carriers);
--- a/src/carrier/book.c
+++ b/src/carrier/book.c
@@ -15,7 +15,7 @@
     uint64_t serial;
     int carrier;
     char *worker;
-    int64_t deadline;
+    int64_t deadline; /* in time of listening to carriers */
 } open_order_t;
 
 struct jr_carry_book {
@@ -75,7 +75,8 @@
     open->serial = order->serial;
     open->carrier = carrier;
     open->worker = jr_strdup(book->ctx, order->worker);
-    open->deadline = now + order->timeout_ms + CROSSING_MS;
+    open->deadline = jr_carriers_listened(book->carriers, now) +
+                     order->timeout_ms + CROSSING_MS;
     TAILQ_INSERT_TAIL(&book->open, open, link);
     HASH_ADD(hh, book->by_serial, serial, sizeof open->serial, open);
 }
@@ -95,11 +96,12 @@
 void
 jr_carry_book_expire(jr_carry_book_t *book, int64_t now)
 {
+    int64_t listened_ms = jr_carriers_listened(book->carriers, now);
     open_order_t *order, *next;
 
     for (order = TAILQ_FIRST(&book->open); order != NULL; order = next) {
         next = TAILQ_NEXT(order, link);
-        if (now >= order->deadline ||
+        if (listened_ms >= order->deadline ||
             !jr_carriers_is_answering(book->carriers, order->carrier, now)) {
             give_up(book, order, now);
         }
--- a/src/carrier/carrier.c
+++ b/src/carrier/carrier.c
@@ -14,8 +14,12 @@
      * may be cut off from it.
      */
     AVOID_MS = 3000,
-    /* The leader itself stood still: carriers may have answered meanwhile. */
-    STALL_MS = 200,
+    /*
+     * Most of a turn of the leader that counts as listening. In a longer one
+     * carriers may have answered, and it has not read it yet. Lost carriers
+     * are still noticed, in three turns.
+     */
+    TURN_COUNTED_MS = 200,
     /* With more workers the leader leaves also those of its zone to others. */
     OWN_WORKERS_MAX = 100,
 };
@@ -23,7 +27,7 @@
 typedef struct {
     char name[JR_NAME_BYTES];
     char zone[JR_NAME_BYTES];
-    int64_t heard_at;
+    int64_t heard_at; /* in time of listening */
     int64_t clock_ms; /* of the carrier, in its latest answer */
 } carrier_t;
 
@@ -39,6 +43,7 @@
     jr_ctx_t *ctx;
     char zone[JR_NAME_BYTES];
     int64_t ticked_at;
+    int64_t listened_ms; /* until ticked_at */
     size_t n;
     carrier_t carriers[JR_CARRIERS_MAX];
     avoided_t *avoided;
@@ -93,17 +98,26 @@
     return carriers->carriers[carrier].name;
 }
 
+int64_t
+jr_carriers_listened(const jr_carriers_t *carriers, int64_t now)
+{
+    return carriers->listened_ms +
+           MIN(now - carriers->ticked_at, TURN_COUNTED_MS);
+}
+
 static bool
-is_answering(const carrier_t *carrier, int64_t now)
+is_answering(const jr_carriers_t *carriers, const carrier_t *carrier,
+             int64_t now)
 {
-    return now - carrier->heard_at <= SILENT_MS;
+    return jr_carriers_listened(carriers, now) - carrier->heard_at <=
+           SILENT_MS;
 }
 
 bool
 jr_carriers_is_answering(const jr_carriers_t *carriers, int carrier,
                          int64_t now)
 {
-    return is_answering(&carriers->carriers[carrier], now);
+    return is_answering(carriers, &carriers->carriers[carrier], now);
 }
 
 size_t
@@ -112,7 +126,7 @@
     size_t n = 0;
 
     for (size_t i = 0; i < carriers->n; i++) {
-        n += is_answering(&carriers->carriers[i], now);
+        n += is_answering(carriers, &carriers->carriers[i], now);
     }
     return n;
 }
@@ -125,7 +139,7 @@
         return &carriers->carriers[carriers->n++];
     }
     for (size_t i = 0; i < carriers->n; i++) {
-        if (!is_answering(&carriers->carriers[i], now)) {
+        if (!is_answering(carriers, &carriers->carriers[i], now)) {
             return &carriers->carriers[i];
         }
     }
@@ -137,16 +151,20 @@
                   int64_t clock_ms, int64_t now)
 {
     int known = jr_carriers_find(carriers, name);
-    carrier_t *carrier =
-        known >= 0 ? &carriers->carriers[known] : free_place(carriers, now);
+    carrier_t *carrier;
 
-    if (carrier == NULL || strlen(name) >= sizeof carrier->name ||
+    if (strlen(name) >= sizeof carrier->name ||
         strlen(zone) >= sizeof carrier->zone) {
         return;
     }
+    carrier =
+        known >= 0 ? &carriers->carriers[known] : free_place(carriers, now);
+    if (carrier == NULL) {
+        return;
+    }
     g_strlcpy(carrier->name, name, sizeof carrier->name);
     g_strlcpy(carrier->zone, zone, sizeof carrier->zone);
-    carrier->heard_at = now;
+    carrier->heard_at = jr_carriers_listened(carriers, now);
     carrier->clock_ms = clock_ms;
 }
 
@@ -185,25 +203,13 @@
     avoided->until = now + AVOID_MS;
 }
 
-static void
-forgive_stall(jr_carriers_t *carriers, int64_t now)
-{
-    int64_t gap = now - carriers->ticked_at;
-
-    if (carriers->ticked_at != 0 && gap > STALL_MS) {
-        for (size_t i = 0; i < carriers->n; i++) {
-            carriers->carriers[i].heard_at += gap;
-        }
-    }
-    carriers->ticked_at = now;
-}
-
 void
 jr_carriers_tick(jr_carriers_t *carriers, int64_t now)
 {
     avoided_t *avoided, *next;
 
-    forgive_stall(carriers, now);
+    carriers->listened_ms = jr_carriers_listened(carriers, now);
+    carriers->ticked_at = now;
     HASH_ITER (hh, carriers->avoided, avoided, next) {
         if (now >= avoided->until) {
             drop_avoided(carriers, avoided);
@@ -242,8 +248,8 @@
         bool is_near = strcmp(carrier->zone, zone) == 0;
         uint32_t w;
 
-        if (!is_answering(carrier, now) || (skipped & 1U << i) != 0 ||
-            (best_is_near && !is_near)) {
+        if (!is_answering(carriers, carrier, now) ||
+            (skipped & 1U << i) != 0 || (best_is_near && !is_near)) {
             continue;
         }
         w = weight(worker, carrier->name);
--- a/src/carrier/carrier_test.cc
+++ b/src/carrier/carrier_test.cc
@@ -15,6 +15,8 @@
 constexpr size_t kMany = 1100;
 constexpr int64_t kTickMs = 10;
 constexpr int64_t kSilentMs = 700;
+constexpr int64_t kLongTurnMs = 3000;
+constexpr int kTurnsMax = 10;          /* until a lost carrier is noticed */
 constexpr int64_t kClockAhead = 50000; /* of a carrier, to the leader's */
 constexpr int64_t kStaleMs = 2000;
 
@@ -25,6 +27,7 @@
     {
         ctx_ = jr_new_ctx("test", nullptr);
         carriers_ = jr_new_carriers(ctx_, "a");
+        jr_carriers_tick(carriers_, now_); /* the leader's loop runs */
     }
 
     void
@@ -156,6 +159,20 @@
     EXPECT_EQ(Choose("w", "b", kMany), "self");
 }
 
+/*
+ * Guards against a busy leader that never notices the loss of a carrier, since
+ * each of its turns is long.
+ */
+TEST_F(CarrierTest, ALostCarrierIsNoticedHoweverLongTheTurnsAre)
+{
+    Hear("b1", "b");
+    for (int i = 0; i < kTurnsMax; i++) {
+        now_ += kLongTurnMs;
+        jr_carriers_tick(carriers_, now_);
+    }
+    EXPECT_EQ(Choose("w", "b", kMany), "self");
+}
+
 /*
  * Guards against a carrier that was paused and then sends orders of before,
  * when the dispatcher expects none of them any more.
@@ -455,6 +472,46 @@
     EXPECT_EQ(outcomes_, (outcomes_t{{1, JR_ANSWER_UNKNOWN}}));
 }
 
+/*
+ * Guards against a busy leader that takes its workers for silent: their
+ * answers wait in its own queue.
+ */
+TEST_F(CarryBookTest, AnswersThatWaitForALongTurnCount)
+{
+    Give(1, "b1");
+    Expire(kTickMs);
+    for (int i = 0; i < 2; i++) {
+        now_ += kLongTurnMs;
+        jr_carriers_tick(carriers_, now_);
+        jr_carry_book_expire(book_, now_);
+    }
+    Receive("b1", {PackAnswer(1, JR_ANSWER_DONE)});
+    EXPECT_EQ(outcomes_, (outcomes_t{{1, JR_ANSWER_DONE}}));
+}
+
+/* The same, of an order that is given late in a long turn. */
+TEST_F(CarryBookTest, ALongTurnDoesNotCountBeforeAnOrderIsGiven)
+{
+    Expire(kTickMs);
+    now_ += kLongTurnMs;
+    Give(1, "b1");
+    Expire(kExpiryMs + kTickMs);
+    EXPECT_EQ(outcomes_, (outcomes_t{{1, JR_ANSWER_UNKNOWN}}));
+}
+
+/* Guards against orders without an outcome, as each turn is long. */
+TEST_F(CarryBookTest, OrdersAreGivenUpHoweverLongTheTurnsAre)
+{
+    Give(1, "b1");
+    for (int i = 0; i < kTurnsMax; i++) {
+        now_ += kLongTurnMs;
+        Hear("b1", "b");
+        jr_carriers_tick(carriers_, now_);
+        jr_carry_book_expire(book_, now_);
+    }
+    EXPECT_EQ(outcomes_, (outcomes_t{{1, JR_ANSWER_UNKNOWN}}));
+}
+
 /* Bad input: an earlier process at this address gave the order. */
 TEST_F(CarryBookTest, AnswersForAnEarlierProcessChangeNothing)
 {
