A worker is named by an IPv4 address and a port, and nothing else

Another writer's check-in with a port out of range, a host name, user info or a query as its address was acknowledged and put into the log; orders and renewals for it went to libcurl, which looks host names up in threads of its own, though the platform has no name look-ups. Cause: the decoder asked only for printable characters with a colon. Change: jr_address_parse() reads four decimal numbers and a port of 1 to 65535, and jr_address_is_unicast() also refuses 0.0.0.0/8, multicast and reserved addresses; a check-in with another address is answered 400. No order is sent to such an address that an earlier version put into the log: it counts as not reached. The readers of settings and of the HTTP server, two more of the same text, use the same function: signs and blanks before a port are refused there too. Tested: PlatformTest.AnAddressIsAnIpv4AddressAndAPort (before: 26 of 31 odd addresses accepted), NoOrderIsEncodedForAnAddressThatIsNotOne.

--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -5,7 +5,6 @@
  */
 #include "jayrelay/settings.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
 #include <stddef.h>
@@ -14,6 +13,7 @@
 #include <xxhash.h>
 #include <yaml.h>
 
+#include "jayrelay/address.h"
 #include "settings_keys.h"
 
 typedef struct {
@@ -51,31 +51,13 @@
                : NULL;
 }
 
-static bool
-is_address(const char *text)
-{
-    const char *colon = strrchr(text, ':');
-    struct in_addr address;
-    char host[JR_SETTING_BYTES];
-    char *end;
-    unsigned long port;
-
-    if (colon == NULL || (size_t)(colon - text) >= sizeof host) {
-        return false;
-    }
-    memcpy(host, text, (size_t)(colon - text));
-    host[colon - text] = '\0';
-    port = strtoul(colon + 1, &end, 10);
-    return inet_pton(AF_INET, host, &address) == 1 && end != colon + 1 &&
-           *end == '\0' && port > 0 && port <= 65535;
-}
-
 static void
 read_text(reader_t *r, const char *key, const yaml_node_t *node,
           jr_value_kind_t kind, char *to)
 {
     const char *text = scalar(node);
     size_t size = kind == JR_VALUE_PATH ? JR_PATH_BYTES : JR_SETTING_BYTES;
+    struct sockaddr_in address;
 
     if (text == NULL || *text == '\0' || strlen(text) >= size) {
         add_error(
@@ -85,7 +67,7 @@
             text != NULL ? text : "(list or mapping)");
         return;
     }
-    if (kind == JR_VALUE_ADDRESS && !is_address(text)) {
+    if (kind == JR_VALUE_ADDRESS && !jr_address_parse(text, &address)) {
         add_error(r, node,
                   "'%s' must be an IP number and a port, such as "
                   "10.0.0.1:7000, got '%.40s'",
--- a/src/control/orders.c
+++ b/src/control/orders.c
@@ -74,6 +74,20 @@
     drop_sent_order(sent);
 }
 
+static void
+give_up(sent_order_t *sent, const jr_order_t *order, const char *reason)
+{
+    jr_answer_t answer = {.kind = JR_ANSWER_UNREACHED};
+
+    jr_log(sent->control->ctx, JR_EV_ORDER_FAILED,
+           "order %d for task %016llx.%u.%u.%u was not sent to worker %s: %s",
+           (int)order->kind, (unsigned long long)order->run.job,
+           order->run.occurrence, order->run.step, order->run.index,
+           order->worker, reason);
+    finish_order(sent, &answer);
+    drop_sent_order(sent);
+}
+
 void
 jr_control_send_order(jr_control_t *control, const jr_order_t *order,
                       jr_carry_session_t *session)
@@ -88,7 +102,10 @@
     sent->kind = order->kind;
     sent->run = order->run;
     sent->worker = jr_strdup(control->ctx, order->worker);
-    jr_platform_encode_order(order, &encoded);
+    if (!jr_platform_encode_order(order, &encoded)) {
+        give_up(sent, order, "its address is not valid");
+        return;
+    }
     fetch = (jr_fetch_t){
         .method = "POST",
         .url = encoded.url,
@@ -101,16 +118,7 @@
         .user = sent,
     };
     if (jr_client_fetch(control->client, &fetch) != JR_OK) {
-        jr_answer_t answer = {.kind = JR_ANSWER_UNREACHED};
-
-        jr_log(control->ctx, JR_EV_ORDER_FAILED,
-               "order %d for task %016llx.%u.%u.%u was not sent to worker %s: "
-               "%s",
-               (int)order->kind, (unsigned long long)order->run.job,
-               order->run.occurrence, order->run.step, order->run.index,
-               order->worker, control->ctx->error.text);
-        finish_order(sent, &answer);
-        drop_sent_order(sent);
+        give_up(sent, order, control->ctx->error.text);
     }
     jr_platform_order_clear(&encoded);
 }
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -4,7 +4,6 @@
  */
 #include "jayrelay/http.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <microhttpd.h>
 #include <poll.h>
@@ -14,6 +13,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "jayrelay/address.h"
+
 enum {
     CONNECTION_MEMORY_BYTES = 32 * 1024,
     CONNECTIONS_MAX = 8192,
@@ -217,30 +218,13 @@
     }
 }
 
-static bool
-parse_address(const char *address, struct sockaddr_in *to)
-{
-    const char *colon = strrchr(address, ':');
-    char host[64];
-
-    if (colon == NULL || (size_t)(colon - address) >= sizeof host) {
-        return false;
-    }
-    memcpy(host, address, (size_t)(colon - address));
-    host[colon - address] = '\0';
-    memset(to, 0, sizeof *to);
-    to->sin_family = AF_INET;
-    to->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-    return inet_pton(AF_INET, host, &to->sin_addr) == 1;
-}
-
 static bool
 start_daemon(jr_http_t *http, const char *address)
 {
     const union MHD_DaemonInfo *info;
     struct sockaddr_in bind_to;
 
-    if (!parse_address(address, &bind_to)) {
+    if (!jr_address_parse(address, &bind_to)) {
         return false;
     }
     http->daemon = MHD_start_daemon(
