A worker that says it starts in the future is refused

Cause: the highest start time under an id is taken for the newest, and any was. Change: the leader answers 400 to a check-in and a leave request whose start time is more than an hour ahead of its clock. What is in the log already is applied as before, so that replicas of different versions agree. Tested: GroupTest.AWorkerThatIsNotBornYetIsRefused (before: all eight odd requests were acknowledged, and the worker's next check-in was ignored).

--- a/include/jayrelay/dispatch.h
+++ b/include/jayrelay/dispatch.h
@@ -189,6 +189,16 @@
 void jr_dispatch_answer(jr_dispatch_t *d, uint64_t serial,
                         const jr_answer_t *answer, int64_t now);
 
+/**
+ * jr_dispatch_is_born - may a worker have started at that time?
+ * @born: said to be its start time, wall clock, ms
+ * @wall_ms: now
+ *
+ * The highest start time under an id is the worker's, so one that can't be
+ * true would shut it out. Clocks may differ by an hour.
+ */
+bool jr_dispatch_is_born(int64_t born, int64_t wall_ms);
+
 /**
  * jr_dispatch_checked_in - a worker announced itself
  *
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -20,8 +20,15 @@
     /* Without check-in or answered renewal, of an idle worker. */
     REMOVE_SILENT_MS = 20000,
     PERMILLE = 1000,
+    CLOCKS_DIFFER_MAX_MS = 3600 * 1000, /* of a worker's host and this one */
 };
 
+bool
+jr_dispatch_is_born(int64_t born, int64_t wall_ms)
+{
+    return born <= wall_ms + CLOCKS_DIFFER_MAX_MS;
+}
+
 uint32_t
 jr_tracked_worker_rank(const jr_job_worker_t *worker)
 {
--- a/src/group/group_test.cc
+++ b/src/group/group_test.cc
@@ -82,14 +82,14 @@
     }
 
     void
-    CheckIn(bool is_draining)
+    CheckIn(bool is_draining, int64_t born = 1)
     {
         Jr__JobWorker info = JR__JOB_WORKER__INIT;
         Jr__Request request = JR__REQUEST__INIT;
         jr_reply_address_t reply_to = {};
 
         info.id = const_cast<char *>("w0");
-        info.born = 1;
+        info.born = born;
         info.address = const_cast<char *>("10.0.0.1:1");
         info.cpu_milli = 1000;
         info.draining = is_draining;
@@ -99,6 +99,21 @@
         jr_group_pump(group_, now_);
     }
 
+    void
+    Leave(int64_t born)
+    {
+        Jr__JobLeave leave = JR__JOB_LEAVE__INIT;
+        Jr__Request request = JR__REQUEST__INIT;
+        jr_reply_address_t reply_to = {};
+
+        leave.id = const_cast<char *>("w0");
+        leave.born = born;
+        request.body_case = JR__REQUEST__BODY_JOB_LEAVE;
+        request.job_leave = &leave;
+        jr_group_request(group_, &reply_to, &request, now_);
+        jr_group_pump(group_, now_);
+    }
+
     void
     DrainZone(bool drains, uint64_t seen)
     {
@@ -202,4 +217,31 @@
     EXPECT_EQ(codes_, std::vector<uint32_t>{JR_NOT_LEADER});
 }
 
+/*
+ * Guards against a worker that another writer shuts out: a check-in under its
+ * id, with a start time that can't be true, was taken for a later incarnation,
+ * and those of the worker for late ones; a leave request ended it.
+ */
+TEST_F(GroupTest, AWorkerThatIsNotBornYetIsRefused)
+{
+    const jr_job_worker_t *worker;
+
+    CheckIn(false, 1);
+    codes_.clear();
+    for (int64_t born : {INT64_MAX, INT64_MAX / 2, int64_t{1} << 53,
+                         now_ + 2 * 3600 * 1000}) {
+        CheckIn(false, born);
+        Leave(born);
+    }
+    EXPECT_EQ(codes_, std::vector<uint32_t>(8, JR_BAD_REQUEST));
+    worker = jr_jobs_worker(jr_group_jobs(group_), "w0");
+    ASSERT_NE(worker, nullptr);
+    EXPECT_EQ(worker->info->born, 1);
+    EXPECT_FALSE(worker->info->leaving);
+    codes_.clear();
+    CheckIn(true, 1);
+    EXPECT_EQ(codes_, std::vector<uint32_t>{JR_OK});
+    EXPECT_TRUE(worker->info->draining);
+}
+
 } // namespace
--- a/src/group/job_request.c
+++ b/src/group/job_request.c
@@ -324,6 +324,23 @@
     }
 }
 
+/* Says so, if it is not. */
+static bool
+is_born(jr_group_t *group, const jr_reply_address_t *reply_to, int64_t born)
+{
+    int64_t wall_ms = group->now + group->options.wall_offset;
+
+    if (jr_dispatch_is_born(born, wall_ms)) {
+        return true;
+    }
+    jr_fail(group->ctx, JR_BAD_REQUEST,
+            "worker: 'born' is %lld, and now is %lld; expected no later time",
+            (long long)born, (long long)wall_ms);
+    jr_group_reply_code(group, reply_to, JR_BAD_REQUEST,
+                        group->ctx->error.text);
+    return false;
+}
+
 static void
 on_worker(jr_group_t *group, const jr_reply_address_t *reply_to,
           Jr__JobWorker *info)
@@ -331,6 +348,9 @@
     Jr__JobCommand command = JR__JOB_COMMAND__INIT;
 
     jr_count(group->ctx, JR_C_HEARTBEATS);
+    if (!is_born(group, reply_to, info->born)) {
+        return;
+    }
     if (!jr_dispatch_checked_in(group->as.jobs.dispatch, info, group->now)) {
         reply_code(group, reply_to, JR_OK);
         return;
@@ -353,6 +373,9 @@
     Jr__JobCommand command = JR__JOB_COMMAND__INIT;
     Jr__JobWorkerLeaving leaving = JR__JOB_WORKER_LEAVING__INIT;
 
+    if (!is_born(group, reply_to, leave->born)) {
+        return;
+    }
     if (!jr_dispatch_left(group->as.jobs.dispatch, leave->id, leave->born,
                           group->now)) {
         reply_code(group, reply_to, JR_OK);
