An answer with a start time in the future is no restart

One answer to a renewal with born= made the leader take the worker for a new incarnation; all its later answers were those of an earlier one, so its leases lapsed and its tasks ran elsewhere, until the leader changed. Change: such an answer is logged as bad-message and counts as none. Tested: WorkerTest.AnAnswerOfAWorkerThatIsNotBornYetIsNoRestart (before: the task was released); dispatch, choose, capacity, failover, drain, order and worker tests.

--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -471,6 +471,22 @@
     d->is_dirty = true;
 }
 
+/* An answer that can't be true is none. */
+static jr_answer_kind_t
+kind_of(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
+        const jr_answer_t *answer)
+{
+    if (answer->kind != JR_ANSWER_DONE ||
+        jr_dispatch_is_born(answer->incarnation, d->wall_ms)) {
+        return answer->kind;
+    }
+    jr_log(d->ctx, JR_EV_BAD_MESSAGE,
+           "worker=%s answers a renewal with born=%lld, and now is %lld",
+           w->worker->info->id, (long long)answer->incarnation,
+           (long long)d->wall_ms);
+    return JR_ANSWER_UNKNOWN;
+}
+
 void
 jr_renewal_answer(jr_dispatch_t *d, const jr_sent_t *sent,
                   const jr_answer_t *answer)
@@ -481,7 +497,7 @@
         return; /* sent to an earlier incarnation */
     }
     w->renewal_serial = 0;
-    switch (answer->kind) {
+    switch (kind_of(d, w, answer)) {
     case JR_ANSWER_DONE:
         on_renewed(d, w, sent->sent_at, answer);
         break;
--- a/src/dispatch/worker_test.cc
+++ b/src/dispatch/worker_test.cc
@@ -319,6 +319,22 @@
     EXPECT_LE(second_.jobs->lease_limit_ms, kLeaseMs / 2);
 }
 
+/*
+ * Guards against a worker that is lost by one odd answer: a start time that
+ * can't be true was taken for a restart, and all later answers for late ones.
+ */
+TEST_F(WorkerTest, AnAnswerOfAWorkerThatIsNotBornYetIsNoRestart)
+{
+    StartTask();
+    Answer(TakeOrder(JR_ORDER_RENEW), JR_ANSWER_DONE, INT64_MAX);
+    for (int64_t end = now_ + 2 * kLeaseMs; now_ < end;) {
+        Tick(first_);
+        ExecuteOrders(first_);
+        ASSERT_TRUE(IsGranted());
+        ASSERT_FALSE(worker_.HasLapsed(now_));
+    }
+}
+
 /*
  * Guards against a task that is started elsewhere while a worker that has said
  * that it leaves is cut off and still runs it.
