An answer from a carrier is read into memory that is freed at once

Cause: protobuf-c allocates each row and each text of an answer, some 45 for 15 runs; the book of open orders kept the worker's name apart; an answer without lists allocated two empty ones.

Change: an arena for the answer that is read, reset before the next one; the name is part of the open order; no rows, no list.

--- a/src/carrier/book.c
+++ b/src/carrier/book.c
@@ -3,6 +3,7 @@
 #include <sys/queue.h>
 #include <uthash.h>
 
+#include "arena.h"
 #include "jayrelay/carrier.h"
 
 enum {
@@ -14,8 +15,8 @@
     UT_hash_handle hh;
     uint64_t serial;
     int carrier;
-    char *worker;
     int64_t deadline;
+    char worker[];
 } open_order_t;
 
 struct jr_carry_book {
@@ -24,6 +25,7 @@
     uint64_t session;
     jr_carry_handler_t *handler;
     void *user;
+    jr_arena_t *arena;             /* of the answer that is being read */
     TAILQ_HEAD(, open_order) open; /* oldest first */
     open_order_t *by_serial;
 };
@@ -39,6 +41,7 @@
     book->session = session;
     book->handler = handler;
     book->user = user;
+    book->arena = jr_new_arena(ctx);
     TAILQ_INIT(&book->open);
     return book;
 }
@@ -48,7 +51,6 @@
 {
     TAILQ_REMOVE(&book->open, order, link);
     HASH_DEL(book->by_serial, order);
-    jr_free(book->ctx, order->worker);
     jr_free(book->ctx, order);
 }
 
@@ -63,6 +65,7 @@
     while ((order = TAILQ_FIRST(&book->open)) != NULL) {
         drop_open(book, order);
     }
+    jr_drop_arena(book->arena);
     jr_free(book->ctx, book);
 }
 
@@ -70,11 +73,12 @@
 jr_carry_book_add(jr_carry_book_t *book, const jr_order_t *order, int carrier,
                   int64_t now)
 {
-    open_order_t *open = jr_alloc(book->ctx, sizeof *open);
+    size_t name_bytes = strlen(order->worker) + 1;
+    open_order_t *open = jr_alloc(book->ctx, sizeof *open + name_bytes);
 
     open->serial = order->serial;
     open->carrier = carrier;
-    open->worker = jr_strdup(book->ctx, order->worker);
+    memcpy(open->worker, order->worker, name_bytes);
     open->deadline = now + order->timeout_ms + CROSSING_MS;
     TAILQ_INSERT_TAIL(&book->open, open, link);
     HASH_ADD(hh, book->by_serial, serial, sizeof open->serial, open);
@@ -147,10 +151,12 @@
 take_answer(jr_carry_book_t *book, int carrier,
             const ProtobufCBinaryData *packed, int64_t now)
 {
-    Jr__OrderAnswer *message =
-        jr__order_answer__unpack(NULL, packed->len, packed->data);
+    Jr__OrderAnswer *message;
     open_order_t *order;
 
+    jr_arena_reset(book->arena);
+    message = jr__order_answer__unpack(jr_arena_allocator(book->arena),
+                                       packed->len, packed->data);
     if (message == NULL) {
         jr_count(book->ctx, JR_C_BUS_BAD);
         jr_log(book->ctx, JR_EV_BAD_MESSAGE,
@@ -162,7 +168,6 @@
     if (order != NULL) {
         close_order(book, order, message, now);
     }
-    jr__order_answer__free_unpacked(message, NULL);
 }
 
 void
--- a/src/carrier/carrier_test.cc
+++ b/src/carrier/carrier_test.cc
@@ -367,9 +367,14 @@
     OnOutcome(void *user, uint64_t serial, const jr_answer_t *answer,
               int64_t now)
     {
+        CarryBookTest *test = static_cast<CarryBookTest *>(user);
+
         (void)now;
-        static_cast<CarryBookTest *>(user)->outcomes_.push_back(
-            {serial, answer->kind});
+        test->outcomes_.push_back({serial, answer->kind});
+        test->listed_.clear();
+        for (size_t i = 0; i < answer->n_running; i++) {
+            test->listed_.push_back(answer->running[i].checkpoint);
+        }
     }
 
     void
@@ -432,6 +437,7 @@
 
     jr_carry_book_t *book_;
     outcomes_t outcomes_;
+    std::vector<std::string> listed_; /* checkpoints in the latest answer */
 };
 
 TEST_F(CarryBookTest, AnOrderHasOneOutcomeWhateverComesLater)
@@ -488,6 +494,44 @@
 }
 
 /* Bad input: the others of its batch count, its order is given up in time. */
+/* Memory for an answer is used again for the next one, however long. */
+TEST_F(CarryBookTest, LongListsArriveInFullAmongShortOnes)
+{
+    std::vector<std::string> checkpoints;
+    std::vector<jr_running_t> rows;
+    jr_answer_t answer = {};
+    uint8_t *bytes;
+    size_t len;
+
+    for (size_t i = 0; i < kMany; i++) {
+        checkpoints.push_back(std::string(i % 100 + 1, 'a') +
+                              std::to_string(i));
+    }
+    for (const std::string &checkpoint : checkpoints) {
+        jr_running_t row = {};
+
+        jr__job_run__init(&row.run);
+        row.run.job = 1;
+        row.checkpoint = checkpoint.c_str();
+        rows.push_back(row);
+    }
+    answer.kind = JR_ANSWER_DONE;
+    answer.running = rows.data();
+    answer.n_running = rows.size();
+    for (uint64_t serial = 1; serial < 9; serial += 2) {
+        bytes = jr_answer_pack(ctx_, serial, &answer, &len);
+        std::vector<uint8_t> packed(bytes, bytes + len);
+        jr_free(ctx_, bytes);
+        Give(serial, "b1");
+        Give(serial + 1, "b1");
+        Receive("b1", {packed});
+        EXPECT_EQ(listed_, checkpoints);
+        Receive("b1", {PackAnswer(serial + 1, JR_ANSWER_DONE)});
+        EXPECT_TRUE(listed_.empty());
+    }
+    EXPECT_EQ(outcomes_.size(), 8u);
+}
+
 TEST_F(CarryBookTest, AnAnswerThatIsCutShortIsCountedAndLosesNoOther)
 {
     std::vector<uint8_t> cut = PackAnswer(1, JR_ANSWER_FENCED);
--- a/src/carrier/convert.c
+++ b/src/carrier/convert.c
@@ -227,9 +227,13 @@
                  jr_answer_rows_t *rows)
 {
     *to = (jr_answer_t){.kind = JR_ANSWER_UNKNOWN};
-    rows->running =
-        jr_alloc(ctx, (from->n_running + 1) * sizeof *rows->running);
-    rows->ended = jr_alloc(ctx, (from->n_ended + 1) * sizeof *rows->ended);
+    *rows = (jr_answer_rows_t){0};
+    if (from->n_running > 0) {
+        rows->running = jr_alloc(ctx, from->n_running * sizeof *rows->running);
+    }
+    if (from->n_ended > 0) {
+        rows->ended = jr_alloc(ctx, from->n_ended * sizeof *rows->ended);
+    }
     if (from->kind > JR_ANSWER_UNKNOWN || !read_rows(from, rows)) {
         return jr_fail(ctx, JR_BAD_REQUEST,
                        "answer to order %llu is of unknown kind %u, or lists "
