Runs are given up only when their worker did not answer

Change: the runs of a worker whose lease has expired are given up when its latest renewal had no good answer. Otherwise the next list tells which of them are done and which lapsed. For a lost worker nothing changes: its open renewal fails long before the lease expires.

OverloadTest.WhatIsDoneDuringALongTurnIsNotStartedAgain was red before: all 40 tasks start twice.

--- a/src/dispatch/overload_test.cc
+++ b/src/dispatch/overload_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr size_t kWorkers = 300;
+constexpr size_t kFewWorkers = 10;
 constexpr uint32_t kTasks = 40; /* of a job */
 constexpr uint64_t kJobs = 120;
 constexpr int64_t kJobEveryMs = 50; /* twice what the leader can start */
@@ -85,4 +86,26 @@
     EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
 }
 
+/*
+ * Guards against tasks that are started again after they are done: the leader
+ * stood still for longer than a lease, and asked no worker since.
+ */
+TEST(OverloadTest, WhatIsDoneDuringALongTurnIsNotStartedAgain)
+{
+    Fleet fleet(4, kFewWorkers);
+
+    fleet.task_ms = 1000;
+    fleet.Run(1000);
+    fleet.Submit(1, {MakeStep(kTasks)});
+    fleet.Run(500);
+    fleet.Stall(2 * FLEET_LEASE_MS);
+    fleet.Run(4 * FLEET_LEASE_MS);
+    EXPECT_EQ(fleet.State(1), JR_JOB_DONE);
+    for (uint32_t i = 0; i < kTasks; i++) {
+        EXPECT_EQ(fleet.StartsOf({1, 0, 0, i}), 1u) << "task " << i;
+    }
+    EXPECT_EQ(fleet.Counter(JR_C_EXPIRIES), 0u);
+    EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
+}
+
 } // namespace
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -170,6 +170,18 @@
     return min_clock(d, w) > w->expires_max_ms + JR_LAPSE_MARGIN_MS;
 }
 
+/*
+ * It may have been this leader that stood still, or had no time for a renewal:
+ * then the worker's next list says what was done before the lease expired.
+ * The runs of a worker are given up only when it did not answer the latest
+ * renewal.
+ */
+static bool
+is_silent(const jr_tracked_worker_t *w)
+{
+    return w->renewal_backoff_ms != 0;
+}
+
 bool
 jr_tracked_worker_is_usable(const jr_dispatch_t *d,
                             const jr_tracked_worker_t *w)
@@ -380,18 +392,18 @@
 jr_tracked_worker_tick(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
     int64_t heard_at = MAX(w->checked_in_at, w->answered_at);
-    bool is_silent = d->now - heard_at > REMOVE_SILENT_MS;
+    bool is_lost = d->now - heard_at > REMOVE_SILENT_MS;
 
     if (has_left(d, w)) {
         jr_tracked_worker_end(d, w);
     }
     if ((!TAILQ_EMPTY(&w->runs) || w->listed_orphans->len > 0) &&
-        has_lapsed(d, w)) {
+        has_lapsed(d, w) && is_silent(w)) {
         lapse(d, w);
     }
     if (TAILQ_EMPTY(&w->runs) && TAILQ_EMPTY(&w->worker->granted) &&
         w->incarnation == w->worker->info->born &&
-        (w->has_ended || is_silent || (w->is_leaving && w->suspect_at != 0))) {
+        (w->has_ended || is_lost || (w->is_leaving && w->suspect_at != 0))) {
         propose_removal(d, w);
     }
 }
