A lease is renewed while ends of its worker are on the way to the log

Cause, traced in a play: a worker whose ends are proposed is not renewed before they are applied, as it would list them again, and at once. With a slow leader that takes over 2.6 s, and a lease has no more left after a list (the renewal waited up to 2 s at the worker): of the workers that lapsed at 60.08 s, those looked at had no open and no failed renewal, and ends pending.

Change: once half of the lease is left, it is renewed all the same. The list in that answer is not proposed again as far as it is on the way.

OverloadTest.LeasesOutlastASlowLog was red before (leases lapse while the log takes three times as long as a lease).

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -148,7 +148,8 @@
     bool is_lease_held;         /* between the last two answers, for certain */
     int64_t renewal_at;
     int64_t renewal_backoff_ms;
-    bool is_end_pending; /* ends are proposed, but not in the log yet */
+    bool is_end_pending;    /* ends are proposed, but not in the log yet */
+    uint64_t ends_proposed; /* while ends are pending: up to this number */
     /*
      * Runs (jr_crashed_run_t) whose lease lapsed: if the worker comes back as
      * another incarnation, it had crashed.
@@ -286,6 +287,9 @@
 void jr_tracked_worker_end(jr_dispatch_t *d, jr_tracked_worker_t *w);
 void jr_tracked_worker_tick(jr_dispatch_t *d, jr_tracked_worker_t *w);
 void jr_tracked_worker_suspect(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* Of the lease that the worker confirmed last, at least; below 0: expired. */
+int64_t jr_tracked_worker_lease_left_ms(const jr_dispatch_t *d,
+                                        const jr_tracked_worker_t *w);
 /* End of a lease that starts now, on the worker's clock; 0: unknown. */
 int64_t jr_tracked_worker_lease_end(jr_dispatch_t *d, jr_tracked_worker_t *w);
 /*
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -18,11 +18,24 @@
 /* No clock of a worker is later; one that is said to be is not known. */
 static const int64_t CLOCK_MAX_MS = INT64_MAX / 4;
 
+/*
+ * While ends are on their way to the log, the worker would only list them
+ * again, and at once. But the log may be slow, and the lease must not expire
+ * meanwhile.
+ */
+static bool
+awaits_log(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
+{
+    return w->is_end_pending &&
+           (w->clock_at == 0 ||
+            jr_tracked_worker_lease_left_ms(d, w) > d->lease_ms / 2);
+}
+
 bool
 jr_renewal_is_due(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
 {
-    return w->renewal_serial == 0 && !w->is_end_pending && !w->has_ended &&
-           d->now >= w->renewal_at;
+    return w->renewal_serial == 0 && !w->has_ended &&
+           d->now >= w->renewal_at && !awaits_log(d, w);
 }
 
 void
@@ -285,7 +298,8 @@
 propose_ends(jr_dispatch_t *d, jr_tracked_worker_t *w,
              const jr_answer_t *answer)
 {
-    uint64_t seen = w->worker->info->ends_seen;
+    uint64_t seen = MAX(w->worker->info->ends_seen,
+                        w->is_end_pending ? w->ends_proposed : 0);
     Jr__JobEnds body = JR__JOB_ENDS__INIT;
     Jr__JobCommand command = JR__JOB_COMMAND__INIT;
     Jr__JobEnd *rows;
@@ -318,6 +332,7 @@
         command.ends = &body;
         jr_queue_command(d, &command);
         w->is_end_pending = true;
+        w->ends_proposed = body.up_to;
     }
     jr_free(d->ctx, body.ends);
     jr_free(d->ctx, rows);
--- a/src/dispatch/overload_test.cc
+++ b/src/dispatch/overload_test.cc
@@ -108,4 +108,26 @@
     EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
 }
 
+/* Guards against leases that lapse while ends are on their way to the log. */
+TEST(OverloadTest, LeasesOutlastASlowLog)
+{
+    Fleet fleet(5, kFewWorkers);
+
+    fleet.long_running_job = 1;
+    fleet.task_ms = 1000;
+    fleet.Run(1000);
+    fleet.Submit(1, {MakeStep(kFewWorkers)});
+    fleet.Submit(2, {MakeStep(kFewWorkers)});
+    fleet.Run(500);
+    fleet.log_delay_ms = 3 * FLEET_LEASE_MS;
+    fleet.Run(4 * FLEET_LEASE_MS);
+    EXPECT_EQ(fleet.State(2), JR_JOB_DONE);
+    EXPECT_EQ(fleet.Counter(JR_C_EXPIRIES), 0u);
+    for (uint32_t i = 0; i < kFewWorkers; i++) {
+        EXPECT_EQ(fleet.StartsOf({1, 0, 0, i}), 1u) << "task " << i;
+        EXPECT_EQ(fleet.StartsOf({2, 0, 0, i}), 1u) << "task " << i;
+    }
+    EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
+}
+
 } // namespace
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -170,6 +170,13 @@
     return min_clock(d, w) > w->expires_max_ms + JR_LAPSE_MARGIN_MS;
 }
 
+int64_t
+jr_tracked_worker_lease_left_ms(const jr_dispatch_t *d,
+                                const jr_tracked_worker_t *w)
+{
+    return w->renewed_until_ms - min_clock(d, w);
+}
+
 /*
  * It may have been this leader that stood still, or had no time for a renewal:
  * then the worker's next list says what was done before the lease expired.
