A leader that was slow asks again before it gives up the runs of a worker

The worker was asked 14 ms after its runs were given up, answered, and listed them as done.

Change: while a renewal is due for over 0.1 s, or one that was sent that late is open, it is the leader that was slow, and the runs wait for the outcome. It is acted on at once, so a leader with long turns only does not wait for ever.

OverloadTest.AWorkerThatDidNotAnswerOnceIsAskedAgainAfterALongTurn was red before (4 tasks start twice). FailoverTest (9), the other tests of the folder and 60 histories of dispatch, carriers and drains are green.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -146,10 +146,11 @@
     int64_t renewal_expires_ms; /* lease end in the pending renewal, or 0 */
     int64_t renewed_until_ms;   /* lease end that the worker confirmed, or 0 */
     bool is_lease_held;         /* between the last two answers, for certain */
-    int64_t renewal_at;
-    int64_t renewal_backoff_ms;
-    bool is_end_pending;    /* ends are proposed, but not in the log yet */
-    uint64_t ends_proposed; /* while ends are pending: up to this number */
+    int64_t renewal_at;         /* when the next one is due */
+    int64_t renewal_backoff_ms; /* 0: the latest one was answered */
+    bool is_renewal_late;       /* the pending one, as this leader was slow */
+    bool is_end_pending;        /* ends are proposed, but not in the log yet */
+    uint64_t ends_proposed;     /* while ends are pending: up to this number */
     /*
      * Runs (jr_crashed_run_t) whose lease lapsed: if the worker comes back as
      * another incarnation, it had crashed.
@@ -287,6 +288,8 @@
 void jr_tracked_worker_end(jr_dispatch_t *d, jr_tracked_worker_t *w);
 void jr_tracked_worker_tick(jr_dispatch_t *d, jr_tracked_worker_t *w);
 void jr_tracked_worker_suspect(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* A renewal is due for long: it is this leader that has no time. */
+bool jr_renewal_is_late(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
 /* Of the lease that the worker confirmed last, at least; below 0: expired. */
 int64_t jr_tracked_worker_lease_left_ms(const jr_dispatch_t *d,
                                         const jr_tracked_worker_t *w);
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -13,6 +13,7 @@
     LEFT_WAIT_MS = 250,   /* longest wait of a renewal for a leaving worker */
     BACKOFF_MIN_MS = 250, /* first delay after a failed renewal; doubles */
     BACKOFF_MAX_MS = 2000,
+    RENEWAL_LATE_MS = 100, /* many turns of a leader that has time */
 };
 
 /* No clock of a worker is later; one that is said to be is not known. */
@@ -38,6 +39,12 @@
            d->now >= w->renewal_at && !awaits_log(d, w);
 }
 
+bool
+jr_renewal_is_late(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
+{
+    return d->now - w->renewal_at > RENEWAL_LATE_MS;
+}
+
 void
 jr_renewal_order(jr_dispatch_t *d, jr_tracked_worker_t *w, jr_order_t *order)
 {
@@ -67,6 +74,7 @@
                      .wait_ms = wait_ms},
     };
     w->renewal_expires_ms = order->as.renew.expires_ms;
+    w->is_renewal_late = jr_renewal_is_late(d, w);
 }
 
 static jr_run_t *
@@ -523,4 +531,8 @@
         back_off(d, w);
         break;
     }
+    if (w->renewal_backoff_ms != 0) {
+        /* The next tick may come too late to tell who is slow. */
+        jr_tracked_worker_tick(d, w);
+    }
 }
--- a/src/dispatch/overload_test.cc
+++ b/src/dispatch/overload_test.cc
@@ -108,6 +108,35 @@
     EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
 }
 
+/*
+ * The same, of a worker that did not answer once, before the long turn: it has
+ * not been asked since.
+ */
+TEST(OverloadTest, AWorkerThatDidNotAnswerOnceIsAskedAgainAfterALongTurn)
+{
+    Fleet fleet(6, kFewWorkers);
+
+    fleet.task_ms = 2500;
+    fleet.Run(1000);
+    fleet.Submit(1, {MakeStep(kTasks)});
+    fleet.Run(300);
+    fleet.SetPartitioned(0, true);
+    while (fleet.Counter(JR_C_ORDERS_UNREACHED) +
+               fleet.Counter(JR_C_ORDERS_UNCLEAR) ==
+           0) {
+        fleet.Run(10);
+    }
+    fleet.SetPartitioned(0, false);
+    fleet.Stall(2 * FLEET_LEASE_MS);
+    fleet.Run(4 * FLEET_LEASE_MS);
+    EXPECT_EQ(fleet.State(1), JR_JOB_DONE);
+    for (uint32_t i = 0; i < kTasks; i++) {
+        EXPECT_EQ(fleet.StartsOf({1, 0, 0, i}), 1u) << "task " << i;
+    }
+    EXPECT_EQ(fleet.Counter(JR_C_EXPIRIES), 0u);
+    EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
+}
+
 /* Guards against leases that lapse while ends are on their way to the log. */
 TEST(OverloadTest, LeasesOutlastASlowLog)
 {
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -180,13 +180,16 @@
 /*
  * It may have been this leader that stood still, or had no time for a renewal:
  * then the worker's next list says what was done before the lease expired.
- * The runs of a worker are given up only when it did not answer the latest
- * renewal.
+ * The runs of a worker are given up only when it does not answer what it is
+ * asked.
  */
 static bool
-is_silent(const jr_tracked_worker_t *w)
+is_silent(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
 {
-    return w->renewal_backoff_ms != 0;
+    bool is_late =
+        w->renewal_serial != 0 ? w->is_renewal_late : jr_renewal_is_late(d, w);
+
+    return w->renewal_backoff_ms != 0 && !is_late;
 }
 
 bool
@@ -405,7 +408,7 @@
         jr_tracked_worker_end(d, w);
     }
     if ((!TAILQ_EMPTY(&w->runs) || w->listed_orphans->len > 0) &&
-        has_lapsed(d, w) && is_silent(w)) {
+        has_lapsed(d, w) && is_silent(d, w)) {
         lapse(d, w);
     }
     if (TAILQ_EMPTY(&w->runs) && TAILQ_EMPTY(&w->worker->granted) &&
