--- a/src/dispatch/overload_test.cc
+++ b/src/dispatch/overload_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr size_t kWorkers = 300;
+constexpr size_t kFewWorkers = 10;
 constexpr uint32_t kTasks = 40; /* of a job */
 constexpr uint64_t kJobs = 120;
 constexpr int64_t kJobEveryMs = 50; /* twice what the leader can start */
@@ -85,4 +86,77 @@
     EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
 }
 
+/*
+ * Guards against tasks that are started again after they are done: the leader
+ * stood still for longer than a lease, and asked no worker since.
+ */
+TEST(OverloadTest, WhatIsDoneDuringALongTurnIsNotStartedAgain)
+{
+    Fleet fleet(4, kFewWorkers);
+
+    fleet.task_ms = 1000;
+    fleet.Run(1000);
+    fleet.Submit(1, {MakeStep(kTasks)});
+    fleet.Run(500);
+    fleet.Stall(2 * FLEET_LEASE_MS);
+    fleet.Run(4 * FLEET_LEASE_MS);
+    EXPECT_EQ(fleet.State(1), JR_JOB_DONE);
+    for (uint32_t i = 0; i < kTasks; i++) {
+        EXPECT_EQ(fleet.StartsOf({1, 0, 0, i}), 1u) << "task " << i;
+    }
+    EXPECT_EQ(fleet.Counter(JR_C_EXPIRIES), 0u);
+    EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
+}
+
+/*
+ * The same, of a worker that did not answer once, before the long turn: it has
+ * not been asked since.
+ */
+TEST(OverloadTest, AWorkerThatDidNotAnswerOnceIsAskedAgainAfterALongTurn)
+{
+    Fleet fleet(6, kFewWorkers);
+
+    fleet.task_ms = 2500;
+    fleet.Run(1000);
+    fleet.Submit(1, {MakeStep(kTasks)});
+    fleet.Run(300);
+    fleet.SetPartitioned(0, true);
+    while (fleet.Counter(JR_C_ORDERS_UNREACHED) +
+               fleet.Counter(JR_C_ORDERS_UNCLEAR) ==
+           0) {
+        fleet.Run(10);
+    }
+    fleet.SetPartitioned(0, false);
+    fleet.Stall(2 * FLEET_LEASE_MS);
+    fleet.Run(4 * FLEET_LEASE_MS);
+    EXPECT_EQ(fleet.State(1), JR_JOB_DONE);
+    for (uint32_t i = 0; i < kTasks; i++) {
+        EXPECT_EQ(fleet.StartsOf({1, 0, 0, i}), 1u) << "task " << i;
+    }
+    EXPECT_EQ(fleet.Counter(JR_C_EXPIRIES), 0u);
+    EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
+}
+
+/* Guards against leases that lapse while ends are on their way to the log. */
+TEST(OverloadTest, LeasesOutlastASlowLog)
+{
+    Fleet fleet(5, kFewWorkers);
+
+    fleet.long_running_job = 1;
+    fleet.task_ms = 1000;
+    fleet.Run(1000);
+    fleet.Submit(1, {MakeStep(kFewWorkers)});
+    fleet.Submit(2, {MakeStep(kFewWorkers)});
+    fleet.Run(500);
+    fleet.log_delay_ms = 3 * FLEET_LEASE_MS;
+    fleet.Run(4 * FLEET_LEASE_MS);
+    EXPECT_EQ(fleet.State(2), JR_JOB_DONE);
+    EXPECT_EQ(fleet.Counter(JR_C_EXPIRIES), 0u);
+    for (uint32_t i = 0; i < kFewWorkers; i++) {
+        EXPECT_EQ(fleet.StartsOf({1, 0, 0, i}), 1u) << "task " << i;
+        EXPECT_EQ(fleet.StartsOf({2, 0, 0, i}), 1u) << "task " << i;
+    }
+    EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
+}
+
 } // namespace
