A refused check-in says why, is counted, and is logged as one

An operator who looked for odd check-ins found config-refused lines and a counter that spoke of bodies of operators as well, and the writer got 400 with an empty body. Cause: check-ins, leave requests and configurations shared one event; a refusal by the leader was neither counted nor logged; the path stood in the line as it came, with blanks.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -104,6 +104,8 @@
     X(JOBS_CANCELLED, "jobs_cancelled_total", "jobs that were cancelled")     \
     X(REFUSED_NO_CONFIG, "refused_no_config_total",                           \
       "refused: no configuration yet")                                        \
+    X(REFUSED_WORKER, "refused_worker_total",                                 \
+      "check-ins and leave requests of workers that are not valid")           \
     X(REFUSED_ZONE, "refused_zone_total",                                     \
       "requests to drain or take back a zone that is not in the settings")    \
     X(REFUSED_OVERTAKEN, "refused_overtaken_total",                           \
--- a/include/jayrelay/event.h
+++ b/include/jayrelay/event.h
@@ -62,6 +62,7 @@
     X(CONFIG_ACCEPTED, 530, 5, "config-accepted")                             \
     X(CONFIG_REFUSED, 531, 4, "config-refused")                               \
     X(WORKER_CHECKED_IN, 540, 6, "worker-checked-in")                         \
+    X(WORKER_REFUSED, 541, 4, "worker-refused")                               \
     X(ZONE_DRAINED, 560, 5, "zone-drained")                                   \
     X(ZONE_EMPTY, 561, 5, "zone-empty")                                       \
     X(ZONE_RETURNED, 562, 5, "zone-returned")                                 \
--- a/src/control/jobs.c
+++ b/src/control/jobs.c
@@ -11,6 +11,7 @@
     HTTP_OK = 200,
     HTTP_UNAVAILABLE = 503,
     HTTP_NOT_FOUND = 404,
+    PATH_TEXT_BYTES = 160, /* of a request, in a log line */
 };
 
 /* A client request that waits for the reply of the leader. */
@@ -27,14 +28,42 @@
     jr_http_answer(exchange, status, NULL, 0, text, strlen(text));
 }
 
+static bool
+is_of_worker(jr_platform_call_t call)
+{
+    return call == JR_CALL_HEARTBEAT || call == JR_CALL_LEAVE ||
+           call == JR_CALL_BAD_WORKER;
+}
+
+/* Before the request is answered. */
+static void
+note_bad_request(jr_control_t *control, const jr_exchange_t *exchange,
+                 jr_platform_call_t call, const char *reason)
+{
+    char path[PATH_TEXT_BYTES];
+
+    jr_count(control->ctx, is_of_worker(call) ? JR_C_REFUSED_WORKER
+                                              : JR_C_REFUSED_BAD_REQUEST);
+    jr_log(control->ctx,
+           is_of_worker(call) ? JR_EV_WORKER_REFUSED : JR_EV_CONFIG_REFUSED,
+           "path=%s reason=%s",
+           jr_log_value(path, sizeof path, jr_exchange_path(exchange)),
+           reason);
+}
+
 static void
 on_leader_reply(void *user, jr_result_t code, const Jr__Reply *reply)
 {
     pending_request_t *pending = user;
     jr_ctx_t *ctx = pending->control->ctx;
-    unsigned status =
-        jr_platform_answer(pending->exchange, pending->call, code, reply);
+    unsigned status;
 
+    if (code == JR_BAD_REQUEST && is_of_worker(pending->call)) {
+        note_bad_request(pending->control, pending->exchange, pending->call,
+                         reply != NULL ? reply->message
+                                       : jr_result_text(code));
+    }
+    status = jr_platform_answer(pending->exchange, pending->call, code, reply);
     if (pending->call == JR_CALL_ZONE && code == JR_OVERTAKEN) {
         jr_count(ctx, JR_C_REFUSED_OVERTAKEN);
     }
@@ -66,10 +95,11 @@
 reject_bad_request(jr_control_t *control, jr_exchange_t *exchange,
                    jr_platform_call_t call)
 {
-    jr_count(control->ctx, JR_C_REFUSED_BAD_REQUEST);
-    jr_log(control->ctx, JR_EV_CONFIG_REFUSED, "path=%s reason=%s",
-           jr_exchange_path(exchange), control->ctx->error.text);
-    jr_platform_answer(exchange, call, JR_BAD_REQUEST, NULL);
+    Jr__Reply reply = JR__REPLY__INIT;
+
+    note_bad_request(control, exchange, call, control->ctx->error.text);
+    reply.message = control->ctx->error.text;
+    jr_platform_answer(exchange, call, JR_BAD_REQUEST, &reply);
 }
 
 static bool
@@ -126,6 +156,7 @@
     jr_platform_decode_control_request(control->ctx, exchange, &request);
     switch (request.call) {
     case JR_CALL_BAD:
+    case JR_CALL_BAD_WORKER:
         reject_bad_request(control, exchange, request.call);
         break;
     case JR_CALL_UNKNOWN:
--- a/tests/jobs_test.sh
+++ b/tests/jobs_test.sh
@@ -411,6 +411,126 @@
     check_runs
 }
 
+# Prints a check-in of a sound shape, with FIELD replaced by VALUE (JSON), and
+# further fields that replace others in the same way.
+check_in() { # FIELD VALUE...
+    python3 - "$@" <<'PY'
+import sys
+fields = {"service": '"s"', "address": '"127.0.0.41:9"', "zone": '"z"',
+          "version": '"v1"', "slots": "8", "state": '"ready"',
+          "capacity": '{"cpu":4000,"mem_mb":1000,"gpus":0}',
+          "labels": '["a"]', "born": "1700000000000", "machine": '"m"',
+          "seq": "1"}
+fields.update(zip(sys.argv[1::2], sys.argv[2::2]))
+print("{%s}" % ",".join('"%s":%s' % field for field in fields.items()))
+PY
+}
+
+nested() { # DEPTH: prints an array in arrays
+    python3 -c 'import sys; n = int(sys.argv[1]); print("[" * n + "]" * n)' "$1"
+}
+
+is_answered() { # STATUS ID: to the check-in in $dir/odd, by each process
+    local ip
+    for ip in $controls; do
+        has_status "$1" POST "$ip:$control_port" "/Executors.Heartbeat/$2" \
+            "@$dir/odd" || return 1
+    done
+}
+
+expect_check_in() { # STATUS ID FIELD VALUE...
+    local status=$1 id=$2
+    shift 2
+    check_in "$@" > "$dir/odd"
+    # While no leader is known, a process answers 503.
+    wait_until 10 is_answered "$status" "$id" ||
+        fail "a check-in of $id with $(head -c 100 <<< "$*") got $(request \
+            POST "127.0.0.11:$control_port" "/Executors.Heartbeat/$id" \
+            "@$dir/odd"), not $status"
+}
+
+expect_refused_bodies() {
+    local depth text
+    text=$(printf 'x%.0s' {1..60000})
+    for depth in 10 2000 100000; do
+        nested "$depth" > "$dir/nested"
+        cp "$dir/nested" "$dir/odd"
+        is_answered 400 odd || fail "$depth nested arrays were not refused"
+        has_status 400 POST "127.0.0.21:$gate_port" /q/00000000000000b0 \
+            "@$dir/nested" || fail "a job of $depth nested arrays: not 400"
+        has_status 400 POST "127.0.0.11:$control_port" /Config.Replace \
+            "@$dir/nested" || fail "a config of $depth nested arrays: not 400"
+        has_status 400 POST "127.0.0.11:$control_port" \
+            /Executors.Deregister/odd "@$dir/nested" ||
+            fail "a leave request of $depth nested arrays: not 400"
+    done
+    expect_check_in 400 odd service "$(nested 2000)"
+    expect_check_in 400 odd service "\"$text\""
+    expect_check_in 400 odd seq 1e400
+    expect_check_in 400 odd born 9223372036854775808
+    expect_check_in 400 odd capacity '{"cpu":123456789012345678901234567890}'
+    expect_check_in 400 odd state '"asleep"'
+    for text in 127.0.0.41:0 127.0.0.41:65536 127.0.0.41:99999999999 \
+        127.0.0.41:-1 localhost:9 worker.example:9 a@127.0.0.41:9 '[::1]:9'; do
+        expect_check_in 400 odd address "\"$text\""
+    done
+    # Under the id of a sound executor, as if it had started again.
+    expect_check_in 400 i-1 born 9223372036854775807
+    [[ $(request POST "127.0.0.11:$control_port" /Executors.Heartbeat/odd \
+        "$(check_in address '"127.0.0.41:0"')") == *"'address'"* ]] ||
+        fail "the answer to a check-in with port 0 does not name the field"
+}
+
+# Sound by their shape: nothing there is an executor of that id.
+plant_useless_workers() {
+    local id=0 address
+    for address in 127.0.0.41:9 "127.0.0.42:$exec_port" \
+        "127.0.0.11:$control_port" "127.0.0.21:$gate_port" \
+        "127.0.0.31:$exec_port"; do
+        id=$((id + 1))
+        expect_check_in 200 "odd-$id" address "\"$address\"" \
+            capacity '{"cpu":2147483647,"mem_mb":2147483647,"gpus":2147483647}'
+    done
+    expect_check_in 200 odd-6 service '"nobody"'
+    expect_check_in 200 odd-7 capacity '{}'
+    expect_check_in 200 odd-8 seq 9223372036854775807
+    expect_check_in 200 odd-9 cold_remaining_ms 2147483647
+}
+
+# Another writer leaves odd check-ins among sound ones, under ids of its own
+# and of an executor. No process ends; the sound executors keep their leases
+# and get all work.
+case_odd_entries() {
+    local name n before
+    start_cluster 200
+    start silent python3 -c 'import socket, sys, time
+s = socket.create_server((sys.argv[1], int(sys.argv[2])))
+time.sleep(600)' 127.0.0.42 "$exec_port"
+    submit 00000000000000a0
+    for n in 1 2 3; do
+        expect_refused_bodies
+        plant_useless_workers
+        before="$(starts_on 1) $(starts_on 2) $(starts_on 3)"
+        submit_next
+        [ "$before" != "$(starts_on 1) $(starts_on 2) $(starts_on 3)" ] ||
+            fail "no sound executor was given a task of a job that completed"
+    done
+    for n in 1 2 3; do
+        [ "$(starts_on "$n")" -gt 0 ] || fail "executor $n got no task"
+    done
+    for name in "${!pids[@]}"; do
+        kill -0 "${pids[$name]}" 2> /dev/null || fail "$name has ended"
+    done
+    grep -q '^end .* lapsed ' "$dir"/executor-*.log &&
+        fail "the lease of a sound executor lapsed"
+    grep -q 'name=worker-lapsed worker=i-' "$dir"/control-*.log &&
+        fail "the leader took the lease of a sound executor for lapsed"
+    [ "$(metric 127.0.0.11 refused_worker_total)" -gt 0 ] &&
+        grep -q 'name=worker-refused ' "$dir/control-127.0.0.11.log" ||
+        fail "refused check-ins were not counted and logged"
+    check_runs
+}
+
 "case_$2"
 echo "ok: $2"
 stop_all
