Costs of huge tasks are compared without an overflow

Under the undefined-behaviour sanitizer a process would have ended when it chose which tasks give way to urgent ones, where a task asks for thousandths of a processor and runs on a worker that says it has as many; in other builds the product wraps, and the dearest choice can look cheapest. Cause: two 64-bit products of what is lost and how many urgent tasks fit. Change: they are compared as doubles.

--- a/src/preempt/preempt.c
+++ b/src/preempt/preempt.c
@@ -77,12 +77,15 @@
     return best;
 }
 
-/* Less is lost for each urgent task that fits. */
+/*
+ * Less is lost for each urgent task that fits. The products of what a worker
+ * and a client may say need more than 64 bits.
+ */
 static bool
 is_better(const option_t *a, const option_t *b)
 {
-    int64_t cost_a = a->lost * (int64_t)b->gained;
-    int64_t cost_b = b->lost * (int64_t)a->gained;
+    double cost_a = (double)a->lost * (double)b->gained;
+    double cost_b = (double)b->lost * (double)a->gained;
 
     return cost_a != cost_b ? cost_a < cost_b : a->n < b->n;
 }
--- a/src/preempt/preempt_test.cc
+++ b/src/preempt/preempt_test.cc
@@ -163,3 +163,18 @@
         ASSERT_EQ(result_.gained == 0, chosen.empty());
     }
 }
+
+/* Guards against an overflow in the costs that are compared. */
+TEST_F(PreemptTest, CostsOfHugeTasksAreCompared)
+{
+    constexpr int64_t kHuge = INT32_MAX;
+
+    request_.need = {1, 0};
+    request_.wanted = SIZE_MAX;
+    Add({0, 4000}, {Victim(kHuge, 9000000)});
+    Add({0, 4000}, {Victim(kHuge, 1000)});
+    std::vector<const jr_preempt_victim_t *> chosen = Choose();
+
+    ASSERT_GE(chosen.size(), 1u);
+    EXPECT_EQ(chosen[0], &victims_[1][0]);
+}
