--- a/src/dispatch/worker_test.cc
+++ b/src/dispatch/worker_test.cc
@@ -335,6 +335,36 @@
     }
 }
 
+/*
+ * Guards against sound answers that a leader refuses as it does not know the
+ * time: before its first tick, or long after one of an earlier leadership.
+ */
+TEST_F(WorkerTest, AnswersCountBeforeALeaderKnowsTheTime)
+{
+    constexpr int64_t kHoursMs = 3 * 3600 * 1000;
+    jr_answer_t answer = {};
+    jr_order_t order;
+
+    answer.kind = JR_ANSWER_DONE;
+    answer.incarnation = kHoursMs;
+    CheckIn(false, kHoursMs);
+    jr_dispatch_lead(second_.dispatch, 2, now_);
+    for (int i = 0; i < 2; i++) {
+        ASSERT_TRUE(jr_dispatch_take_order(second_.dispatch, &order));
+        now_++;
+        jr_dispatch_answer(second_.dispatch, order.serial, &answer, now_);
+    }
+    jr_dispatch_resign(second_.dispatch);
+    jr_dispatch_tick(second_.dispatch, now_, now_);
+    now_ += kHoursMs;
+    jr_dispatch_lead(second_.dispatch, 3, now_);
+    for (int i = 0; i < 2; i++) {
+        ASSERT_TRUE(jr_dispatch_take_order(second_.dispatch, &order));
+        now_++;
+        jr_dispatch_answer(second_.dispatch, order.serial, &answer, now_);
+    }
+}
+
 /*
  * Guards against a task that is started elsewhere while a worker that has said
  * that it leaves is cut off and still runs it.
