A task examines only the workers that may be the best for it

Callers of a large deployment waited for seconds, as the leader's processor was full. Change: places of a pass hold copies of what decides capacity and packing; they give a lower bound of the cost, and a worker is examined only if that may be the least. The choice is the same (cost, then rank). Best-effort tasks are tried by turns, and the gap between passes grows with what they look at, both by counts, so that passes leave the leader time whatever waits. Runs that may give way for urgent tasks are looked at each 100 ms at most. Tested: pass_test, three tests, all red before: 6,360 of 10,000 ms spent on examinations (5,000 allowed), 30,000 workers examined for 100 tasks on equal workers (3,000), 85,620 for 300 services (9,000). All dispatch tests; histories (60).

--- a/bench/dispatch.cc
+++ b/bench/dispatch.cc
@@ -1,6 +1,8 @@
 /* Measures the cost of scheduling decisions by the number of workers. */
 #include <benchmark/benchmark.h>
 
+#include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -12,11 +14,17 @@
 
 constexpr int64_t kLeaseMs = 6000;
 constexpr uint32_t kCpuMilli = 64000;
+/* Of the site of PassOfALargeSite. */
+constexpr size_t kSiteWorkers = 1100;
+constexpr uint32_t kSiteCpuMilli = 16000;
 
 /* A leader whose workers have all answered; commands are applied at once. */
 class Leader {
   public:
-    explicit Leader(size_t n_workers)
+    /* Every other worker has half as many processors more, if so wanted. */
+    explicit Leader(size_t n_workers, uint32_t cpu_milli = kCpuMilli,
+                    bool is_mixed = false)
+        : cpu_milli_(cpu_milli), is_mixed_(is_mixed)
     {
         jr_dispatch_options_t options = {};
 
@@ -98,6 +106,76 @@
         }
     }
 
+    /* Services of five images, of four processors each. */
+    void
+    SubmitServices(uint64_t jobs, uint32_t tasks)
+    {
+        for (uint64_t i = 0; i < jobs; i++) {
+            Jr__JobStep step = JR__JOB_STEP__INIT;
+            std::string image = "service-" + std::to_string(i % 5);
+
+            step.count = tasks;
+            step.cpu_milli = 4000;
+            step.memory_mb = 1000;
+            step.image = const_cast<char *>(image.c_str());
+            step.service = true;
+            step.tail_target_ms = 45;
+            SubmitStep(&step);
+        }
+    }
+
+    /* Short tasks of many sizes. */
+    void
+    SubmitShort(uint64_t jobs, uint32_t tasks, uint32_t least_milli)
+    {
+        for (uint64_t i = 0; i < jobs; i++) {
+            Jr__JobStep step = JR__JOB_STEP__INIT;
+
+            step.count = tasks;
+            step.cpu_milli =
+                least_milli + static_cast<uint32_t>(last_id_ * 7 % 40) * 50;
+            step.memory_mb = 500;
+            step.estimate_ms = 400;
+            SubmitStep(&step);
+        }
+    }
+
+    /* Ends the latest jobs; what they ran is gone. */
+    void
+    CancelLatest(uint64_t jobs)
+    {
+        for (uint64_t i = 0; i < jobs; i++) {
+            Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+            Jr__JobCancel cancel = JR__JOB_CANCEL__INIT;
+
+            cancel.job = last_id_ - i;
+            command.body_case = JR__JOB_COMMAND__BODY_CANCEL;
+            command.cancel = &cancel;
+            Apply(&command);
+        }
+    }
+
+    /* As AnswerOrders(); renewals list what was started there. */
+    void
+    AnswerOrdersAsWorkers()
+    {
+        std::vector<jr_order_t> orders;
+        jr_order_t order;
+
+        while (jr_dispatch_take_order(dispatch_, &order)) {
+            orders.push_back(order);
+        }
+        for (const jr_order_t &taken : orders) {
+            AnswerAsWorker(taken);
+        }
+    }
+
+    uint64_t
+    Counter(jr_counter_t counter) const
+    {
+        return ctx_->counters[counter];
+    }
+
     void
     RunPass()
     {
@@ -140,6 +218,16 @@
         return n;
     }
 
+    /* Commands that are no grants, and the answers to all orders. */
+    void
+    Settle()
+    {
+        for (int i = 0; i < 5; i++) {
+            Place();
+            AnswerOrdersAsWorkers();
+        }
+    }
+
     void
     Cancel()
     {
@@ -162,6 +250,35 @@
     }
 
   private:
+    void
+    AnswerAsWorker(const jr_order_t &order)
+    {
+        std::vector<jr_running_t> &running = running_[order.worker];
+        jr_answer_t answer = {};
+
+        answer.kind = JR_ANSWER_DONE;
+        answer.incarnation = 1;
+        answer.clock_ms = now_;
+        if (order.kind == JR_ORDER_START) {
+            running.push_back({order.run, nullptr, 100, 20});
+        }
+        else if (order.kind == JR_ORDER_STOP) {
+            auto is_it = [&order](const jr_running_t &other) {
+                return other.run.job == order.run.job &&
+                       other.run.index == order.run.index;
+            };
+
+            running.erase(
+                std::remove_if(running.begin(), running.end(), is_it),
+                running.end());
+        }
+        else if (order.kind == JR_ORDER_RENEW) {
+            answer.running = running.data();
+            answer.n_running = running.size();
+        }
+        jr_dispatch_answer(dispatch_, order.serial, &answer, now_);
+    }
+
     void
     Apply(Jr__JobCommand *command)
     {
@@ -200,13 +317,16 @@
         worker.id = const_cast<char *>(id.c_str());
         worker.born = 1;
         worker.service = const_cast<char *>("s");
-        worker.cpu_milli = kCpuMilli;
-        worker.memory_mb = 1000;
+        worker.cpu_milli =
+            cpu_milli_ + (is_mixed_ && i % 2 == 1 ? cpu_milli_ / 2 : 0);
+        worker.memory_mb = 4 * worker.cpu_milli;
         command.body_case = JR__JOB_COMMAND__BODY_WORKER;
         command.worker = &worker;
         Apply(&command);
     }
 
+    uint32_t cpu_milli_;
+    bool is_mixed_;
     jr_ctx_t *ctx_;
     jr_jobs_t *jobs_;
     jr_dispatch_t *dispatch_;
@@ -214,6 +334,7 @@
     uint64_t fence_ = 1;
     uint64_t last_id_ = 0;
     std::vector<uint64_t> serials_;
+    std::map<std::string, std::vector<jr_running_t>> running_;
 };
 
 void
@@ -278,8 +399,54 @@
     state.SetComplexityN(state.range(0));
 }
 
+/*
+ * One pass of a busy site: services fill most of it, short and best-effort
+ * tasks wait that find no capacity, and some short ones that do.
+ */
+void
+PassOfALargeSite(benchmark::State &state)
+{
+    constexpr uint64_t kJobs = 20; /* that find capacity */
+    Leader leader(kSiteWorkers, kSiteCpuMilli, true);
+    uint64_t passes, examined, grants;
+
+    leader.SubmitServices(50, 80);
+    for (int i = 0; i < 20; i++) {
+        leader.RunPass();
+        leader.Settle();
+    }
+    leader.SubmitMixed(500, 1);
+    for (int i = 0; i < 20; i++) {
+        leader.RunPass();
+        leader.Settle();
+    }
+    leader.SubmitShort(200, 5, 16500);
+    passes = leader.Counter(JR_C_PASSES);
+    examined = leader.Counter(JR_C_WORKERS_EXAMINED);
+    grants = leader.Counter(JR_C_GRANTS);
+    for (auto _ : state) {
+        state.PauseTiming();
+        leader.SubmitShort(kJobs, 8, 500);
+        state.ResumeTiming();
+        leader.RunPass();
+        state.PauseTiming();
+        leader.CancelLatest(kJobs);
+        leader.Settle();
+        state.ResumeTiming();
+    }
+    passes = leader.Counter(JR_C_PASSES) - passes;
+    state.counters["passes"] = static_cast<double>(passes);
+    state.counters["examined"] =
+        static_cast<double>(leader.Counter(JR_C_WORKERS_EXAMINED) - examined) /
+        static_cast<double>(passes);
+    state.counters["grants"] =
+        static_cast<double>(leader.Counter(JR_C_GRANTS) - grants) /
+        static_cast<double>(passes);
+}
+
 } // namespace
 
+BENCHMARK(PassOfALargeSite)->Unit(benchmark::kMicrosecond);
 BENCHMARK(PassWithABacklog)
     ->Arg(50)
     ->Arg(500)
--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -31,6 +31,7 @@
     const Jr__JobStep *step;
     const jr_need_t *need;
     jr_image_t image;
+    int64_t waited_ms;    /* by a service */
     double headroom_kept; /* by each service beside a best-effort task */
     int64_t shortage_max; /* per mille of a best-effort task's processors */
 } request_t;
@@ -141,9 +142,8 @@
     return whole > 0 ? part * PERMILLE / whole : 0;
 }
 
-/* Processors that short tasks and services leave to best-effort tasks. */
-static int64_t
-left_by_others(const jr_tracked_worker_t *w)
+int64_t
+jr_choose_left_by_others(const jr_tracked_worker_t *w)
 {
     int64_t in_use = w->used.cpu_milli - w->services.cpu_milli +
                      w->services.cpu_milli * SERVICE_USE / PERMILLE;
@@ -152,13 +152,14 @@
 }
 
 /*
- * Share of the processors it asks for that a best-effort task would not get.
+ * Share of the processors it asks for that a best-effort task would not get,
+ * beside others that ask for @best_effort_milli.
  */
 static int64_t
-best_effort_shortage(const jr_tracked_worker_t *w, const Jr__JobStep *step)
+best_effort_shortage(int64_t left, int64_t best_effort_milli,
+                     const Jr__JobStep *step)
 {
-    int64_t left = left_by_others(w);
-    int64_t wanted = w->best_effort_milli + step->cpu_milli;
+    int64_t wanted = best_effort_milli + step->cpu_milli;
 
     return wanted > left ? PERMILLE * (wanted - MAX(left, 0)) / wanted : 0;
 }
@@ -166,7 +167,7 @@
 int64_t
 jr_choose_best_effort_room(const jr_tracked_worker_t *w)
 {
-    int64_t left = MAX(left_by_others(w), (int64_t)0);
+    int64_t left = MAX(jr_choose_left_by_others(w), (int64_t)0);
 
     if (w->best_effort_milli == 0) {
         return INT64_MAX; /* the first one is slowed down, but runs */
@@ -231,6 +232,15 @@
     return w->n_tails == 1 && w->tails[0].image == image ? 0 : MIX_COST;
 }
 
+/* Prefers workers that are full already, so that others stay free. */
+static int64_t
+fullness_cost(int64_t left_milli, int64_t best_effort_milli,
+              int64_t capacity_milli)
+{
+    return share(left_milli, capacity_milli) / 2 +
+           share(best_effort_milli, capacity_milli) / 2;
+}
+
 static int64_t
 packing_cost(jr_dispatch_t *d, jr_tracked_worker_t *w,
              const request_t *request)
@@ -239,8 +249,7 @@
     const jr_need_t *need = request->need;
     const Jr__JobWorker *info = w->worker->info;
     int64_t left = info->cpu_milli - w->used.cpu_milli - need->cpu_milli;
-    int64_t sum = share(left, info->cpu_milli) / 2 +
-                  share(w->best_effort_milli, info->cpu_milli) / 2;
+    int64_t sum = fullness_cost(left, w->best_effort_milli, info->cpu_milli);
 
     if (step->service && step->tail_target_ms > 0) {
         jr_loads_refresh(d, w);
@@ -305,7 +314,8 @@
     if (!request->step->filler) {
         return worker_cost(d, w, request) + packing_cost(d, w, request);
     }
-    shortage = best_effort_shortage(w, request->step);
+    shortage = best_effort_shortage(jr_choose_left_by_others(w),
+                                    w->best_effort_milli, request->step);
     if (w->best_effort_milli > 0 && shortage > request->shortage_max) {
         return -1;
     }
@@ -352,6 +362,7 @@
         .step = jr_task_step(task),
         .need = need,
         .image = jr_tails_image(d->tails, jr_task_step(task)->image),
+        .waited_ms = jr_reserve_waited(d, task),
     };
 
     set_limits(d, &request);
@@ -364,9 +375,69 @@
                const request_t *request)
 {
     jr_count(d->ctx, JR_C_WORKERS_EXAMINED);
+    *(request->step->filler ? &d->best_effort_looks : &d->pass_looks) += 1;
     return is_candidate(d, w, request) ? cost(d, w, request) : -1;
 }
 
+/* As cost(), of what is known without a look at the worker. */
+static int64_t
+least_best_effort_cost(const jr_place_t *place, const request_t *request)
+{
+    int64_t shortage = best_effort_shortage(
+        place->left_milli, place->best_effort_milli, request->step);
+
+    return place->best_effort_milli > 0 && shortage > request->shortage_max
+               ? -1
+               : SHORTAGE_WEIGHT * shortage;
+}
+
+/* As mix_cost(); nothing where several images were on the worker. */
+static int64_t
+least_mix_cost(const jr_place_t *place, jr_image_t image)
+{
+    if (place->n_targets == 0) {
+        return FIRST_IMAGE_COST;
+    }
+    return place->is_mixed || place->target_image == image ? 0 : MIX_COST;
+}
+
+static int64_t
+least_service_cost(const jr_place_t *place, const request_t *request)
+{
+    int64_t left = place->free_milli - request->need->cpu_milli;
+    int64_t sum;
+
+    if (left < 0 || request->waited_ms < place->service_delay_ms) {
+        return -1;
+    }
+    sum = fullness_cost(left, place->best_effort_milli, place->capacity_milli);
+    return request->step->tail_target_ms > 0
+               ? sum + least_mix_cost(place, request->image)
+               : sum;
+}
+
+/* At least this is the cost there; -1: the task can't be placed there now. */
+static int64_t
+least_cost(const jr_place_t *place, const request_t *request)
+{
+    const jr_need_t *need = request->need;
+    int64_t left = place->free_milli - need->cpu_milli;
+
+    if (need->memory_mb > place->free_mb) {
+        return -1;
+    }
+    if (request->step->service) {
+        return least_service_cost(place, request);
+    }
+    if (left < place->reserved_milli) {
+        return -1;
+    }
+    return request->step->filler
+               ? least_best_effort_cost(place, request)
+               : fullness_cost(left, place->best_effort_milli,
+                               place->capacity_milli);
+}
+
 /* The workers on which the task may fit, the most room first. */
 static const jr_place_t *
 first_place(const jr_dispatch_t *d, const request_t *request, size_t *n)
@@ -382,29 +453,46 @@
     return jr_places_first(d->places, step->filler, milli, n);
 }
 
-/* Costs of the task on some worker; by rank where they are equal. */
+/*
+ * Cost of the task on some worker, which is looked at only when it may be the
+ * best one.
+ */
 typedef struct {
-    jr_tracked_worker_t *w;
-    int64_t cost; /* -1: the task can't be placed there now */
-    uint32_t rank;
+    const jr_place_t *place;
+    int64_t cost;  /* -1: the task can't be placed there now */
+    bool is_exact; /* else it may cost more, or be impossible */
 } ranked_t;
 
+/* By rank where the costs are equal. */
 static bool
 is_better(const ranked_t *a, const ranked_t *b)
 {
-    return a->cost != b->cost ? a->cost < b->cost : a->rank < b->rank;
+    return a->cost != b->cost ? a->cost < b->cost
+                              : a->place->rank < b->place->rank;
 }
 
 static ranked_t
-rank_place(jr_dispatch_t *d, const jr_place_t *place, const request_t *request)
-{
-    return (ranked_t){
-        .w = place->w,
-        .rank = place->rank,
-        .cost = place->memory_mb >= request->need->memory_mb
-                    ? candidate_cost(d, place->w, request)
-                    : -1,
-    };
+rank_place(const jr_place_t *place, const request_t *request)
+{
+    return (ranked_t){.place = place, .cost = least_cost(place, request)};
+}
+
+/* Returns whether the task can be placed there, better than on @best. */
+static bool
+beats(jr_dispatch_t *d, const request_t *request, ranked_t *ranked,
+      const ranked_t *best)
+{
+    if (ranked->cost < 0 ||
+        (best->place != NULL && !is_better(ranked, best))) {
+        return false;
+    }
+    if (ranked->is_exact) {
+        return true;
+    }
+    ranked->cost = candidate_cost(d, ranked->place->w, request);
+    ranked->is_exact = true;
+    return ranked->cost >= 0 &&
+           (best->place == NULL || is_better(ranked, best));
 }
 
 jr_tracked_worker_t *
@@ -412,27 +500,25 @@
                  const jr_need_t *need)
 {
     request_t request = make_request(d, task, need);
-    ranked_t best = {.w = NULL};
+    ranked_t best = {.place = NULL};
     size_t n;
     const jr_place_t *places = first_place(d, &request, &n);
 
     for (size_t i = 0; i < n; i++) {
-        ranked_t ranked = rank_place(d, &places[i], &request);
+        ranked_t ranked = rank_place(&places[i], &request);
 
-        if (ranked.cost >= 0 &&
-            (best.w == NULL || is_better(&ranked, &best))) {
+        if (beats(d, &request, &ranked, &best)) {
             best = ranked;
         }
     }
-    return best.w;
+    return best.place != NULL ? best.place->w : NULL;
 }
 
 struct jr_ranking {
     jr_dispatch_t *d;
     request_t request;
     bool is_relaxed;
-    bool has_last; /* the last choice was used: its cost has changed */
-    size_t last;
+    ranked_t *last;  /* the last choice was used: its cost has changed */
     GArray *workers; /* of ranked_t */
 };
 
@@ -444,8 +530,7 @@
 
     g_array_set_size(ranking->workers, 0);
     for (size_t i = 0; i < n; i++) {
-        ranked_t ranked =
-            rank_place(ranking->d, &places[i], &ranking->request);
+        ranked_t ranked = rank_place(&places[i], &ranking->request);
 
         if (ranked.cost >= 0) {
             g_array_append_val(ranking->workers, ranked);
@@ -488,29 +573,25 @@
         set_limits(ranking->d, &ranking->request);
         rank_workers(ranking);
     }
-    else if (ranking->has_last) {
-        ranked_t *last =
-            &g_array_index(ranking->workers, ranked_t, ranking->last);
-
-        last->cost = candidate_cost(ranking->d, last->w, &ranking->request);
+    else if (ranking->last != NULL) {
+        *ranking->last = rank_place(ranking->last->place, &ranking->request);
     }
-    ranking->has_last = false;
+    ranking->last = NULL;
 }
 
 jr_tracked_worker_t *
 jr_ranking_next(jr_ranking_t *ranking, const jr_job_task_t *task)
 {
-    const ranked_t *best = NULL;
+    ranked_t best = {.place = NULL};
 
     update_ranking(ranking, task);
     for (guint i = 0; i < ranking->workers->len; i++) {
-        const ranked_t *ranked = &g_array_index(ranking->workers, ranked_t, i);
+        ranked_t *ranked = &g_array_index(ranking->workers, ranked_t, i);
 
-        if (ranked->cost >= 0 && (best == NULL || is_better(ranked, best))) {
-            best = ranked;
-            ranking->last = i;
+        if (beats(ranking->d, &ranking->request, ranked, &best)) {
+            best = *ranked;
+            ranking->last = ranked;
         }
     }
-    ranking->has_last = best != NULL;
-    return best != NULL ? best->w : NULL;
+    return best.place != NULL ? best.place->w : NULL;
 }
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -15,6 +15,11 @@
      */
     PASS_MS_PER_1000_WORKERS = 20,
     PER_1000 = 1000,
+    /*
+     * So much of what a pass looked at for single tasks earns a millisecond
+     * more: passes take a bounded share of the time, whatever waits.
+     */
+    LOOKS_PER_MS = 250,
 };
 
 static void
@@ -227,6 +232,7 @@
     d->proposed = g_ptr_array_new();
     d->backlog = jr_new_backlog(ctx);
     d->places = jr_new_places(ctx);
+    d->shapes = jr_new_shapes(ctx);
     jr_jobs_set_hooks(jobs, &hooks);
     return d;
 }
@@ -249,6 +255,7 @@
     jr_tracked_worker_t *w;
 
     d->is_leading = false;
+    jr_places_clear(d->places);
     while ((queued = STAILQ_FIRST(&d->commands)) != NULL) {
         STAILQ_REMOVE_HEAD(&d->commands, link);
         jr_free(d->ctx, queued->bytes);
@@ -281,6 +288,7 @@
     g_ptr_array_unref(d->proposed);
     jr_drop_backlog(d->ctx, d->backlog);
     jr_drop_places(d->ctx, d->places);
+    jr_drop_shapes(d->ctx, d->shapes);
     jr_free(d->ctx, d);
 }
 
@@ -632,7 +640,8 @@
 jr_dispatch_is_pass_due(const jr_dispatch_t *d)
 {
     int64_t gap_ms = (int64_t)HASH_COUNT(d->jobs->workers) *
-                     PASS_MS_PER_1000_WORKERS / PER_1000;
+                         PASS_MS_PER_1000_WORKERS / PER_1000 +
+                     d->pass_looks / LOOKS_PER_MS;
 
     return d->is_dirty && d->now - d->scheduled_at >= gap_ms;
 }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -116,7 +116,10 @@
     jr_need_t services;        /* the part of used taken by services */
     jr_need_t reserved;        /* for services that wait for capacity */
     uint32_t n_services;
-    uint32_t n_suspects; /* runs of tasks under which a worker crashed */
+    uint32_t n_targets;      /* services with a target of their tail latency */
+    jr_image_t target_image; /* of all of these, unless they are mixed */
+    bool is_mixed;           /* of more than one image since there was none */
+    uint32_t n_suspects;     /* runs of tasks under which a worker crashed */
     struct jr_run_list runs;
 
     int64_t clock_ms; /* lower bound of the worker's clock at clock_at */
@@ -171,6 +174,7 @@
     bool is_failing;
     bool is_cold;
 
+    uint32_t place[2];        /* in the lists of jr_places_t */
     uint32_t rank;            /* hash of its id, so equal on all leaders */
     bool is_usable;           /* as of the latest pass */
     int64_t service_delay_ms; /* services wait this long before they may
@@ -258,6 +262,13 @@
     GPtrArray *proposed; /* runs whose grant is to be proposed */
     struct jr_backlog *backlog;
     struct jr_places *places; /* of the present pass, else empty */
+    struct jr_shapes *shapes; /* the same */
+    /* Tasks and workers looked at in the latest pass, by its tasks. */
+    int64_t pass_looks;
+    int64_t best_effort_looks;  /* the same, for best-effort tasks */
+    int64_t best_effort_due_at; /* these wait until then */
+    bool is_best_effort_turn;   /* in the present pass */
+    int64_t room_made_at;       /* for urgent tasks, last */
 };
 
 /* worker.c: leases, clocks and incarnations of workers. */
@@ -496,9 +507,19 @@
 /* places.c: the usable workers of a pass, by what is free on them. */
 typedef struct {
     jr_tracked_worker_t *w;
-    uint32_t rank;     /* of the worker */
-    int64_t cpu_milli; /* no task that asks for more fits */
-    int64_t memory_mb; /* the same */
+    uint32_t rank;      /* of the worker */
+    int64_t room_milli; /* no task that asks for more fits, in this pass */
+    int64_t capacity_milli;
+    int64_t reserved_milli;
+    int64_t service_delay_ms;
+    /* As tasks are placed there. */
+    int64_t free_milli;
+    int64_t free_mb;
+    int64_t left_milli; /* see jr_choose_left_by_others() */
+    int64_t best_effort_milli;
+    uint32_t n_targets; /* this and the next as those of the worker */
+    jr_image_t target_image;
+    bool is_mixed;
 } jr_place_t;
 typedef struct jr_places jr_places_t;
 jr_places_t *jr_new_places(jr_ctx_t *ctx);
@@ -507,11 +528,39 @@
 void jr_places_clear(jr_places_t *places);
 /* A pass begins. */
 void jr_places_refresh(jr_dispatch_t *d);
+/* What is free on the worker has changed. */
+void jr_places_note(jr_places_t *places, const jr_tracked_worker_t *w);
 /* The workers with that many free processors or more; sets their number. */
 const jr_place_t *jr_places_first(const jr_places_t *places,
                                   bool is_best_effort, int64_t cpu_milli,
                                   size_t *n);
 
+/* shapes.c: demands that could not be placed in the present pass. */
+typedef enum {
+    JR_SHAPE_SHORT,
+    JR_SHAPE_SERVICE,
+    JR_SHAPE_BEST_EFFORT,
+    JR_SHAPE_KINDS,
+} jr_shape_kind_t;
+typedef struct {
+    const char *service;
+    jr_shape_kind_t kind;
+    jr_need_t need;
+    const char *image; /* of a best-effort task, else "" */
+    int64_t waited_ms; /* of a service: decides what it may use */
+} jr_shape_t;
+typedef struct jr_shapes jr_shapes_t;
+jr_shapes_t *jr_new_shapes(jr_ctx_t *ctx);
+void jr_drop_shapes(jr_ctx_t *ctx, jr_shapes_t *shapes);
+void jr_shapes_clear(jr_shapes_t *shapes);
+jr_shape_t jr_shape_of(const jr_dispatch_t *d, const jr_job_task_t *task,
+                       const jr_need_t *need);
+/* Could a task of this shape, or one that needs less, not be placed? */
+bool jr_shapes_has(const jr_shapes_t *shapes, const jr_shape_t *shape);
+/* A task of this step could not be placed. */
+void jr_shapes_add(jr_shapes_t *shapes, const Jr__JobStep *step,
+                   const jr_shape_t *shape);
+
 /* choose.c: the best worker for a task in this pass, or NULL. */
 jr_tracked_worker_t *jr_choose_worker(jr_dispatch_t *d,
                                       const jr_job_task_t *task,
@@ -528,6 +577,8 @@
 /* As jr_choose_worker(); the task is placed there before the next call. */
 jr_tracked_worker_t *jr_ranking_next(jr_ranking_t *ranking,
                                      const jr_job_task_t *task);
+/* Processors that short tasks and services leave to best-effort tasks. */
+int64_t jr_choose_left_by_others(const jr_tracked_worker_t *w);
 /*
  * Processors, in thousandths, that a further best-effort task may ask for
  * beside those on the worker; INT64_MAX: as many as it likes.
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -667,13 +667,33 @@
     sent_orders_.insert(sent_orders_.end(), left.begin(), left.end());
 }
 
+void
+Fleet::SpendOnCommands()
+{
+    uint64_t examined = Counter(JR_C_WORKERS_EXAMINED);
+    int64_t ms;
+
+    TakeCommands();
+    if (examined_per_ms == 0) {
+        return;
+    }
+    examined = Counter(JR_C_WORKERS_EXAMINED) - examined;
+    ms = static_cast<int64_t>(examined / examined_per_ms);
+    examining_ms += ms;
+    if (ms >= TICK_MS) {
+        Stall(ms / TICK_MS * TICK_MS);
+    }
+}
+
 void
 Fleet::StepLeader()
 {
     ApplyDue();
     jr_dispatch_tick(dispatch, now, now);
-    TakeCommands();
-    TakeOrders();
+    SpendOnCommands();
+    if (!IsStalled()) {
+        TakeOrders();
+    }
 }
 
 void
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -236,6 +236,12 @@
     /* What the leader gets done in a step; 0: everything. */
     size_t orders_per_step = 0;
     size_t answers_per_step = 0;
+    /*
+     * Workers that the leader examines in a millisecond, in which it does
+     * nothing else; 0: without an end. The time that this took so far.
+     */
+    uint64_t examined_per_ms = 0;
+    int64_t examining_ms = 0;
     FleetRelay *relay = nullptr; /* none: orders go to the workers directly */
     bool has_churn = false;      /* for the histories: workers come and go */
     bool has_stalls = false; /* for the histories: the leader stands still */
@@ -287,6 +293,8 @@
     bool MayTakeAnswer(const SentOrder &sent);
     void ChooseFaults(SentOrder &sent, FleetWay way);
     void TakeCommands();
+    /* As TakeCommands(), which takes the leader time. */
+    void SpendOnCommands();
     void ApplyDue();
     /* A command that is in the log since @at. */
     void ApplyCommand(const std::vector<uint8_t> &bytes, int64_t at);
--- /dev/null
+++ b/src/dispatch/pass_test.cc
@@ -0,0 +1,113 @@
+/* What a scheduling pass may cost the leader, by the workers it examines. */
+#include <gtest/gtest.h>
+
+#include "fleet_test.h"
+
+namespace {
+
+constexpr size_t kWorkers = 300;
+constexpr uint64_t kService = 1;
+constexpr uint64_t kFirst = 2;
+
+/* Services on all workers, which lack headroom beside best-effort tasks. */
+class PassTest : public testing::Test {
+  protected:
+    PassTest() : fleet(1, kWorkers)
+    {
+        fleet.task_ms = 60000;
+        fleet.long_running_job = kService;
+        fleet.reported_percent = 100;
+        fleet.reported_gauge = 90;
+    }
+
+    void
+    FillWithServices(uint32_t cpu)
+    {
+        Jr__JobStep service = MakeStep(kWorkers, cpu);
+
+        service.service = 1;
+        service.tail_target_ms = 45;
+        service.image = const_cast<char *>("service");
+        fleet.Submit(kService, {service});
+        fleet.Run(12000);
+        ASSERT_EQ(fleet.Running(kService), kWorkers);
+    }
+
+    /* Jobs of best-effort tasks, each of its own image. */
+    void
+    SubmitBestEffort(uint64_t n)
+    {
+        for (uint64_t i = 0; i < n; i++) {
+            Jr__JobStep step = MakeStep(4, 3000);
+            std::string image = "image-" + std::to_string(i);
+
+            step.filler = 1;
+            step.image = image.data();
+            step.estimate_ms = 2000;
+            fleet.Submit(kFirst + i, {step});
+        }
+    }
+
+    uint64_t
+    ExaminedIn(int64_t ms)
+    {
+        uint64_t before = fleet.Counter(JR_C_WORKERS_EXAMINED);
+
+        fleet.Run(ms);
+        return fleet.Counter(JR_C_WORKERS_EXAMINED) - before;
+    }
+
+    Fleet fleet;
+};
+
+/*
+ * The leader of many workers had no time for anything but passes: best-effort
+ * tasks of many images found no place, each after a look at all workers, in
+ * each pass.
+ */
+TEST_F(PassTest, WaitingBestEffortTasksLeaveTheLeaderHalfOfItsTime)
+{
+    constexpr uint64_t kImages = 200;
+    constexpr int64_t kSpanMs = 10000; /* more than three leases */
+
+    FillWithServices(3000);
+    SubmitBestEffort(kImages);
+    fleet.examined_per_ms = 1000;
+    fleet.Run(kSpanMs);
+    EXPECT_LE(fleet.examining_ms, kSpanMs / 2);
+    EXPECT_EQ(fleet.Counter(JR_C_EXPIRIES), 0u);
+    EXPECT_EQ(fleet.Running(kService), kWorkers);
+    /* A short task still starts soon. */
+    fleet.Submit(kFirst + kImages, {MakeStep(1, 500)});
+    fleet.Run(500);
+    EXPECT_EQ(fleet.Running(kFirst + kImages), 1u);
+}
+
+/* Guards against a look at all workers for each task where all are alike. */
+TEST_F(PassTest, ATaskExaminesOnlyWorkersThatMayBeTheBest)
+{
+    constexpr uint64_t kJobs = 100;
+    uint64_t examined;
+
+    fleet.Run(2000);
+    for (uint64_t i = 0; i < kJobs; i++) {
+        fleet.Submit(kFirst + i, {MakeStep(1, 1000)});
+    }
+    examined = ExaminedIn(1000);
+    for (uint64_t i = 0; i < kJobs; i++) {
+        EXPECT_EQ(fleet.Running(kFirst + i), 1u);
+    }
+    EXPECT_LE(examined, kJobs * kWorkers / 10);
+}
+
+/* The same for services, which are chosen for one by one. */
+TEST_F(PassTest, AServiceExaminesOnlyWorkersThatMayBeTheBest)
+{
+    uint64_t before = fleet.Counter(JR_C_WORKERS_EXAMINED);
+
+    FillWithServices(3000);
+    EXPECT_LE(fleet.Counter(JR_C_WORKERS_EXAMINED) - before,
+              kWorkers * kWorkers / 10);
+}
+
+} // namespace
--- a/src/dispatch/places.c
+++ b/src/dispatch/places.c
@@ -1,7 +1,8 @@
 /*
- * The usable workers of a scheduling pass, ordered by what is free on them, so
- * that a task looks only at those where it may fit. A pass only places tasks:
- * what was free at its beginning stays an upper bound until its end.
+ * The usable workers of a scheduling pass, ordered by what was free on them at
+ * its beginning, so that a task looks only at those where it may fit, and with
+ * copies of what decides that, so that it need not look at most of them. A
+ * pass only places tasks: what was free at its beginning stays an upper bound.
  */
 #include "dispatch.h"
 
@@ -47,18 +48,54 @@
     const jr_place_t *x = a;
     const jr_place_t *y = b;
 
-    if (x->cpu_milli != y->cpu_milli) {
-        return x->cpu_milli > y->cpu_milli ? -1 : 1;
+    if (x->room_milli != y->room_milli) {
+        return x->room_milli > y->room_milli ? -1 : 1;
     }
     return (x->rank > y->rank) - (x->rank < y->rank);
 }
 
+/* Copies what changes as tasks are placed there. */
 static void
-sort_places(GArray *places)
+copy_state(jr_place_t *place)
+{
+    const jr_tracked_worker_t *w = place->w;
+
+    place->free_milli = place->capacity_milli - w->used.cpu_milli;
+    place->free_mb = w->worker->info->memory_mb - w->used.memory_mb;
+    place->best_effort_milli = w->best_effort_milli;
+    place->left_milli = jr_choose_left_by_others(w);
+    place->n_targets = w->n_targets;
+    place->target_image = w->target_image;
+    place->is_mixed = w->is_mixed;
+}
+
+static jr_place_t
+make_place(jr_tracked_worker_t *w)
+{
+    jr_place_t place = {
+        .w = w,
+        .rank = w->rank,
+        .capacity_milli = w->worker->info->cpu_milli,
+        .reserved_milli = w->reserved.cpu_milli,
+        .service_delay_ms = w->service_delay_ms,
+    };
+
+    copy_state(&place);
+    return place;
+}
+
+/* Sorts, and tells the workers where their places are. */
+static void
+sort_places(GArray *places, bool is_best_effort)
 {
     if (places->len > 1) {
         qsort(places->data, places->len, sizeof(jr_place_t), by_room);
     }
+    for (guint i = 0; i < places->len; i++) {
+        jr_tracked_worker_t *w = g_array_index(places, jr_place_t, i).w;
+
+        w->place[is_best_effort] = i;
+    }
 }
 
 void
@@ -69,23 +106,34 @@
 
     jr_places_clear(places);
     TAILQ_FOREACH (w, &d->workers, link) {
-        const Jr__JobWorker *info = w->worker->info;
-        jr_place_t place = {
-            .w = w,
-            .rank = w->rank,
-            .cpu_milli = info->cpu_milli - w->used.cpu_milli,
-            .memory_mb = info->memory_mb - w->used.memory_mb,
-        };
-
-        if (!w->is_usable) {
+        jr_place_t place;
+
+        w->place[false] = w->place[true] = G_MAXUINT;
+        if (!w->is_usable || !jr_health_allows(d, w)) {
             continue;
         }
+        place = make_place(w);
+        place.room_milli = place.free_milli;
         g_array_append_val(places->by_free, place);
-        place.cpu_milli = jr_choose_best_effort_room(w);
-        g_array_append_val(places->by_best_effort, place);
+        place.room_milli = jr_choose_best_effort_room(w);
+        if (jr_guard_allows(d, w)) {
+            g_array_append_val(places->by_best_effort, place);
+        }
+    }
+    sort_places(places->by_free, false);
+    sort_places(places->by_best_effort, true);
+}
+
+void
+jr_places_note(jr_places_t *places, const jr_tracked_worker_t *w)
+{
+    GArray *arrays[] = {places->by_free, places->by_best_effort};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(arrays); i++) {
+        if (w->place[i] < arrays[i]->len) {
+            copy_state(&g_array_index(arrays[i], jr_place_t, w->place[i]));
+        }
     }
-    sort_places(places->by_free);
-    sort_places(places->by_best_effort);
 }
 
 const jr_place_t *
@@ -101,7 +149,7 @@
     while (low < high) {
         size_t middle = low + (high - low) / 2;
 
-        if (first[middle].cpu_milli >= cpu_milli) {
+        if (first[middle].room_milli >= cpu_milli) {
             low = middle + 1;
         }
         else {
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -27,8 +27,20 @@
     a->accelerators += sign * b->accelerators;
 }
 
+/* Of services with a target, on one worker. */
 static void
-account(jr_run_t *run, int sign)
+account_target(jr_tracked_worker_t *w, jr_image_t image, int sign)
+{
+    if (sign > 0) {
+        w->is_mixed =
+            w->n_targets > 0 && (w->is_mixed || image != w->target_image);
+        w->target_image = image;
+    }
+    w->n_targets = (uint32_t)((int)w->n_targets + sign);
+}
+
+static void
+account(jr_dispatch_t *d, jr_run_t *run, int sign)
 {
     const Jr__JobStep *step = jr_task_step(run->task);
     jr_tracked_worker_t *w = run->worker;
@@ -45,6 +57,10 @@
         jr_need_add(&w->services, &run->need, sign);
         w->n_services = (uint32_t)((int)w->n_services + sign);
     }
+    if (jr_loads_has_target(run)) {
+        account_target(w, run->image, sign);
+    }
+    jr_places_note(d->places, w);
 }
 
 jr_run_t *
@@ -68,7 +84,7 @@
     task->run = run;
     task->job->n_runs++;
     TAILQ_INSERT_TAIL(&w->runs, run, link);
-    account(run, 1);
+    account(d, run, 1);
     return run;
 }
 
@@ -90,7 +106,7 @@
 jr_run_free(jr_dispatch_t *d, jr_run_t *run)
 {
     forget_order(d, run);
-    account(run, -1);
+    account(d, run, -1);
     if (run->is_due) {
         TAILQ_REMOVE(&d->due, run, due_link);
     }
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -16,7 +16,13 @@
      */
     LOST_MAX_MS = 60 * 1000,
     MIN_ESTIMATE_PERMILLE = 500, /* estimates may be this much too long */
-    SHAPES_MAX = 64, /* recorded as unplaceable; others are tried anew */
+    /*
+     * Best-effort tasks can wait: so many workers that were examined for them
+     * in a pass earn a millisecond without another try.
+     */
+    BEST_EFFORT_LOOKS_PER_MS = 100,
+    /* Between two looks at all runs for some that may give way. */
+    MAKE_ROOM_EVERY_MS = 100,
 };
 
 /* A century: keeps sums of bad estimates within their type. */
@@ -39,29 +45,6 @@
     int64_t due_ms;
 } candidate_t;
 
-typedef enum {
-    SHORT,
-    SERVICE,
-    BEST_EFFORT,
-} task_kind_t;
-
-/*
- * A demand that could not be placed in this pass; tasks of the same kind and
- * service that need at least as much are skipped.
- */
-typedef struct {
-    const char *service;
-    task_kind_t kind;
-    jr_need_t need;
-    const char *image; /* of a best-effort task, else "" */
-    int64_t waited_ms; /* of a service: decides what it may use */
-} shape_t;
-
-typedef struct {
-    shape_t shapes[SHAPES_MAX];
-    size_t n;
-} unplaceable_t;
-
 int64_t
 jr_critical_path_ms(const Jr__JobSpec *spec,
                     const jr_step_progress_t *progress)
@@ -297,73 +280,6 @@
     return (x->due_ms > y->due_ms) - (x->due_ms < y->due_ms);
 }
 
-static bool
-is_at_least(const jr_need_t *a, const jr_need_t *b)
-{
-    return a->cpu_milli >= b->cpu_milli && a->memory_mb >= b->memory_mb &&
-           a->accelerators >= b->accelerators;
-}
-
-/* Best-effort tasks reserve no processors, but need some to make progress. */
-static jr_need_t
-demand_of(const Jr__JobStep *step, const jr_need_t *need)
-{
-    jr_need_t demand = *need;
-
-    if (step->filler) {
-        demand.cpu_milli = step->cpu_milli;
-    }
-    return demand;
-}
-
-static shape_t
-shape_of(const jr_dispatch_t *d, const jr_job_task_t *task,
-         const jr_need_t *need)
-{
-    const Jr__JobStep *step = jr_task_step(task);
-
-    return (shape_t){
-        .service = task->job->queue->last_config->service,
-        .kind = step->service  ? SERVICE
-                : step->filler ? BEST_EFFORT
-                               : SHORT,
-        .need = demand_of(step, need),
-        .image = step->filler ? step->image : "",
-        .waited_ms = step->service ? jr_reserve_waited(d, task) : 0,
-    };
-}
-
-static bool
-is_known_unplaceable(const unplaceable_t *unplaceable, const shape_t *shape)
-{
-    for (size_t i = 0; i < unplaceable->n; i++) {
-        const shape_t *other = &unplaceable->shapes[i];
-
-        if (other->kind == shape->kind &&
-            shape->waited_ms <= other->waited_ms &&
-            is_at_least(&shape->need, &other->need) &&
-            strcmp(other->image, shape->image) == 0 &&
-            strcmp(other->service, shape->service) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/*
- * The failure of a step with a label or a limit per worker is not recorded:
- * other tasks do not have these constraints.
- */
-static void
-note_unplaceable(unplaceable_t *unplaceable, const Jr__JobStep *step,
-                 const shape_t *shape)
-{
-    if (unplaceable->n < SHAPES_MAX && *step->label == '\0' &&
-        step->per_worker == 0) {
-        unplaceable->shapes[unplaceable->n++] = *shape;
-    }
-}
-
 static jr_run_t *
 propose(jr_dispatch_t *d, jr_job_task_t *task, jr_tracked_worker_t *w)
 {
@@ -403,7 +319,7 @@
 
 static void
 place_each(jr_dispatch_t *d, jr_job_t *job, const jr_step_progress_t *progress,
-           const Jr__JobStep *step, unplaceable_t *unplaceable)
+           const Jr__JobStep *step)
 {
     int64_t failed_ms = -1; /* waited by a service that was not placed */
     jr_ranking_t *ranking = NULL;
@@ -412,25 +328,24 @@
     jr_need_of(step, &need);
     for (uint32_t i = 0; i < step->count; i++) {
         jr_job_task_t *task = &job->tasks[progress->first + i];
-        shape_t shape;
+        jr_shape_t shape;
         jr_tracked_worker_t *w;
 
         if (!is_placeable(d, task) || d->proposed->len >= GRANTS_MAX) {
             continue;
         }
-        shape = shape_of(d, task, &need);
+        shape = jr_shape_of(d, task, &need);
         if (shape.waited_ms <= failed_ms) {
             continue;
         }
-        w = !jr_choose_is_relaxed(d, job) &&
-                    is_known_unplaceable(unplaceable, &shape)
+        w = !jr_choose_is_relaxed(d, job) && jr_shapes_has(d->shapes, &shape)
                 ? NULL
                 : choose(d, task, &need, &ranking);
         if (w != NULL) {
             g_ptr_array_add(d->proposed, propose(d, task, w));
             continue;
         }
-        note_unplaceable(unplaceable, step, &shape);
+        jr_shapes_add(d->shapes, step, &shape);
         if (!step->service) {
             break;
         }
@@ -482,8 +397,7 @@
 }
 
 static void
-place_occurrence(jr_dispatch_t *d, const candidate_t *candidate,
-                 unplaceable_t *unplaceable)
+place_occurrence(jr_dispatch_t *d, const candidate_t *candidate)
 {
     jr_job_t *job = candidate->job;
     uint32_t n = (uint32_t)job->spec->n_steps;
@@ -494,6 +408,7 @@
             &job->steps[candidate->occurrence * n + s];
 
         if (progress->waiting == 0 ||
+            (step->filler && !d->is_best_effort_turn) ||
             !jr_job_is_step_ready(job, candidate->occurrence, s)) {
             continue;
         }
@@ -501,7 +416,7 @@
             place_gang(d, job, progress, step);
         }
         else {
-            place_each(d, job, progress, step, unplaceable);
+            place_each(d, job, progress, step);
         }
     }
 }
@@ -521,14 +436,41 @@
     }
 }
 
+static void
+place_all(jr_dispatch_t *d, GArray *candidates)
+{
+    if (candidates->len > 1) {
+        qsort(candidates->data, candidates->len, sizeof(candidate_t),
+              by_urgency);
+    }
+    for (guint i = 0; i < candidates->len && d->proposed->len < GRANTS_MAX;
+         i++) {
+        place_occurrence(d, &g_array_index(candidates, candidate_t, i));
+    }
+}
+
+static void
+make_room(jr_dispatch_t *d, const GArray *candidates)
+{
+    GArray *urgent = g_array_new(FALSE, FALSE, sizeof(jr_demand_sum_t));
+
+    for_demand(candidates, JR_URGENT_PRIORITY, add_urgent_demand, urgent);
+    if (urgent->len > 0 && d->now - d->room_made_at >= MAKE_ROOM_EVERY_MS) {
+        d->room_made_at = d->now;
+        jr_urgent_make_room(d, urgent);
+    }
+    g_array_unref(urgent);
+}
+
 void
 jr_schedule(jr_dispatch_t *d)
 {
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
-    GArray *urgent = g_array_new(FALSE, FALSE, sizeof(jr_demand_sum_t));
-    unplaceable_t unplaceable = {.n = 0};
 
     jr_count(d->ctx, JR_C_PASSES);
+    d->pass_looks = 0;
+    d->best_effort_looks = 0;
+    d->is_best_effort_turn = d->now >= d->best_effort_due_at;
     collect(d, candidates);
     d->short_waiting = (jr_demand_sum_t){0};
     for_demand(candidates, UINT32_MAX, add_demand, &d->short_waiting);
@@ -536,19 +478,14 @@
     jr_worker_quality_update(d);
     jr_reserve_for_services(d);
     jr_places_refresh(d);
-    if (candidates->len > 1) {
-        qsort(candidates->data, candidates->len, sizeof(candidate_t),
-              by_urgency);
-    }
-    for (guint i = 0; i < candidates->len && d->proposed->len < GRANTS_MAX;
-         i++) {
-        place_occurrence(d, &g_array_index(candidates, candidate_t, i),
-                         &unplaceable);
+    place_all(d, candidates);
+    if (d->is_best_effort_turn) {
+        jr_pace_move_slowed(d);
+        d->best_effort_due_at =
+            d->now + d->best_effort_looks / BEST_EFFORT_LOOKS_PER_MS;
     }
-    for_demand(candidates, JR_URGENT_PRIORITY, add_urgent_demand, urgent);
-    jr_pace_move_slowed(d);
-    jr_urgent_make_room(d, urgent);
+    make_room(d, candidates);
     jr_places_clear(d->places);
-    g_array_unref(urgent);
+    jr_shapes_clear(d->shapes);
     g_array_unref(candidates);
 }
