Best-effort tasks and room for urgent ones are looked for less often, by counts

Change: 25 workers examined for best-effort tasks earn a millisecond without another try (100 before); 100 runs looked at for urgent tasks do the same for these (every 100 ms before), so small deployments look as often as passes run. What a pass needs of each worker is summed in one walk, not in three.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -268,7 +268,8 @@
     int64_t best_effort_looks;  /* the same, for best-effort tasks */
     int64_t best_effort_due_at; /* these wait until then */
     bool is_best_effort_turn;   /* in the present pass */
-    int64_t room_made_at;       /* for urgent tasks, last */
+    int64_t room_looks;         /* at runs that may give way, last */
+    int64_t room_due_at;        /* none is looked at until then */
 };
 
 /* worker.c: leases, clocks and incarnations of workers. */
--- a/src/dispatch/places.c
+++ b/src/dispatch/places.c
@@ -109,7 +109,7 @@
         jr_place_t place;
 
         w->place[false] = w->place[true] = G_MAXUINT;
-        if (!w->is_usable || !jr_health_allows(d, w)) {
+        if (!w->is_usable) {
             continue;
         }
         place = make_place(w);
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -36,41 +36,44 @@
 static const double MIN_SHARE = 0.06;
 static const double MAX_SHARE = 0.3;
 
-static int64_t
-running_milli(const jr_dispatch_t *d)
-{
-    const jr_tracked_worker_t *w;
-    int64_t sum = 0;
-
-    TAILQ_FOREACH (w, &d->workers, link) {
-        sum += w->used.cpu_milli - w->services.cpu_milli;
-    }
-    return sum;
-}
+/* Processors of the workers, as of a pass. */
+typedef struct {
+    int64_t short_milli; /* of tasks that are no services */
+    /* Of usable workers. */
+    double all;
+    double used;
+    double held; /* by services */
+} totals_t;
 
 static void
-note_demand(jr_dispatch_t *d)
+note_demand(jr_dispatch_t *d, const totals_t *totals)
 {
-    double now = (double)(running_milli(d) + d->short_waiting.cpu_milli);
+    double now = (double)(totals->short_milli + d->short_waiting.cpu_milli);
 
     jr_demand_note(&d->short_demand, now, d->now);
     d->has_short_tasks = now > 0.0;
 }
 
+static int64_t
+left_for_services(const totals_t *totals, double short_milli)
+{
+    return (int64_t)(totals->all - totals->held -
+                     MIN(short_milli, SHORT_SHARE * totals->all));
+}
+
 int64_t
 jr_reserve_left_for_services(const jr_dispatch_t *d, double short_milli)
 {
     const jr_tracked_worker_t *w;
-    double all = 0.0;
-    double held = 0.0;
+    totals_t totals = {0};
 
     TAILQ_FOREACH (w, &d->workers, link) {
         if (w->is_usable) {
-            all += w->worker->info->cpu_milli;
-            held += (double)w->services.cpu_milli;
+            totals.all += w->worker->info->cpu_milli;
+            totals.held += (double)w->services.cpu_milli;
         }
     }
-    return (int64_t)(all - held - MIN(short_milli, SHORT_SHARE * all));
+    return left_for_services(&totals, short_milli);
 }
 
 /* Processors of the worker that nothing used for at least a window. */
@@ -93,34 +96,43 @@
     }
 }
 
-void
-jr_reserve_update(jr_dispatch_t *d)
+/* Brings what passes know of each worker up to date, and sums it up. */
+static totals_t
+update_workers(jr_dispatch_t *d)
 {
+    totals_t totals = {0};
     jr_tracked_worker_t *w;
-    double all = 0.0;
-    double used = 0.0;
-    double wanted, spare;
 
-    note_demand(d);
     TAILQ_FOREACH (w, &d->workers, link) {
         w->is_usable = jr_tracked_worker_is_usable(d, w);
+        w->service_delay_ms = 0;
         note_spare(d, w);
+        totals.short_milli += w->used.cpu_milli - w->services.cpu_milli;
         if (w->is_usable) {
-            all += w->worker->info->cpu_milli;
-            used += (double)w->used.cpu_milli;
+            totals.all += w->worker->info->cpu_milli;
+            totals.used += (double)w->used.cpu_milli;
+            totals.held += (double)w->services.cpu_milli;
         }
     }
-    d->left_for_services =
-        jr_reserve_left_for_services(d, d->short_demand.peak);
-    d->is_mostly_idle = 2.0 * used < all;
-    wanted = MIN(PEAK_MARGIN * d->short_demand.peak, MAX_SHARE * all);
-    spare = MAX(MIN_SHARE * all - wanted, 0.0);
+    return totals;
+}
+
+/* On the first workers by rank, as much as short tasks may need. */
+static void
+delay_services(jr_dispatch_t *d, double all)
+{
+    double wanted = MIN(PEAK_MARGIN * d->short_demand.peak, MAX_SHARE * all);
+    double spare = MAX(MIN_SHARE * all - wanted, 0.0);
+    jr_tracked_worker_t *w;
+
     TAILQ_FOREACH (w, &d->workers, link) {
         /* A worker that shrank may run more than it has capacity for. */
         double free_milli = (double)MAX(
             w->worker->info->cpu_milli - w->services.cpu_milli, (int64_t)0);
 
-        w->service_delay_ms = 0;
+        if (wanted <= 0.0 && spare <= 0.0) {
+            break;
+        }
         if (!w->is_usable) {
             continue;
         }
@@ -129,13 +141,24 @@
                 d->has_short_tasks ? BUSY_DELAY_MS : SPARE_DELAY_MS;
             wanted -= free_milli;
         }
-        else if (spare > 0.0) {
+        else {
             w->service_delay_ms = SPARE_DELAY_MS;
             spare -= free_milli;
         }
     }
 }
 
+void
+jr_reserve_update(jr_dispatch_t *d)
+{
+    totals_t totals = update_workers(d);
+
+    note_demand(d, &totals);
+    d->left_for_services = left_for_services(&totals, d->short_demand.peak);
+    d->is_mostly_idle = 2.0 * totals.used < totals.all;
+    delay_services(d, totals.all);
+}
+
 /* A usable worker, and what reservations there may take. */
 typedef struct {
     jr_tracked_worker_t *w;
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -20,9 +20,9 @@
      * Best-effort tasks can wait: so many workers that were examined for them
      * in a pass earn a millisecond without another try.
      */
-    BEST_EFFORT_LOOKS_PER_MS = 100,
-    /* Between two looks at all runs for some that may give way. */
-    MAKE_ROOM_EVERY_MS = 100,
+    BEST_EFFORT_LOOKS_PER_MS = 25,
+    /* The same for runs that were looked at, as they may give way. */
+    ROOM_LOOKS_PER_MS = 100,
 };
 
 /* A century: keeps sums of bad estimates within their type. */
@@ -455,9 +455,10 @@
     GArray *urgent = g_array_new(FALSE, FALSE, sizeof(jr_demand_sum_t));
 
     for_demand(candidates, JR_URGENT_PRIORITY, add_urgent_demand, urgent);
-    if (urgent->len > 0 && d->now - d->room_made_at >= MAKE_ROOM_EVERY_MS) {
-        d->room_made_at = d->now;
+    if (d->now >= d->room_due_at) {
+        d->room_looks = 0;
         jr_urgent_make_room(d, urgent);
+        d->room_due_at = d->now + d->room_looks / ROOM_LOOKS_PER_MS;
     }
     g_array_unref(urgent);
 }
--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -115,6 +115,7 @@
     };
     jr_run_t *run;
 
+    candidates->d->room_looks++;
     TAILQ_FOREACH (run, &w->runs, link) {
         jr_preempt_victim_t victim = {
             .size = {.cpu_milli = run->need.cpu_milli,
@@ -125,6 +126,7 @@
             .user = run,
         };
 
+        candidates->d->room_looks++;
         if (is_ending(run)) {
             candidates->stopping_milli += run->need.cpu_milli;
         }
