Services that gave way are back in time, whatever short tasks ask for

Cause: what is reserved for services that wait was bounded by what the share of short tasks leaves (jr_reserve_left_for_services) and by a third of the workers. Short tasks are placed first and took all that became free, so the wait had no bound while they asked for their whole share.

Change: a service that ran before is overdue 2 s after its last run (4.5 s with the credit that such services have). For those no share and no number limits the reservations, they reserve first, and no other service takes what is reserved for them. Two tasks of a step with a limit per worker no longer reserve the same worker.

Test: reserve_test. After: 5 of 5 green, 2,000 histories green. ServicesThatKeepApart was not run without the change in its final form. Tests of src/dispatch green, histories at 60.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -115,6 +115,7 @@
     int64_t best_effort_milli; /* processors wanted by best-effort tasks */
     jr_need_t services;        /* the part of used taken by services */
     jr_need_t reserved;        /* for services that wait for capacity */
+    jr_need_t overdue;         /* the part of it for those that are overdue */
     uint32_t n_services;
     uint32_t n_suspects; /* runs of tasks under which a worker crashed */
     struct jr_run_list runs;
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -7,7 +7,9 @@
  *
  * Short tasks are placed before services, and would take all capacity that
  * becomes free. For a service that has waited long, capacity is reserved on
- * one worker; no other task may use it until the service fits.
+ * one worker; no other task may use it until the service fits. Up to the share
+ * of short tasks, these come before services that have never run; a service
+ * that ran before is back within a bounded time, whatever they ask for.
  */
 #include "dispatch.h"
 
@@ -15,6 +17,11 @@
     RESERVE_AFTER_MS = 4500,   /* then capacity is reserved for a service */
     RESTARTED_BONUS_MS = 2500, /* wait credited to a service that ran before */
     RESERVED_PERCENT = 33,     /* reservations, of the number of workers */
+    /*
+     * Then a service that ran before is overdue: no share and no number limits
+     * the reservations for such services. Short tasks take seconds to end.
+     */
+    OVERDUE_AFTER_MS = 4500,
     /*
      * How long a service must wait before it may use capacity that short tasks
      * use, or may need.
@@ -139,8 +146,9 @@
 /* A usable worker, and what reservations there may take. */
 typedef struct {
     jr_tracked_worker_t *w;
-    int64_t free_milli; /* not used and not reserved */
-    jr_need_t capacity; /* beside services and reservations */
+    int64_t free_milli;        /* not used and not reserved */
+    jr_need_t capacity;        /* beside services and reservations */
+    const Jr__JobStep *latest; /* that has reserved */
 } reservable_t;
 
 static GArray *
@@ -177,6 +185,13 @@
            need->accelerators <= capacity->accelerators;
 }
 
+/* May another task of the step run there, beside one that has reserved? */
+static bool
+is_apart(const reservable_t *reservable, const Jr__JobStep *step)
+{
+    return step->per_worker == 0 || reservable->latest != step;
+}
+
 /*
  * The eligible worker with the most free processors: the least other work has
  * to end there before the service fits.
@@ -192,6 +207,7 @@
 
         if ((best == NULL || reservable->free_milli > best->free_milli) &&
             has_capacity(reservable, need) &&
+            is_apart(reservable, jr_task_step(task)) &&
             jr_worker_is_eligible(reservable->w, task)) {
             best = reservable;
         }
@@ -199,14 +215,6 @@
     return best;
 }
 
-static void
-reserve(reservable_t *reservable, const jr_need_t *need)
-{
-    jr_need_add(&reservable->w->reserved, need, 1);
-    jr_need_add(&reservable->capacity, need, -1);
-    reservable->free_milli -= need->cpu_milli;
-}
-
 int64_t
 jr_reserve_waited(const jr_dispatch_t *d, const jr_job_task_t *task)
 {
@@ -214,6 +222,22 @@
            (task->attempt > 0 ? RESTARTED_BONUS_MS : 0);
 }
 
+static bool
+is_overdue(const jr_dispatch_t *d, const jr_job_task_t *task)
+{
+    return task->attempt > 0 && jr_reserve_waited(d, task) >= OVERDUE_AFTER_MS;
+}
+
+/* Would it take capacity that is reserved for services that are overdue? */
+static bool
+takes_from_overdue(const jr_tracked_worker_t *w, const jr_need_t *need)
+{
+    jr_need_t used = w->used;
+
+    jr_need_add(&used, &w->overdue, 1);
+    return !jr_need_fits_beside(need, &used, w->worker->info);
+}
+
 bool
 jr_reserve_allows_service(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
                           const jr_job_task_t *task, const jr_need_t *need)
@@ -223,63 +247,116 @@
     if (waited < w->service_delay_ms) {
         return false;
     }
+    if (!is_overdue(d, task) && takes_from_overdue(w, need)) {
+        return false;
+    }
     return waited >= TAKE_ANY_AFTER_MS ||
            d->left_for_services >= need->cpu_milli ||
            spare_milli(w) >= need->cpu_milli;
 }
 
-static size_t
-reserve_for_step(const jr_dispatch_t *d, const GArray *list, jr_job_t *job,
-                 uint32_t s, int64_t *left)
+/* The reservations of a pass. */
+typedef struct {
+    const jr_dispatch_t *d;
+    GArray *workers; /* of reservable_t */
+    size_t n;
+    size_t most;  /* except of services that are overdue */
+    int64_t left; /* processors for services, beside the share */
+    bool overdue; /* is it the turn of services that are overdue? */
+} reservations_t;
+
+static void
+reserve(reservations_t *reservations, reservable_t *reservable,
+        const Jr__JobStep *step, const jr_need_t *need)
+{
+    jr_need_add(&reservable->w->reserved, need, 1);
+    if (reservations->overdue) {
+        jr_need_add(&reservable->w->overdue, need, 1);
+    }
+    jr_need_add(&reservable->capacity, need, -1);
+    reservable->free_milli -= need->cpu_milli;
+    reservable->latest = step;
+    reservations->left -= need->cpu_milli;
+    reservations->n++;
+}
+
+static bool
+may_reserve(const reservations_t *reservations, const jr_job_task_t *task,
+            const jr_need_t *need)
+{
+    const jr_dispatch_t *d = reservations->d;
+
+    if (task->phase != JR_PHASE_WAITING || task->run != NULL ||
+        is_overdue(d, task) != reservations->overdue) {
+        return false;
+    }
+    return reservations->overdue ||
+           (jr_reserve_waited(d, task) >= RESERVE_AFTER_MS &&
+            reservations->n < reservations->most &&
+            reservations->left >= need->cpu_milli);
+}
+
+static void
+reserve_for_step(reservations_t *reservations, jr_job_t *job, uint32_t s)
 {
     const Jr__JobStep *step = job->spec->steps[s];
     jr_need_t need;
-    size_t n = 0;
 
     jr_need_of(step, &need);
     for (uint32_t i = 0; i < step->count; i++) {
         jr_job_task_t *task = &job->tasks[job->steps[s].first + i];
         reservable_t *reservable;
 
-        if (task->phase != JR_PHASE_WAITING || task->run != NULL ||
-            jr_reserve_waited(d, task) < RESERVE_AFTER_MS ||
-            *left < need.cpu_milli) {
+        if (!may_reserve(reservations, task, &need)) {
             continue;
         }
-        reservable = find_worker_to_reserve(list, task, &need);
+        reservable =
+            find_worker_to_reserve(reservations->workers, task, &need);
         if (reservable == NULL) {
             break;
         }
-        reserve(reservable, &need);
-        *left -= need.cpu_milli;
-        n++;
+        reserve(reservations, reservable, step, &need);
     }
-    return n;
 }
 
-void
-jr_reserve_for_services(jr_dispatch_t *d)
+static void
+reserve_for_jobs(reservations_t *reservations)
 {
-    jr_tracked_worker_t *w;
     jr_job_t *job;
-    size_t most = HASH_COUNT(d->jobs->workers) * RESERVED_PERCENT / 100 + 1;
-    size_t n = 0;
-    int64_t left = jr_reserve_left_for_services(d, d->short_demand.latest);
-    GArray *list = list_reservable(d);
 
-    TAILQ_FOREACH (w, &d->workers, link) {
-        w->reserved = (jr_need_t){0};
-    }
-    TAILQ_FOREACH (job, &d->jobs->live, link) {
+    TAILQ_FOREACH (job, &reservations->d->jobs->live, link) {
         if (job->queue->last_config == NULL) {
             continue;
         }
-        for (uint32_t s = 0; s < job->spec->n_steps && n < most; s++) {
+        for (uint32_t s = 0; s < job->spec->n_steps; s++) {
             if (job->spec->steps[s]->service && job->steps[s].waiting > 0 &&
                 jr_job_is_step_ready(job, 0, s)) {
-                n += reserve_for_step(d, list, job, s, &left);
+                reserve_for_step(reservations, job, s);
             }
         }
     }
-    g_array_unref(list);
+}
+
+void
+jr_reserve_for_services(jr_dispatch_t *d)
+{
+    jr_tracked_worker_t *w;
+    reservations_t reservations = {
+        .d = d,
+        .workers = list_reservable(d),
+        .most = HASH_COUNT(d->jobs->workers) * RESERVED_PERCENT / 100 + 1,
+        .left = jr_reserve_left_for_services(d, d->short_demand.latest),
+        .overdue = true,
+    };
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        w->reserved = (jr_need_t){0};
+        w->overdue = (jr_need_t){0};
+    }
+    reserve_for_jobs(&reservations);
+    reservations.overdue = false;
+    if (reservations.n < reservations.most) {
+        reserve_for_jobs(&reservations);
+    }
+    g_array_unref(reservations.workers);
 }
