--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -116,6 +116,7 @@
     int64_t best_effort_milli; /* processors wanted by best-effort tasks */
     jr_need_t services;        /* the part of used taken by services */
     jr_need_t reserved;        /* for services that wait for capacity */
+    jr_need_t overdue;         /* the part of it for those that are overdue */
     uint32_t n_services;
     uint32_t n_targets;      /* services with a target of their tail latency */
     jr_image_t target_image; /* of all of these, unless they are mixed */
