Paces wait while a leader has starts, stops or renewals to send

What callers saw: urgent tasks started late on a leader short of processor time.

Cause: orders for paces stood in one queue with starts and stops, in the order in which they became due; a new leader, which knows no paces, sends all of them.

Change: paces have a queue of their own, which comes after starts, stops and renewals, but for one order of eight, as a service may exceed its target. Stopping a run takes it out of the queue of paces.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -15,6 +15,7 @@
      */
     PASS_MS_PER_1000_WORKERS = 20,
     PER_1000 = 1000,
+    PACE_TURN = 8, /* one of so many orders may be a pace before others */
 };
 
 static void
@@ -219,6 +220,7 @@
     d->jobs = jobs;
     TAILQ_INIT(&d->workers);
     TAILQ_INIT(&d->due);
+    TAILQ_INIT(&d->due_paces);
     STAILQ_INIT(&d->commands);
     d->tails = jr_new_tails(ctx);
     d->quality = jr_new_quality(ctx);
@@ -403,17 +405,17 @@
 }
 
 static bool
-take_run_order(jr_dispatch_t *d, jr_order_t *order)
+take_run_order(jr_dispatch_t *d, struct jr_run_list *due, jr_order_t *order)
 {
     jr_run_t *run, *next;
 
-    for (run = TAILQ_FIRST(&d->due); run != NULL; run = next) {
+    for (run = TAILQ_FIRST(due); run != NULL; run = next) {
         next = TAILQ_NEXT(run, due_link);
         if (d->now < run->try_at) {
             continue;
         }
-        TAILQ_REMOVE(&d->due, run, due_link);
-        run->is_due = false;
+        TAILQ_REMOVE(due, run, due_link);
+        run->due_in = NULL;
         if (jr_run_order(d, run, order)) {
             add_sent(d, order, run->worker, run);
             run->serial = order->serial;
@@ -480,7 +482,8 @@
 
 /*
  * By turns, so that starts and renewals can't starve each other: a lease that
- * expires costs all runs on a worker.
+ * expires costs all runs on a worker. Paces wait while there are others, but
+ * for a few: a service may exceed its target meanwhile.
  */
 bool
 jr_dispatch_take_order(jr_dispatch_t *d, jr_order_t *order)
@@ -488,10 +491,18 @@
     if (!d->is_leading) {
         return false;
     }
-    d->is_workers_turn = !d->is_workers_turn;
-    return d->is_workers_turn
-               ? take_worker_order(d, order) || take_run_order(d, order)
-               : take_run_order(d, order) || take_worker_order(d, order);
+    d->n_orders++;
+    if (d->n_orders % PACE_TURN == 0 &&
+        take_run_order(d, &d->due_paces, order)) {
+        return true;
+    }
+    if (d->n_orders % 2 == 0) {
+        return take_run_order(d, &d->due, order) ||
+               take_worker_order(d, order) ||
+               take_run_order(d, &d->due_paces, order);
+    }
+    return take_worker_order(d, order) || take_run_order(d, &d->due, order) ||
+           take_run_order(d, &d->due_paces, order);
 }
 
 static void
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -48,6 +48,8 @@
     double min_headroom;
 } jr_worker_tail_t;
 
+TAILQ_HEAD(jr_run_list, jr_run);
+
 /* A granted task; leader-local state, not replicated. */
 typedef struct jr_run {
     TAILQ_ENTRY(jr_run) link;     /* in the runs of its worker */
@@ -59,16 +61,16 @@
     jr_image_t image;
     int64_t incarnation; /* of the worker that it was granted to */
     jr_need_t need;
-    bool is_due;             /* in the list of due orders */
-    bool is_outcome_unknown; /* a start order may still be executed */
-    bool is_unreached;       /* a later start order was not sent */
-    int64_t withheld_at;     /* its start, for lack of capacity; 0: not */
-    bool is_inherited;       /* granted by an earlier leader */
-    bool is_suspect;         /* a worker crashed under an earlier run */
-    bool is_listed;          /* its incarnation listed it as running */
-    uint64_t listed_in;      /* latest renewal whose answer names its task */
-    bool is_settled;         /* said so to the log, see jr_job_task_t */
-    bool is_end_listed;      /* its end is on the way to the log */
+    struct jr_run_list *due_in; /* list of due orders, NULL: none is due */
+    bool is_outcome_unknown;    /* a start order may still be executed */
+    bool is_unreached;          /* a later start order was not sent */
+    int64_t withheld_at;        /* its start, for lack of capacity; 0: not */
+    bool is_inherited;          /* granted by an earlier leader */
+    bool is_suspect;            /* a worker crashed under an earlier run */
+    bool is_listed;             /* its incarnation listed it as running */
+    uint64_t listed_in; /* latest renewal whose answer names its task */
+    bool is_settled;    /* said so to the log, see jr_job_task_t */
+    bool is_end_listed; /* its end is on the way to the log */
     bool is_stop_wanted;
     uint64_t serial;      /* of the pending order, 0 for none */
     int64_t expires_ms;   /* lease of its first start, on the worker's clock */
@@ -99,8 +101,6 @@
     bool is_speed_noted;
 } jr_run_t;
 
-TAILQ_HEAD(jr_run_list, jr_run);
-
 /* A run under which its worker crashed, or may have. */
 typedef struct {
     Jr__JobRun name;
@@ -245,10 +245,11 @@
     bool is_mostly_idle;  /* more than half of the processors are free */
     struct jr_tracked_worker_list workers; /* by rank */
     jr_tracked_worker_t *next_worker; /* next to scan for orders, or NULL */
-    bool is_workers_turn; /* the latest order was to be a renewal */
-    int64_t scanned_at;   /* when no worker had an order, last */
-    struct jr_run_list due;
-    size_t n_listed_orphans; /* of all workers */
+    int64_t scanned_at;               /* when no worker had an order, last */
+    uint64_t n_orders;                /* that were asked for */
+    struct jr_run_list due;           /* starts and stops */
+    struct jr_run_list due_paces;     /* wait for the others */
+    size_t n_listed_orphans;          /* of all workers */
     jr_sent_t *sent;
     STAILQ_HEAD(, jr_queued_command) commands;
     GPtrArray *releases; /* of runs */
--- a/src/dispatch/pace_test.cc
+++ b/src/dispatch/pace_test.cc
@@ -248,3 +248,39 @@
         EXPECT_LE(late_ms, kSoonMs) << phase_ms;
     }
 }
+
+/*
+ * Guards against urgent tasks that wait while a busy leader sends paces: it
+ * knows none after its election, and sends all of them.
+ */
+TEST_F(PaceTest, AStartDoesNotWaitForPaces)
+{
+    constexpr uint32_t kBestEffort = 60;
+    constexpr int64_t kStepMs = 10;
+    constexpr int64_t kSoonMs = 150; /* paces alone take 600 */
+    Fleet fleet(1, 1);
+    Jr__JobStep best_effort = MakeStep(kBestEffort, 10);
+    int64_t late_ms = 0;
+
+    headroom_alone_ = 9.0;
+    SubmitJobs(fleet);
+    best_effort.filler = 1;
+    best_effort.image = const_cast<char *>("harmless");
+    fleet.Submit(3, {best_effort});
+    fleet.Run(20000);
+    ASSERT_EQ(fleet.Running(3), kBestEffort) << fleet.Running(2);
+    fleet.ChangeLeader(true);
+    for (int i = 0; fleet.Counter(JR_C_PACES) < kBestEffort; i++) {
+        ASSERT_LT(i, 300);
+        fleet.Run(kStepMs);
+        fleet.orders_per_step = fleet.Counter(JR_C_RENEWALS_SENT) > 0 ? 1 : 0;
+    }
+    fleet.Submit(4, {MakeStep(1, 100)});
+    for (; fleet.StartsOf({4, 0, 0, 0}) == 0 && late_ms < 2000;
+         late_ms += kStepMs) {
+        fleet.Run(kStepMs);
+    }
+    EXPECT_LE(late_ms, kSoonMs);
+    fleet.Run(3000);
+    EXPECT_GE(fleet.Counter(JR_C_PACES_SENT), kBestEffort);
+}
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -91,8 +91,8 @@
 {
     forget_order(d, run);
     account(run, -1);
-    if (run->is_due) {
-        TAILQ_REMOVE(&d->due, run, due_link);
+    if (run->due_in != NULL) {
+        TAILQ_REMOVE(run->due_in, run, due_link);
     }
     g_ptr_array_remove_fast(d->releases, run);
     TAILQ_REMOVE(&run->worker->runs, run, link);
@@ -134,13 +134,21 @@
     return names[state];
 }
 
+/* Stops a run of which a pace was due, too. */
 void
 jr_run_set_due(jr_dispatch_t *d, jr_run_t *run)
 {
-    if (!run->is_due) {
-        run->is_due = true;
-        TAILQ_INSERT_TAIL(&d->due, run, due_link);
+    struct jr_run_list *due =
+        run->state == JR_RUN_RUNNING ? &d->due_paces : &d->due;
+
+    if (run->due_in == due) {
+        return;
+    }
+    if (run->due_in != NULL) {
+        TAILQ_REMOVE(run->due_in, run, due_link);
     }
+    run->due_in = due;
+    TAILQ_INSERT_TAIL(due, run, due_link);
 }
 
 void
