The start time of a worker is bounded by the calendar, not by the leader's clock

A leader whose clock is more than an hour behind (it is read when the process starts) would have refused every executor that started since, with 400, and lost those whose answers it refused. Change: a start time is refused after the year 2248, 2^43 ms: times in microseconds and all larger numbers are beyond. One between now and then, under the id of an executor, is again taken for a later start.

--- a/include/jayrelay/dispatch.h
+++ b/include/jayrelay/dispatch.h
@@ -190,14 +190,14 @@
                         const jr_answer_t *answer, int64_t now);
 
 /**
- * jr_dispatch_is_born - may a worker have started at that time?
- * @born: said to be its start time, wall clock, ms
- * @wall_ms: now
+ * jr_dispatch_is_born - can that be the start time of a worker?
+ * @born: wall clock of the worker, ms since 1970
  *
  * The highest start time under an id is the worker's, so one that can't be
- * true would shut it out. Clocks may differ by an hour.
+ * true would shut it out. This host's clock is not asked: it may be the wrong
+ * one.
  */
-bool jr_dispatch_is_born(int64_t born, int64_t wall_ms);
+bool jr_dispatch_is_born(int64_t born);
 
 /**
  * jr_dispatch_checked_in - a worker announced itself
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -471,27 +471,18 @@
     d->is_dirty = true;
 }
 
-/* The time may not be known yet, or be that of an earlier leadership. */
-static bool
-may_be_born(const jr_dispatch_t *d, int64_t incarnation)
-{
-    int64_t age_ms = d->now - d->ticked_at;
-
-    return d->ticked_at == 0 ||
-           jr_dispatch_is_born(incarnation, d->wall_ms + age_ms);
-}
-
 /* An answer that can't be true is none. */
 static jr_answer_kind_t
 kind_of(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
         const jr_answer_t *answer)
 {
     if (answer->kind != JR_ANSWER_DONE ||
-        may_be_born(d, answer->incarnation)) {
+        jr_dispatch_is_born(answer->incarnation)) {
         return answer->kind;
     }
     jr_log(d->ctx, JR_EV_BAD_MESSAGE,
-           "worker=%s answers a renewal with born=%lld, which is to come",
+           "worker=%s answers a renewal with born=%lld, which is no time of a "
+           "start",
            w->worker->info->id, (long long)answer->incarnation);
     return JR_ANSWER_UNKNOWN;
 }
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -20,13 +20,15 @@
     /* Without check-in or answered renewal, of an idle worker. */
     REMOVE_SILENT_MS = 20000,
     PERMILLE = 1000,
-    CLOCKS_DIFFER_MAX_MS = 3600 * 1000, /* of a worker's host and this one */
 };
 
+/* In the year 2248; times in microseconds, and larger numbers, are beyond. */
+static const int64_t BORN_MAX_MS = (int64_t)1 << 43;
+
 bool
-jr_dispatch_is_born(int64_t born, int64_t wall_ms)
+jr_dispatch_is_born(int64_t born)
 {
-    return born <= wall_ms + CLOCKS_DIFFER_MAX_MS;
+    return born <= BORN_MAX_MS;
 }
 
 uint32_t
--- a/src/group/job_request.c
+++ b/src/group/job_request.c
@@ -328,14 +328,12 @@
 static bool
 is_born(jr_group_t *group, const jr_reply_address_t *reply_to, int64_t born)
 {
-    int64_t wall_ms = group->now + group->options.wall_offset;
-
-    if (jr_dispatch_is_born(born, wall_ms)) {
+    if (jr_dispatch_is_born(born)) {
         return true;
     }
     jr_fail(group->ctx, JR_BAD_REQUEST,
-            "worker: 'born' is %lld, and now is %lld; expected no later time",
-            (long long)born, (long long)wall_ms);
+            "worker: 'born' is %lld; expected the time of a start, in ms",
+            (long long)born);
     jr_group_reply_code(group, reply_to, JR_BAD_REQUEST,
                         group->ctx->error.text);
     return false;
