Services that are overdue leave short tasks a part, when all ask for too much

Change: they come before the share of short tasks where there is twice the capacity beside services that all overdue ones need; otherwise short tasks keep half of their share, as far as they ask for it.

--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -7,9 +7,8 @@
  *
  * Short tasks are placed before services, and would take all capacity that
  * becomes free. For a service that has waited long, capacity is reserved on
- * one worker; no other task may use it until the service fits. Up to the share
- * of short tasks, these come before services that have never run; a service
- * that ran before is back within a bounded time, whatever they ask for.
+ * one worker; no other task may use it until the service fits. That is bounded
+ * by the share of short tasks, but not for services that are overdue.
  */
 #include "dispatch.h"
 
@@ -17,11 +16,6 @@
     RESERVE_AFTER_MS = 4500,   /* then capacity is reserved for a service */
     RESTARTED_BONUS_MS = 2500, /* wait credited to a service that ran before */
     RESERVED_PERCENT = 33,     /* reservations, of the number of workers */
-    /*
-     * Then a service that ran before is overdue: no share and no number limits
-     * the reservations for such services. Short tasks take seconds to end.
-     */
-    OVERDUE_AFTER_MS = 4500,
     /*
      * How long a service must wait before it may use capacity that short tasks
      * use, or may need.
@@ -30,13 +24,16 @@
     SPARE_DELAY_MS = 2000, /* otherwise */
     /*
      * After this wait a service may take any free capacity, also if it was
-     * free for less than SPARE_WINDOW_MS.
+     * free for less than SPARE_WINDOW_MS; one that ran before is overdue.
+     * Short tasks, which take seconds to end, go on until it fits.
      */
     TAKE_ANY_AFTER_MS = 6000,
     SPARE_WINDOW_MS = 500, /* after which unused capacity counts as spare */
 };
 
 static const double SHORT_SHARE = JR_SHORT_SHARE_PERCENT / 100.0;
+/* What they keep while services that are overdue lack capacity. */
+static const double SHORT_SHARE_OVERDUE = JR_SHORT_SHARE_PERCENT / 100.0 / 2.0;
 /* Processors kept for short tasks, as a multiple of their peak demand. */
 static const double PEAK_MARGIN = 1.3;
 /* Bounds of these processors, as fractions of all processors. */
@@ -64,8 +61,12 @@
     d->has_short_tasks = now > 0.0;
 }
 
-int64_t
-jr_reserve_left_for_services(const jr_dispatch_t *d, double short_milli)
+/*
+ * Processors that services may take when short tasks keep what they ask for,
+ * up to a share of all.
+ */
+static int64_t
+left_beside(const jr_dispatch_t *d, double short_milli, double share)
 {
     const jr_tracked_worker_t *w;
     double all = 0.0;
@@ -77,7 +78,13 @@
             held += (double)w->services.cpu_milli;
         }
     }
-    return (int64_t)(all - held - MIN(short_milli, SHORT_SHARE * all));
+    return (int64_t)(all - held - MIN(short_milli, share * all));
+}
+
+int64_t
+jr_reserve_left_for_services(const jr_dispatch_t *d, double short_milli)
+{
+    return left_beside(d, short_milli, SHORT_SHARE);
 }
 
 /* Processors of the worker that nothing used for at least a window. */
@@ -222,10 +229,11 @@
            (task->attempt > 0 ? RESTARTED_BONUS_MS : 0);
 }
 
+/* A service that ran before, and should run again soon. */
 static bool
 is_overdue(const jr_dispatch_t *d, const jr_job_task_t *task)
 {
-    return task->attempt > 0 && jr_reserve_waited(d, task) >= OVERDUE_AFTER_MS;
+    return task->attempt > 0 && jr_reserve_waited(d, task) >= RESERVE_AFTER_MS;
 }
 
 /* Would it take capacity that is reserved for services that are overdue? */
@@ -255,22 +263,77 @@
            spare_milli(w) >= need->cpu_milli;
 }
 
+/* Called with each step of services that wait. */
+typedef void for_step_t(void *user, jr_job_t *job, uint32_t s);
+
+static void
+for_waiting_services(jr_dispatch_t *d, for_step_t *call, void *user)
+{
+    jr_job_t *job;
+
+    TAILQ_FOREACH (job, &d->jobs->live, link) {
+        if (job->queue->last_config == NULL) {
+            continue;
+        }
+        for (uint32_t s = 0; s < job->spec->n_steps; s++) {
+            if (job->spec->steps[s]->service && job->steps[s].waiting > 0 &&
+                jr_job_is_step_ready(job, 0, s)) {
+                call(user, job, s);
+            }
+        }
+    }
+}
+
 /* The reservations of a pass. */
 typedef struct {
-    const jr_dispatch_t *d;
+    jr_dispatch_t *d;
     GArray *workers; /* of reservable_t */
     size_t n;
-    size_t most;  /* except of services that are overdue */
-    int64_t left; /* processors for services, beside the share */
-    bool overdue; /* is it the turn of services that are overdue? */
+    size_t most;           /* except of services that are overdue */
+    int64_t left;          /* processors that may be reserved */
+    int64_t overdue_milli; /* that services which are overdue need */
+    bool is_for_overdue;   /* is it their turn? */
 } reservations_t;
 
+static bool
+waits(const reservations_t *reservations, const jr_job_task_t *task)
+{
+    const jr_dispatch_t *d = reservations->d;
+
+    return task->phase == JR_PHASE_WAITING && task->run == NULL &&
+           jr_reserve_waited(d, task) >= RESERVE_AFTER_MS &&
+           is_overdue(d, task) == reservations->is_for_overdue;
+}
+
+static void
+add_overdue(void *user, jr_job_t *job, uint32_t s)
+{
+    reservations_t *reservations = user;
+    const Jr__JobStep *step = job->spec->steps[s];
+
+    for (uint32_t i = 0; i < step->count; i++) {
+        if (waits(reservations, &job->tasks[job->steps[s].first + i])) {
+            reservations->overdue_milli += step->cpu_milli;
+        }
+    }
+}
+
+static bool
+may_reserve(const reservations_t *reservations, const jr_job_task_t *task,
+            const jr_need_t *need)
+{
+    return waits(reservations, task) &&
+           (reservations->is_for_overdue ||
+            reservations->n < reservations->most) &&
+           reservations->left >= need->cpu_milli;
+}
+
 static void
 reserve(reservations_t *reservations, reservable_t *reservable,
         const Jr__JobStep *step, const jr_need_t *need)
 {
     jr_need_add(&reservable->w->reserved, need, 1);
-    if (reservations->overdue) {
+    if (reservations->is_for_overdue) {
         jr_need_add(&reservable->w->overdue, need, 1);
     }
     jr_need_add(&reservable->capacity, need, -1);
@@ -280,25 +343,10 @@
     reservations->n++;
 }
 
-static bool
-may_reserve(const reservations_t *reservations, const jr_job_task_t *task,
-            const jr_need_t *need)
-{
-    const jr_dispatch_t *d = reservations->d;
-
-    if (task->phase != JR_PHASE_WAITING || task->run != NULL ||
-        is_overdue(d, task) != reservations->overdue) {
-        return false;
-    }
-    return reservations->overdue ||
-           (jr_reserve_waited(d, task) >= RESERVE_AFTER_MS &&
-            reservations->n < reservations->most &&
-            reservations->left >= need->cpu_milli);
-}
-
 static void
-reserve_for_step(reservations_t *reservations, jr_job_t *job, uint32_t s)
+reserve_for_step(void *user, jr_job_t *job, uint32_t s)
 {
+    reservations_t *reservations = user;
     const Jr__JobStep *step = job->spec->steps[s];
     jr_need_t need;
 
@@ -319,44 +367,57 @@
     }
 }
 
+/*
+ * Services that are overdue take any capacity beside other services if there
+ * is twice as much as they all need. Otherwise services ask for more than
+ * there is, and short tasks keep a part of their share.
+ */
 static void
-reserve_for_jobs(reservations_t *reservations)
+reserve_for_overdue(reservations_t *reservations)
 {
-    jr_job_t *job;
-
-    TAILQ_FOREACH (job, &reservations->d->jobs->live, link) {
-        if (job->queue->last_config == NULL) {
-            continue;
-        }
-        for (uint32_t s = 0; s < job->spec->n_steps; s++) {
-            if (job->spec->steps[s]->service && job->steps[s].waiting > 0 &&
-                jr_job_is_step_ready(job, 0, s)) {
-                reserve_for_step(reservations, job, s);
-            }
-        }
+    jr_dispatch_t *d = reservations->d;
+
+    reservations->is_for_overdue = true;
+    for_waiting_services(d, add_overdue, reservations);
+    reservations->left = left_beside(d, 0.0, 0.0);
+    if (2 * reservations->overdue_milli > reservations->left) {
+        reservations->left =
+            left_beside(d, d->short_demand.latest, SHORT_SHARE_OVERDUE);
     }
+    for_waiting_services(d, reserve_for_step, reservations);
+    reservations->is_for_overdue = false;
+}
+
+static void
+reserve_for_others(reservations_t *reservations, int64_t reserved_milli)
+{
+    jr_dispatch_t *d = reservations->d;
+
+    reservations->left =
+        jr_reserve_left_for_services(d, d->short_demand.latest) -
+        reserved_milli;
+    for_waiting_services(d, reserve_for_step, reservations);
 }
 
 void
 jr_reserve_for_services(jr_dispatch_t *d)
 {
-    jr_tracked_worker_t *w;
     reservations_t reservations = {
         .d = d,
         .workers = list_reservable(d),
         .most = HASH_COUNT(d->jobs->workers) * RESERVED_PERCENT / 100 + 1,
-        .left = jr_reserve_left_for_services(d, d->short_demand.latest),
-        .overdue = true,
     };
+    int64_t reserved_milli = 0;
+    jr_tracked_worker_t *w;
 
     TAILQ_FOREACH (w, &d->workers, link) {
         w->reserved = (jr_need_t){0};
         w->overdue = (jr_need_t){0};
     }
-    reserve_for_jobs(&reservations);
-    reservations.overdue = false;
-    if (reservations.n < reservations.most) {
-        reserve_for_jobs(&reservations);
+    reserve_for_overdue(&reservations);
+    TAILQ_FOREACH (w, &d->workers, link) {
+        reserved_milli += w->overdue.cpu_milli;
     }
+    reserve_for_others(&reservations, reserved_milli);
     g_array_unref(reservations.workers);
 }
--- a/src/dispatch/reserve_test.cc
+++ b/src/dispatch/reserve_test.cc
@@ -98,6 +98,19 @@
         fleet.Crash(most);
     }
 
+    size_t
+    ShortRunning() const
+    {
+        size_t n = 0;
+
+        for (const FleetWorker &worker : fleet.workers) {
+            for (const auto &[name, run] : worker.running) {
+                n += name.job >= kFirstShortJob;
+            }
+        }
+        return n;
+    }
+
     Fleet fleet;
     uint32_t short_tasks = 0; /* of each job; 0: no jobs come */
     int64_t longest_away_ms = 0;
@@ -189,6 +202,28 @@
     EXPECT_TRUE(load.fleet.violations.empty());
 }
 
+/*
+ * Guards against short tasks that get nothing while services that lost their
+ * worker ask for more than there is: of 12 processors, half of their share.
+ */
+TEST(ReserveTest, ShortTasksKeepAPartWhenServicesAskForMoreThanThereIs)
+{
+    constexpr int kSamples = 200;
+    Load load;
+    size_t sum = 0;
+
+    load.StartServices(16);
+    load.LoseWorker();
+    load.short_tasks = 6;
+    load.Run(12000);
+    for (int i = 0; i < kSamples; i++) {
+        load.Run(100);
+        sum += load.ShortRunning();
+    }
+    EXPECT_GE(sum, kSamples * 12 / 8);
+    EXPECT_TRUE(load.fleet.violations.empty());
+}
+
 /*
  * No service waits for longer than the bound while the workers that are up
  * have the capacity, short tasks aside.
