Best-effort tasks are tried as often as half of the leader's time allows

Cause: 50 examined workers earned a millisecond without another try, though they take a small part of one; with 1,100 workers and 30 images that was a try every half second and more, also when the leader had time. Change: 500 of them earn a millisecond: at 1 us for each, tries take a third of the time at most (PassTest bounds it by a half).

--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -20,7 +20,7 @@
      * Best-effort tasks can wait: so many workers that were examined for them
      * in a pass earn a millisecond without another try.
      */
-    BEST_EFFORT_LOOKS_PER_MS = 50,
+    BEST_EFFORT_LOOKS_PER_MS = 500,
     /* The same for runs that were looked at, as they may give way. */
     ROOM_LOOKS_PER_MS = 100,
 };
