--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -91,7 +91,7 @@
 class Deployment:
     """Three control processes, two gates and executors."""
 
-    def __init__(self, folder, site):
+    def __init__(self, folder, site, n_gates=2):
         self.site = SITES[site]
         self.record = open(os.path.join(folder, "record.txt"), "w")
         self.lock = threading.Lock()
@@ -100,10 +100,10 @@
         self.dir = tempfile.mkdtemp(prefix="jayrelay-review-")
         net = "127.%d.%d." % (random.randint(20, 250), random.randint(1, 250))
         self.controls = [net + str(n) for n in (11, 12, 13)]
-        self.gates = [net + str(n) for n in (21, 22)]
+        self.gates = [net + str(n) for n in range(21, 21 + n_gates)]
         self.net = net
         names = ("bus", "control", "front", "ready", "metrics", "executor")
-        ports = free_ports(self.controls + self.gates + [net + "31"],
+        ports = free_ports(self.controls + self.gates + [net + "91"],
                            len(names))
         self.ports = dict(zip(names, ports))
         self.seeds = ["%s:%d" % (ip, self.ports["control"])
@@ -160,14 +160,14 @@
             path = os.path.join(self.dir, "gate-%d.yaml" % n)
             with open(path, "w") as f:
                 f.write(GATE_YAML.format(
-                    ip=ip, name="edge-%d" % n, zone="z" + "abc"[n],
+                    ip=ip, name="edge-%d" % n, zone="z" + "abc"[n % 3],
                     seeds=seeds, **self.ports))
             self.start("gate-%d" % n, self._program("jayrelay-gate"),
                        "--settings", path)
 
     def start_executors(self, name, numbers):
         """Starts the executors i-N of these numbers in one process."""
-        hosts = ["i-%d=%s%d:%d" % (n, self.net, 30 + n,
+        hosts = ["i-%d=%s%d:%d" % (n, self.net, 90 + n,
                                    self.ports["executor"]) for n in numbers]
         self.start(name, sys.executable, "review/common/executor.py",
                    ",".join(self.seeds), *hosts)
@@ -318,13 +318,13 @@
     }
 
 
-def main(folder, site, case):
+def main(folder, site, case, n_gates=2):
     """Runs case(deployment, trouble), which returns whether the rule held."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     deployment = None
     status = NOT_RUN
     try:
-        deployment = Deployment(folder, site)
+        deployment = Deployment(folder, site, n_gates)
         deployment.note("trouble" if trouble else "no trouble")
         status = HELD if case(deployment, trouble) else BROKEN
         deployment.note("the rule held" if status == HELD
