--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Executors crash one at a time, and what becomes of a job that lasts."""
+"""An executor leaves while it is cut off, and whether its task runs twice."""
 import os
 import sys
 import time
@@ -7,72 +7,55 @@
 sys.path.insert(0, os.path.join(FOLDER, "../common"))
 import deployment  # noqa: E402
 
-EXECUTORS = 8  # one of them is an eighth, below the share of .14
-CRASHES = 4
-DOWN_S = 3.5  # below the 4.5 s of the site file
-CALM_S = 4  # at work before the next crash
-AFTER_S = 12
-JOB = {"spec": "lasts", "steps": [
-    {"count": 3, "cpu": 1000, "mem_mb": 100, "est_runtime_ms": 1000,
+EXECUTORS = 8
+DRAINS_S = 3  # drain_ms and a little longer
+ENDS_S = 3  # after its request, which gets no answer
+JOB = {"spec": "lasts cpu=4000", "steps": [
+    {"count": 3, "cpu": 4000, "mem_mb": 100, "est_runtime_ms": 1000,
      "long_running": True}]}
-PATH = "/q/00000000000000b2"
-TASK = "00000000000000b2.0.0.0"
+PATH = "/q/00000000000000f5"
 
 
-def host_of(d, task):
-    """The number of the executor that the task runs on, or None."""
-    for row in d.runs():
-        if row[1] == task and row[4] is None:
-            if d.processes["executor-" + row[0][2:]].poll() is None:
-                return int(row[0][2:])
-    return None
+def started(d):
+    rows = [row for row in d.runs() if row[4] is None]
+    return rows if len(rows) == JOB["steps"][0]["count"] else None
 
 
-def crash(d, n):
-    name = "executor-%d" % n
-    at = time.monotonic()
-    d.kill(name)
-    # The process can't say so itself: its runs ended with it.
-    with open(os.path.join(d.dir, name + ".log"), "a") as f:
-        for row in d.runs():
-            if row[0] == "i-%d" % n and row[4] is None:
-                f.write("end %s %s %d crashed %.4f -\n"
-                        % (row[0], row[1], row[2], at))
-    time.sleep(DOWN_S)
-    d.start_executor(n)
+def end_of(d, row):
+    return d.now() if row[4] is None else row[4]
 
 
-def watch(d, seconds):
-    """Asks for the state for so long; returns it, or the first failure."""
-    until = time.monotonic() + seconds
-    state = d.state(PATH)
-    while state in ("queued", "running") and time.monotonic() < until:
-        time.sleep(0.5)
-        state = d.state(PATH)
-    return state
+def overlaps(d):
+    """Pairs of runs of one task that were at work at the same time."""
+    rows = d.runs()
+    return [(a, b) for i, a in enumerate(rows) for b in rows[i + 1:]
+            if a[1] == b[1] and b[3] < end_of(d, a)]
 
 
 def case(d, trouble):
     d.start_system()
     d.put_config(deployment.config(3))
-    for n in range(1, EXECUTORS + 1):
-        d.start_executor(n)
+    d.start_executors("executors", range(1, EXECUTORS + 1))
     d.wait_until_ready()
     d.submit(PATH, JOB)
-    state = "running"
-    for _ in range(CRASHES):
-        if state == "failed":
-            break
-        n = d.wait_for(20, "task 0 runs", lambda: host_of(d, TASK))
-        state = watch(d, CALM_S)
-        if trouble:
-            crash(d, n)
-    state = watch(d, AFTER_S)
+    rows = d.wait_for(20, "all tasks have started", lambda: started(d))
+    time.sleep(3)
+    leaving = rows[0][0]
+    d.tell_executors("executors", "drain " + leaving)
+    time.sleep(DRAINS_S)
+    if trouble:
+        d.tell_executors("executors", "cut " + leaving)
+    d.tell_executors("executors", "leave " + leaving)
+    time.sleep(ENDS_S if trouble else 0.1)
+    d.tell_executors("executors", "end " + leaving)
+    time.sleep(10)
     d.note_runs()
-    failed = [row for row in d.runs() if row[5] == "failed"]
-    d.note("state:", state, "- ends `failed`:", len(failed),
-           "- nobody has cancelled the job")
-    return state not in ("failed", "cancelled", "410")
+    pairs = overlaps(d)
+    for a, b in pairs:
+        d.note("TWICE", a[1], "attempt %d on %s from %.3f to %.3f" % (
+            a[2], a[0], a[3], end_of(d, a)), "and attempt %d on %s from %.3f"
+               % (b[2], b[0], b[3]))
+    return not pairs
 
 
 deployment.main(FOLDER, "bergstijl-plan", case)
--- a/review/common/executor.py
+++ b/review/common/executor.py
@@ -12,9 +12,14 @@
 one that waits longer than GANG_TIMEOUT_MS ends alone, and when a member of a
 working gang goes, the others end broken.
 
-Prints a line for each start, end and end that was acknowledged. Takes the
-commands "crash ID" and "begin ID" on standard input: a crashed executor holds
-and knows nothing, and refuses connections; "begin" starts its next life.
+Prints a line for each start, end and end that was acknowledged. Takes
+commands on standard input:
+  crash ID   it holds and knows nothing, and refuses connections
+  begin ID   its next life
+  drain ID   its check-ins say from now on that it drains
+  cut ID     no order reaches it: connections to it are refused; it runs on
+  leave ID   it sends its leave request, and does not get the answer
+  end ID     it has left: what runs there terminates, and the port is closed
 """
 import http.client
 import json
@@ -97,6 +102,8 @@
         self.born = int(time.time() * 1000)
         self.began = time.monotonic()
         self.is_dead = False
+        self.is_cut = False
+        self.state = "ready"
         self.fence = 0
         self.expires_ms = 0
         self.running = {}
@@ -105,6 +112,9 @@
         self.n_ends = 0
         self.seq = 0
 
+    def is_lost(self):
+        return self.is_dead or self.is_cut
+
     def clock_ms(self):
         return int((time.monotonic() - self.began) * 1000) + 1
 
@@ -152,7 +162,7 @@
     def stop(self, body, now):
         self.close_attempt(body["task"], body["attempt"])
         run = self.running.get(body["task"])
-        if run is not None:
+        if run is not None and run.attempt <= body["attempt"]:
             self.end(run, "stopped", now)
         return 200, {}
 
@@ -164,7 +174,7 @@
                     "%.4f" % time.monotonic())
         self.ended = [e for e in self.ended if e[0] > body["ack_cursor"]]
         until = time.monotonic() + body.get("wait_ms", 0) / 1000
-        while (not self.ended and not self.is_dead
+        while (not self.ended and not self.is_lost()
                and time.monotonic() < until):
             LOCK.wait(max(until - time.monotonic(), 0))
         now = time.monotonic()
@@ -218,6 +228,37 @@
         log("life", self.name, self.executor.born,
             "%.4f" % time.monotonic())
 
+    def leave(self):
+        with LOCK:
+            body = json.dumps({"born": self.executor.born})
+        for control in CONTROLS:
+            ip, port = control.split(":")
+            connection = http.client.HTTPConnection(ip, int(port), timeout=1)
+            try:
+                connection.request(
+                    "POST", "/Executors.Deregister/" + self.name, body,
+                    {"Content-Type": "application/json"})
+                log("leave", self.name, control, "%.4f" % time.monotonic(),
+                    "status", connection.getresponse().status)
+                break  # but the answer is lost on its way
+            except (OSError, http.client.HTTPException):
+                continue
+            finally:
+                connection.close()
+
+    def cut(self):
+        with LOCK:
+            self.executor.is_cut = True
+            LOCK.notify_all()
+        self.close_port()
+        log("cut", self.name, "%.4f" % time.monotonic())
+
+    def close_port(self):
+        if self.server is not None:
+            self.server.shutdown()
+            self.server.server_close()
+            self.server = None
+
     def crash(self):
         with LOCK:
             now = time.monotonic()
@@ -229,8 +270,7 @@
                 if run.gang_size > 1:
                     break_gang(run, now)
             LOCK.notify_all()
-        self.server.shutdown()
-        self.server.server_close()
+        self.close_port()
         log("crash", self.name, "%.4f" % time.monotonic())
 
 
@@ -309,9 +349,9 @@
                 status, answer = 421, {}
             else:
                 with LOCK:
-                    status, answer = (0, {}) if executor.is_dead \
+                    status, answer = (0, {}) if executor.is_lost() \
                         else executor.handle(self.path, body)
-                    if executor.is_dead:
+                    if executor.is_lost():
                         status = 0
             if status == 0:
                 self.close_connection = True
@@ -336,7 +376,7 @@
     executor.seq += 1
     ip, port = control.split(":")
     body = {"service": "s", "address": address, "zone": "za",
-            "version": "v1", "slots": 8, "state": "ready",
+            "version": "v1", "slots": 8, "state": executor.state,
             "cold_remaining_ms": 0, "clock_ms": executor.clock_ms(),
             "capacity": {"cpu": CPU_MILLI, "mem_mb": 32000, "gpus": 0},
             "labels": ["a", "r1"], "born": executor.born,
@@ -355,7 +395,7 @@
 
 def send_heartbeats(executor, address):
     index = 0
-    while not executor.is_dead:
+    while not executor.is_lost():
         if check_in(executor, address, CONTROLS[index % len(CONTROLS)]):
             time.sleep(HEARTBEAT_S)
         else:
@@ -366,10 +406,17 @@
 def read_commands():
     for line in sys.stdin:
         command, name = line.split()
-        if command == "crash":
-            HOSTS[name].crash()
+        host = HOSTS[name]
+        if command in ("crash", "end"):
+            host.crash()
         elif command == "begin":
-            HOSTS[name].begin()
+            host.begin()
+        elif command == "drain":
+            host.executor.state = "draining"
+        elif command == "cut":
+            host.cut()
+        elif command == "leave":
+            host.leave()
 
 
 def main():
