--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -18,6 +18,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.realpath(os.path.join(os.path.dirname(__file__), "../.."))
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -333,6 +334,8 @@
         if deployment is not None:
             deployment.note("could not run:", error)
         print("could not run:", error, file=sys.stderr)
+    except Exception:  # a fault of the script shows nothing of the rule
+        traceback.print_exc()
     finally:
         if deployment is not None:
             deployment.close()
