--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,7 +8,7 @@
 import deployment  # noqa: E402
 
 EXECUTORS = 8
-DRAINS_S = 3  # drain_ms and a little longer
+DRAINS_S = 4.5  # a check-in, drain_ms after its ack, and a little longer
 ENDS_S = 3  # after its request, which gets no answer
 JOB = {"spec": "lasts cpu=4000", "steps": [
     {"count": 3, "cpu": 4000, "mem_mb": 100, "est_runtime_ms": 1000,
