A leaving worker keeps its lease, whatever becomes of the connection

A worker drains, asks to leave and is cut off so that connections to it are refused; its task starts elsewhere 0.1 s later and runs twice for 3 s. Where the cut is silent, the same 4.1 s after the request.

Cause: jr_renewal_answer() took a refused connection of a leaving worker for its end, and has_left() its silence. A cut does both, and how long a worker runs on without an acknowledgement is not known.

Change: only listed ends, the end of the incarnation and that of the lease release a run. So that a planned leave does not wait out 7.1 s, a draining worker gets leases of 3 s, renewed four times as often or more, and a leaving one no more at all: of the lease that it had when it began to drain, 5.3 s at most are left after drain_ms (2 s at least on all sites), on the slowest clock.

Five tests of worker_test said that a refused connection, or silence, is an end, which is the fault. They are replaced: the task is released when the lease has ended, no sooner and at most 0.1 s later, and a request to leave stops the lease from being extended; all five are red on the earlier code. ALeaveRequestOfAnEarlierIncarnationIsIgnored checks the lease as well.

--- a/include/jayrelay/dispatch.h
+++ b/include/jayrelay/dispatch.h
@@ -103,8 +103,8 @@
 
 /**
  * struct jr_answer_t - the answer to an order; borrowed
- * @is_refused: of JR_ANSWER_UNREACHED: nothing listens at the address; else
- * the worker may be running and cut off
+ * @is_refused: of JR_ANSWER_UNREACHED: the connection was refused at once. The
+ * worker may be running in either case, and cut off
  * @clock_ms: clock of the worker when it answered, 0 when not given
  * @incarnation: start time of the worker's incarnation, 0 when not given
  * @running: of a renewal: runs on the worker
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -309,6 +309,9 @@
 /* Of the lease that the worker confirmed last, at least; below 0: expired. */
 int64_t jr_tracked_worker_lease_left_ms(const jr_dispatch_t *d,
                                         const jr_tracked_worker_t *w);
+/* Length of the leases that it gets; shorter while it drains. */
+int64_t jr_tracked_worker_lease_ms(const jr_dispatch_t *d,
+                                   const jr_tracked_worker_t *w);
 /* End of a lease that starts now, on the worker's clock; 0: unknown. */
 int64_t jr_tracked_worker_lease_end(jr_dispatch_t *d, jr_tracked_worker_t *w);
 /*
--- a/src/dispatch/dispatch_history_test.cc
+++ b/src/dispatch/dispatch_history_test.cc
@@ -284,6 +284,20 @@
     ExpectNoViolations(AddChurn);
 }
 
+/*
+ * Guards against a refused connection being taken for the end of a worker that
+ * leaves: where it is cut off, its tasks run on.
+ */
+TEST(DispatchHistoryTest, TasksBehindCutsThatRefuseAreNotDuplicatedOrLost)
+{
+    ExpectNoViolations([](Fleet *fleet) {
+        AddChurn(fleet);
+        fleet->cuts_refuse = true;
+        fleet->faults.late = 0;
+        fleet->task_ms = LONG_TASK_MS;
+    });
+}
+
 /* Guards against a leader that takes its own silence for that of workers. */
 TEST(DispatchHistoryTest, TasksOfAStalledLeaderAreNotDuplicatedOrLost)
 {
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -596,7 +596,12 @@
         return; /* it arrives when the partition is over */
     }
     sent.is_processed = true;
-    if (worker.is_partitioned) {
+    if (worker.is_partitioned && cuts_refuse) {
+        sent.answer = JR_ANSWER_UNREACHED;
+        sent.is_refused = true;
+        sent.answer_at = now;
+    }
+    else if (worker.is_partitioned) {
         sent.answer = Chance(50) ? JR_ANSWER_UNREACHED : JR_ANSWER_UNKNOWN;
         sent.answer_at = LostAnswerAt(now, sent.answer);
     }
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -219,6 +219,7 @@
     bool ignores_leases = false;
     bool ignores_tombstones = false;
     bool forgets_drains = false; /* of zones, as if not in the log */
+    bool cuts_refuse = false;    /* connections into a partition are refused */
     /* Report also what a start sent to an earlier incarnation begins. */
     bool checks_stale_starts = false;
     /*
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -6,6 +6,7 @@
 enum {
     ENDED_ROWS_MAX = 500, /* most ends that a worker lists at a time */
     LEFT_WAIT_MS = 250,   /* longest wait of a renewal for a leaving worker */
+    DRAIN_WAIT_MS = 500,  /* the same while it drains: its lease is short */
     BACKOFF_MIN_MS = 250, /* first delay after a failed renewal; doubles */
     BACKOFF_MAX_MS = 2000,
     RENEWAL_LATE_MS = 100, /* many turns of a leader that has time */
@@ -23,8 +24,8 @@
 awaits_log(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
 {
     return w->is_end_pending &&
-           (w->clock_at == 0 ||
-            jr_tracked_worker_lease_left_ms(d, w) > d->lease_ms / 2);
+           (w->clock_at == 0 || jr_tracked_worker_lease_left_ms(d, w) >
+                                    jr_tracked_worker_lease_ms(d, w) / 2);
 }
 
 bool
@@ -40,26 +41,47 @@
     return d->now - w->renewal_at > RENEWAL_LATE_MS;
 }
 
+/* How long the worker may wait for an end before it answers. */
+static int64_t
+renewal_wait_ms(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
+{
+    int64_t wait_ms = d->options.hold_wait_ms;
+
+    if (!w->is_synced || w->suspect_at != 0) {
+        return 0;
+    }
+    if (jr_guard_is_needed(w)) {
+        wait_ms = MIN(wait_ms, jr_guard_wait_ms(d, w));
+    }
+    if (w->is_draining) {
+        wait_ms = MIN(wait_ms, DRAIN_WAIT_MS);
+    }
+    if (w->left_at != 0) {
+        wait_ms = MIN(wait_ms, LEFT_WAIT_MS);
+    }
+    return wait_ms;
+}
+
+/*
+ * A suspect worker may never get the order: if each attempt extended the
+ * lease, it would never expire. A worker that leaves needs no more.
+ */
+static bool
+extends_lease(const jr_tracked_worker_t *w)
+{
+    return w->suspect_at == 0 && !w->is_leaving;
+}
+
 void
 jr_renewal_order(jr_dispatch_t *d, jr_tracked_worker_t *w, jr_order_t *order)
 {
-    bool may_wait = w->is_synced && w->suspect_at == 0;
-    int64_t longest_ms = jr_guard_is_needed(w) ? MIN(jr_guard_wait_ms(d, w),
-                                                     d->options.hold_wait_ms)
-                                               : d->options.hold_wait_ms;
-    int64_t patience_ms =
-        w->left_at != 0 ? MIN(longest_ms, LEFT_WAIT_MS) : longest_ms;
-    int64_t wait_ms = may_wait ? patience_ms : 0;
+    int64_t wait_ms = renewal_wait_ms(d, w);
     bool is_logged_incarnation = w->worker->info->born == w->incarnation;
 
     *order = (jr_order_t){
         .kind = JR_ORDER_RENEW,
         .timeout_ms = JR_ANSWER_TIMEOUT_MS + wait_ms,
-        /*
-         * A suspect worker may never get the order. If each attempt extended
-         * the lease, the lease would never expire.
-         */
-        .as.renew = {.expires_ms = w->suspect_at == 0
+        .as.renew = {.expires_ms = extends_lease(w)
                                        ? jr_tracked_worker_lease_end(d, w)
                                        : 0,
                      .ends_seen = is_logged_incarnation
@@ -533,15 +555,6 @@
     case JR_ANSWER_OTHER_INCARNATION:
         jr_tracked_worker_end(d, w);
         break;
-    case JR_ANSWER_UNREACHED:
-        /* A worker that leaves may run on behind a network partition. */
-        if (w->is_leaving && answer->is_refused) {
-            jr_tracked_worker_end(d, w);
-            break;
-        }
-        jr_tracked_worker_suspect(d, w);
-        back_off(d, w);
-        break;
     case JR_ANSWER_FENCED:
         jr_log(d->ctx, JR_EV_FENCED, "worker=%s fence=%llu",
                w->worker->info->id,
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -10,12 +10,11 @@
      * task.
      */
     ANSWER_AGE_MAX_MS = 3000,
-    LEFT_SILENT_MS = 3000, /* of a worker that said that it leaves */
     /*
-     * Longest time that such a worker runs on, from its request. Then it has
-     * ended, also if nothing refuses connections.
+     * Of the leases of a worker that drains: it may leave unheard, and its
+     * tasks wait for the rest. It outlasts a change of the leader.
      */
-    LEFT_EXIT_MS = 4100,
+    DRAIN_LEASE_MS = 3000,
     FENCE_EPOCH_BITS = 20, /* leaves 33 bits of 53 for the term */
     /* Without check-in or answered renewal, of an idle worker. */
     REMOVE_SILENT_MS = 20000,
@@ -234,6 +233,13 @@
     }
 }
 
+int64_t
+jr_tracked_worker_lease_ms(const jr_dispatch_t *d,
+                           const jr_tracked_worker_t *w)
+{
+    return w->is_draining ? MIN(d->lease_ms, DRAIN_LEASE_MS) : d->lease_ms;
+}
+
 int64_t
 jr_tracked_worker_lease_end(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
@@ -242,7 +248,7 @@
     if (w->clock_at == 0) {
         return 0;
     }
-    end = min_clock(d, w) + d->lease_ms;
+    end = min_clock(d, w) + jr_tracked_worker_lease_ms(d, w);
     w->expires_max_ms = MAX(w->expires_max_ms, end);
     return end;
 }
@@ -395,27 +401,12 @@
     w->checked_in_at = d->now; /* do not repeat the proposal at once */
 }
 
-/*
- * A host may be switched off with its worker: then nothing refuses. An order
- * has to have failed, as this process may have been the silent one.
- */
-static bool
-has_left(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
-{
-    return w->left_at != 0 && w->suspect_at != 0 &&
-           d->now - w->left_at >= LEFT_EXIT_MS &&
-           d->now - w->answered_at >= LEFT_SILENT_MS;
-}
-
 void
 jr_tracked_worker_tick(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
     int64_t heard_at = MAX(w->checked_in_at, w->answered_at);
     bool is_lost = d->now - heard_at > REMOVE_SILENT_MS;
 
-    if (has_left(d, w)) {
-        jr_tracked_worker_end(d, w);
-    }
     if ((!TAILQ_EMPTY(&w->runs) || w->listed_orphans->len > 0) &&
         has_lapsed(d, w) && is_silent(d, w)) {
         lapse(d, w);
--- a/src/dispatch/worker_test.cc
+++ b/src/dispatch/worker_test.cc
@@ -13,13 +13,14 @@
 
 constexpr int64_t kLeaseMs = 6000;
 constexpr int64_t kShorterFailoverMs = 5800; /* leases of 3 s at most */
-constexpr int64_t kLeftExitMs = 4100; /* a leaving worker has ended then */
 constexpr int64_t kDriftPermille = 20;
 constexpr int64_t kWaitMs = 2000;
 constexpr int64_t kOrderAgeMs = 700;
 constexpr int64_t kTickMs = 10;
+constexpr int64_t kSlackMs = 100; /* margins of the leader, and its ticks */
 constexpr int64_t kWorkerStartedMs = 400;
-constexpr int64_t kBorn = 2; /* its start time, on another clock */
+constexpr int64_t kPauseMs = 4110; /* of a leader; shorter than a lease */
+constexpr int64_t kBorn = 2;       /* its start time, on another clock */
 
 /* A worker whose clock is as slow as allowed. */
 struct Worker {
@@ -248,6 +249,39 @@
         return jr_jobs_task(second_.jobs, &name)->phase == JR_PHASE_GRANTED;
     }
 
+    /* By the renewals of some seconds, which the worker answers? */
+    bool
+    IsLeaseExtended(Replica &leader)
+    {
+        int64_t expires_ms = worker_.expires_ms;
+
+        for (int64_t end = now_ + kWaitMs; now_ < end;) {
+            Tick(leader);
+            ExecuteOrders(leader);
+        }
+        return worker_.expires_ms > expires_ms;
+    }
+
+    /* The task is released when the lease of its worker has ended: no sooner,
+     * and soon after. */
+    void
+    ExpectReleaseAtLapse(bool is_refused)
+    {
+        int64_t longest_ms = kLeaseMs * 1000 / (1000 - kDriftPermille);
+        int64_t last_at = now_ + longest_ms + kSlackMs;
+        int64_t lapsed_at = 0;
+
+        while (IsGranted() && now_ <= last_at) {
+            LoseConnections(first_, kTickMs, is_refused);
+            if (lapsed_at == 0 && worker_.HasLapsed(now_)) {
+                lapsed_at = now_;
+            }
+        }
+        EXPECT_FALSE(IsGranted());
+        ASSERT_NE(lapsed_at, 0);
+        EXPECT_LE(now_, lapsed_at + kSlackMs);
+    }
+
     int64_t now_ = 1000;
     Worker worker_;
     Replica first_;
@@ -420,36 +454,35 @@
     }
 }
 
-TEST_F(WorkerTest, ALeavingWorkerThatClosedItsPortHasEnded)
+/*
+ * Guards against a task that is started elsewhere because connections to its
+ * worker, which leaves, are refused: a network partition may refuse them too.
+ */
+TEST_F(WorkerTest, ALeavingWorkerThatRefusesConnectionsKeepsItsLease)
 {
     StartTask();
+    CheckIn(true);
     jr_dispatch_left(first_.dispatch, "w0", kBorn, now_);
-    LoseConnections(first_, 100, true);
-    EXPECT_FALSE(IsGranted());
+    ExpectReleaseAtLapse(true);
 }
 
 /*
- * Guards against tasks that wait for a whole lease when a worker leaves and
- * its host is switched off, so that connections time out and none is refused.
+ * Guards against the same where nothing answers: how long a worker runs on
+ * after its request is not known.
  */
-TEST_F(WorkerTest, ALeavingWorkerThatFallsSilentHasEnded)
+TEST_F(WorkerTest, ALeavingWorkerThatFallsSilentKeepsItsLease)
 {
     StartTask();
-    jr_dispatch_left(first_.dispatch, "w0", 0, now_);
-    LoseConnections(first_, kLeftExitMs - kTickMs);
-    EXPECT_TRUE(IsGranted());
-    LoseConnections(first_, 3 * kTickMs);
-    EXPECT_FALSE(IsGranted());
-    EXPECT_FALSE(worker_.HasLapsed(now_));
+    jr_dispatch_left(first_.dispatch, "w0", kBorn, now_);
+    ExpectReleaseAtLapse(false);
 }
 
 /*
  * Guards against a check-in that was delayed and takes back the leave request:
- * the tasks would wait for a whole lease.
+ * the lease would be extended, and the tasks would wait for its end.
  */
 TEST_F(WorkerTest, ALateCheckInDoesNotTakeBackALeaveRequest)
 {
-    Jr__JobWorker *info;
     Jr__JobCommand *command;
     Bytes bytes = PackWorker(worker_.id, kBorn, false, now_);
 
@@ -457,11 +490,10 @@
     CheckIn(true);
     jr_dispatch_left(first_.dispatch, "w0", 0, now_);
     command = jr__job_command__unpack(nullptr, bytes.size(), bytes.data());
-    info = command->worker;
-    jr_dispatch_checked_in(first_.dispatch, info, now_);
+    jr_dispatch_checked_in(first_.dispatch, command->worker, now_);
     jr__job_command__free_unpacked(command, nullptr);
-    LoseConnections(first_, kLeftExitMs + 2 * kTickMs);
-    EXPECT_FALSE(IsGranted());
+    EXPECT_FALSE(IsLeaseExtended(first_));
+    ExpectReleaseAtLapse(true);
 }
 
 /*
@@ -472,7 +504,7 @@
 {
     StartTask();
     jr_dispatch_left(first_.dispatch, "w0", kBorn, now_);
-    now_ += kLeftExitMs + kTickMs;
+    now_ += kPauseMs;
     Tick(first_);
     EXPECT_TRUE(IsGranted());
     ExecuteOrders(first_);
@@ -501,8 +533,7 @@
     CheckIn(true); /* a delayed one does not take it back */
     jr_dispatch_resign(first_.dispatch);
     jr_dispatch_lead(second_.dispatch, 2, now_);
-    LoseConnections(second_, 100, true);
-    EXPECT_FALSE(IsGranted());
+    EXPECT_FALSE(IsLeaseExtended(second_));
 }
 
 /* Guards against a late leave request ending a worker that has restarted
@@ -511,6 +542,7 @@
 {
     StartTask();
     jr_dispatch_left(first_.dispatch, "w0", kBorn - 1, now_);
+    EXPECT_TRUE(IsLeaseExtended(first_));
     LoseConnections(first_, 100, true);
     EXPECT_TRUE(IsGranted());
 }
@@ -523,12 +555,10 @@
 {
     StartTask();
     jr_dispatch_left(first_.dispatch, "w0", 0, now_);
-    LoseConnections(first_, 100, true);
-    EXPECT_TRUE(IsGranted());
+    EXPECT_TRUE(IsLeaseExtended(first_));
     CheckIn(true);
     jr_dispatch_left(first_.dispatch, "w0", 0, now_);
-    LoseConnections(first_, 100, true);
-    EXPECT_FALSE(IsGranted());
+    EXPECT_FALSE(IsLeaseExtended(first_));
 }
 
 /*
