Services move before a worker that drains leaves

Cause: only the end of the lease says that the runs of a worker are over which left and can't be reached.

Change: in each pass, services on workers that drain are stopped if another worker would take them at once; they start there, with the end in a list. No more of them are under way at a time than workers have room. A service that fits nowhere else runs on until its worker leaves.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -77,6 +77,8 @@
     X(THROTTLES, "throttles_total", "tasks throttled")                        \
     X(EVICTIONS, "evictions_total", "tasks evicted")                          \
     X(MOVES, "moves_total", "fillers moved away from services")               \
+    X(SERVICE_MOVES, "service_moves_total",                                   \
+      "services moved away from workers that drain")                          \
     X(PACES, "paces_total", "changes of the pace of a filler")                \
     X(QUARANTINES, "quarantines_total", "workers quarantined")                \
     X(WORKERS_SLOW, "workers_slow_total", "workers found to be slow")         \
--- a/include/jayrelay/event.h
+++ b/include/jayrelay/event.h
@@ -54,6 +54,7 @@
     X(FILLER_STOPPED, 515, 6, "filler-stopped")                               \
     X(FILLER_MOVED, 518, 6, "filler-moved")                                   \
     X(FILLER_PACED, 517, 6, "filler-paced")                                   \
+    X(SERVICE_MOVED, 524, 6, "service-moved")                                 \
     X(ORDER_FAILED, 514, 5, "order-failed")                                   \
     X(JOB_ANSWERED, 520, 6, "job-answered")                                   \
     X(JOB_ENDED, 521, 6, "job-ended")                                         \
--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -514,6 +514,26 @@
     return best.place != NULL ? best.place->w : NULL;
 }
 
+jr_tracked_worker_t *
+jr_choose_other(jr_dispatch_t *d, const jr_run_t *run)
+{
+    const Jr__JobStep *step = jr_task_step(run->task);
+    jr_tracked_worker_t *other;
+    jr_shape_t shape;
+    jr_need_t need;
+
+    jr_need_of(step, &need);
+    shape = jr_shape_of(d, run->task, &need);
+    if (jr_shapes_has(d->shapes, &shape)) {
+        return NULL;
+    }
+    other = jr_choose_worker(d, run->task, &need);
+    if (other == NULL) {
+        jr_shapes_add(d->shapes, step, &shape);
+    }
+    return other != run->worker ? other : NULL;
+}
+
 struct jr_ranking {
     jr_dispatch_t *d;
     request_t request;
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -344,6 +344,12 @@
 /* A run ended on the worker. */
 void jr_drain_on_run_ended(jr_dispatch_t *d, const jr_tracked_worker_t *w);
 
+/*
+ * leave.c: services of workers that drain.
+ */
+/* In a pass: stop some of those for which others have capacity. */
+void jr_leave_move_services(jr_dispatch_t *d);
+
 /* hold.c: lease renewals, and the lists of runs and ends in the answers. */
 bool jr_renewal_is_due(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
 void jr_renewal_order(jr_dispatch_t *d, jr_tracked_worker_t *w,
@@ -508,7 +514,10 @@
                                const jr_tracked_worker_t *w,
                                const jr_job_task_t *task,
                                const jr_need_t *need);
-/* Waiting time of a service; a restarted one gets a bonus. */
+/*
+ * Waiting time of a service; a restarted one gets a bonus. Of one that runs:
+ * if it were stopped now.
+ */
 int64_t jr_reserve_waited(const jr_dispatch_t *d, const jr_job_task_t *task);
 
 /*
@@ -582,6 +591,8 @@
 jr_tracked_worker_t *jr_choose_worker(jr_dispatch_t *d,
                                       const jr_job_task_t *task,
                                       const jr_need_t *need);
+/* Another worker for the task of the run in this pass, or NULL. */
+jr_tracked_worker_t *jr_choose_other(jr_dispatch_t *d, const jr_run_t *run);
 /*
  * The workers by their cost for the tasks of one step, which do not differ:
  * each choice costs one worker's evaluation, not that of all. It is valid
--- a/src/dispatch/pace.c
+++ b/src/dispatch/pace.c
@@ -210,22 +210,11 @@
 move(jr_dispatch_t *d, jr_run_t *run)
 {
     const jr_tracked_worker_t *w = run->worker;
-    const jr_tracked_worker_t *other;
+    const jr_tracked_worker_t *other = jr_choose_other(d, run);
     char text[JR_RUN_TEXT_BYTES];
-    jr_shape_t shape;
-    jr_need_t need;
 
     run->slowed_ms = 0;
-    jr_need_of(jr_task_step(run->task), &need);
-    shape = jr_shape_of(d, run->task, &need);
-    if (jr_shapes_has(d->shapes, &shape)) {
-        return false;
-    }
-    other = jr_choose_worker(d, run->task, &need);
     if (other == NULL) {
-        jr_shapes_add(d->shapes, jr_task_step(run->task), &shape);
-    }
-    if (other == NULL || other == w) {
         return false;
     }
     jr_count(d->ctx, JR_C_MOVES);
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -251,6 +251,9 @@
 int64_t
 jr_reserve_waited(const jr_dispatch_t *d, const jr_job_task_t *task)
 {
+    if (task->run != NULL && task->run->state == JR_RUN_RUNNING) {
+        return RESTARTED_BONUS_MS;
+    }
     return d->wall_ms - task->waiting_since +
            (task->attempt > 0 ? RESTARTED_BONUS_MS : 0);
 }
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -480,6 +480,7 @@
     jr_reserve_for_services(d);
     jr_places_refresh(d);
     place_all(d, candidates);
+    jr_leave_move_services(d);
     if (d->is_best_effort_turn) {
         jr_pace_move_slowed(d);
         d->best_effort_due_at =
