A job finds its queue whatever the case of its host

A job whose Host differs in case from the route is answered 200 and never runs.

Cause: jr_jobs_route() compares hosts without regard to case, jr_job_insert() looked the queue up by the host as the client wrote it and made a queue without a configuration; jobs of such queues are passed over.

Change: the key of a queue has the host in lower case. A configuration that spells a host otherwise keeps its queue and its jobs as well.

--- a/src/job/job_test.cc
+++ b/src/job/job_test.cc
@@ -41,7 +41,7 @@
     }
 
     void
-    Configure(uint64_t version, const char *prefix)
+    Configure(uint64_t version, const char *prefix, const char *host = "h")
     {
         Jr__JobCommand command = JR__JOB_COMMAND__INIT;
         Jr__JobConfig config = JR__JOB_CONFIG__INIT;
@@ -49,7 +49,7 @@
         Jr__JobQueue *queues[] = {&queue};
         std::string text = "text " + std::to_string(version) + prefix;
 
-        queue.host = const_cast<char *>("h");
+        queue.host = const_cast<char *>(host);
         queue.prefix = const_cast<char *>(prefix);
         queue.service = const_cast<char *>("s");
         queue.max_failures = 2;
@@ -574,6 +574,25 @@
     EXPECT_NE(jr_jobs_route(jobs_, "h", "/new/x", &rest), nullptr);
 }
 
+/*
+ * Guards against an accepted job that never runs: its client writes the host
+ * in another case than the configuration, which finds the queue all the same.
+ */
+TEST_F(JobTest, AJobFindsItsQueueWhateverTheCaseOfTheHost)
+{
+    const char *rest;
+    jr_job_queue_t *queue;
+
+    Configure(2, "/q/", "H");
+    queue = jr_jobs_route(jobs_, "h", "/q/1", &rest);
+    ASSERT_NE(queue, nullptr);
+    Submit(1, 1); /* for the host "h" */
+    EXPECT_EQ(jr_jobs_find(jobs_, 1)->queue, queue);
+    EXPECT_NE(queue->config, nullptr);
+    Configure(3, "/q/"); /* spelled as before */
+    EXPECT_EQ(jr_jobs_find(jobs_, 1)->queue->config, jobs_->config->queues[0]);
+}
+
 TEST_F(JobTest, ASnapshotHoldsEverything)
 {
     jr_jobs_t *copy = jr_new_jobs(ctx_);
--- a/src/job/jobs.c
+++ b/src/job/jobs.c
@@ -97,10 +97,14 @@
     return true;
 }
 
+/* Names of hosts do not depend on the case of their letters. */
 static char *
 queue_key(char *buf, const char *host, const char *prefix)
 {
     snprintf(buf, KEY_BYTES, "%s\n%s", host, prefix);
+    for (char *c = buf; *c != '\0' && *c != '\n'; c++) {
+        *c = (char)tolower((unsigned char)*c);
+    }
     return buf;
 }
 
