--- a/tests/jobs_test.sh
+++ b/tests/jobs_test.sh
@@ -418,6 +418,7 @@
 import sys
 fields = {"service": '"s"', "address": '"127.0.0.41:9"', "zone": '"z"',
           "version": '"v1"', "slots": "8", "state": '"ready"',
+          "cold_remaining_ms": "0",
           "capacity": '{"cpu":4000,"mem_mb":1000,"gpus":0}',
           "labels": '["a"]', "born": "1700000000000", "machine": '"m"',
           "seq": "1"}
