A check-in for a service that is not configured restarts no worker

Cause: any service was accepted for a known worker, and the later born then ended its incarnation.

Change: the leader answers 400 to a check-in that moves a known worker to a service that the configuration does not name. One that keeps its service, and one of an unknown worker, are accepted as before.

GroupTest.ACheckInForAnUnknownServiceRestartsNoWorker red before, green now.

--- a/src/group/group_test.cc
+++ b/src/group/group_test.cc
@@ -82,7 +82,7 @@
     }
 
     void
-    CheckIn(bool is_draining, int64_t born = 1)
+    CheckIn(bool is_draining, int64_t born = 1, const char *service = "s")
     {
         Jr__JobWorker info = JR__JOB_WORKER__INIT;
         Jr__Request request = JR__REQUEST__INIT;
@@ -90,6 +90,7 @@
 
         info.id = const_cast<char *>("w0");
         info.born = born;
+        info.service = const_cast<char *>(service);
         info.address = const_cast<char *>("10.0.0.1:1");
         info.cpu_milli = 1000;
         info.draining = is_draining;
@@ -99,6 +100,29 @@
         jr_group_pump(group_, now_);
     }
 
+    /* With one service. */
+    void
+    Configure(const char *service)
+    {
+        Jr__JobService row = JR__JOB_SERVICE__INIT;
+        Jr__JobService *rows[] = {&row};
+        Jr__JobConfig config = JR__JOB_CONFIG__INIT;
+        Jr__JobCommand command = JR__JOB_COMMAND__INIT;
+        Jr__Request request = JR__REQUEST__INIT;
+        jr_reply_address_t reply_to = {};
+
+        row.name = const_cast<char *>(service);
+        config.version = 1;
+        config.n_services = 1;
+        config.services = rows;
+        command.body_case = JR__JOB_COMMAND__BODY_CONFIG;
+        command.config = &config;
+        request.body_case = JR__REQUEST__BODY_JOB_COMMAND;
+        request.job_command = &command;
+        jr_group_request(group_, &reply_to, &request, now_);
+        jr_group_pump(group_, now_);
+    }
+
     void
     Leave(int64_t born)
     {
@@ -244,6 +268,29 @@
     EXPECT_TRUE(worker->info->draining);
 }
 
+/*
+ * Guards against tasks that run twice after a check-in of another writer under
+ * the id of a worker: it names an unknown service, and was taken for a
+ * restart.
+ */
+TEST_F(GroupTest, ACheckInForAnUnknownServiceRestartsNoWorker)
+{
+    const jr_job_worker_t *worker;
+
+    Configure("t");
+    CheckIn(false, 1, "s"); /* not configured yet, or not any more */
+    CheckIn(false, 2, "nobody");
+    EXPECT_EQ(codes_, (std::vector<uint32_t>{JR_OK, JR_OK, JR_BAD_REQUEST}));
+    worker = jr_jobs_worker(jr_group_jobs(group_), "w0");
+    ASSERT_NE(worker, nullptr);
+    EXPECT_EQ(worker->info->born, 1);
+    codes_.clear();
+    CheckIn(true, 1, "s");
+    CheckIn(false, 3, "t"); /* it was moved */
+    EXPECT_EQ(codes_, (std::vector<uint32_t>{JR_OK, JR_OK}));
+    EXPECT_EQ(worker->info->born, 3);
+}
+
 /* Guards against a leader whose clock is years behind and refuses workers. */
 TEST_F(GroupTest, TheLeadersClockRefusesNoWorker)
 {
--- a/src/group/job_request.c
+++ b/src/group/job_request.c
@@ -339,6 +339,42 @@
     return false;
 }
 
+static bool
+has_service(const Jr__JobConfig *config, const char *service)
+{
+    for (size_t i = 0; i < config->n_services; i++) {
+        if (strcmp(config->services[i]->name, service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Another writer may use the id of a worker, and name a service that there is
+ * not: the worker has not restarted. Says so, if it is such a check-in.
+ */
+static bool
+is_of_worker(jr_group_t *group, const jr_reply_address_t *reply_to,
+             const Jr__JobWorker *info)
+{
+    jr_jobs_t *jobs = group->as.jobs.jobs;
+    const jr_job_worker_t *known = jr_jobs_worker(jobs, info->id);
+
+    if (known == NULL || jobs->config == NULL ||
+        strcmp(known->info->service, info->service) == 0 ||
+        has_service(jobs->config, info->service)) {
+        return true;
+    }
+    jr_fail(group->ctx, JR_BAD_REQUEST,
+            "worker: 'service' is '%.40s', which is not configured; the "
+            "worker of that id is of '%.40s'",
+            info->service, known->info->service);
+    jr_group_reply_code(group, reply_to, JR_BAD_REQUEST,
+                        group->ctx->error.text);
+    return false;
+}
+
 static void
 on_worker(jr_group_t *group, const jr_reply_address_t *reply_to,
           Jr__JobWorker *info)
@@ -346,7 +382,8 @@
     Jr__JobCommand command = JR__JOB_COMMAND__INIT;
 
     jr_count(group->ctx, JR_C_HEARTBEATS);
-    if (!is_born(group, reply_to, info->born)) {
+    if (!is_born(group, reply_to, info->born) ||
+        !is_of_worker(group, reply_to, info)) {
         return;
     }
     if (!jr_dispatch_checked_in(group->as.jobs.dispatch, info, group->now)) {
