The members of a gang are started with one checkpoint

After a crash of one worker the members of a gang end alone every 3 s, and the job never ends.

Cause: each task kept the checkpoint of its own last run, and the start orders of the members carried different ones.

Change: the end or the release of a member sets the checkpoint of all members, in the log.

--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -179,6 +179,26 @@
     return task->is_done ? JR_PHASE_DONE : JR_PHASE_WAITING;
 }
 
+/*
+ * The checkpoint of any member of a gang is valid for all of them, and they
+ * work only if they are started with the same one.
+ */
+static void
+set_checkpoint(jr_jobs_t *jobs, jr_job_task_t *task, const char *checkpoint)
+{
+    const Jr__JobStep *step = jr_task_step(task);
+    jr_job_task_t *members =
+        &task->job->tasks[jr_task_step_progress(task)->first];
+
+    if (!step->gang) {
+        jr_set_text(jobs->ctx, &task->checkpoint, checkpoint);
+        return;
+    }
+    for (uint32_t i = 0; i < step->count; i++) {
+        jr_set_text(jobs->ctx, &members[i].checkpoint, checkpoint);
+    }
+}
+
 /*
  * End a run: the task waits again, unless it is done or its job has ended. The
  * caller notifies, then calls end_job_if_done().
@@ -195,7 +215,7 @@
     task->waiting_since = jobs->now;
     if (*checkpoint != '\0' &&
         strlen(checkpoint) <= JR_JOB_CHECKPOINT_MAX_BYTES) {
-        jr_set_text(jobs->ctx, &task->checkpoint, checkpoint);
+        set_checkpoint(jobs, task, checkpoint);
     }
     job->began |= began;
     if (began && job->state == JR_JOB_QUEUED) {
--- a/src/job/job_test.cc
+++ b/src/job/job_test.cc
@@ -153,7 +153,8 @@
     }
 
     void
-    End(uint64_t job, uint32_t index, uint32_t attempt, Jr__JobEnd__How how)
+    End(uint64_t job, uint32_t index, uint32_t attempt, Jr__JobEnd__How how,
+        const char *checkpoint = "")
     {
         Jr__JobCommand command = JR__JOB_COMMAND__INIT;
         Jr__JobEnds ends = JR__JOB_ENDS__INIT;
@@ -163,6 +164,7 @@
 
         end.run = &run;
         end.how = how;
+        end.checkpoint = const_cast<char *>(checkpoint);
         ends.worker = const_cast<char *>("w");
         ends.born = 1;
         ends.up_to = ++number_;
@@ -201,7 +203,7 @@
 
     void
     Release(uint64_t job, uint32_t index, uint32_t attempt,
-            int64_t crashed_after_ms = 0)
+            int64_t crashed_after_ms = 0, const char *checkpoint = "")
     {
         Jr__JobCommand command = JR__JOB_COMMAND__INIT;
         Jr__JobReleases releases = JR__JOB_RELEASES__INIT;
@@ -211,6 +213,7 @@
 
         release.run = &run;
         release.crashed_after_ms = crashed_after_ms;
+        release.checkpoint = const_cast<char *>(checkpoint);
         releases.n_releases = 1;
         releases.releases = rows;
         command.body_case = JR__JOB_COMMAND__BODY_RELEASES;
@@ -523,6 +526,28 @@
     EXPECT_TRUE(jr_job_is_live(jr_jobs_find(jobs_, 1)));
 }
 
+/*
+ * Guards against a gang that never works again after a crash: its members were
+ * started with the checkpoints of their own runs, which differ.
+ */
+TEST_F(JobTest, TheMembersOfAGangHaveOneCheckpoint)
+{
+    const jr_job_task_t *tasks;
+
+    Submit(1, 3, true);
+    for (uint32_t i = 0; i < 3; i++) {
+        Grant(1, i, 1);
+    }
+    End(1, 0, 1, JR__JOB_END__HOW__BROKEN, "c2");
+    End(1, 1, 1, JR__JOB_END__HOW__BROKEN, "c2");
+    Release(1, 2, 1, 1000, "c1"); /* the last that a list had shown */
+    tasks = jr_jobs_find(jobs_, 1)->tasks;
+    ASSERT_NE(tasks[0].checkpoint, nullptr);
+    for (uint32_t i = 1; i < 3; i++) {
+        EXPECT_STREQ(tasks[i].checkpoint, tasks[0].checkpoint);
+    }
+}
+
 TEST_F(JobTest, AGangFailsOnceARun)
 {
     Submit(1, 3, true);
