--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -344,9 +344,7 @@
 /* A run ended on the worker. */
 void jr_drain_on_run_ended(jr_dispatch_t *d, const jr_tracked_worker_t *w);
 
-/*
- * leave.c: services of workers that drain.
- */
+/* leave.c: services of workers that drain. */
 /* In a pass: stop some of those for which others have capacity. */
 void jr_leave_move_services(jr_dispatch_t *d);
 
--- a/src/group/job_request.c
+++ b/src/group/job_request.c
@@ -355,8 +355,8 @@
  * not: the worker has not restarted. Says so, if it is such a check-in.
  */
 static bool
-is_of_worker(jr_group_t *group, const jr_reply_address_t *reply_to,
-             const Jr__JobWorker *info)
+has_valid_service(jr_group_t *group, const jr_reply_address_t *reply_to,
+                  const Jr__JobWorker *info)
 {
     jr_jobs_t *jobs = group->as.jobs.jobs;
     const jr_job_worker_t *known = jr_jobs_worker(jobs, info->id);
@@ -383,7 +383,7 @@
 
     jr_count(group->ctx, JR_C_HEARTBEATS);
     if (!is_born(group, reply_to, info->born) ||
-        !is_of_worker(group, reply_to, info)) {
+        !has_valid_service(group, reply_to, info)) {
         return;
     }
     if (!jr_dispatch_checked_in(group->as.jobs.dispatch, info, group->now)) {
