--- a/include/jayrelay/event.h
+++ b/include/jayrelay/event.h
@@ -55,6 +55,7 @@
     X(FILLER_MOVED, 518, 6, "filler-moved")                                   \
     X(FILLER_PACED, 517, 6, "filler-paced")                                   \
     X(SERVICE_MOVED, 524, 6, "service-moved")                                 \
+    X(SERVICES_WAIT, 525, 6, "services-wait")                                 \
     X(ORDER_FAILED, 514, 5, "order-failed")                                   \
     X(JOB_ANSWERED, 520, 6, "job-answered")                                   \
     X(JOB_ENDED, 521, 6, "job-ended")                                         \
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -276,6 +276,7 @@
     bool is_best_effort_turn;   /* in the present pass */
     int64_t room_looks;         /* at runs that may give way, last */
     int64_t room_due_at;        /* none is looked at until then */
+    int64_t waits_reported_at;  /* see jr_waits_report() */
 };
 
 /* worker.c: leases, clocks and incarnations of workers. */
@@ -469,6 +470,10 @@
 /* So late that it is of little use, that long after it was due. */
 bool jr_schedule_is_too_late(int64_t after_ms, int64_t allowed_ms);
 
+/* waits.c: services that wait to run again, in the log. */
+/* After a pass: log them, every few seconds. */
+void jr_waits_report(jr_dispatch_t *d);
+
 /* spent.c: where the time of jobs goes. */
 /* A grant of the run is in the log. */
 void jr_spent_granted(const jr_dispatch_t *d, jr_run_t *run);
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -487,6 +487,7 @@
             d->now + d->best_effort_looks / BEST_EFFORT_LOOKS_PER_MS;
     }
     make_room(d, candidates);
+    jr_waits_report(d);
     jr_places_clear(d->places);
     jr_shapes_clear(d->shapes);
     g_array_unref(candidates);
