Messages between processes are read also while the loop is never idle

Callers saw leaders change without a fault at them, leases that lapse and services that do not run again, wherever control processes had much to do.

Cause: a bus learns from an edge-triggered descriptor that there are messages, polls it before the loop blocks, and that poll consumes the edge. What is found then was read by an idle watcher of the default priority. libev runs such a watcher only when no other event is pending: in a loop that always has answers of workers to handle, never. So messages of consensus waited until the loop was idle, while short of that all else was served.

The watchers of the bus now have the highest priority: an idle watcher of it runs unless other messages are pending.

--- a/src/net/bus.c
+++ b/src/net/bus.c
@@ -3,7 +3,8 @@
  * on the socket may consume the edge. So each socket that was used is polled
  * before the loop blocks, and an idle watcher keeps the loop from blocking
  * while a socket has a message. A poll costs two system calls, so sockets
- * that were not used are skipped.
+ * that were not used are skipped. Messages are read before other events are
+ * handled: among them are those of consensus, which must not be late.
  */
 #include "jayrelay/bus.h"
 
@@ -249,6 +250,7 @@
 start_watcher(jr_bus_t *bus, ev_io *io, void *socket)
 {
     ev_io_init(io, on_io, descriptor_of(socket), EV_READ);
+    ev_set_priority(io, EV_MAXPRI);
     io->data = bus;
     ev_io_start(bus->loop, io);
 }
@@ -272,6 +274,11 @@
     ev_set_priority(&bus->prepare, EV_MINPRI);
     bus->prepare.data = bus;
     ev_idle_init(&bus->idle, on_idle);
+    /*
+     * An idle watcher waits for all events of its priority and above: at any
+     * other priority, it would never run in a loop that is busy.
+     */
+    ev_set_priority(&bus->idle, EV_MAXPRI);
     bus->idle.data = bus;
     bus->zmq = zmq_ctx_new();
     bus->router = new_socket(bus, ZMQ_ROUTER);
