One iteration of the loop handles a bounded part of the answers

Cause: all answers of workers that had arrived were handled in one iteration, however many. The client now stops after 50 ms; sockets that are left stay ready, and answers that libcurl has completed are taken by the next iteration.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -19,6 +19,12 @@
     CACHED_CONNECTIONS = 3000, /* idle ones beyond this are closed */
     HEADER_TEXT_BYTES = 256,   /* a longer header is ignored */
     SPARE_HANDLES = 256,       /* handles beyond this are freed after use */
+    /*
+     * Of one iteration of the loop, spent on what has arrived; the rest waits
+     * for the next. Others on the loop, such as consensus messages, are served
+     * within this time however many servers answer at once.
+     */
+    TURN_MS = 50,
 };
 
 typedef struct fetch {
@@ -49,6 +55,9 @@
     CURL *spare[SPARE_HANDLES];
     size_t n_spare;
     ev_timer timer;
+    ev_timer completed; /* handles those left by the last iteration */
+    ev_check check;
+    int64_t turn_ends_at;
     TAILQ_HEAD(, fetch) fetches;
 };
 
@@ -257,15 +266,30 @@
     free_fetch(fetch);
 }
 
+static bool
+is_turn_over(const jr_client_t *client)
+{
+    return jr_clock_ms() >= client->turn_ends_at;
+}
+
 static void
 check_completed(jr_client_t *client)
 {
     CURLMsg *message;
-    int left;
+    int left = 1;
 
-    while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+    while (left > 0) {
         fetch_t *fetch;
 
+        if (is_turn_over(client)) {
+            ev_timer_start(client->loop, &client->completed);
+            return;
+        }
+        message = curl_multi_info_read(client->multi, &left);
+        if (message == NULL) {
+            return;
+        }
+
         if (message->msg != CURLMSG_DONE) {
             continue;
         }
@@ -286,6 +310,25 @@
     check_completed(client);
 }
 
+static void
+on_completed_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    (void)loop;
+    (void)events;
+    check_completed(timer->data);
+}
+
+/* An iteration of the loop begins to handle events. */
+static void
+on_check(struct ev_loop *loop, ev_check *check, int events)
+{
+    jr_client_t *client = check->data;
+
+    (void)loop;
+    (void)events;
+    client->turn_ends_at = jr_clock_ms() + TURN_MS;
+}
+
 static void
 on_io(struct ev_loop *loop, ev_io *io, int events)
 {
@@ -295,6 +338,9 @@
     int running;
 
     (void)loop;
+    if (is_turn_over(client)) {
+        return; /* the socket stays ready: the next iteration handles it */
+    }
     if (events & EV_READ) {
         action |= CURL_CSELECT_IN;
     }
@@ -369,6 +415,12 @@
     }
     ev_timer_init(&client->timer, on_timer, 0.0, 0.0);
     client->timer.data = client;
+    ev_timer_init(&client->completed, on_completed_timer, 0.0, 0.0);
+    client->completed.data = client;
+    ev_check_init(&client->check, on_check);
+    ev_set_priority(&client->check, EV_MAXPRI);
+    client->check.data = client;
+    ev_check_start(loop, &client->check);
     curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
     curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
     curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timeout);
@@ -393,6 +445,8 @@
         curl_easy_cleanup(client->spare[--client->n_spare]);
     }
     ev_timer_stop(client->loop, &client->timer);
+    ev_timer_stop(client->loop, &client->completed);
+    ev_check_stop(client->loop, &client->check);
     curl_multi_cleanup(client->multi);
     jr_free(client->ctx, client);
 }
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -672,3 +672,54 @@
 }
 
 } // namespace
+
+/*
+ * Guards against messages of consensus that are late, and leaders that are
+ * deposed, as one iteration of the loop handles all answers that have arrived.
+ */
+TEST_F(HttpTest, AnswersThatArriveAtOnceDoNotHoldUpTheLoop)
+{
+    constexpr int kRequests = 60;
+    static constexpr int kHandlerMs = 5;
+    constexpr int kTurnMs = 100; /* so long others on the loop may wait */
+    struct Counts {
+        int done = 0;
+        int now = 0;  /* in this iteration */
+        int most = 0; /* in one iteration */
+    } counts;
+    jr_client_t *client = jr_new_client(ctx_, loop_);
+    std::string url = "http://127.0.0.1:" + std::to_string(port_) + "/x";
+    jr_fetch_t fetch = {};
+
+    fetch.method = "GET";
+    fetch.url = url.c_str();
+    fetch.timeout_ms = 20000;
+    fetch.user = &counts;
+    fetch.handler = [](void *user, const jr_fetched_t *fetched) {
+        Counts *c = static_cast<Counts *>(user);
+        auto end = std::chrono::steady_clock::now() +
+                   std::chrono::milliseconds(kHandlerMs);
+
+        EXPECT_EQ(fetched->outcome, JR_FETCH_ANSWERED);
+        while (std::chrono::steady_clock::now() < end) {
+        }
+        c->done++;
+        c->most = std::max(c->most, ++c->now);
+    };
+    is_holding_ = true;
+    for (int i = 0; i < kRequests; i++) {
+        ASSERT_EQ(jr_client_fetch(client, &fetch), JR_OK);
+    }
+    while (held_.size() < kRequests) {
+        ev_run(loop_, EVRUN_ONCE);
+    }
+    for (jr_exchange_t *exchange : held_) {
+        jr_http_answer(exchange, 200, nullptr, 0, "yes", 3);
+    }
+    while (counts.done < kRequests) {
+        counts.now = 0;
+        ev_run(loop_, EVRUN_ONCE);
+    }
+    EXPECT_LE(counts.most, kTurnMs / kHandlerMs);
+    jr_drop_client(client);
+}
