A carrier sends the orders of another leader a bounded part of each turn

A carrier now queues them, sends them in the order of their arrival for at most 10 ms in an iteration, as a leader sends its own, and judges them again then: one that has become stale in the queue is not sent. What is queued counts as open, so the bound of 4,096 holds for it.

--- a/src/control/carry.c
+++ b/src/control/carry.c
@@ -1,7 +1,8 @@
 /*
  * Carriers: as the leader of the job group, this process gives orders to other
  * control processes, which send them to the workers; for another leader it
- * sends orders itself. See carrier.h.
+ * sends orders itself, in the order of their arrival and a bounded part of
+ * each iteration of the loop. See carrier.h.
  */
 #include <glib.h>
 #include <string.h>
@@ -9,9 +10,13 @@
 #include "control.h"
 
 enum {
-    ORDERS_TURN_MS = 10, /* of one iteration of the loop, spent on orders */
-    CLOCK_EVERY = 16,    /* orders between two looks at the clock */
-    PING_MS = 150,       /* carriers are asked for a receipt so often */
+    /*
+     * Of one iteration of the loop, spent on orders: consensus messages wait
+     * for its end, and a leader whose followers are late is deposed.
+     */
+    ORDERS_TURN_MS = 10,
+    CLOCK_EVERY = 16, /* orders between two looks at the clock */
+    PING_MS = 150,    /* carriers are asked for a receipt so often */
     SESSION_IDLE_MS = 10000,
     /* Between two messages with answers: each one costs the leader time. */
     FLUSH_GAP_MS = 4,
@@ -29,6 +34,15 @@
     GPtrArray *answers; /* of GBytes, packed OrderAnswers to send */
 };
 
+/* An order of another leader that waits for its turn to be sent. */
+typedef struct queued_order {
+    STAILQ_ENTRY(queued_order) link;
+    jr_carry_session_t *session;
+    int64_t heard_ms; /* see jr_carried_is_stale() */
+    Jr__Order *message;
+    jr_order_t order; /* borrows from the message */
+} queued_order_t;
+
 /* Packed Orders for each carrier, to be sent in one message. */
 typedef struct {
     GPtrArray *orders[JR_CARRIERS_MAX];
@@ -41,7 +55,8 @@
     int64_t pinged_at;
     jr_carry_book_t *book;
     TAILQ_HEAD(, jr_carry_session) sessions;
-    size_t n_carried;
+    STAILQ_HEAD(, queued_order) queued; /* oldest first */
+    size_t n_carried;                   /* queued, or sent and not answered */
 };
 
 static void
@@ -63,6 +78,7 @@
     carry->book = jr_new_carry_book(control->ctx, carry->carriers,
                                     carry->session, on_outcome, control);
     TAILQ_INIT(&carry->sessions);
+    STAILQ_INIT(&carry->queued);
     return carry;
 }
 
@@ -74,14 +90,26 @@
     jr_free(carry->control->ctx, session);
 }
 
+static void
+drop_queued(jr_carry_t *carry, queued_order_t *queued)
+{
+    STAILQ_REMOVE_HEAD(&carry->queued, link);
+    jr__order__free_unpacked(queued->message, NULL);
+    jr_free(carry->control->ctx, queued);
+}
+
 void
 jr_drop_carry(jr_carry_t *carry)
 {
     jr_carry_session_t *session;
+    queued_order_t *queued;
 
     if (carry == NULL) {
         return;
     }
+    while ((queued = STAILQ_FIRST(&carry->queued)) != NULL) {
+        drop_queued(carry, queued);
+    }
     while ((session = TAILQ_FIRST(&carry->sessions)) != NULL) {
         drop_session(carry, session);
     }
@@ -330,38 +358,77 @@
 }
 
 static void
-send_for(jr_carry_t *carry, jr_carry_session_t *session,
-         const jr_order_t *order)
+refuse_by(jr_carry_session_t *session, uint64_t serial,
+          jr_carry_verdict_t verdict)
 {
-    jr_count(carry->control->ctx, JR_C_ORDERS_CARRIED);
-    session->n_open++;
-    carry->n_carried++;
-    jr_control_send_order(carry->control, order, session);
+    refuse_order(session, serial,
+                 verdict == JR_CARRY_STALE ? JR_C_CARRY_STALE
+                                           : JR_C_CARRY_REFUSED);
 }
 
 static void
-carry_order(jr_carry_t *carry, jr_carry_session_t *session,
+queue_order(jr_carry_t *carry, jr_carry_session_t *session,
             const ProtobufCBinaryData *packed, int64_t heard_ms)
 {
-    jr_order_t order;
-    Jr__Order *message = jr_carry_read(carry->control->ctx, packed, &order);
-
-    if (message == NULL) {
+    jr_ctx_t *ctx = carry->control->ctx;
+    queued_order_t *queued = jr_alloc(ctx, sizeof *queued);
+    jr_carry_verdict_t verdict =
+        jr_carry_judge(carry->n_carried, carry->control->is_draining, heard_ms,
+                       jr_clock_ms());
+
+    queued->session = session;
+    queued->heard_ms = heard_ms;
+    queued->message = jr_carry_read(ctx, packed, &queued->order);
+    if (queued->message == NULL) {
+        jr_free(ctx, queued);
+        return;
+    }
+    if (verdict != JR_CARRY_SEND) {
+        refuse_by(session, queued->order.serial, verdict);
+        jr__order__free_unpacked(queued->message, NULL);
+        jr_free(ctx, queued);
         return;
     }
-    switch (jr_carry_judge(carry->n_carried, carry->control->is_draining,
-                           heard_ms, jr_clock_ms())) {
-    case JR_CARRY_SEND:
-        send_for(carry, session, &order);
-        break;
-    case JR_CARRY_REFUSE:
-        refuse_order(session, order.serial, JR_C_CARRY_REFUSED);
-        break;
-    case JR_CARRY_STALE:
-        refuse_order(session, order.serial, JR_C_CARRY_STALE);
-        break;
+    STAILQ_INSERT_TAIL(&carry->queued, queued, link);
+    session->n_open++;
+    carry->n_carried++;
+}
+
+/* It may have become stale in the queue. */
+static void
+send_queued(jr_carry_t *carry, queued_order_t *queued, int64_t now)
+{
+    jr_carry_session_t *session = queued->session;
+    jr_carry_verdict_t verdict =
+        jr_carry_judge(carry->n_carried - 1, carry->control->is_draining,
+                       queued->heard_ms, now);
+
+    if (verdict == JR_CARRY_SEND) {
+        jr_count(carry->control->ctx, JR_C_ORDERS_CARRIED);
+        jr_control_send_order(carry->control, &queued->order, session);
+    }
+    else {
+        session->n_open--;
+        carry->n_carried--;
+        refuse_by(session, queued->order.serial, verdict);
+    }
+    drop_queued(carry, queued);
+}
+
+void
+jr_carry_send_queued(jr_carry_t *carry)
+{
+    int64_t now = jr_clock_ms();
+    int64_t end = now + ORDERS_TURN_MS;
+    queued_order_t *queued;
+
+    for (int i = 1;
+         now < end && (queued = STAILQ_FIRST(&carry->queued)) != NULL; i++) {
+        send_queued(carry, queued, now);
+        if (i % CLOCK_EVERY == 0) {
+            now = jr_clock_ms();
+        }
     }
-    jr__order__free_unpacked(message, NULL);
 }
 
 void
@@ -373,7 +440,7 @@
     session->route = *route;
     session->used_at = jr_clock_ms();
     for (size_t i = 0; i < batch->n_orders; i++) {
-        carry_order(carry, session, &batch->orders[i], batch->heard_ms);
+        queue_order(carry, session, &batch->orders[i], batch->heard_ms);
     }
     /* A process that shuts down gives no receipts, so it gets no orders. */
     if (batch->n_orders == 0 && !carry->control->is_draining) {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -207,9 +207,11 @@
 void jr_drop_carry(jr_carry_t *carry);
 /** jr_carry_tick - ask carriers for receipts, give up on late answers */
 void jr_carry_tick(jr_carry_t *carry, int64_t now);
-/** jr_carry_on_orders - send the orders of another leader */
+/** jr_carry_on_orders - take orders of another leader, to be sent */
 void jr_carry_on_orders(jr_carry_t *carry, const jr_route_t *route,
                         const Jr__OrderBatch *batch);
+/** jr_carry_send_queued - send some of these orders, once in each iteration */
+void jr_carry_send_queued(jr_carry_t *carry);
 /** jr_carry_on_answers - a carrier answered */
 void jr_carry_on_answers(jr_carry_t *carry, const Jr__AnswerBatch *batch);
 /** jr_carry_n_answering - processes that send orders for this leader */
--- a/src/control/main.c
+++ b/src/control/main.c
@@ -75,6 +75,7 @@
     pumped_at = jr_clock_ms();
     if (control->carry != NULL) {
         jr_control_send_orders(control);
+        jr_carry_send_queued(control->carry);
         jr_carry_flush(control->carry);
     }
     sent_at = jr_clock_ms();
