Starts and paces wait while many in their zone have no answer

Cause: the leader issued orders as fast as it decided, while its carriers, whose processors were full, sent them later and later. An order that waits in a carrier can't be taken back. When its time was over the worker counted as silent and got no task, its runs were of unknown outcome, and all was repeated elsewhere: more orders. Followers were so busy with them that leaders lost their majority, five to seven times in 25 s without a fault at them.

Fix: a window for each availability zone. Starts and paces are issued while fewer than 128 are open there. Stops go first and don't wait, nor do renewals.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -21,6 +21,8 @@
      */
     LOOKS_PER_MS = 250,
     PACE_TURN = 8, /* one of so many orders may be a pace before others */
+    /* Runs whose zone has no room for an order, looked at for one order. */
+    FULL_LOOKS_MAX = 32,
 };
 
 static void
@@ -225,8 +227,10 @@
     d->jobs = jobs;
     TAILQ_INIT(&d->workers);
     TAILQ_INIT(&d->due);
+    TAILQ_INIT(&d->due_stops);
     TAILQ_INIT(&d->due_paces);
     STAILQ_INIT(&d->commands);
+    STAILQ_INIT(&d->windows);
     d->tails = jr_new_tails(ctx);
     d->quality = jr_new_quality(ctx);
     d->releases = g_ptr_array_new();
@@ -245,6 +249,7 @@
     jr_sent_t *sent, *next;
 
     HASH_ITER (hh, d->sent, sent, next) {
+        jr_window_remove(sent);
         HASH_DEL(d->sent, sent);
         jr_free(d->ctx, sent);
     }
@@ -283,6 +288,7 @@
     }
     jr_dispatch_resign(d);
     jr_jobs_set_hooks(d->jobs, &none);
+    jr_windows_drop(d);
     jr_drop_tails(d->tails);
     jr_drop_quality(d->ctx, d->quality);
     g_ptr_array_unref(d->releases);
@@ -408,20 +414,37 @@
     sent->incarnation = w->incarnation;
     sent->run = run;
     sent->sent_at = d->now;
+    jr_window_add(sent);
     HASH_ADD(hh, d->sent, serial, sizeof sent->serial, sent);
     count_sent(d->ctx, order->kind);
 }
 
+/* Must the order of the run wait until others in its zone are answered? */
+static bool
+awaits_window(const jr_run_t *run)
+{
+    return run->state != JR_RUN_STOPPING &&
+           jr_window_is_full(run->worker->window);
+}
+
 static bool
 take_run_order(jr_dispatch_t *d, struct jr_run_list *due, jr_order_t *order)
 {
+    int n_full = 0;
     jr_run_t *run, *next;
 
-    for (run = TAILQ_FIRST(due); run != NULL; run = next) {
+    for (run = TAILQ_FIRST(due); run != NULL && n_full < FULL_LOOKS_MAX;
+         run = next) {
         next = TAILQ_NEXT(run, due_link);
         if (d->now < run->try_at) {
             continue;
         }
+        if (awaits_window(run)) {
+            n_full++;
+            TAILQ_REMOVE(due, run, due_link);
+            TAILQ_INSERT_TAIL(due, run, due_link);
+            continue;
+        }
         TAILQ_REMOVE(due, run, due_link);
         run->due_in = NULL;
         if (jr_run_order(d, run, order)) {
@@ -433,6 +456,14 @@
     return false;
 }
 
+/* Stops first: they are few, and free capacity. */
+static bool
+take_start_or_stop(jr_dispatch_t *d, jr_order_t *order)
+{
+    return take_run_order(d, &d->due_stops, order) ||
+           take_run_order(d, &d->due, order);
+}
+
 static bool
 order_for_worker(jr_dispatch_t *d, jr_tracked_worker_t *w, jr_order_t *order)
 {
@@ -505,11 +536,10 @@
         return true;
     }
     if (d->n_orders % 2 == 0) {
-        return take_run_order(d, &d->due, order) ||
-               take_worker_order(d, order) ||
+        return take_start_or_stop(d, order) || take_worker_order(d, order) ||
                take_run_order(d, &d->due_paces, order);
     }
-    return take_worker_order(d, order) || take_run_order(d, &d->due, order) ||
+    return take_worker_order(d, order) || take_start_or_stop(d, order) ||
            take_run_order(d, &d->due_paces, order);
 }
 
@@ -566,6 +596,7 @@
         return; /* sent during an earlier leadership */
     }
     HASH_DEL(d->sent, sent);
+    jr_window_remove(sent);
     if (is_answer_outdated(sent, answer)) {
         answer = &unknown;
     }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -111,6 +111,7 @@
 struct jr_tracked_worker {
     TAILQ_ENTRY(jr_tracked_worker) link;
     jr_job_worker_t *worker;
+    struct jr_window *window;
     int64_t incarnation; /* that the fields below refer to */
     jr_need_t used;
     int64_t best_effort_milli; /* processors wanted by best-effort tasks */
@@ -202,6 +203,16 @@
 
 TAILQ_HEAD(jr_tracked_worker_list, jr_tracked_worker);
 
+/*
+ * Orders for runs on the workers of an availability zone that have no answer
+ * yet, but for stops.
+ */
+typedef struct jr_window {
+    STAILQ_ENTRY(jr_window) link;
+    char *zone;
+    size_t n_open;
+} jr_window_t;
+
 /* An order that has no answer yet. */
 typedef struct {
     uint64_t serial;
@@ -209,6 +220,7 @@
     jr_tracked_worker_t *worker;
     int64_t incarnation; /* of the worker, as known when it was sent */
     jr_run_t *run;       /* NULL for renewals, or when the run was removed */
+    jr_window_t *window; /* that counts it, or NULL */
     int64_t sent_at;
     UT_hash_handle hh;
 } jr_sent_t;
@@ -254,10 +266,12 @@
     jr_tracked_worker_t *next_worker; /* next to scan for orders, or NULL */
     int64_t scanned_at;               /* when no worker had an order, last */
     uint64_t n_orders;                /* that were asked for */
-    struct jr_run_list due;           /* starts and stops */
+    struct jr_run_list due;           /* starts */
+    struct jr_run_list due_stops;
     struct jr_run_list due_paces;     /* wait for the others */
     size_t n_listed_orphans;          /* of all workers */
     jr_sent_t *sent;
+    STAILQ_HEAD(, jr_window) windows;
     STAILQ_HEAD(, jr_queued_command) commands;
     GPtrArray *releases; /* of runs */
     /*
@@ -349,6 +363,17 @@
 /* In a pass: stop some of those for which others have capacity. */
 void jr_leave_move_services(jr_dispatch_t *d);
 
+/* window.c: how many orders may be open at a time. */
+/* The window of a zone, which lasts as long as the dispatcher. */
+jr_window_t *jr_window_of(jr_dispatch_t *d, const char *zone);
+void jr_windows_drop(jr_dispatch_t *d);
+/* Must starts and paces for the zone wait for answers to others? */
+bool jr_window_is_full(const jr_window_t *window);
+/* The order is sent: count it, if orders of its kind are. */
+void jr_window_add(jr_sent_t *sent);
+/* It was answered, or no answer is awaited any more. */
+void jr_window_remove(jr_sent_t *sent);
+
 /* hold.c: lease renewals, and the lists of runs and ends in the answers. */
 bool jr_renewal_is_due(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
 void jr_renewal_order(jr_dispatch_t *d, jr_tracked_worker_t *w,
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -150,12 +150,24 @@
     return names[state];
 }
 
-/* Stops a run of which a pace was due, too. */
+static struct jr_run_list *
+due_list(jr_dispatch_t *d, const jr_run_t *run)
+{
+    switch (run->state) {
+    case JR_RUN_RUNNING:
+        return &d->due_paces;
+    case JR_RUN_STOPPING:
+        return &d->due_stops;
+    default:
+        return &d->due;
+    }
+}
+
+/* Stops a run of which a start or a pace was due, too. */
 void
 jr_run_set_due(jr_dispatch_t *d, jr_run_t *run)
 {
-    struct jr_run_list *due =
-        run->state == JR_RUN_RUNNING ? &d->due_paces : &d->due;
+    struct jr_run_list *due = due_list(d, run);
 
     if (run->due_in == due) {
         return;
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -58,6 +58,7 @@
     jr_tracked_worker_t *w = jr_alloc(d->ctx, sizeof *w);
 
     w->worker = worker;
+    w->window = jr_window_of(d, worker->info->zone);
     w->incarnation = worker->info->born;
     w->fence_epoch = d->fence_epoch;
     w->renewal_at = d->now;
@@ -129,6 +130,7 @@
 
     HASH_ITER (hh, d->sent, sent, next) {
         if (sent->worker == w) {
+            jr_window_remove(sent);
             HASH_DEL(d->sent, sent);
             jr_free(d->ctx, sent);
         }
