A new leader decides nothing before it knows the time of day

Cause: the first pass of a leadership came before its first tick, which sets the time of day: it was 0, or that of the last leadership. All waits were wrong in that pass: services were not overdue, jobs not late, occurrences not due.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -262,6 +262,7 @@
     jr_tracked_worker_t *w;
 
     d->is_leading = false;
+    d->wall_ms = 0;
     jr_places_clear(d->places);
     while ((queued = STAILQ_FIRST(&d->commands)) != NULL) {
         STAILQ_REMOVE_HEAD(&d->commands, link);
@@ -699,5 +700,6 @@
                          PASS_MS_PER_1000_WORKERS / PER_1000 +
                      d->pass_looks / LOOKS_PER_MS;
 
-    return d->is_dirty && d->now - d->scheduled_at >= gap_ms;
+    return d->is_dirty && d->wall_ms != 0 &&
+           d->now - d->scheduled_at >= gap_ms;
 }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -247,7 +247,7 @@
     uint64_t fence;
     uint64_t fence_epoch; /* of the latest restart or removal of a worker */
     int64_t now;
-    int64_t wall_ms;
+    int64_t wall_ms; /* as of the latest tick; 0: none since the election */
     int64_t ticked_at;
     int64_t paused_at; /* when it was found to have been paused; 0: never */
     uint64_t next_serial;
@@ -654,7 +654,10 @@
 bool jr_worker_is_eligible(const jr_tracked_worker_t *w,
                            const jr_job_task_t *task);
 
-/* Has something changed, and has the minimum gap between passes elapsed? */
+/*
+ * Has something changed, and has the minimum gap between passes elapsed? Not
+ * before the first tick of a leadership: waits depend on the time of day.
+ */
 bool jr_dispatch_is_pass_due(const jr_dispatch_t *d);
 
 /* command.c: commands for the log. */
--- a/src/dispatch/grant_test.cc
+++ b/src/dispatch/grant_test.cc
@@ -333,4 +333,29 @@
               0);
 }
 
+/*
+ * Guards against a new leader that takes all waits for 0, or for those of its
+ * last leadership, as it decides before its clock is set.
+ */
+TEST_F(GrantTest, ANewLeaderDecidesNothingBeforeItKnowsTheTime)
+{
+    uint64_t passes;
+    uint8_t *bytes;
+    size_t len;
+
+    CheckIn("w");
+    Submit();
+    Tick();
+    passes = ctx_->counters[JR_C_PASSES];
+    jr_dispatch_resign(dispatch_);
+    now_ += 60000;
+    jr_dispatch_lead(dispatch_, 2, now_);
+    while (jr_dispatch_take_command(dispatch_, &bytes, &len)) {
+        jr_free(ctx_, bytes);
+    }
+    EXPECT_EQ(ctx_->counters[JR_C_PASSES], passes);
+    Tick();
+    EXPECT_GT(ctx_->counters[JR_C_PASSES], passes);
+}
+
 } // namespace
