Starts that wait go by what a delay costs; windows of 256

Cause: starts waited in the order of their grants, those of best-effort tasks before those of short ones; and with an answer after 150 ms, which full carriers take, 128 open orders are fewer than a carrier can handle.

Now short tasks start first, then services, then best-effort tasks, and 256 orders may be open in a zone: a carrier that sends 850 a second takes them within half of the time after which an order counts as unanswered.

Evidence: WindowTest.ShortTasksStartBeforeBestEffortTasksThatWait (new).

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -226,7 +226,9 @@
     d->wanted_lease_ms = jr_bounded_lease_ms(options);
     d->jobs = jobs;
     TAILQ_INIT(&d->workers);
-    TAILQ_INIT(&d->due);
+    for (size_t i = 0; i < JR_START_CLASSES; i++) {
+        TAILQ_INIT(&d->due[i]);
+    }
     TAILQ_INIT(&d->due_stops);
     TAILQ_INIT(&d->due_paces);
     STAILQ_INIT(&d->commands);
@@ -461,8 +463,12 @@
 static bool
 take_start_or_stop(jr_dispatch_t *d, jr_order_t *order)
 {
-    return take_run_order(d, &d->due_stops, order) ||
-           take_run_order(d, &d->due, order);
+    bool found = take_run_order(d, &d->due_stops, order);
+
+    for (size_t i = 0; i < JR_START_CLASSES && !found; i++) {
+        found = take_run_order(d, &d->due[i], order);
+    }
+    return found;
 }
 
 static bool
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -35,6 +35,14 @@
     JR_RUN_RELEASING,   /* known to have ended; the release is proposed */
 } jr_run_state_t;
 
+/* Starts by what a delay costs: while they wait, the first goes first. */
+typedef enum {
+    JR_START_SHORT,
+    JR_START_SERVICE,
+    JR_START_BEST_EFFORT,
+    JR_START_CLASSES,
+} jr_start_class_t;
+
 typedef struct jr_tracked_worker jr_tracked_worker_t;
 
 /*
@@ -266,10 +274,10 @@
     jr_tracked_worker_t *next_worker; /* next to scan for orders, or NULL */
     int64_t scanned_at;               /* when no worker had an order, last */
     uint64_t n_orders;                /* that were asked for */
-    struct jr_run_list due;           /* starts */
+    struct jr_run_list due[JR_START_CLASSES]; /* starts */
     struct jr_run_list due_stops;
-    struct jr_run_list due_paces;     /* wait for the others */
-    size_t n_listed_orphans;          /* of all workers */
+    struct jr_run_list due_paces; /* wait for the others */
+    size_t n_listed_orphans;      /* of all workers */
     jr_sent_t *sent;
     STAILQ_HEAD(, jr_window) windows;
     STAILQ_HEAD(, jr_queued_command) commands;
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -150,6 +150,14 @@
     return names[state];
 }
 
+static jr_start_class_t
+class_of(const Jr__JobStep *step)
+{
+    return step->service  ? JR_START_SERVICE
+           : step->filler ? JR_START_BEST_EFFORT
+                          : JR_START_SHORT;
+}
+
 static struct jr_run_list *
 due_list(jr_dispatch_t *d, const jr_run_t *run)
 {
@@ -159,7 +167,7 @@
     case JR_RUN_STOPPING:
         return &d->due_stops;
     default:
-        return &d->due;
+        return &d->due[class_of(jr_task_step(run->task))];
     }
 }
 
--- a/src/dispatch/window.c
+++ b/src/dispatch/window.c
@@ -12,10 +12,10 @@
 
 enum {
     /*
-     * Of the workers of a zone. At 20 ms an order, which is more than they
-     * take, 6,400 a second.
+     * Of the workers of a zone: what a carrier that sends 850 a second takes
+     * within half of JR_ANSWER_TIMEOUT_MS.
      */
-    OPEN_MAX = 128,
+    OPEN_MAX = 256,
 };
 
 jr_window_t *
--- a/src/dispatch/window_test.cc
+++ b/src/dispatch/window_test.cc
@@ -12,9 +12,10 @@
 constexpr int64_t kBorn = 2;
 constexpr int64_t kLeaseMs = 6000;
 constexpr uint32_t kCpu = 4000; /* of a worker, and of each task */
-constexpr uint32_t kWorkers = 300;
-/* So many starts a second take 20 ms each, one after the other. */
-constexpr size_t kStartsMost = 6400 * 20 / 1000;
+constexpr uint32_t kWorkers = 600;
+/* What a sender of 850 a second takes in 300 ms, and one of them. */
+constexpr size_t kStartsMost = 850 * 300 / 1000 + 1;
+constexpr uint64_t kFirstJob = 1;
 
 class WindowTest : public ::testing::Test {
   protected:
@@ -37,7 +38,6 @@
         }
         Tick();
         TakeOrders();
-        Submit();
     }
 
     void
@@ -54,9 +54,8 @@
         jr_jobs_apply(jobs_, bytes.data(), bytes.size());
     }
 
-    /* A task for each worker. */
     void
-    Submit()
+    Submit(uint64_t id, uint32_t count, bool is_best_effort = false)
     {
         Jr__JobStep step = JR__JOB_STEP__INIT;
         Jr__JobStep *steps[] = {&step};
@@ -64,10 +63,11 @@
         Jr__JobSubmit submit = JR__JOB_SUBMIT__INIT;
         Jr__JobCommand command = JR__JOB_COMMAND__INIT;
 
-        step.count = kWorkers;
+        step.count = count;
+        step.filler = is_best_effort;
         step.cpu_milli = kCpu;
         step.estimate_ms = 60000;
-        spec.id = 1;
+        spec.id = id;
         spec.host = const_cast<char *>("h");
         spec.prefix = const_cast<char *>("/q/");
         spec.n_steps = 1;
@@ -84,7 +84,7 @@
         Jr__JobCancel cancel = JR__JOB_CANCEL__INIT;
         Jr__JobCommand command = JR__JOB_COMMAND__INIT;
 
-        cancel.job = 1;
+        cancel.job = kFirstJob;
         command.body_case = JR__JOB_COMMAND__BODY_CANCEL;
         command.cancel = &cancel;
         Apply(PackCommand(&command, now_));
@@ -125,6 +125,7 @@
         while (jr_dispatch_take_order(dispatch_, &order)) {
             if (order.kind == JR_ORDER_START) {
                 starts_.push_back(order.serial);
+                last_job_ = order.run.job;
             }
             else if (order.kind == JR_ORDER_STOP) {
                 n_stops_++;
@@ -141,6 +142,7 @@
     int64_t now_ = 1000;
     std::vector<uint64_t> starts_;
     size_t n_stops_ = 0;
+    uint64_t last_job_ = 0; /* of the latest start */
 };
 
 /*
@@ -149,6 +151,7 @@
  */
 TEST_F(WindowTest, StartsWaitWhileTooManyHaveNoAnswer)
 {
+    Submit(kFirstJob, kWorkers);
     Tick();
     TakeOrders();
     EXPECT_EQ(starts_.size(), kStartsMost);
@@ -169,6 +172,7 @@
 /* Guards against stops that wait behind starts. */
 TEST_F(WindowTest, StopsDoNotWait)
 {
+    Submit(kFirstJob, kWorkers);
     Tick();
     TakeOrders();
     for (size_t i = 0; i < kStartsMost; i++) {
@@ -182,4 +186,21 @@
     EXPECT_GE(n_stops_, kStartsMost);
 }
 
+/* Guards against short jobs that are late, as best-effort starts go first. */
+TEST_F(WindowTest, ShortTasksStartBeforeBestEffortTasksThatWait)
+{
+    Submit(kFirstJob, 2 * kStartsMost, true);
+    Tick();
+    TakeOrders();
+    ASSERT_EQ(starts_.size(), kStartsMost);
+    Submit(kFirstJob + 1, 1);
+    Tick();
+    TakeOrders();
+    ASSERT_EQ(starts_.size(), kStartsMost);
+    Answer(starts_[0]);
+    TakeOrders();
+    EXPECT_EQ(starts_.size(), kStartsMost + 1);
+    EXPECT_EQ(last_job_, kFirstJob + 1);
+}
+
 } // namespace
