What refuses a best-effort task is remembered until loads are known anew

Cause: best-effort tasks that find no place look at each worker in each pass anew, for each size and image, though its services lack headroom for them as before: 1.9 to 2.2 million looks in 5 s.

Each worker now keeps, for each image, the fewest processors that were refused for lack of headroom, until its loads are computed anew. Looks at what is known cost a quarter and space the tries as others do.

--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -187,6 +187,32 @@
     return MIN(tail->headroom, (tail->headroom + tail->min_headroom) / 2.0);
 }
 
+/*
+ * A task that asks for more processors takes more headroom, so that services
+ * lack it as well, while the loads of the worker are the same.
+ */
+static bool
+is_known_to_be_refused(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
+                       const request_t *request)
+{
+    uint32_t refused_milli = w->refused_milli[request->image];
+
+    return request->step->filler && refused_milli > 0 &&
+           request->step->cpu_milli >= refused_milli &&
+           request->headroom_kept >= HEADROOM_KEPT && jr_loads_are_fresh(d, w);
+}
+
+static void
+note_refused(jr_tracked_worker_t *w, const request_t *request)
+{
+    uint32_t *refused_milli = &w->refused_milli[request->image];
+
+    if (request->headroom_kept <= HEADROOM_KEPT &&
+        (*refused_milli == 0 || request->step->cpu_milli < *refused_milli)) {
+        *refused_milli = request->step->cpu_milli;
+    }
+}
+
 /*
  * Headroom that the services on the worker would lack at their peak load
  * because of the best-effort task; -1 when the guard keeps such tasks away,
@@ -211,6 +237,7 @@
 
         if (taken > NEGLIGIBLE_HEADROOM &&
             expected_headroom(tail) - taken < request->headroom_kept) {
+            note_refused(w, request);
             return -1.0;
         }
         sum += MIN(taken,
@@ -489,8 +516,13 @@
     if (ranked->is_exact) {
         return true;
     }
-    ranked->cost = candidate_cost(d, ranked->place->w, request);
     ranked->is_exact = true;
+    if (is_known_to_be_refused(d, ranked->place->w, request)) {
+        ranked->cost = -1;
+        d->refused_looks++;
+        return false;
+    }
+    ranked->cost = candidate_cost(d, ranked->place->w, request);
     return ranked->cost >= 0 &&
            (best->place == NULL || is_better(ranked, best));
 }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -207,6 +207,12 @@
     bool has_slowed;              /* best-effort tasks that should move */
     jr_worker_tail_t tails[JR_TAIL_LOADS_MAX];
     size_t n_tails;
+    /*
+     * Of each image, the fewest processors with which a best-effort task was
+     * found to leave services too little headroom; 0: none was. Valid as long
+     * as the loads.
+     */
+    uint32_t refused_milli[JR_TAIL_IMAGES_MAX];
 };
 
 TAILQ_HEAD(jr_tracked_worker_list, jr_tracked_worker);
@@ -294,6 +300,7 @@
     /* Tasks and workers looked at in the latest pass, by its tasks. */
     int64_t pass_looks;
     int64_t best_effort_looks;  /* the same, for best-effort tasks */
+    int64_t refused_looks;      /* at what was known to refuse these */
     int64_t best_effort_due_at; /* these wait until then */
     bool is_best_effort_turn;   /* in the present pass */
     int64_t room_looks;         /* at runs that may give way, last */
@@ -470,6 +477,8 @@
 /* loads.c: loads of best-effort tasks, and headroom of services. */
 /* Bring the lists of loads and tails up to date. */
 void jr_loads_refresh(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* Are they up to date? */
+bool jr_loads_are_fresh(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
 /* Share of the worker's processors that a best-effort task asks for. */
 double jr_loads_share(const jr_tracked_worker_t *w, const Jr__JobStep *step);
 /* Measured use by best-effort tasks; loads has JR_TAIL_LOADS_MAX elements. */
--- a/src/dispatch/loads.c
+++ b/src/dispatch/loads.c
@@ -1,6 +1,8 @@
 /* Best-effort tasks and services on one worker, as input to the tail model. */
 #include "dispatch.h"
 
+#include <string.h>
+
 enum {
     SERVING_PERCENT = 100, /* listed by a service that is ready */
     FORECAST_MS = 600,     /* until the next list of the worker */
@@ -101,14 +103,21 @@
     }
 }
 
+bool
+jr_loads_are_fresh(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
+{
+    return !w->is_load_stale && d->now - w->loads_at < REFRESH_MS;
+}
+
 void
 jr_loads_refresh(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
     const jr_run_t *run;
 
-    if (!w->is_load_stale && d->now - w->loads_at < REFRESH_MS) {
+    if (jr_loads_are_fresh(d, w)) {
         return;
     }
+    memset(w->refused_milli, 0, sizeof w->refused_milli);
     w->is_load_stale = false;
     w->loads_at = d->now;
     w->n_loads = 0;
--- a/src/dispatch/pass_test.cc
+++ b/src/dispatch/pass_test.cc
@@ -110,4 +110,31 @@
               kWorkers * kWorkers / 10);
 }
 
+/*
+ * Guards against a leader without time for short jobs: best-effort tasks of
+ * many sizes looked at all workers anew in each pass, though no load there
+ * had changed since services had too little headroom for them.
+ */
+TEST_F(PassTest, ARefusedBestEffortTaskLooksAgainOnceLoadsAreKnownAnew)
+{
+    constexpr uint64_t kSizes = 60;
+    constexpr int64_t kSpanMs = 2000;
+    constexpr int64_t kLoadsMs = 150; /* mean age of loads, at least */
+
+    fleet.reported_gauge = 36; /* below the target, but not by enough */
+    FillWithServices(3000);
+    for (uint64_t i = 0; i < kSizes; i++) {
+        Jr__JobStep step = MakeStep(1, 2900 - 10 * (uint32_t)i);
+
+        step.filler = 1;
+        step.image = const_cast<char *>("image");
+        step.estimate_ms = 2000;
+        fleet.Submit(kFirst + i, {step});
+    }
+    EXPECT_LE(ExaminedIn(kSpanMs), kSpanMs / kLoadsMs * kSizes * kWorkers);
+    for (uint64_t i = 0; i < kSizes; i++) {
+        EXPECT_EQ(fleet.Running(kFirst + i), 0u);
+    }
+}
+
 } // namespace
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -21,6 +21,7 @@
      * in a pass earn a millisecond without another try.
      */
     BEST_EFFORT_LOOKS_PER_MS = 500,
+    REFUSED_PER_LOOK = 4, /* that many cost as much, where it is known */
     /* The same for runs that were looked at, as they may give way. */
     ROOM_LOOKS_PER_MS = 100,
 };
@@ -471,6 +472,7 @@
     jr_count(d->ctx, JR_C_PASSES);
     d->pass_looks = 0;
     d->best_effort_looks = 0;
+    d->refused_looks = 0;
     d->is_best_effort_turn = d->now >= d->best_effort_due_at;
     collect(d, candidates);
     d->short_waiting = (jr_demand_sum_t){0};
@@ -484,7 +486,9 @@
     if (d->is_best_effort_turn) {
         jr_pace_move_slowed(d);
         d->best_effort_due_at =
-            d->now + d->best_effort_looks / BEST_EFFORT_LOOKS_PER_MS;
+            d->now +
+            (d->best_effort_looks + d->refused_looks / REFUSED_PER_LOOK) /
+                BEST_EFFORT_LOOKS_PER_MS;
     }
     make_room(d, candidates);
     jr_waits_report(d);
