The client's part of an iteration begins when it handles something

Evidence: HttpTest.AnswersAreHandledThoughOthersOnTheLoopTakeLong: no answer in 100 iterations of 120 ms before, one after.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -56,8 +56,8 @@
     size_t n_spare;
     ev_timer timer;
     ev_timer completed; /* handles those left by the last iteration */
-    ev_check check;
-    int64_t turn_ends_at;
+    ev_prepare prepare;
+    int64_t turn_ends_at; /* 0: it has handled nothing in this iteration */
     TAILQ_HEAD(, fetch) fetches;
 };
 
@@ -266,10 +266,19 @@
     free_fetch(fetch);
 }
 
+/*
+ * Its turn begins with the first thing that it handles in an iteration: others
+ * may have taken long before.
+ */
 static bool
-is_turn_over(const jr_client_t *client)
+is_turn_over(jr_client_t *client)
 {
-    return jr_clock_ms() >= client->turn_ends_at;
+    int64_t now = jr_clock_ms();
+
+    if (client->turn_ends_at == 0) {
+        client->turn_ends_at = now + TURN_MS;
+    }
+    return now >= client->turn_ends_at;
 }
 
 static void
@@ -318,15 +327,15 @@
     check_completed(timer->data);
 }
 
-/* An iteration of the loop begins to handle events. */
+/* An iteration of the loop has ended. */
 static void
-on_check(struct ev_loop *loop, ev_check *check, int events)
+on_prepare(struct ev_loop *loop, ev_prepare *prepare, int events)
 {
-    jr_client_t *client = check->data;
+    jr_client_t *client = prepare->data;
 
     (void)loop;
     (void)events;
-    client->turn_ends_at = jr_clock_ms() + TURN_MS;
+    client->turn_ends_at = 0;
 }
 
 static void
@@ -417,10 +426,9 @@
     client->timer.data = client;
     ev_timer_init(&client->completed, on_completed_timer, 0.0, 0.0);
     client->completed.data = client;
-    ev_check_init(&client->check, on_check);
-    ev_set_priority(&client->check, EV_MAXPRI);
-    client->check.data = client;
-    ev_check_start(loop, &client->check);
+    ev_prepare_init(&client->prepare, on_prepare);
+    client->prepare.data = client;
+    ev_prepare_start(loop, &client->prepare);
     curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
     curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
     curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timeout);
@@ -446,7 +454,7 @@
     }
     ev_timer_stop(client->loop, &client->timer);
     ev_timer_stop(client->loop, &client->completed);
-    ev_check_stop(client->loop, &client->check);
+    ev_prepare_stop(client->loop, &client->prepare);
     curl_multi_cleanup(client->multi);
     jr_free(client->ctx, client);
 }
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -723,3 +723,35 @@
     EXPECT_LE(counts.most, kTurnMs / kHandlerMs);
     jr_drop_client(client);
 }
+
+/* Guards against a client that handles nothing, as others always come first.
+ */
+TEST_F(HttpTest, AnswersAreHandledThoughOthersOnTheLoopTakeLong)
+{
+    static constexpr int kOthersMs = 120; /* of each iteration */
+    static constexpr int kIterations = 100;
+    ev_check others;
+    bool is_done = false;
+    jr_client_t *client = jr_new_client(ctx_, loop_);
+    std::string url = "http://127.0.0.1:" + std::to_string(port_) + "/x";
+    jr_fetch_t fetch = {};
+
+    fetch.method = "GET";
+    fetch.url = url.c_str();
+    fetch.timeout_ms = 20000;
+    fetch.user = &is_done;
+    fetch.handler = [](void *user, const jr_fetched_t *) {
+        *static_cast<bool *>(user) = true;
+    };
+    ev_check_init(&others, [](struct ev_loop *, ev_check *, int) {
+        usleep(1000 * kOthersMs);
+    });
+    ev_check_start(loop_, &others);
+    ASSERT_EQ(jr_client_fetch(client, &fetch), JR_OK);
+    for (int i = 0; i < kIterations && !is_done; i++) {
+        ev_run(loop_, EVRUN_ONCE);
+    }
+    EXPECT_TRUE(is_done);
+    ev_check_stop(loop_, &others);
+    jr_drop_client(client);
+}
