Orders that wait do so by zone: a slow one does not hold up others

Looking for it also changed the order of what waits.

Starts and paces that are due are now listed with the window of their zone; zones are asked for orders in turn, full ones not at all.

Evidence: WindowTest.AFullZoneDoesNotHoldUpOthers (new).

--- a/src/dispatch/commands_test.h
+++ b/src/dispatch/commands_test.h
@@ -46,7 +46,8 @@
 
 /* A worker of the service s with four processors. */
 inline Bytes
-PackWorker(std::string id, int64_t born, bool is_draining, int64_t at_ms)
+PackWorker(std::string id, int64_t born, bool is_draining, int64_t at_ms,
+           const char *zone = "z")
 {
     Jr__JobWorker info = JR__JOB_WORKER__INIT;
     Jr__JobCommand command = JR__JOB_COMMAND__INIT;
@@ -54,7 +55,7 @@
     info.id = id.data();
     info.born = born;
     info.address = const_cast<char *>("10.0.0.1:1");
-    info.zone = const_cast<char *>("z");
+    info.zone = const_cast<char *>(zone);
     info.service = const_cast<char *>("s");
     info.machine = const_cast<char *>("m");
     info.cpu_milli = 4000;
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -21,8 +21,6 @@
      */
     LOOKS_PER_MS = 250,
     PACE_TURN = 8, /* one of so many orders may be a pace before others */
-    /* Runs whose zone has no room for an order, looked at for one order. */
-    FULL_LOOKS_MAX = 32,
 };
 
 static void
@@ -226,13 +224,9 @@
     d->wanted_lease_ms = jr_bounded_lease_ms(options);
     d->jobs = jobs;
     TAILQ_INIT(&d->workers);
-    for (size_t i = 0; i < JR_START_CLASSES; i++) {
-        TAILQ_INIT(&d->due[i]);
-    }
     TAILQ_INIT(&d->due_stops);
-    TAILQ_INIT(&d->due_paces);
     STAILQ_INIT(&d->commands);
-    STAILQ_INIT(&d->windows);
+    TAILQ_INIT(&d->windows);
     d->tails = jr_new_tails(ctx);
     d->quality = jr_new_quality(ctx);
     d->releases = g_ptr_array_new();
@@ -422,32 +416,16 @@
     count_sent(d->ctx, order->kind);
 }
 
-/* Must the order of the run wait until others in its zone are answered? */
-static bool
-awaits_window(const jr_run_t *run)
-{
-    return run->state != JR_RUN_STOPPING &&
-           jr_window_is_full(run->worker->window);
-}
-
 static bool
 take_run_order(jr_dispatch_t *d, struct jr_run_list *due, jr_order_t *order)
 {
-    int n_full = 0;
     jr_run_t *run, *next;
 
-    for (run = TAILQ_FIRST(due); run != NULL && n_full < FULL_LOOKS_MAX;
-         run = next) {
+    for (run = TAILQ_FIRST(due); run != NULL; run = next) {
         next = TAILQ_NEXT(run, due_link);
         if (d->now < run->try_at) {
             continue;
         }
-        if (awaits_window(run)) {
-            n_full++;
-            TAILQ_REMOVE(due, run, due_link);
-            TAILQ_INSERT_TAIL(due, run, due_link);
-            continue;
-        }
         TAILQ_REMOVE(due, run, due_link);
         run->due_in = NULL;
         if (jr_run_order(d, run, order)) {
@@ -459,14 +437,45 @@
     return false;
 }
 
+/* The zones in turn. */
+static bool
+take_start(jr_dispatch_t *d, jr_start_class_t start_class, jr_order_t *order)
+{
+    jr_window_t *window;
+
+    TAILQ_FOREACH (window, &d->windows, link) {
+        if (!jr_window_is_full(window) &&
+            take_run_order(d, &window->starts[start_class], order)) {
+            jr_window_to_end(d, window);
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+take_pace(jr_dispatch_t *d, jr_order_t *order)
+{
+    jr_window_t *window;
+
+    TAILQ_FOREACH (window, &d->windows, link) {
+        if (!jr_window_is_full(window) &&
+            take_run_order(d, &window->paces, order)) {
+            jr_window_to_end(d, window);
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Stops first: they are few, and free capacity. */
 static bool
 take_start_or_stop(jr_dispatch_t *d, jr_order_t *order)
 {
     bool found = take_run_order(d, &d->due_stops, order);
 
-    for (size_t i = 0; i < JR_START_CLASSES && !found; i++) {
-        found = take_run_order(d, &d->due[i], order);
+    for (int c = 0; c < JR_START_CLASSES && !found; c++) {
+        found = take_start(d, c, order);
     }
     return found;
 }
@@ -538,16 +547,15 @@
         return false;
     }
     d->n_orders++;
-    if (d->n_orders % PACE_TURN == 0 &&
-        take_run_order(d, &d->due_paces, order)) {
+    if (d->n_orders % PACE_TURN == 0 && take_pace(d, order)) {
         return true;
     }
     if (d->n_orders % 2 == 0) {
         return take_start_or_stop(d, order) || take_worker_order(d, order) ||
-               take_run_order(d, &d->due_paces, order);
+               take_pace(d, order);
     }
     return take_worker_order(d, order) || take_start_or_stop(d, order) ||
-           take_run_order(d, &d->due_paces, order);
+           take_pace(d, order);
 }
 
 static void
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -218,13 +218,15 @@
 TAILQ_HEAD(jr_tracked_worker_list, jr_tracked_worker);
 
 /*
- * Orders for runs on the workers of an availability zone that have no answer
- * yet, but for stops.
+ * Starts and paces for the workers of an availability zone: how many have no
+ * answer yet, and those that are due.
  */
 typedef struct jr_window {
-    STAILQ_ENTRY(jr_window) link;
+    TAILQ_ENTRY(jr_window) link;
     char *zone;
     size_t n_open;
+    struct jr_run_list starts[JR_START_CLASSES];
+    struct jr_run_list paces;
 } jr_window_t;
 
 /* An order that has no answer yet. */
@@ -280,12 +282,12 @@
     jr_tracked_worker_t *next_worker; /* next to scan for orders, or NULL */
     int64_t scanned_at;               /* when no worker had an order, last */
     uint64_t n_orders;                /* that were asked for */
-    struct jr_run_list due[JR_START_CLASSES]; /* starts */
     struct jr_run_list due_stops;
-    struct jr_run_list due_paces; /* wait for the others */
-    size_t n_listed_orphans;      /* of all workers */
+    size_t n_listed_orphans; /* of all workers */
     jr_sent_t *sent;
-    STAILQ_HEAD(, jr_window) windows;
+    TAILQ_HEAD(, jr_window)
+    windows; /* the next to be asked for an order first
+              */
     STAILQ_HEAD(, jr_queued_command) commands;
     GPtrArray *releases; /* of runs */
     /*
@@ -384,6 +386,8 @@
 void jr_windows_drop(jr_dispatch_t *d);
 /* Must starts and paces for the zone wait for answers to others? */
 bool jr_window_is_full(const jr_window_t *window);
+/* Let the other zones be asked for an order before this one. */
+void jr_window_to_end(jr_dispatch_t *d, jr_window_t *window);
 /* The order is sent: count it, if orders of its kind are. */
 void jr_window_add(jr_sent_t *sent);
 /* It was answered, or no answer is awaited any more. */
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -161,13 +161,15 @@
 static struct jr_run_list *
 due_list(jr_dispatch_t *d, const jr_run_t *run)
 {
+    jr_window_t *window = run->worker->window;
+
     switch (run->state) {
     case JR_RUN_RUNNING:
-        return &d->due_paces;
+        return &window->paces;
     case JR_RUN_STOPPING:
         return &d->due_stops;
     default:
-        return &d->due[class_of(jr_task_step(run->task))];
+        return &window->starts[class_of(jr_task_step(run->task))];
     }
 }
 
--- a/src/dispatch/window.c
+++ b/src/dispatch/window.c
@@ -23,14 +23,18 @@
 {
     jr_window_t *window;
 
-    STAILQ_FOREACH (window, &d->windows, link) {
+    TAILQ_FOREACH (window, &d->windows, link) {
         if (strcmp(window->zone, zone) == 0) {
             return window;
         }
     }
     window = jr_alloc(d->ctx, sizeof *window);
     window->zone = jr_strdup(d->ctx, zone);
-    STAILQ_INSERT_TAIL(&d->windows, window, link);
+    for (size_t i = 0; i < JR_START_CLASSES; i++) {
+        TAILQ_INIT(&window->starts[i]);
+    }
+    TAILQ_INIT(&window->paces);
+    TAILQ_INSERT_TAIL(&d->windows, window, link);
     return window;
 }
 
@@ -39,8 +43,8 @@
 {
     jr_window_t *window;
 
-    while ((window = STAILQ_FIRST(&d->windows)) != NULL) {
-        STAILQ_REMOVE_HEAD(&d->windows, link);
+    while ((window = TAILQ_FIRST(&d->windows)) != NULL) {
+        TAILQ_REMOVE(&d->windows, window, link);
         jr_free(d->ctx, window->zone);
         jr_free(d->ctx, window);
     }
@@ -52,6 +56,13 @@
     return window->n_open >= OPEN_MAX;
 }
 
+void
+jr_window_to_end(jr_dispatch_t *d, jr_window_t *window)
+{
+    TAILQ_REMOVE(&d->windows, window, link);
+    TAILQ_INSERT_TAIL(&d->windows, window, link);
+}
+
 static bool
 is_counted(jr_order_kind_t kind)
 {
--- a/src/dispatch/window_test.cc
+++ b/src/dispatch/window_test.cc
@@ -126,6 +126,7 @@
             if (order.kind == JR_ORDER_START) {
                 starts_.push_back(order.serial);
                 last_job_ = order.run.job;
+                last_worker_ = order.worker;
             }
             else if (order.kind == JR_ORDER_STOP) {
                 n_stops_++;
@@ -143,6 +144,7 @@
     std::vector<uint64_t> starts_;
     size_t n_stops_ = 0;
     uint64_t last_job_ = 0; /* of the latest start */
+    std::string last_worker_;
 };
 
 /*
@@ -203,4 +205,22 @@
     EXPECT_EQ(last_job_, kFirstJob + 1);
 }
 
+/* Guards against a zone whose orders wait behind all of a slow one. */
+TEST_F(WindowTest, AFullZoneDoesNotHoldUpOthers)
+{
+    Submit(kFirstJob, kWorkers);
+    Tick();
+    Tick();
+    TakeOrders();
+    ASSERT_EQ(starts_.size(), kStartsMost);
+    Apply(PackWorker("other", kBorn, false, now_, "y"));
+    Tick();
+    TakeOrders();
+    Submit(kFirstJob + 1, 1);
+    Tick();
+    TakeOrders();
+    EXPECT_EQ(starts_.size(), kStartsMost + 1);
+    EXPECT_EQ(last_worker_, "other");
+}
+
 } // namespace
