A carrier does not send orders that their leader has given up

Found by the review of the queue of carriers, by reading: the leader gives an order up after its time-out and 400 ms for the way, repeats it, and the carrier sent the first copy still, up to 2 s after a receipt.

An order that has waited in the queue for its own time-out is now answered as not sent. No test of its own: by reading only.

--- a/src/control/carry.c
+++ b/src/control/carry.c
@@ -39,6 +39,7 @@
     STAILQ_ENTRY(queued_order) link;
     jr_carry_session_t *session;
     int64_t heard_ms; /* see jr_carried_is_stale() */
+    int64_t queued_at;
     Jr__Order *message;
     jr_order_t order; /* borrows from the message */
 } queued_order_t;
@@ -372,12 +373,13 @@
 {
     jr_ctx_t *ctx = carry->control->ctx;
     queued_order_t *queued = jr_alloc(ctx, sizeof *queued);
-    jr_carry_verdict_t verdict =
-        jr_carry_judge(carry->n_carried, carry->control->is_draining, heard_ms,
-                       jr_clock_ms());
+    int64_t now = jr_clock_ms();
+    jr_carry_verdict_t verdict = jr_carry_judge(
+        carry->n_carried, carry->control->is_draining, heard_ms, now);
 
     queued->session = session;
     queued->heard_ms = heard_ms;
+    queued->queued_at = now;
     queued->message = jr_carry_read(ctx, packed, &queued->order);
     if (queued->message == NULL) {
         jr_free(ctx, queued);
@@ -394,7 +396,10 @@
     carry->n_carried++;
 }
 
-/* It may have become stale in the queue. */
+/*
+ * It may have become stale in the queue, or so late that the leader is about
+ * to give it up, and to order the same anew.
+ */
 static void
 send_queued(jr_carry_t *carry, queued_order_t *queued, int64_t now)
 {
@@ -403,6 +408,10 @@
         jr_carry_judge(carry->n_carried - 1, carry->control->is_draining,
                        queued->heard_ms, now);
 
+    if (verdict == JR_CARRY_SEND &&
+        now - queued->queued_at >= queued->order.timeout_ms) {
+        verdict = JR_CARRY_STALE;
+    }
     if (verdict == JR_CARRY_SEND) {
         jr_count(carry->control->ctx, JR_C_ORDERS_CARRIED);
         jr_control_send_order(carry->control, &queued->order, session);
