--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -276,9 +276,8 @@
     /* Of the recent peak of short tasks; see jr_reserve_left_for_services().
      */
     int64_t left_for_services;
-    int64_t overdue_milli; /* processors that overdue services lack */
-    bool has_short_tasks;  /* running, or waiting */
-    bool is_mostly_idle;   /* more than half of the processors are free */
+    bool has_short_tasks; /* running, or waiting */
+    bool is_mostly_idle;  /* more than half of the processors are free */
     struct jr_tracked_worker_list workers; /* by rank */
     jr_tracked_worker_t *next_worker; /* next to scan for orders, or NULL */
     int64_t scanned_at;               /* when no worker had an order, last */
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -409,7 +409,6 @@
 
     reservations->is_for_overdue = true;
     for_waiting_services(d, add_overdue, reservations);
-    d->overdue_milli = reservations->overdue_milli;
     reservations->left = left_beside(&totals, 0.0, 0.0);
     if (2 * reservations->overdue_milli > reservations->left) {
         reservations->left =
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -104,24 +104,6 @@
     return d->wall_ms + left_ms > begin + allowed_ms ? LATE : ON_TIME;
 }
 
-/* When the service that has waited longest began to wait. */
-static int64_t
-longest_wait_since(const jr_job_t *job, uint32_t occurrence)
-{
-    const jr_step_progress_t *progress =
-        &job->steps[occurrence * job->spec->n_steps];
-    int64_t since = INT64_MAX;
-
-    for (uint32_t i = 0; i < job->spec->steps[0]->count; i++) {
-        const jr_job_task_t *task = &job->tasks[progress->first + i];
-
-        if (task->phase == JR_PHASE_WAITING) {
-            since = MIN(since, task->waiting_since);
-        }
-    }
-    return since;
-}
-
 static candidate_t
 make_candidate(const jr_dispatch_t *d, jr_job_t *job, uint32_t occurrence)
 {
@@ -138,9 +120,7 @@
         .prospect = job->spec->steps[0]->service
                         ? ON_TIME
                         : prospect_of(d, job, occurrence, allowed),
-        .due_ms = job->spec->steps[0]->service
-                      ? longest_wait_since(job, occurrence)
-                      : begin + allowed,
+        .due_ms = begin + allowed,
     };
 }
 
--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -273,18 +273,13 @@
     }
 }
 
-/*
- * A service that gives way needs a place within a bounded time, and those that
- * are overdue come before it.
- */
 void
 jr_urgent_make_room(jr_dispatch_t *d, const GArray *waiting)
 {
     int64_t excess = -jr_reserve_left_for_services(d, d->short_demand.latest);
     GHashTable *missing;
 
-    if (d->overdue_milli > 0 ||
-        d->now < MAX(d->led_at, d->paused_at) + NO_STOPS_AFTER_PAUSE_MS) {
+    if (d->now < MAX(d->led_at, d->paused_at) + NO_STOPS_AFTER_PAUSE_MS) {
         return;
     }
     missing = g_hash_table_new(g_direct_hash, g_direct_equal);
