--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -285,9 +285,7 @@
     struct jr_run_list due_stops;
     size_t n_listed_orphans; /* of all workers */
     jr_sent_t *sent;
-    TAILQ_HEAD(, jr_window)
-    windows; /* the next to be asked for an order first
-              */
+    TAILQ_HEAD(, jr_window) windows; /* first the next to get an order */
     STAILQ_HEAD(, jr_queued_command) commands;
     GPtrArray *releases; /* of runs */
     /*
--- a/src/dispatch/window.c
+++ b/src/dispatch/window.c
@@ -12,8 +12,8 @@
 
 enum {
     /*
-     * Of the workers of a zone: what a carrier that sends 850 a second takes
-     * within half of JR_ANSWER_TIMEOUT_MS.
+     * In one zone. At a millisecond an order they are answered within half of
+     * JR_ANSWER_TIMEOUT_MS.
      */
     OPEN_MAX = 256,
 };
