Bodies of requests share a bounded memory of the process

One account a process, in the context, shared by its HTTP servers, charged with what is allocated: an announced length at once, chunked bodies as they grow (by half). What does not fit is refused with 503, overloaded, before its body is read, or closed if it is chunked. Bodies without progress for 2 s of iterations of the loop give way, to small requests also the small one that is longest without progress.

Freed bodies go back to the system: the threshold for pages of their own is fixed, it would grow with the bodies freed.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -29,6 +29,12 @@
     X(REFUSED_STARTING, "refused_starting_total", "not run: no rules yet")    \
     X(REFUSED_BAD_REQUEST, "refused_bad_request_total", "request not valid")  \
     X(REFUSED_TOO_LARGE, "refused_too_large_total", "request too large")      \
+    X(REFUSED_MEMORY, "refused_memory_total",                                 \
+      "not run: no memory for the body, said before it was read")             \
+    X(CLOSED_MEMORY, "closed_memory_total",                                   \
+      "connections closed: no memory for the rest of a chunked body")         \
+    X(CLOSED_GAVE_WAY, "closed_gave_way_total",                               \
+      "connections closed: incomplete body gave way to another request")      \
     X(REFUSED_QUOTA, "refused_quota_total", "team quota used up")             \
     X(REFUSED_UPSTREAM, "refused_upstream_total",                             \
       "not run: upstream said so and no attempt was left")                    \
--- a/include/jayrelay/settings.h
+++ b/include/jayrelay/settings.h
@@ -65,6 +65,8 @@
  * @lease_ms: duration of a lease
  * @drift_permille: bound on the drift of any clock from real time
  * @snapshot_every: log entries after which a snapshot is taken
+ * @request_memory_mb: for the bodies of requests that are being received or
+ *                     handled, all together
  * @crossing_ms: assumed latency of a cross-zone message
  * @retry_percent: retries allowed per 100 first attempts
  * @controls: all control processes, or those named by the seeds
@@ -96,6 +98,7 @@
     int64_t heartbeat_ms;
     int64_t snapshot_every;
     int64_t drain_ms;
+    int64_t request_memory_mb;
     int64_t crossing_ms;
     int64_t retry_percent;
     jr_process_t controls[JR_CONTROLS_MAX];
--- a/src/base/ctx.c
+++ b/src/base/ctx.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { SEVERITY_INFO = 6 };
+enum { SEVERITY_INFO = 6, BYTES_PER_MB = 1024 * 1024 };
 
 static void *
 libc_resize(void *user, void *p, size_t n)
@@ -29,6 +29,7 @@
     ctx->program = program;
     ctx->log = log;
     ctx->log_level = SEVERITY_INFO;
+    jr_room_init(&ctx->room, (size_t)JR_ROOM_STANDARD_MB * BYTES_PER_MB);
     return ctx;
 }
 
--- a/src/base/program.c
+++ b/src/base/program.c
@@ -2,10 +2,16 @@
 #include "jayrelay/program.h"
 
 #include <glib.h>
+#include <malloc.h>
 #include <string.h>
 #include <time.h>
 #include <xxhash.h>
 
+enum {
+    BYTES_PER_MB = 1024 * 1024,
+    OWN_PAGES_BYTES = 128 * 1024, /* allocations with pages of their own */
+};
+
 static int64_t
 clock_us(clockid_t clock)
 {
@@ -39,6 +45,20 @@
     return 1 + (uint32_t)(XXH64(key, strlen(key), 0) % (uint64_t)groups);
 }
 
+/*
+ * Large bodies get pages of their own, which go back to the system once they
+ * are freed. Without it, the threshold would grow with the bodies freed.
+ */
+static void
+set_memory(jr_ctx_t *ctx, const jr_settings_t *settings)
+{
+    jr_room_init(&ctx->room,
+                 (size_t)settings->request_memory_mb * BYTES_PER_MB);
+#ifdef M_MMAP_THRESHOLD
+    mallopt(M_MMAP_THRESHOLD, OWN_PAGES_BYTES);
+#endif
+}
+
 static int
 check_settings(jr_ctx_t *ctx, const jr_program_t *program, const char *path,
                bool only_check, jr_settings_t *settings)
@@ -57,6 +77,7 @@
         printf("%s: %s: settings are valid\n", program->name, path);
         return 0;
     }
+    set_memory(ctx, settings);
     return -1;
 }
 
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -20,8 +20,13 @@
     CONNECTIONS_MAX = 8192,
     IDLE_TIMEOUT_S = 60,
     BACKLOG = 1024, /* connections not yet accepted */
+    DECIMAL = 10,
+    CHUNKED_BYTES = 512, /* first charge for a body of unknown length */
 };
 
+/* After JR_ROOM_STALLED_TICKS, 2 s, a body gives way to others. */
+static const double TICK_S = 0.5;
+
 struct jr_http {
     jr_ctx_t *ctx;
     struct ev_loop *loop;
@@ -30,6 +35,7 @@
     void *user;
     ev_io io;
     ev_timer timer;
+    ev_timer tick; /* while bodies are received */
     ev_prepare prepare;
     bool is_closing;
     bool has_resumed; /* a connection, since the last MHD_run() */
@@ -48,6 +54,8 @@
     char *body;
     size_t len;
     size_t cap;
+    jr_hold_t hold; /* of @cap bytes */
+    bool is_ended;  /* its connection is closed before it is handled */
     bool is_too_large;
     bool is_handled;
     bool is_suspended;
@@ -58,6 +66,10 @@
 static const char TOO_LARGE[] =
     "{\"outcome\":\"not-run\",\"reason\":\"too-large\"}\n";
 
+static const char OVERLOADED[] =
+    "{\"outcome\":\"not-run\",\"reason\":\"overloaded\"}\n";
+static const jr_header_t RETRY_AFTER = {"Retry-After", "1"};
+
 static jr_exchange_t *
 new_exchange(jr_http_t *http, struct MHD_Connection *connection,
              const char *method, const char *path)
@@ -66,6 +78,7 @@
 
     exchange->http = http;
     exchange->connection = connection;
+    exchange->hold.owner = exchange;
     exchange->method = jr_strdup(http->ctx, method);
     exchange->path = jr_strdup(http->ctx, path);
     http->n_open++;
@@ -74,22 +87,99 @@
 }
 
 static void
+release_body(jr_exchange_t *exchange)
+{
+    jr_ctx_t *ctx = exchange->http->ctx;
+
+    jr_room_release(&ctx->room, &exchange->hold);
+    jr_free(ctx, exchange->body);
+    exchange->body = NULL;
+    exchange->len = 0;
+    exchange->cap = 0;
+}
+
+/*
+ * Ends a request that is being received, also one of another server of the
+ * process. libmicrohttpd closes the connection once it sees its end.
+ */
+static void
+end_exchange(jr_exchange_t *exchange)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+    exchange->is_ended = true;
+    release_body(exchange);
+    if (info != NULL) {
+        shutdown(info->connect_fd, SHUT_RDWR);
+    }
+}
+
+/* Charges the memory, in which stalled bodies give way if need be. */
+static bool
+charge(jr_exchange_t *exchange, size_t cap)
+{
+    jr_ctx_t *ctx = exchange->http->ctx;
+
+    while (!jr_room_charge(&ctx->room, &exchange->hold, cap)) {
+        jr_hold_t *stalest = jr_room_stalest(&ctx->room, &exchange->hold, cap);
+
+        if (stalest == NULL) {
+            return false;
+        }
+        jr_count(ctx, JR_C_CLOSED_GAVE_WAY);
+        end_exchange(stalest->owner);
+    }
+    return true;
+}
+
+static bool
+resize_body(jr_exchange_t *exchange, size_t cap)
+{
+    if (!charge(exchange, cap)) {
+        return false;
+    }
+    exchange->body = jr_resize(exchange->http->ctx, exchange->body, cap);
+    exchange->cap = cap;
+    return true;
+}
+
+/* Makes room for a body of @len bytes and a NUL. */
+static bool
+grow_body(jr_exchange_t *exchange, size_t len)
+{
+    size_t cap = exchange->cap + exchange->cap / 2;
+
+    if (len < exchange->cap) {
+        return true;
+    }
+    if (cap > JR_HTTP_BODY_MAX_BYTES + 1) {
+        cap = JR_HTTP_BODY_MAX_BYTES + 1;
+    }
+    return resize_body(exchange, cap > len ? cap : len + 1);
+}
+
+/* Return: false if the connection is to be closed. */
+static bool
 append_body(jr_exchange_t *exchange, const char *data, size_t len)
 {
+    jr_ctx_t *ctx = exchange->http->ctx;
+
     if (exchange->len + len > JR_HTTP_BODY_MAX_BYTES) {
         exchange->is_too_large = true;
     }
     if (exchange->is_too_large) {
-        return;
+        return true;
     }
-    if (exchange->len + len + 1 > exchange->cap) {
-        exchange->cap = 2 * (exchange->len + len + 1);
-        exchange->body =
-            jr_resize(exchange->http->ctx, exchange->body, exchange->cap);
+    if (!grow_body(exchange, exchange->len + len)) {
+        jr_count(ctx, JR_C_CLOSED_MEMORY);
+        return false;
     }
+    jr_room_progress(&ctx->room, &exchange->hold);
     memcpy(exchange->body + exchange->len, data, len);
     exchange->len += len;
     exchange->body[exchange->len] = '\0';
+    return true;
 }
 
 static enum MHD_Result
@@ -113,27 +203,75 @@
 }
 
 static enum MHD_Result
-on_access(void *cls, struct MHD_Connection *connection, const char *url,
-          const char *method, const char *version, const char *data,
-          size_t *len, void **state)
+refuse_memory(jr_exchange_t *exchange)
 {
-    jr_http_t *http = cls;
-    jr_exchange_t *exchange = *state;
+    jr_count(exchange->http->ctx, JR_C_REFUSED_MEMORY);
+    exchange->is_handled = true;
+    jr_http_answer(exchange, MHD_HTTP_SERVICE_UNAVAILABLE, &RETRY_AFTER, 1,
+                   OVERLOADED, strlen(OVERLOADED));
+    return queue_response(exchange);
+}
 
-    (void)version;
-    if (http->is_stopping &&
-        (exchange == NULL || exchange->response == NULL)) {
-        return MHD_NO;
+/*
+ * The memory for the body of a new request: 0 if it has none, and the least if
+ * its length is not known. libmicrohttpd ignores a length that is announced
+ * beside a transfer encoding.
+ */
+static size_t
+first_cap(const jr_exchange_t *exchange, bool *is_announced)
+{
+    const char *announced =
+        jr_exchange_header(exchange, MHD_HTTP_HEADER_CONTENT_LENGTH);
+    unsigned long long len;
+
+    *is_announced = false;
+    if (jr_exchange_header(exchange, MHD_HTTP_HEADER_TRANSFER_ENCODING) !=
+        NULL) {
+        return CHUNKED_BYTES;
     }
-    if (exchange == NULL) {
-        *state = new_exchange(http, connection, method, url);
+    if (announced == NULL) {
+        return 0;
+    }
+    len = strtoull(announced, NULL, DECIMAL);
+    if (len > JR_HTTP_BODY_MAX_BYTES) {
+        return CHUNKED_BYTES;
+    }
+    *is_announced = true;
+    return len > 0 ? len + 1 : 0;
+}
+
+/* The headers have arrived, and no byte of the body was read. */
+static enum MHD_Result
+begin_exchange(jr_exchange_t *exchange)
+{
+    jr_http_t *http = exchange->http;
+    bool is_announced;
+    size_t cap = first_cap(exchange, &is_announced);
+
+    if (cap == 0) {
         return MHD_YES;
     }
-    if (*len > 0) {
-        append_body(exchange, data, *len);
-        *len = 0;
+    if (!ev_is_active(&http->tick)) {
+        ev_timer_again(http->loop, &http->tick);
+    }
+    if (resize_body(exchange, cap)) {
+        exchange->body[0] = '\0';
         return MHD_YES;
     }
+    if (is_announced) {
+        return refuse_memory(exchange);
+    }
+    jr_count(http->ctx, JR_C_CLOSED_MEMORY);
+    return MHD_NO;
+}
+
+/* The whole request has arrived, or its answer may be there. */
+static enum MHD_Result
+continue_exchange(jr_exchange_t *exchange)
+{
+    jr_http_t *http = exchange->http;
+
+    jr_room_complete(&http->ctx->room, &exchange->hold);
     if (exchange->is_too_large && !exchange->is_handled) {
         refuse_too_large(exchange);
     }
@@ -146,11 +284,42 @@
     }
     if (!exchange->is_suspended) {
         exchange->is_suspended = true;
-        MHD_suspend_connection(connection);
+        MHD_suspend_connection(exchange->connection);
     }
     return MHD_YES;
 }
 
+static enum MHD_Result
+on_access(void *cls, struct MHD_Connection *connection, const char *url,
+          const char *method, const char *version, const char *data,
+          size_t *len, void **state)
+{
+    jr_http_t *http = cls;
+    jr_exchange_t *exchange = *state;
+
+    (void)version;
+    if (http->is_stopping &&
+        (exchange == NULL || exchange->response == NULL)) {
+        return MHD_NO;
+    }
+    if (exchange == NULL) {
+        exchange = new_exchange(http, connection, method, url);
+        *state = exchange;
+        return begin_exchange(exchange);
+    }
+    if (exchange->is_ended) {
+        return MHD_NO;
+    }
+    if (*len > 0) {
+        if (!append_body(exchange, data, *len)) {
+            return MHD_NO;
+        }
+        *len = 0;
+        return MHD_YES;
+    }
+    return continue_exchange(exchange);
+}
+
 static void
 on_completed(void *cls, struct MHD_Connection *connection, void **state,
              enum MHD_RequestTerminationCode reason)
@@ -169,7 +338,7 @@
     TAILQ_REMOVE(&http->exchanges, exchange, link);
     jr_free(http->ctx, exchange->method);
     jr_free(http->ctx, exchange->path);
-    jr_free(http->ctx, exchange->body);
+    release_body(exchange);
     jr_free(http->ctx, exchange);
     *state = NULL;
     http->n_open--;
@@ -205,6 +374,29 @@
     run_daemon(timer->data);
 }
 
+/*
+ * Time is counted in iterations of the loop: a body has not stalled while the
+ * process was paused.
+ */
+static void
+on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    jr_http_t *http = timer->data;
+    bool is_receiving = false;
+    jr_exchange_t *exchange;
+
+    (void)events;
+    TAILQ_FOREACH (exchange, &http->exchanges, link) {
+        if (exchange->hold.is_receiving) {
+            jr_room_tick(&exchange->hold);
+            is_receiving = true;
+        }
+    }
+    if (!is_receiving) {
+        ev_timer_stop(loop, timer);
+    }
+}
+
 /* Writes all answers given since the last loop iteration in one call. */
 static void
 on_prepare(struct ev_loop *loop, ev_prepare *prepare, int events)
@@ -267,6 +459,8 @@
     ev_io_start(loop, &http->io);
     ev_timer_init(&http->timer, on_timer, 0.0, 0.0);
     http->timer.data = http;
+    ev_timer_init(&http->tick, on_tick, TICK_S, TICK_S);
+    http->tick.data = http;
     ev_prepare_init(&http->prepare, on_prepare);
     http->prepare.data = http;
     ev_prepare_start(loop, &http->prepare);
@@ -298,6 +492,7 @@
     run_daemon(http); /* writes the last answers */
     ev_io_stop(http->loop, &http->io);
     ev_timer_stop(http->loop, &http->timer);
+    ev_timer_stop(http->loop, &http->tick);
     ev_prepare_stop(http->loop, &http->prepare);
     MHD_stop_daemon(http->daemon);
     jr_free(http->ctx, http);
