Bodies over the limit are refused before they are read, not after

An announced length over the limit now gets 413 with the headers, and its connection is closed; libmicrohttpd takes such an answer for POST and PUT, other methods are closed without one. A chunked body is closed once it passes the limit, and counted.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -31,6 +31,8 @@
     X(REFUSED_TOO_LARGE, "refused_too_large_total", "request too large")      \
     X(REFUSED_MEMORY, "refused_memory_total",                                 \
       "not run: no memory for the body, said before it was read")             \
+    X(CLOSED_TOO_LARGE, "closed_too_large_total",                             \
+      "connections closed: chunked body too large")                           \
     X(CLOSED_MEMORY, "closed_memory_total",                                   \
       "connections closed: no memory for the rest of a chunked body")         \
     X(CLOSED_GAVE_WAY, "closed_gave_way_total",                               \
--- a/src/net/crowd_http_test.cc
+++ b/src/net/crowd_http_test.cc
@@ -336,4 +336,42 @@
     EXPECT_LE(memory_.most, kBodiesMaxBytes + kOtherBytes);
 }
 
+/* Guards against a gigabyte that is read on only to be refused. */
+TEST_F(CrowdTest, ABodyAnnouncedOverTheLimitIsRefusedBeforeItIsRead)
+{
+    for (const char *method : {"POST", "PUT", "DELETE", "GET", "PATCH"}) {
+        int fd = Connect(port_);
+        std::string answer;
+
+        Send(fd, method + Announce(1000 * kMiB).substr(4));
+        answer = Receive(fd);
+        if (*method == 'P' && method != std::string("PATCH")) {
+            EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 413");
+        }
+        while (!IsClosed(fd)) {
+            Receive(fd);
+        }
+    }
+    EXPECT_EQ(n_handled_, 0);
+    EXPECT_EQ(ctx_->counters[JR_C_REFUSED_TOO_LARGE], 5u);
+    EXPECT_EQ(Status(port_, JR_HTTP_BODY_MAX_BYTES + 1), "413");
+    EXPECT_EQ(Status(port_, JR_HTTP_BODY_MAX_BYTES), "200");
+}
+
+/* Guards against the same where the length is not announced. */
+TEST_F(CrowdTest, AChunkedBodyThatPassesTheLimitIsClosed)
+{
+    int fd = Connect(port_);
+    int n = 0;
+
+    Send(fd, kChunkedHead);
+    while (n < 1000 && Send(fd, Chunk(kMiB / 4))) {
+        n++;
+    }
+    EXPECT_LE(n, 40); /* with what the kernel buffers */
+    EXPECT_EQ(n_handled_, 0);
+    EXPECT_EQ(ctx_->counters[JR_C_CLOSED_TOO_LARGE], 1u);
+    EXPECT_EQ(Status(port_, 300), "200");
+}
+
 } // namespace
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -56,7 +56,6 @@
     size_t cap;
     jr_hold_t hold; /* of @cap bytes */
     bool is_ended;  /* its connection is closed before it is handled */
-    bool is_too_large;
     bool is_handled;
     bool is_suspended;
     struct MHD_Response *response;
@@ -166,10 +165,8 @@
     jr_ctx_t *ctx = exchange->http->ctx;
 
     if (exchange->len + len > JR_HTTP_BODY_MAX_BYTES) {
-        exchange->is_too_large = true;
-    }
-    if (exchange->is_too_large) {
-        return true;
+        jr_count(ctx, JR_C_CLOSED_TOO_LARGE);
+        return false;
     }
     if (!grow_body(exchange, exchange->len + len)) {
         jr_count(ctx, JR_C_CLOSED_MEMORY);
@@ -193,29 +190,42 @@
     return result;
 }
 
-static void
+/*
+ * Refuses a request whose body was not read, and closes its connection.
+ * libmicrohttpd takes an answer before the body only for these methods.
+ */
+static enum MHD_Result
+refuse(jr_exchange_t *exchange, unsigned status, const jr_header_t *headers,
+       size_t n, const char *text)
+{
+    exchange->is_handled = true;
+    if (strcmp(exchange->method, MHD_HTTP_METHOD_POST) != 0 &&
+        strcmp(exchange->method, MHD_HTTP_METHOD_PUT) != 0) {
+        return MHD_NO;
+    }
+    jr_http_answer(exchange, status, headers, n, text, strlen(text));
+    return queue_response(exchange);
+}
+
+static enum MHD_Result
 refuse_too_large(jr_exchange_t *exchange)
 {
     jr_count(exchange->http->ctx, JR_C_REFUSED_TOO_LARGE);
-    exchange->is_handled = true;
-    jr_http_answer(exchange, MHD_HTTP_CONTENT_TOO_LARGE, NULL, 0, TOO_LARGE,
-                   strlen(TOO_LARGE));
+    return refuse(exchange, MHD_HTTP_CONTENT_TOO_LARGE, NULL, 0, TOO_LARGE);
 }
 
 static enum MHD_Result
 refuse_memory(jr_exchange_t *exchange)
 {
     jr_count(exchange->http->ctx, JR_C_REFUSED_MEMORY);
-    exchange->is_handled = true;
-    jr_http_answer(exchange, MHD_HTTP_SERVICE_UNAVAILABLE, &RETRY_AFTER, 1,
-                   OVERLOADED, strlen(OVERLOADED));
-    return queue_response(exchange);
+    return refuse(exchange, MHD_HTTP_SERVICE_UNAVAILABLE, &RETRY_AFTER, 1,
+                  OVERLOADED);
 }
 
 /*
- * The memory for the body of a new request: 0 if it has none, and the least if
- * its length is not known. libmicrohttpd ignores a length that is announced
- * beside a transfer encoding.
+ * The memory for the body of a new request: 0 if it has none, SIZE_MAX if it
+ * is too large, and the least if its length is not known. libmicrohttpd
+ * ignores a length that is announced beside a transfer encoding.
  */
 static size_t
 first_cap(const jr_exchange_t *exchange, bool *is_announced)
@@ -233,11 +243,11 @@
         return 0;
     }
     len = strtoull(announced, NULL, DECIMAL);
+    *is_announced = true;
     if (len > JR_HTTP_BODY_MAX_BYTES) {
-        return CHUNKED_BYTES;
+        return SIZE_MAX;
     }
-    *is_announced = true;
-    return len > 0 ? len + 1 : 0;
+    return len > 0 ? (size_t)len + 1 : 0;
 }
 
 /* The headers have arrived, and no byte of the body was read. */
@@ -251,6 +261,9 @@
     if (cap == 0) {
         return MHD_YES;
     }
+    if (cap == SIZE_MAX) {
+        return refuse_too_large(exchange);
+    }
     if (!ev_is_active(&http->tick)) {
         ev_timer_again(http->loop, &http->tick);
     }
@@ -272,9 +285,6 @@
     jr_http_t *http = exchange->http;
 
     jr_room_complete(&http->ctx->room, &exchange->hold);
-    if (exchange->is_too_large && !exchange->is_handled) {
-        refuse_too_large(exchange);
-    }
     if (!exchange->is_handled) {
         exchange->is_handled = true;
         http->handler(http->user, exchange);
