A body that makes no progress is closed after 5 s

Each server now looks twice a second while it receives bodies, and closes those without progress in ten such looks. It counts looks and not time, so that a process that was paused does not close the bodies that wait in the kernel.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -35,6 +35,8 @@
       "connections closed: chunked body too large")                           \
     X(CLOSED_MEMORY, "closed_memory_total",                                   \
       "connections closed: no memory for the rest of a chunked body")         \
+    X(CLOSED_STALLED, "closed_stalled_total",                                 \
+      "connections closed: incomplete body made no progress")                 \
     X(CLOSED_GAVE_WAY, "closed_gave_way_total",                               \
       "connections closed: incomplete body gave way to another request")      \
     X(REFUSED_QUOTA, "refused_quota_total", "team quota used up")             \
--- a/src/net/crowd_http_test.cc
+++ b/src/net/crowd_http_test.cc
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 extern "C" {
@@ -24,6 +25,7 @@
 
 constexpr size_t kMiB = 1024 * 1024;
 constexpr size_t kBodiesMaxBytes = 32 * kMiB; /* of a process, by default */
+constexpr double kIdleTimeoutS = 55;          /* below that of a connection */
 constexpr size_t kOtherBytes = 2 * kMiB;      /* of exchanges, at most */
 
 /* Memory that is allocated through a context, now and at most. */
@@ -57,6 +59,7 @@
         ctx_ = jr_new_ctx("test", nullptr);
         ctx_->allocator = {Memory::Resize, &memory_};
         loop_ = ev_loop_new(EVFLAG_AUTO);
+        start_ = ev_now(loop_);
         http_ = Listen(&port_);
         other_http_ = Listen(&other_port_);
     }
@@ -256,6 +259,7 @@
     uint16_t other_port_ = 0;
     std::vector<int> open_;
     std::vector<jr_exchange_t *> held_;
+    double start_ = 0;
     int n_handled_ = 0;
     size_t last_len_ = 0;
 };
@@ -330,7 +334,8 @@
 
     OpenBodies(40, JR_HTTP_BODY_MAX_BYTES);
     while (std::chrono::steady_clock::now() < end) {
-        ev_run(loop_, EVRUN_ONCE);
+        Turn();
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
     }
     EXPECT_EQ(Status(port_, JR_HTTP_BODY_MAX_BYTES), "200");
     EXPECT_LE(memory_.most, kBodiesMaxBytes + kOtherBytes);
@@ -374,4 +379,65 @@
     EXPECT_EQ(Status(port_, 300), "200");
 }
 
+/* Guards against bodies that hold memory for as long as they stay open. */
+TEST_F(CrowdTest, ABodyThatDoesNotArriveIsClosedASlowOneIsNot)
+{
+    std::vector<int> stalled = {Connect(port_), Connect(port_),
+                                Connect(other_port_)};
+    int slow = Connect(port_);
+    size_t n_slow = 0;
+
+    Send(stalled[0], Announce(10));
+    Send(stalled[1], Announce(kMiB) + "x");
+    Send(stalled[2], kChunkedHead + Chunk(10));
+    Send(slow, Announce(100));
+    while (ctx_->counters[JR_C_CLOSED_STALLED] < stalled.size()) {
+        ev_run(loop_, EVRUN_ONCE);
+        if (ev_now(loop_) - start_ > n_slow + 1.0) {
+            Send(slow, "x");
+            n_slow++;
+        }
+        ASSERT_LT(ev_now(loop_) - start_, kIdleTimeoutS);
+    }
+    for (int fd : stalled) {
+        EXPECT_EQ(Receive(fd), "");
+        EXPECT_TRUE(IsClosed(fd));
+    }
+    EXPECT_EQ(n_handled_, 0);
+    Send(slow, std::string(100 - n_slow, 'x'));
+    EXPECT_NE(Receive(slow).find("200"), std::string::npos);
+}
+
+/* Guards against the same being done to callers as the process was paused. */
+TEST_F(CrowdTest, ABodyHasNotStalledWhileTheProcessWasPaused)
+{
+    int fd = Connect(port_);
+
+    Send(fd, Announce(2) + "x");
+    std::this_thread::sleep_for(std::chrono::seconds(7));
+    Send(fd, "x");
+    EXPECT_NE(Receive(fd).find("200"), std::string::npos);
+    EXPECT_EQ(ctx_->counters[JR_C_CLOSED_STALLED], 0u);
+}
+
+/* Guards against the deadline being counted for requests that are handled. */
+TEST_F(CrowdTest, ARequestThatIsHandledHasNoDeadlineForItsBody)
+{
+    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(7);
+    int fd = Connect(port_);
+    int other = Connect(port_);
+    std::string head = Announce(2);
+
+    Send(fd, head.replace(head.find("/x"), 2, "/hold") + "xx");
+    Send(other, Announce(2)); /* keeps the ticks going */
+    while (std::chrono::steady_clock::now() < end) {
+        Turn();
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    ASSERT_EQ(held_.size(), 1u);
+    jr_http_answer(held_.front(), 200, nullptr, 0, "yes", 3);
+    EXPECT_NE(Receive(fd).find("200"), std::string::npos);
+    EXPECT_EQ(ctx_->counters[JR_C_CLOSED_STALLED], 1u);
+}
+
 } // namespace
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -19,7 +19,8 @@
     CONNECTION_MEMORY_BYTES = 32 * 1024,
     CONNECTIONS_MAX = 8192,
     IDLE_TIMEOUT_S = 60,
-    BACKLOG = 1024, /* connections not yet accepted */
+    BACKLOG = 1024,         /* connections not yet accepted */
+    STALLED_TICKS_MAX = 10, /* 5 s: a body without progress is closed */
     DECIMAL = 10,
     CHUNKED_BYTES = 512, /* first charge for a body of unknown length */
 };
@@ -397,9 +398,14 @@
 
     (void)events;
     TAILQ_FOREACH (exchange, &http->exchanges, link) {
-        if (exchange->hold.is_receiving) {
-            jr_room_tick(&exchange->hold);
-            is_receiving = true;
+        if (!exchange->hold.is_receiving) {
+            continue;
+        }
+        is_receiving = true;
+        jr_room_tick(&exchange->hold);
+        if (exchange->hold.stalled_ticks > STALLED_TICKS_MAX) {
+            jr_count(http->ctx, JR_C_CLOSED_STALLED);
+            end_exchange(exchange);
         }
     }
     if (!is_receiving) {
