Connections are as many as descriptors and memory allow, idle ones make room

The servers of a process now have at most half of its descriptors together, and one connection for 32 KB of request_memory_mb (1024). At the limit a new connection is accepted and the one that is idle longest, or whose request makes no progress, is closed; never one whose request is being handled. If all are, the new one is closed at once. A request that arrives on a connection that is about to close is not handled.

ConnectionsTest: 2 of 3 red without on_connect()'s check (trial on this state; 200 of 200 idle connections stayed open where 20 are allowed), green with it. All 14 of crowd_http_test, http_test, room_test, settings_test and tables_test green.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -31,6 +31,10 @@
     X(REFUSED_TOO_LARGE, "refused_too_large_total", "request too large")      \
     X(REFUSED_MEMORY, "refused_memory_total",                                 \
       "not run: no memory for the body, said before it was read")             \
+    X(CLOSED_IDLE, "closed_idle_total",                                       \
+      "idle connections closed: too many, another took its place")            \
+    X(REFUSED_CONNECTIONS, "refused_connections_total",                       \
+      "connections not accepted: too many, and none was idle")                \
     X(CLOSED_TOO_LARGE, "closed_too_large_total",                             \
       "connections closed: chunked body too large")                           \
     X(CLOSED_MEMORY, "closed_memory_total",                                   \
--- a/include/jayrelay/settings.h
+++ b/include/jayrelay/settings.h
@@ -67,6 +67,8 @@
  * @snapshot_every: log entries after which a snapshot is taken
  * @request_memory_mb: for the bodies of requests that are being received or
  *                     handled, all together
+ * @connections: of HTTP callers at the same time; 0: as many as descriptors
+ *               and memory allow
  * @crossing_ms: assumed latency of a cross-zone message
  * @retry_percent: retries allowed per 100 first attempts
  * @controls: all control processes, or those named by the seeds
@@ -99,6 +101,7 @@
     int64_t snapshot_every;
     int64_t drain_ms;
     int64_t request_memory_mb;
+    int64_t connections;
     int64_t crossing_ms;
     int64_t retry_percent;
     jr_process_t controls[JR_CONTROLS_MAX];
--- a/src/base/program.c
+++ b/src/base/program.c
@@ -4,11 +4,13 @@
 #include <glib.h>
 #include <malloc.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <time.h>
 #include <xxhash.h>
 
 enum {
     BYTES_PER_MB = 1024 * 1024,
+    FILES_PER_CONNECTION = 2,     /* half are for workers, the bus and files */
     OWN_PAGES_BYTES = 128 * 1024, /* allocations with pages of their own */
 };
 
@@ -52,8 +54,16 @@
 static void
 set_memory(jr_ctx_t *ctx, const jr_settings_t *settings)
 {
+    struct rlimit files;
+
     jr_room_init(&ctx->room,
                  (size_t)settings->request_memory_mb * BYTES_PER_MB);
+    if (settings->connections > 0) {
+        jr_room_limit(&ctx->room, (size_t)settings->connections);
+    }
+    if (getrlimit(RLIMIT_NOFILE, &files) == 0) {
+        jr_room_limit(&ctx->room, files.rlim_cur / FILES_PER_CONNECTION);
+    }
 #ifdef M_MMAP_THRESHOLD
     mallopt(M_MMAP_THRESHOLD, OWN_PAGES_BYTES);
 #endif
--- a/src/base/room.c
+++ b/src/base/room.c
@@ -46,8 +46,18 @@
 void
 jr_room_init(jr_room_t *room, size_t total)
 {
-    *room = (jr_room_t){.total = total};
+    *room = (jr_room_t){.total = total,
+                        .seats_max = total / JR_ROOM_CONNECTION_BYTES};
     TAILQ_INIT(&room->receiving);
+    TAILQ_INIT(&room->idle);
+}
+
+void
+jr_room_limit(jr_room_t *room, size_t connections)
+{
+    if (connections < room->seats_max) {
+        room->seats_max = connections;
+    }
 }
 
 bool
@@ -108,3 +118,61 @@
     return find_stalest(room, hold, false,
                         is_large(bytes) ? JR_ROOM_STALLED_TICKS : 0);
 }
+
+static void
+set_idle(jr_room_t *room, jr_seat_t *seat, bool is_idle)
+{
+    if (seat->is_idle) {
+        TAILQ_REMOVE(&room->idle, seat, link);
+    }
+    if (is_idle) {
+        TAILQ_INSERT_TAIL(&room->idle, seat, link);
+    }
+    seat->is_idle = is_idle;
+}
+
+void
+jr_room_enter(jr_room_t *room, jr_seat_t *seat)
+{
+    room->n_seats++;
+    set_idle(room, seat, true);
+}
+
+void
+jr_room_leave(jr_room_t *room, jr_seat_t *seat)
+{
+    if (!seat->is_ended) {
+        room->n_seats--;
+        set_idle(room, seat, false);
+    }
+}
+
+void
+jr_room_begin(jr_room_t *room, jr_seat_t *seat)
+{
+    set_idle(room, seat, false);
+}
+
+void
+jr_room_rest(jr_room_t *room, jr_seat_t *seat)
+{
+    if (!seat->is_ended) {
+        set_idle(room, seat, true);
+    }
+}
+
+bool
+jr_room_make(jr_room_t *room, jr_seat_t **ended)
+{
+    *ended = NULL;
+    if (room->n_seats < room->seats_max) {
+        return true;
+    }
+    *ended = TAILQ_FIRST(&room->idle);
+    if (*ended == NULL) {
+        return false;
+    }
+    jr_room_leave(room, *ended);
+    (*ended)->is_ended = true;
+    return true;
+}
--- a/src/base/room_test.cc
+++ b/src/base/room_test.cc
@@ -117,4 +117,31 @@
     EXPECT_TRUE(jr_room_charge(&room_, &newcomer, kSmall));
 }
 
+/* Guards against connections that are counted twice, or never given back. */
+TEST_F(RoomTest, AConnectionThatGaveWayLeavesOnce)
+{
+    jr_seat_t seats[3] = {};
+    jr_seat_t *ended;
+
+    jr_room_limit(&room_, 2);
+    jr_room_enter(&room_, &seats[0]);
+    EXPECT_TRUE(jr_room_make(&room_, &ended));
+    EXPECT_EQ(ended, nullptr);
+    jr_room_enter(&room_, &seats[1]);
+    jr_room_rest(&room_, &seats[0]);
+    EXPECT_TRUE(jr_room_make(&room_, &ended));
+    EXPECT_EQ(ended, &seats[1]);
+    jr_room_enter(&room_, &seats[2]);
+    jr_room_rest(&room_, &seats[1]);
+    jr_room_leave(&room_, &seats[1]);
+    EXPECT_EQ(room_.n_seats, 2u);
+    jr_room_begin(&room_, &seats[0]);
+    jr_room_begin(&room_, &seats[2]);
+    EXPECT_FALSE(jr_room_make(&room_, &ended));
+    jr_room_leave(&room_, &seats[0]);
+    jr_room_leave(&room_, &seats[2]);
+    EXPECT_EQ(room_.n_seats, 0u);
+    EXPECT_TRUE(TAILQ_EMPTY(&room_.idle));
+}
+
 } // namespace
--- a/src/net/crowd_http_test.cc
+++ b/src/net/crowd_http_test.cc
@@ -440,4 +440,118 @@
     EXPECT_EQ(ctx_->counters[JR_C_CLOSED_STALLED], 1u);
 }
 
+/* Guards against headers that the pages allow being refused. */
+TEST_F(CrowdTest, HeadersOf16KBAreServed)
+{
+    int fd = Connect(port_);
+
+    Send(fd, "GET /x HTTP/1.1\r\nHost: x\r\nX-Long: " +
+                 std::string(16 * 1024, 'x') + "\r\n\r\n");
+    EXPECT_EQ(Receive(fd).substr(0, 12), "HTTP/1.1 200");
+}
+
+/* Connections are few, so that tests need few descriptors. */
+class ConnectionsTest : public CrowdTest {
+  protected:
+    static constexpr int kConnections = 20;
+    static constexpr int kTurns = 50; /* for the server to close connections */
+
+    void
+    SetUp() override
+    {
+        CrowdTest::SetUp();
+        jr_room_limit(&ctx_->room, kConnections);
+    }
+
+    /* Returns @n new connections without a request, to the two servers. */
+    std::vector<int>
+    OpenIdle(int n)
+    {
+        std::vector<int> fds;
+
+        for (int i = 0; i < n; i++) {
+            fds.push_back(Connect(i % 2 == 0 ? port_ : other_port_));
+            Turn();
+        }
+        Settle();
+        return fds;
+    }
+
+    void
+    Settle()
+    {
+        for (int i = 0; i < kTurns; i++) {
+            Turn();
+        }
+    }
+
+    static size_t
+    CountOpen(const std::vector<int> &fds)
+    {
+        return fds.size() - static_cast<size_t>(std::count_if(
+                                fds.begin(), fds.end(), IsClosed));
+    }
+
+    /* Returns a connection whose request the handler holds. */
+    int
+    Hold()
+    {
+        int fd = Connect(port_);
+        size_t n = held_.size();
+
+        Send(fd, "GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+        while (held_.size() == n && !IsClosed(fd)) {
+            Turn();
+        }
+        return fd;
+    }
+};
+
+/* Guards against a process that idle callers bring out of descriptors. */
+TEST_F(ConnectionsTest, TheNewestConnectionsAreServedAndOthersMakeRoom)
+{
+    std::vector<int> fds = OpenIdle(10 * kConnections);
+
+    EXPECT_EQ(CountOpen(fds), static_cast<size_t>(kConnections));
+    EXPECT_TRUE(IsClosed(fds.front()));
+    EXPECT_FALSE(IsClosed(fds.back()));
+    EXPECT_EQ(Status(port_, 300), "200");
+    EXPECT_EQ(Status(other_port_, 300), "200");
+}
+
+/* Guards against regular callers that lose their connections to idle ones. */
+TEST_F(ConnectionsTest, AConnectionInUseIsKept)
+{
+    int fd = Connect(port_);
+
+    for (int i = 0; i < 10; i++) {
+        Send(fd, Announce(1) + "x");
+        EXPECT_NE(Receive(fd).find("200"), std::string::npos);
+        OpenIdle(kConnections - 1);
+    }
+    EXPECT_FALSE(IsClosed(fd));
+}
+
+/* Guards against outcomes that are not known for the sake of newcomers. */
+TEST_F(ConnectionsTest, ARequestThatIsHandledKeepsItsConnection)
+{
+    std::vector<int> fds;
+    int newcomer;
+
+    for (int i = 0; i < kConnections; i++) {
+        fds.push_back(Hold());
+        OpenIdle(kConnections);
+    }
+    EXPECT_EQ(CountOpen(fds), fds.size());
+    newcomer = Hold();
+    EXPECT_TRUE(IsClosed(newcomer));
+    EXPECT_GT(ctx_->counters[JR_C_REFUSED_CONNECTIONS], 0u);
+    ASSERT_EQ(held_.size(), fds.size());
+    for (size_t i = 0; i < fds.size(); i++) {
+        jr_http_answer(held_[i], 200, nullptr, 0, "yes", 3);
+        EXPECT_NE(Receive(fds[i]).find("200"), std::string::npos);
+    }
+    EXPECT_EQ(Status(port_, 300), "200");
+}
+
 } // namespace
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -16,8 +16,6 @@
 #include "jayrelay/address.h"
 
 enum {
-    CONNECTION_MEMORY_BYTES = 32 * 1024,
-    CONNECTIONS_MAX = 8192,
     IDLE_TIMEOUT_S = 60,
     BACKLOG = 1024,         /* connections not yet accepted */
     STALLED_TICKS_MAX = 10, /* 5 s: a body without progress is closed */
@@ -46,10 +44,17 @@
     TAILQ_HEAD(, jr_exchange) exchanges;
 };
 
+/* A connection of a caller, which libmicrohttpd has open. */
+typedef struct {
+    jr_seat_t seat;
+    int fd;
+} jr_caller_t;
+
 struct jr_exchange {
     TAILQ_ENTRY(jr_exchange) link;
     jr_http_t *http;
     struct MHD_Connection *connection;
+    jr_caller_t *caller;
     char *method;
     char *path;
     char *body;
@@ -70,6 +75,14 @@
     "{\"outcome\":\"not-run\",\"reason\":\"overloaded\"}\n";
 static const jr_header_t RETRY_AFTER = {"Retry-After", "1"};
 
+static jr_caller_t *
+caller_of(struct MHD_Connection *connection)
+{
+    return MHD_get_connection_info(connection,
+                                   MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+        ->socket_context;
+}
+
 static jr_exchange_t *
 new_exchange(jr_http_t *http, struct MHD_Connection *connection,
              const char *method, const char *path)
@@ -78,6 +91,7 @@
 
     exchange->http = http;
     exchange->connection = connection;
+    exchange->caller = caller_of(connection);
     exchange->hold.owner = exchange;
     exchange->method = jr_strdup(http->ctx, method);
     exchange->path = jr_strdup(http->ctx, path);
@@ -105,14 +119,9 @@
 static void
 end_exchange(jr_exchange_t *exchange)
 {
-    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-        exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-
     exchange->is_ended = true;
     release_body(exchange);
-    if (info != NULL) {
-        shutdown(info->connect_fd, SHUT_RDWR);
-    }
+    shutdown(exchange->caller->fd, SHUT_RDWR);
 }
 
 /* Charges the memory, in which stalled bodies give way if need be. */
@@ -174,6 +183,7 @@
         return false;
     }
     jr_room_progress(&ctx->room, &exchange->hold);
+    jr_room_rest(&ctx->room, &exchange->caller->seat);
     memcpy(exchange->body + exchange->len, data, len);
     exchange->len += len;
     exchange->body[exchange->len] = '\0';
@@ -288,6 +298,7 @@
     jr_room_complete(&http->ctx->room, &exchange->hold);
     if (!exchange->is_handled) {
         exchange->is_handled = true;
+        jr_room_begin(&http->ctx->room, &exchange->caller->seat);
         http->handler(http->user, exchange);
     }
     if (exchange->response != NULL) {
@@ -316,9 +327,10 @@
     if (exchange == NULL) {
         exchange = new_exchange(http, connection, method, url);
         *state = exchange;
-        return begin_exchange(exchange);
+        return exchange->caller->seat.is_ended ? MHD_NO
+                                               : begin_exchange(exchange);
     }
-    if (exchange->is_ended) {
+    if (exchange->is_ended || exchange->caller->seat.is_ended) {
         return MHD_NO;
     }
     if (*len > 0) {
@@ -347,6 +359,7 @@
         MHD_destroy_response(exchange->response);
     }
     TAILQ_REMOVE(&http->exchanges, exchange, link);
+    jr_room_rest(&http->ctx->room, &exchange->caller->seat);
     jr_free(http->ctx, exchange->method);
     jr_free(http->ctx, exchange->path);
     release_body(exchange);
@@ -355,6 +368,50 @@
     http->n_open--;
 }
 
+/* Accepts a connection, in place of an idle one if there are too many. */
+static enum MHD_Result
+on_connect(void *cls, const struct sockaddr *address, socklen_t len)
+{
+    jr_http_t *http = cls;
+    jr_seat_t *ended;
+
+    (void)address;
+    (void)len;
+    if (!jr_room_make(&http->ctx->room, &ended)) {
+        jr_count(http->ctx, JR_C_REFUSED_CONNECTIONS);
+        return MHD_NO;
+    }
+    if (ended != NULL) {
+        jr_caller_t *caller = ended->owner;
+
+        jr_count(http->ctx, JR_C_CLOSED_IDLE);
+        shutdown(caller->fd, SHUT_RDWR);
+    }
+    return MHD_YES;
+}
+
+static void
+on_connection(void *cls, struct MHD_Connection *connection, void **state,
+              enum MHD_ConnectionNotificationCode code)
+{
+    jr_http_t *http = cls;
+    jr_caller_t *caller = *state;
+
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+        jr_room_leave(&http->ctx->room, &caller->seat);
+        jr_free(http->ctx, caller);
+        *state = NULL;
+        return;
+    }
+    caller = jr_alloc(http->ctx, sizeof *caller);
+    caller->seat.owner = caller;
+    caller->fd =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+    jr_room_enter(&http->ctx->room, &caller->seat);
+    *state = caller;
+}
+
 static void
 run_daemon(jr_http_t *http)
 {
@@ -426,6 +483,16 @@
     }
 }
 
+/*
+ * Above the limit of the process, as libmicrohttpd does not accept connections
+ * at its own: those that gave way are open until it sees their end.
+ */
+static unsigned
+connections_max(const jr_http_t *http)
+{
+    return 2 * (unsigned)http->ctx->room.seats_max + BACKLOG;
+}
+
 static bool
 start_daemon(jr_http_t *http, const char *address)
 {
@@ -436,11 +503,12 @@
         return false;
     }
     http->daemon = MHD_start_daemon(
-        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, NULL, NULL,
-        on_access, http, MHD_OPTION_SOCK_ADDR, &bind_to,
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, on_connect,
+        http, on_access, http, MHD_OPTION_SOCK_ADDR, &bind_to,
         MHD_OPTION_NOTIFY_COMPLETED, on_completed, http,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-        MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX,
+        MHD_OPTION_NOTIFY_CONNECTION, on_connection, http,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)JR_ROOM_CONNECTION_BYTES,
+        MHD_OPTION_CONNECTION_LIMIT, connections_max(http),
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
         MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)BACKLOG,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
