--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -16,12 +16,16 @@
 #include "jayrelay/address.h"
 
 enum {
-    CONNECTION_MEMORY_BYTES = 32 * 1024,
-    CONNECTIONS_MAX = 8192,
     IDLE_TIMEOUT_S = 60,
-    BACKLOG = 1024, /* connections not yet accepted */
+    BACKLOG = 1024,         /* connections not yet accepted */
+    STALLED_TICKS_MAX = 10, /* 5 s: a body without progress is closed */
+    DECIMAL = 10,
+    CHUNKED_BYTES = 512, /* first charge for a body of unknown length */
 };
 
+/* After JR_ROOM_STALLED_TICKS, 2 s, a body gives way to others. */
+static const double TICK_S = 0.5;
+
 struct jr_http {
     jr_ctx_t *ctx;
     struct ev_loop *loop;
@@ -30,6 +34,7 @@
     void *user;
     ev_io io;
     ev_timer timer;
+    ev_timer tick; /* while bodies are received */
     ev_prepare prepare;
     bool is_closing;
     bool has_resumed; /* a connection, since the last MHD_run() */
@@ -39,16 +44,24 @@
     TAILQ_HEAD(, jr_exchange) exchanges;
 };
 
+/* A connection of a caller, which libmicrohttpd has open. */
+typedef struct {
+    jr_seat_t seat;
+    int fd;
+} jr_caller_t;
+
 struct jr_exchange {
     TAILQ_ENTRY(jr_exchange) link;
     jr_http_t *http;
     struct MHD_Connection *connection;
+    jr_caller_t *caller;
     char *method;
     char *path;
     char *body;
     size_t len;
     size_t cap;
-    bool is_too_large;
+    jr_hold_t hold; /* of @cap bytes */
+    bool is_ended;  /* its connection is closed before it is handled */
     bool is_handled;
     bool is_suspended;
     struct MHD_Response *response;
@@ -58,6 +71,18 @@
 static const char TOO_LARGE[] =
     "{\"outcome\":\"not-run\",\"reason\":\"too-large\"}\n";
 
+static const char OVERLOADED[] =
+    "{\"outcome\":\"not-run\",\"reason\":\"overloaded\"}\n";
+static const jr_header_t RETRY_AFTER = {"Retry-After", "1"};
+
+static jr_caller_t *
+caller_of(struct MHD_Connection *connection)
+{
+    return MHD_get_connection_info(connection,
+                                   MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+        ->socket_context;
+}
+
 static jr_exchange_t *
 new_exchange(jr_http_t *http, struct MHD_Connection *connection,
              const char *method, const char *path)
@@ -66,6 +91,8 @@
 
     exchange->http = http;
     exchange->connection = connection;
+    exchange->caller = caller_of(connection);
+    exchange->hold.owner = exchange;
     exchange->method = jr_strdup(http->ctx, method);
     exchange->path = jr_strdup(http->ctx, path);
     http->n_open++;
@@ -74,22 +101,93 @@
 }
 
 static void
+release_body(jr_exchange_t *exchange)
+{
+    jr_ctx_t *ctx = exchange->http->ctx;
+
+    jr_room_release(&ctx->room, &exchange->hold);
+    jr_free(ctx, exchange->body);
+    exchange->body = NULL;
+    exchange->len = 0;
+    exchange->cap = 0;
+}
+
+/*
+ * Ends a request that is being received, also one of another server of the
+ * process. libmicrohttpd closes the connection once it sees its end.
+ */
+static void
+end_exchange(jr_exchange_t *exchange)
+{
+    exchange->is_ended = true;
+    release_body(exchange);
+    shutdown(exchange->caller->fd, SHUT_RDWR);
+}
+
+/* Charges the memory, in which stalled bodies give way if need be. */
+static bool
+charge(jr_exchange_t *exchange, size_t cap)
+{
+    jr_ctx_t *ctx = exchange->http->ctx;
+
+    while (!jr_room_charge(&ctx->room, &exchange->hold, cap)) {
+        jr_hold_t *stalest = jr_room_stalest(&ctx->room, &exchange->hold, cap);
+
+        if (stalest == NULL) {
+            return false;
+        }
+        jr_count(ctx, JR_C_CLOSED_GAVE_WAY);
+        end_exchange(stalest->owner);
+    }
+    return true;
+}
+
+static bool
+resize_body(jr_exchange_t *exchange, size_t cap)
+{
+    if (!charge(exchange, cap)) {
+        return false;
+    }
+    exchange->body = jr_resize(exchange->http->ctx, exchange->body, cap);
+    exchange->cap = cap;
+    return true;
+}
+
+/* Makes room for a body of @len bytes and a NUL. */
+static bool
+grow_body(jr_exchange_t *exchange, size_t len)
+{
+    size_t cap = exchange->cap + exchange->cap / 2;
+
+    if (len < exchange->cap) {
+        return true;
+    }
+    if (cap > JR_HTTP_BODY_MAX_BYTES + 1) {
+        cap = JR_HTTP_BODY_MAX_BYTES + 1;
+    }
+    return resize_body(exchange, cap > len ? cap : len + 1);
+}
+
+/* Return: false if the connection is to be closed. */
+static bool
 append_body(jr_exchange_t *exchange, const char *data, size_t len)
 {
+    jr_ctx_t *ctx = exchange->http->ctx;
+
     if (exchange->len + len > JR_HTTP_BODY_MAX_BYTES) {
-        exchange->is_too_large = true;
-    }
-    if (exchange->is_too_large) {
-        return;
+        jr_count(ctx, JR_C_CLOSED_TOO_LARGE);
+        return false;
     }
-    if (exchange->len + len + 1 > exchange->cap) {
-        exchange->cap = 2 * (exchange->len + len + 1);
-        exchange->body =
-            jr_resize(exchange->http->ctx, exchange->body, exchange->cap);
+    if (!grow_body(exchange, exchange->len + len)) {
+        jr_count(ctx, JR_C_CLOSED_MEMORY);
+        return false;
     }
+    jr_room_progress(&ctx->room, &exchange->hold);
+    jr_room_rest(&ctx->room, &exchange->caller->seat);
     memcpy(exchange->body + exchange->len, data, len);
     exchange->len += len;
     exchange->body[exchange->len] = '\0';
+    return true;
 }
 
 static enum MHD_Result
@@ -103,42 +201,104 @@
     return result;
 }
 
-static void
+/*
+ * Refuses a request whose body was not read, and closes its connection.
+ * libmicrohttpd takes an answer before the body only for these methods.
+ */
+static enum MHD_Result
+refuse(jr_exchange_t *exchange, unsigned status, const jr_header_t *headers,
+       size_t n, const char *text)
+{
+    exchange->is_handled = true;
+    if (strcmp(exchange->method, MHD_HTTP_METHOD_POST) != 0 &&
+        strcmp(exchange->method, MHD_HTTP_METHOD_PUT) != 0) {
+        return MHD_NO;
+    }
+    jr_http_answer(exchange, status, headers, n, text, strlen(text));
+    return queue_response(exchange);
+}
+
+static enum MHD_Result
 refuse_too_large(jr_exchange_t *exchange)
 {
     jr_count(exchange->http->ctx, JR_C_REFUSED_TOO_LARGE);
-    exchange->is_handled = true;
-    jr_http_answer(exchange, MHD_HTTP_CONTENT_TOO_LARGE, NULL, 0, TOO_LARGE,
-                   strlen(TOO_LARGE));
+    return refuse(exchange, MHD_HTTP_CONTENT_TOO_LARGE, NULL, 0, TOO_LARGE);
 }
 
 static enum MHD_Result
-on_access(void *cls, struct MHD_Connection *connection, const char *url,
-          const char *method, const char *version, const char *data,
-          size_t *len, void **state)
+refuse_memory(jr_exchange_t *exchange)
 {
-    jr_http_t *http = cls;
-    jr_exchange_t *exchange = *state;
+    jr_count(exchange->http->ctx, JR_C_REFUSED_MEMORY);
+    return refuse(exchange, MHD_HTTP_SERVICE_UNAVAILABLE, &RETRY_AFTER, 1,
+                  OVERLOADED);
+}
 
-    (void)version;
-    if (http->is_stopping &&
-        (exchange == NULL || exchange->response == NULL)) {
-        return MHD_NO;
+/*
+ * The memory for the body of a new request: 0 if it has none, SIZE_MAX if it
+ * is too large, and the least if its length is not known. libmicrohttpd
+ * ignores a length that is announced beside a transfer encoding.
+ */
+static size_t
+first_cap(const jr_exchange_t *exchange, bool *is_announced)
+{
+    const char *announced =
+        jr_exchange_header(exchange, MHD_HTTP_HEADER_CONTENT_LENGTH);
+    unsigned long long len;
+
+    *is_announced = false;
+    if (jr_exchange_header(exchange, MHD_HTTP_HEADER_TRANSFER_ENCODING) !=
+        NULL) {
+        return CHUNKED_BYTES;
     }
-    if (exchange == NULL) {
-        *state = new_exchange(http, connection, method, url);
+    if (announced == NULL) {
+        return 0;
+    }
+    len = strtoull(announced, NULL, DECIMAL);
+    *is_announced = true;
+    if (len > JR_HTTP_BODY_MAX_BYTES) {
+        return SIZE_MAX;
+    }
+    return len > 0 ? (size_t)len + 1 : 0;
+}
+
+/* The headers have arrived, and no byte of the body was read. */
+static enum MHD_Result
+begin_exchange(jr_exchange_t *exchange)
+{
+    jr_http_t *http = exchange->http;
+    bool is_announced;
+    size_t cap = first_cap(exchange, &is_announced);
+
+    if (cap == 0) {
         return MHD_YES;
     }
-    if (*len > 0) {
-        append_body(exchange, data, *len);
-        *len = 0;
+    if (cap == SIZE_MAX) {
+        return refuse_too_large(exchange);
+    }
+    if (!ev_is_active(&http->tick)) {
+        ev_timer_again(http->loop, &http->tick);
+    }
+    if (resize_body(exchange, cap)) {
+        exchange->body[0] = '\0';
         return MHD_YES;
     }
-    if (exchange->is_too_large && !exchange->is_handled) {
-        refuse_too_large(exchange);
+    if (is_announced) {
+        return refuse_memory(exchange);
     }
+    jr_count(http->ctx, JR_C_CLOSED_MEMORY);
+    return MHD_NO;
+}
+
+/* The whole request has arrived, or its answer may be there. */
+static enum MHD_Result
+continue_exchange(jr_exchange_t *exchange)
+{
+    jr_http_t *http = exchange->http;
+
+    jr_room_complete(&http->ctx->room, &exchange->hold);
     if (!exchange->is_handled) {
         exchange->is_handled = true;
+        jr_room_begin(&http->ctx->room, &exchange->caller->seat);
         http->handler(http->user, exchange);
     }
     if (exchange->response != NULL) {
@@ -146,11 +306,43 @@
     }
     if (!exchange->is_suspended) {
         exchange->is_suspended = true;
-        MHD_suspend_connection(connection);
+        MHD_suspend_connection(exchange->connection);
     }
     return MHD_YES;
 }
 
+static enum MHD_Result
+on_access(void *cls, struct MHD_Connection *connection, const char *url,
+          const char *method, const char *version, const char *data,
+          size_t *len, void **state)
+{
+    jr_http_t *http = cls;
+    jr_exchange_t *exchange = *state;
+
+    (void)version;
+    if (http->is_stopping &&
+        (exchange == NULL || exchange->response == NULL)) {
+        return MHD_NO;
+    }
+    if (exchange == NULL) {
+        exchange = new_exchange(http, connection, method, url);
+        *state = exchange;
+        return exchange->caller->seat.is_ended ? MHD_NO
+                                               : begin_exchange(exchange);
+    }
+    if (exchange->is_ended || exchange->caller->seat.is_ended) {
+        return MHD_NO;
+    }
+    if (*len > 0) {
+        if (!append_body(exchange, data, *len)) {
+            return MHD_NO;
+        }
+        *len = 0;
+        return MHD_YES;
+    }
+    return continue_exchange(exchange);
+}
+
 static void
 on_completed(void *cls, struct MHD_Connection *connection, void **state,
              enum MHD_RequestTerminationCode reason)
@@ -167,14 +359,59 @@
         MHD_destroy_response(exchange->response);
     }
     TAILQ_REMOVE(&http->exchanges, exchange, link);
+    jr_room_rest(&http->ctx->room, &exchange->caller->seat);
     jr_free(http->ctx, exchange->method);
     jr_free(http->ctx, exchange->path);
-    jr_free(http->ctx, exchange->body);
+    release_body(exchange);
     jr_free(http->ctx, exchange);
     *state = NULL;
     http->n_open--;
 }
 
+/* Accepts a connection, in place of an idle one if there are too many. */
+static enum MHD_Result
+on_connect(void *cls, const struct sockaddr *address, socklen_t len)
+{
+    jr_http_t *http = cls;
+    jr_seat_t *ended;
+
+    (void)address;
+    (void)len;
+    if (!jr_room_make(&http->ctx->room, &ended)) {
+        jr_count(http->ctx, JR_C_REFUSED_CONNECTIONS);
+        return MHD_NO;
+    }
+    if (ended != NULL) {
+        jr_caller_t *caller = ended->owner;
+
+        jr_count(http->ctx, JR_C_CLOSED_IDLE);
+        shutdown(caller->fd, SHUT_RDWR);
+    }
+    return MHD_YES;
+}
+
+static void
+on_connection(void *cls, struct MHD_Connection *connection, void **state,
+              enum MHD_ConnectionNotificationCode code)
+{
+    jr_http_t *http = cls;
+    jr_caller_t *caller = *state;
+
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+        jr_room_leave(&http->ctx->room, &caller->seat);
+        jr_free(http->ctx, caller);
+        *state = NULL;
+        return;
+    }
+    caller = jr_alloc(http->ctx, sizeof *caller);
+    caller->seat.owner = caller;
+    caller->fd =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+    jr_room_enter(&http->ctx->room, &caller->seat);
+    *state = caller;
+}
+
 static void
 run_daemon(jr_http_t *http)
 {
@@ -205,6 +442,34 @@
     run_daemon(timer->data);
 }
 
+/*
+ * Time is counted in iterations of the loop: a body has not stalled while the
+ * process was paused.
+ */
+static void
+on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+    jr_http_t *http = timer->data;
+    bool is_receiving = false;
+    jr_exchange_t *exchange;
+
+    (void)events;
+    TAILQ_FOREACH (exchange, &http->exchanges, link) {
+        if (!exchange->hold.is_receiving) {
+            continue;
+        }
+        is_receiving = true;
+        jr_room_tick(&exchange->hold);
+        if (exchange->hold.stalled_ticks > STALLED_TICKS_MAX) {
+            jr_count(http->ctx, JR_C_CLOSED_STALLED);
+            end_exchange(exchange);
+        }
+    }
+    if (!is_receiving) {
+        ev_timer_stop(loop, timer);
+    }
+}
+
 /* Writes all answers given since the last loop iteration in one call. */
 static void
 on_prepare(struct ev_loop *loop, ev_prepare *prepare, int events)
@@ -218,6 +483,16 @@
     }
 }
 
+/*
+ * Above the limit of the process, as libmicrohttpd does not accept connections
+ * at its own: those that gave way are open until it sees their end.
+ */
+static unsigned
+connections_max(const jr_http_t *http)
+{
+    return 2 * (unsigned)http->ctx->room.seats_max + BACKLOG;
+}
+
 static bool
 start_daemon(jr_http_t *http, const char *address)
 {
@@ -228,11 +503,12 @@
         return false;
     }
     http->daemon = MHD_start_daemon(
-        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, NULL, NULL,
-        on_access, http, MHD_OPTION_SOCK_ADDR, &bind_to,
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, on_connect,
+        http, on_access, http, MHD_OPTION_SOCK_ADDR, &bind_to,
         MHD_OPTION_NOTIFY_COMPLETED, on_completed, http,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-        MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX,
+        MHD_OPTION_NOTIFY_CONNECTION, on_connection, http,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)JR_ROOM_CONNECTION_BYTES,
+        MHD_OPTION_CONNECTION_LIMIT, connections_max(http),
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
         MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)BACKLOG,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
@@ -267,6 +543,8 @@
     ev_io_start(loop, &http->io);
     ev_timer_init(&http->timer, on_timer, 0.0, 0.0);
     http->timer.data = http;
+    ev_timer_init(&http->tick, on_tick, TICK_S, TICK_S);
+    http->tick.data = http;
     ev_prepare_init(&http->prepare, on_prepare);
     http->prepare.data = http;
     ev_prepare_start(loop, &http->prepare);
@@ -298,6 +576,7 @@
     run_daemon(http); /* writes the last answers */
     ev_io_stop(http->loop, &http->io);
     ev_timer_stop(http->loop, &http->timer);
+    ev_timer_stop(http->loop, &http->tick);
     ev_prepare_stop(http->loop, &http->prepare);
     MHD_stop_daemon(http->daemon);
     jr_free(http->ctx, http);
