--- a/include/jayrelay/ctx.h
+++ b/include/jayrelay/ctx.h
@@ -18,7 +18,7 @@
 #include "jayrelay/error.h"
 #include "jayrelay/event.h"
 #include "jayrelay/histogram.h"
-#include "jayrelay/room.h"
+#include "jayrelay/inbound.h"
 
 /**
  * struct jr_allocator_t - memory allocator
@@ -71,7 +71,7 @@
  * @log_state: private to jr_log() and jr_log_flush()
  * @counters: see jr_counter_t
  * @histograms: see jr_histogram_t
- * @room: memory of the requests that the process receives
+ * @inbound: memory of the requests that the process receives
  */
 typedef struct {
     jr_allocator_t allocator;
@@ -83,7 +83,7 @@
     jr_log_state_t log_state;
     uint64_t counters[JR_COUNTERS];
     jr_histogram_data_t histograms[JR_HISTOGRAMS];
-    jr_room_t room;
+    jr_inbound_t inbound;
 } jr_ctx_t;
 
 /**
--- a/src/base/ctx.c
+++ b/src/base/ctx.c
@@ -29,7 +29,8 @@
     ctx->program = program;
     ctx->log = log;
     ctx->log_level = SEVERITY_INFO;
-    jr_room_init(&ctx->room, (size_t)JR_ROOM_STANDARD_MB * BYTES_PER_MB);
+    jr_inbound_init(&ctx->inbound,
+                    (size_t)JR_INBOUND_STANDARD_MB * BYTES_PER_MB);
     return ctx;
 }
 
--- a/src/base/program.c
+++ b/src/base/program.c
@@ -56,13 +56,13 @@
 {
     struct rlimit files;
 
-    jr_room_init(&ctx->room,
-                 (size_t)settings->request_memory_mb * BYTES_PER_MB);
+    jr_inbound_init(&ctx->inbound,
+                    (size_t)settings->request_memory_mb * BYTES_PER_MB);
     if (settings->connections > 0) {
-        jr_room_limit(&ctx->room, (size_t)settings->connections);
+        jr_inbound_limit(&ctx->inbound, (size_t)settings->connections);
     }
     if (getrlimit(RLIMIT_NOFILE, &files) == 0) {
-        jr_room_limit(&ctx->room, files.rlim_cur / FILES_PER_CONNECTION);
+        jr_inbound_limit(&ctx->inbound, files.rlim_cur / FILES_PER_CONNECTION);
     }
 #ifdef M_MMAP_THRESHOLD
     mallopt(M_MMAP_THRESHOLD, OWN_PAGES_BYTES);
--- a/src/net/crowd_http_test.cc
+++ b/src/net/crowd_http_test.cc
@@ -113,7 +113,7 @@
         CrowdTest *test = static_cast<CrowdTest *>(user);
 
         test->n_handled_++;
-        if (strcmp(jr_exchange_path(exchange), "/hold") == 0) {
+        if (strcmp(jr_exchange_path(exchange), "/charge") == 0) {
             test->held_.push_back(exchange);
             return;
         }
@@ -379,7 +379,7 @@
     EXPECT_EQ(Status(port_, 300), "200");
 }
 
-/* Guards against bodies that hold memory for as long as they stay open. */
+/* Guards against bodies that charge memory for as long as they stay open. */
 TEST_F(CrowdTest, ABodyThatDoesNotArriveIsClosedASlowOneIsNot)
 {
     std::vector<int> stalled = {Connect(port_), Connect(port_),
@@ -428,7 +428,7 @@
     int other = Connect(port_);
     std::string head = Announce(2);
 
-    Send(fd, head.replace(head.find("/x"), 2, "/hold") + "xx");
+    Send(fd, head.replace(head.find("/x"), 2, "/charge") + "xx");
     Send(other, Announce(2)); /* keeps the ticks going */
     while (std::chrono::steady_clock::now() < end) {
         Turn();
@@ -460,7 +460,7 @@
     SetUp() override
     {
         CrowdTest::SetUp();
-        jr_room_limit(&ctx_->room, kConnections);
+        jr_inbound_limit(&ctx_->inbound, kConnections);
     }
 
     /* Returns @n new connections without a request, to the two servers. */
@@ -499,7 +499,7 @@
         int fd = Connect(port_);
         size_t n = held_.size();
 
-        Send(fd, "GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+        Send(fd, "GET /charge HTTP/1.1\r\nHost: x\r\n\r\n");
         while (held_.size() == n && !IsClosed(fd)) {
             Turn();
         }
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -23,7 +23,7 @@
     CHUNKED_BYTES = 512, /* first charge for a body of unknown length */
 };
 
-/* After JR_ROOM_STALLED_TICKS, 2 s, a body gives way to others. */
+/* After JR_INBOUND_STALLED_TICKS, 2 s, a body gives way to others. */
 static const double TICK_S = 0.5;
 
 struct jr_http {
@@ -46,7 +46,7 @@
 
 /* A connection of a caller, which libmicrohttpd has open. */
 typedef struct {
-    jr_seat_t seat;
+    jr_inbound_conn_t conn;
     int fd;
 } jr_caller_t;
 
@@ -60,8 +60,8 @@
     char *body;
     size_t len;
     size_t cap;
-    jr_hold_t hold; /* of @cap bytes */
-    bool is_ended;  /* its connection is closed before it is handled */
+    jr_charge_t charge; /* of @cap bytes */
+    bool is_ended;      /* its connection is closed before it is handled */
     bool is_handled;
     bool is_suspended;
     struct MHD_Response *response;
@@ -92,7 +92,7 @@
     exchange->http = http;
     exchange->connection = connection;
     exchange->caller = caller_of(connection);
-    exchange->hold.owner = exchange;
+    exchange->charge.owner = exchange;
     exchange->method = jr_strdup(http->ctx, method);
     exchange->path = jr_strdup(http->ctx, path);
     http->n_open++;
@@ -105,7 +105,7 @@
 {
     jr_ctx_t *ctx = exchange->http->ctx;
 
-    jr_room_release(&ctx->room, &exchange->hold);
+    jr_inbound_release(&ctx->inbound, &exchange->charge);
     jr_free(ctx, exchange->body);
     exchange->body = NULL;
     exchange->len = 0;
@@ -130,8 +130,9 @@
 {
     jr_ctx_t *ctx = exchange->http->ctx;
 
-    while (!jr_room_charge(&ctx->room, &exchange->hold, cap)) {
-        jr_hold_t *stalest = jr_room_stalest(&ctx->room, &exchange->hold, cap);
+    while (!jr_inbound_charge(&ctx->inbound, &exchange->charge, cap)) {
+        jr_charge_t *stalest =
+            jr_inbound_stalest(&ctx->inbound, &exchange->charge, cap);
 
         if (stalest == NULL) {
             return false;
@@ -182,8 +183,8 @@
         jr_count(ctx, JR_C_CLOSED_MEMORY);
         return false;
     }
-    jr_room_progress(&ctx->room, &exchange->hold);
-    jr_room_rest(&ctx->room, &exchange->caller->seat);
+    jr_inbound_progress(&ctx->inbound, &exchange->charge);
+    jr_inbound_rest(&ctx->inbound, &exchange->caller->conn);
     memcpy(exchange->body + exchange->len, data, len);
     exchange->len += len;
     exchange->body[exchange->len] = '\0';
@@ -295,10 +296,10 @@
 {
     jr_http_t *http = exchange->http;
 
-    jr_room_complete(&http->ctx->room, &exchange->hold);
+    jr_inbound_complete(&http->ctx->inbound, &exchange->charge);
     if (!exchange->is_handled) {
         exchange->is_handled = true;
-        jr_room_begin(&http->ctx->room, &exchange->caller->seat);
+        jr_inbound_begin(&http->ctx->inbound, &exchange->caller->conn);
         http->handler(http->user, exchange);
     }
     if (exchange->response != NULL) {
@@ -327,10 +328,10 @@
     if (exchange == NULL) {
         exchange = new_exchange(http, connection, method, url);
         *state = exchange;
-        return exchange->caller->seat.is_ended ? MHD_NO
+        return exchange->caller->conn.is_ended ? MHD_NO
                                                : begin_exchange(exchange);
     }
-    if (exchange->is_ended || exchange->caller->seat.is_ended) {
+    if (exchange->is_ended || exchange->caller->conn.is_ended) {
         return MHD_NO;
     }
     if (*len > 0) {
@@ -359,7 +360,7 @@
         MHD_destroy_response(exchange->response);
     }
     TAILQ_REMOVE(&http->exchanges, exchange, link);
-    jr_room_rest(&http->ctx->room, &exchange->caller->seat);
+    jr_inbound_rest(&http->ctx->inbound, &exchange->caller->conn);
     jr_free(http->ctx, exchange->method);
     jr_free(http->ctx, exchange->path);
     release_body(exchange);
@@ -373,11 +374,11 @@
 on_connect(void *cls, const struct sockaddr *address, socklen_t len)
 {
     jr_http_t *http = cls;
-    jr_seat_t *ended;
+    jr_inbound_conn_t *ended;
 
     (void)address;
     (void)len;
-    if (!jr_room_make(&http->ctx->room, &ended)) {
+    if (!jr_inbound_make(&http->ctx->inbound, &ended)) {
         jr_count(http->ctx, JR_C_REFUSED_CONNECTIONS);
         return MHD_NO;
     }
@@ -398,17 +399,17 @@
     jr_caller_t *caller = *state;
 
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-        jr_room_leave(&http->ctx->room, &caller->seat);
+        jr_inbound_leave(&http->ctx->inbound, &caller->conn);
         jr_free(http->ctx, caller);
         *state = NULL;
         return;
     }
     caller = jr_alloc(http->ctx, sizeof *caller);
-    caller->seat.owner = caller;
+    caller->conn.owner = caller;
     caller->fd =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
             ->connect_fd;
-    jr_room_enter(&http->ctx->room, &caller->seat);
+    jr_inbound_enter(&http->ctx->inbound, &caller->conn);
     *state = caller;
 }
 
@@ -455,12 +456,12 @@
 
     (void)events;
     TAILQ_FOREACH (exchange, &http->exchanges, link) {
-        if (!exchange->hold.is_receiving) {
+        if (!exchange->charge.is_receiving) {
             continue;
         }
         is_receiving = true;
-        jr_room_tick(&exchange->hold);
-        if (exchange->hold.stalled_ticks > STALLED_TICKS_MAX) {
+        jr_inbound_tick(&exchange->charge);
+        if (exchange->charge.stalled_ticks > STALLED_TICKS_MAX) {
             jr_count(http->ctx, JR_C_CLOSED_STALLED);
             end_exchange(exchange);
         }
@@ -490,7 +491,7 @@
 static unsigned
 connections_max(const jr_http_t *http)
 {
-    return 2 * (unsigned)http->ctx->room.seats_max + BACKLOG;
+    return 2 * (unsigned)http->ctx->inbound.conns_max + BACKLOG;
 }
 
 static bool
@@ -507,11 +508,12 @@
         http, on_access, http, MHD_OPTION_SOCK_ADDR, &bind_to,
         MHD_OPTION_NOTIFY_COMPLETED, on_completed, http,
         MHD_OPTION_NOTIFY_CONNECTION, on_connection, http,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)JR_ROOM_CONNECTION_BYTES,
-        MHD_OPTION_CONNECTION_LIMIT, connections_max(http),
-        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
-        MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)BACKLOG,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        (size_t)JR_INBOUND_CONNECTION_BYTES, MHD_OPTION_CONNECTION_LIMIT,
+        connections_max(http), MHD_OPTION_CONNECTION_TIMEOUT,
+        (unsigned)IDLE_TIMEOUT_S, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+        (unsigned)BACKLOG, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+        MHD_OPTION_END);
     if (http->daemon == NULL) {
         return false;
     }
