An order that is forgotten leaves its window after the table of orders

When a leader resigns, its workers are freed first, and their orders with them: the second call is not needed.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -245,7 +245,6 @@
     jr_sent_t *sent, *next;
 
     HASH_ITER (hh, d->sent, sent, next) {
-        jr_window_remove(sent);
         HASH_DEL(d->sent, sent);
         jr_free(d->ctx, sent);
     }
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -130,8 +130,8 @@
 
     HASH_ITER (hh, d->sent, sent, next) {
         if (sent->worker == w) {
-            jr_window_remove(sent);
             HASH_DEL(d->sent, sent);
+            jr_window_remove(sent);
             jr_free(d->ctx, sent);
         }
     }
