--- a/include/jayrelay/carrier.h
+++ b/include/jayrelay/carrier.h
@@ -4,10 +4,11 @@
  * The leader of a job group decides alone. Connections to workers, and the
  * encoding of orders and answers, take most of its processor time, so the
  * other control processes do that for it: they are its carriers. A carrier
- * keeps no state and decides nothing. It sends an order once, unchanged, with
- * the fencing token and the lease end that the leader set, and passes the
- * answer back; so an order that a carrier delays is an order that the network
- * delayed, and two carriers never compete for a worker.
+ * keeps nothing but orders that wait to be sent, and decides nothing. It sends
+ * an order once, unchanged, with the fencing token and the lease end that the
+ * leader set, and passes the answer back; so an order that a carrier delays is
+ * an order that the network delayed, and two carriers never compete for a
+ * worker.
  *
  * That holds for a bounded time. Each receipt of a carrier has the time of its
  * clock, which the leader returns with the orders. A carrier that was paused,
