Tests: workers that restart and are cut off, red

Six cases of a lease that an order to an earlier incarnation gives, or of a run that it begins, in a later one; and histories in which workers crash, come back after up to 0.7 s and are cut off for 5 to 12 s, under a leader whose leases are shorter than the longest that workers accept. The histories so far had both leases equal, and no long cut after a restart.

--- a/src/dispatch/dispatch_history_test.cc
+++ b/src/dispatch/dispatch_history_test.cc
@@ -20,8 +20,17 @@
     SERVICE_JOB = 998,
     STALL_MAX_MS = 6000, /* twice the length of a lease */
     LONG_TASK_MS = 4000, /* a worker may leave under such a task */
+    RECUT_DOWN_MAX_MS = 700,
+    RECUT_UP_MAX_MS = 2500,
+    RECUT_MIN_MS = 5000, /* less than a lease */
+    RECUT_MAX_MS = 12000,
+    RECUT_TASK_MS = 15000,
 };
 
+/* A leader whose leases are shorter than the longest that workers accept. */
+constexpr FleetTimes BOUNDED_LEASES = {
+    .lease_ms = 10000, .failover_ms = 10000, .order_age_ms = 700};
+
 typedef void setup_t(Fleet *fleet);
 
 /* Workers crash, come back, are replaced, or drain and leave. */
@@ -49,6 +58,29 @@
     }
 }
 
+/*
+ * A worker crashes, is back soon, and is cut off before or after the leader
+ * has heard of it; at times the leader changes meanwhile.
+ */
+static void
+Recut(Fleet *fleet, std::mt19937 *rng, size_t i)
+{
+    if (fleet->workers[i].is_replaced) {
+        return;
+    }
+    fleet->Crash(i);
+    fleet->Run(10 + static_cast<int64_t>((*rng)() % RECUT_DOWN_MAX_MS));
+    fleet->RestartUnheard(i);
+    fleet->Run(10 + static_cast<int64_t>((*rng)() % RECUT_UP_MAX_MS));
+    fleet->SetPartitioned(i, true);
+    if ((*rng)() % 4 == 0) {
+        fleet->ChangeLeader((*rng)() % 2 == 0);
+    }
+    fleet->Run(RECUT_MIN_MS +
+               static_cast<int64_t>((*rng)() % (RECUT_MAX_MS - RECUT_MIN_MS)));
+    fleet->SetPartitioned(i, false);
+}
+
 static void
 RunAction(Fleet *fleet, std::mt19937 *rng, uint64_t *next_job)
 {
@@ -57,6 +89,9 @@
     if (fleet->has_churn && (*rng)() % 4 == 0) {
         ChangeWorkers(fleet, rng, worker);
     }
+    if (fleet->has_recuts && (*rng)() % 8 == 0) {
+        Recut(fleet, rng, worker);
+    }
     if (fleet->has_stalls && (*rng)() % 6 == 0) {
         fleet->Stall(10 * (int64_t)((*rng)() % (STALL_MAX_MS / 10)));
     }
@@ -131,14 +166,15 @@
 }
 
 static std::vector<std::string>
-RunHistory(uint32_t seed, setup_t *setup)
+RunHistory(uint32_t seed, setup_t *setup, FleetTimes times = {})
 {
     Fleet fleet(seed, 4,
                 {.lost_answer = 4,
                  .late = 4,
                  .unreached = 0,
                  .task_fails = setup == FailTasks ? 50 : 2,
-                 .max_failures = setup == FailTasks ? 2 : 50});
+                 .max_failures = setup == FailTasks ? 2 : 50},
+                times);
     std::mt19937 rng(seed * 7919 + 1);
     uint64_t next_job = 1;
 
@@ -156,6 +192,7 @@
         fleet.Restart(fleet.workers.size() - 1); /* jobs need a worker */
     }
     fleet.faults = {};
+    fleet.task_ms = std::min<int64_t>(fleet.task_ms, LONG_TASK_MS);
     if (fleet.gauge_of) {
         fleet.Cancel(SERVICE_JOB);
     }
@@ -225,12 +262,22 @@
     fleet->task_ms = LONG_TASK_MS;
 }
 
+/* Workers restart and are cut off, while long tasks run. */
 static void
-ExpectNoViolations(setup_t *setup)
+AddRecuts(Fleet *fleet)
+{
+    fleet->has_recuts = true;
+    fleet->faults.late = 0; /* see DISABLED_LateOrdersStartNothingInANewLife */
+    fleet->task_ms = RECUT_TASK_MS;
+    fleet->checks_stale_starts = true;
+}
+
+static void
+ExpectNoViolations(setup_t *setup, FleetTimes times = {})
 {
     violations_t found =
-        RunHistories(DEFAULT_HISTORIES, [setup](uint32_t seed) {
-            return RunHistory(seed, setup);
+        RunHistories(DEFAULT_HISTORIES, [setup, times](uint32_t seed) {
+            return RunHistory(seed, setup, times);
         });
 
     for (const auto &[seed, violations] : found) {
@@ -273,6 +320,27 @@
     });
 }
 
+/*
+ * Guards against tasks that run twice as an order to the earlier incarnation
+ * of a worker gave the later one a longer lease than the leader believed.
+ */
+TEST(DispatchHistoryTest, TasksOfWorkersCutOffAfterARestartAreNotDuplicated)
+{
+    ExpectNoViolations(AddRecuts, BOUNDED_LEASES);
+}
+
+/* Guards against the same where the leader is paused, or workers leave. */
+TEST(DispatchHistoryTest, TheSameWithAStalledLeaderAndWorkersThatLeave)
+{
+    ExpectNoViolations(
+        [](Fleet *fleet) {
+            AddChurn(fleet);
+            AddRecuts(fleet);
+            fleet->has_stalls = true;
+        },
+        BOUNDED_LEASES);
+}
+
 /* Best-effort tasks are paced, moved and stopped between the other faults. */
 TEST(DispatchHistoryTest, BestEffortTasksBesideServicesAreNotDuplicatedOrLost)
 {
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -309,7 +309,7 @@
 }
 
 void
-Fleet::Restart(size_t i)
+Fleet::RestartUnheard(size_t i)
 {
     Trace("restart", workers[i].id, {}, 0);
     workers[i].incarnation = now;
@@ -328,6 +328,12 @@
     workers[i].expires_ms = 0;
     workers[i].past_capacities.clear();
     workers[i].sequence = 0;
+}
+
+void
+Fleet::Restart(size_t i)
+{
+    RestartUnheard(i);
     CheckIn(i);
 }
 
@@ -592,16 +598,19 @@
 void
 Fleet::Receive(SentOrder &sent, FleetWorker &worker)
 {
-    if (worker.is_partitioned && !sent.is_answered) {
+    bool is_cut_off =
+        worker.is_partitioned && (sent.is_answered || !late_orders_pass_cuts);
+
+    if (is_cut_off && !sent.is_answered) {
         return; /* it arrives when the partition is over */
     }
     sent.is_processed = true;
-    if (worker.is_partitioned && cuts_refuse) {
+    if (is_cut_off && cuts_refuse) {
         sent.answer = JR_ANSWER_UNREACHED;
         sent.is_refused = true;
         sent.answer_at = now;
     }
-    else if (worker.is_partitioned) {
+    else if (is_cut_off) {
         sent.answer = Chance(50) ? JR_ANSWER_UNREACHED : JR_ANSWER_UNKNOWN;
         sent.answer_at = LostAnswerAt(now, sent.answer);
     }
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -159,6 +159,8 @@
     void ChangeLeader(bool keeps_proposals);
     /* A new incarnation under the same id, at once. */
     void Restart(size_t worker);
+    /* The same, without a check-in. */
+    void RestartUnheard(size_t worker);
     /* Ends without notice; Restart() brings it back. */
     void Crash(size_t worker);
     /* A crashed worker's address gets a worker with a new id. */
@@ -220,6 +222,8 @@
     bool ignores_tombstones = false;
     bool forgets_drains = false; /* of zones, as if not in the log */
     bool cuts_refuse = false;    /* connections into a partition are refused */
+    /* Orders that are carried out late reach workers that are cut off. */
+    bool late_orders_pass_cuts = false;
     /* Report also what a start sent to an earlier incarnation begins. */
     bool checks_stale_starts = false;
     /*
@@ -246,6 +250,8 @@
     FleetRelay *relay = nullptr; /* none: orders go to the workers directly */
     bool has_churn = false;      /* for the histories: workers come and go */
     bool has_stalls = false; /* for the histories: the leader stands still */
+    /* For the histories: workers restart, and are cut off soon after. */
+    bool has_recuts = false;
     jr_jobs_t *jobs;
     jr_dispatch_t *dispatch;
 
--- /dev/null
+++ b/src/dispatch/incarnation_test.cc
@@ -0,0 +1,163 @@
+/*
+ * Workers that restart under their id: orders to an earlier incarnation that a
+ * later one executes, and the leases that they give there.
+ */
+#include <gtest/gtest.h>
+
+#include "fleet_test.h"
+
+namespace {
+
+constexpr int64_t kLongestLeaseMs = 10000; /* that workers accept */
+constexpr int64_t kFailoverMs = 10000;     /* bounds the leader's leases */
+constexpr int64_t kElectionMs = 700;
+constexpr int64_t kTickMs = 10;
+constexpr int64_t kUptimeMs = 30000; /* the clock is ahead of the next one */
+constexpr int64_t kContactMs = 300;  /* the leader hears of a restart */
+/* Late orders arrive within 12 s, and their leases end. */
+constexpr int64_t kLongEnoughMs = 40000;
+constexpr int64_t kTaskMs = 60000;
+constexpr uint64_t kJob = 1;
+constexpr uint64_t kOther = 2; /* occupies the other worker at first */
+constexpr uint32_t kWholeWorker = 4000;
+
+class IncarnationTest : public ::testing::Test {
+  protected:
+    IncarnationTest()
+        : fleet_(1, 2, {},
+                 {.lease_ms = kLongestLeaseMs,
+                  .failover_ms = kFailoverMs,
+                  .order_age_ms = kElectionMs})
+    {
+        fleet_.checks_stale_starts = true;
+        fleet_.late_orders_pass_cuts = true;
+        fleet_.task_ms = kTaskMs;
+        fleet_.Run(kUptimeMs);
+        fleet_.Submit(kOther, {MakeStep(1, kWholeWorker)});
+        RunUntilStartIsSent();
+        fleet_.Run(kContactMs);
+        worker_ = fleet_.workers[0].running.empty() ? 0 : 1;
+    }
+
+    /* Its start is on the way to the only worker with capacity. */
+    void
+    SubmitUntilStartIsSent()
+    {
+        fleet_.Submit(kJob, {MakeStep(1, kWholeWorker)});
+        RunUntilStartIsSent();
+    }
+
+    void
+    RunUntilStartIsSent()
+    {
+        uint64_t n_sent = fleet_.Counter(JR_C_STARTS_SENT);
+
+        while (fleet_.Counter(JR_C_STARTS_SENT) == n_sent) {
+            fleet_.Run(kTickMs);
+        }
+    }
+
+    void
+    CutOff()
+    {
+        fleet_.SetPartitioned(worker_, true);
+    }
+
+    /* The other worker gets capacity for the task, and time to start it. */
+    void
+    ExpectOneRunAtATime()
+    {
+        fleet_.Cancel(kOther);
+        fleet_.Run(kLongEnoughMs);
+        EXPECT_EQ(fleet_.workers[1 - worker_].running.size(), 1u);
+        for (const std::string &violation : fleet_.violations) {
+            ADD_FAILURE() << violation;
+        }
+    }
+
+    Fleet fleet_;
+    size_t worker_; /* that the task is started on */
+};
+
+/*
+ * Guards against a task that runs twice: its start was sent before its worker
+ * restarted, with a lease that ends by the earlier clock. The worker kept the
+ * lease for as long as it accepts, the leader believed in a shorter one.
+ */
+TEST_F(IncarnationTest, ALeaseByTheClockOfAnEarlierIncarnationIsWaitedOut)
+{
+    SubmitUntilStartIsSent();
+    fleet_.Restart(worker_);
+    fleet_.Run(kContactMs);
+    ASSERT_EQ(fleet_.Running(kJob), 1u);
+    CutOff();
+    ExpectOneRunAtATime();
+}
+
+/* Guards against the same where the leader changes between the two. */
+TEST_F(IncarnationTest, ANewLeaderWaitsOutSuchALeaseOfItsPredecessor)
+{
+    SubmitUntilStartIsSent();
+    fleet_.Restart(worker_);
+    fleet_.Run(kContactMs);
+    ASSERT_EQ(fleet_.Running(kJob), 1u);
+    CutOff();
+    fleet_.ChangeLeader(true);
+    ExpectOneRunAtATime();
+}
+
+/* Guards against the same where the new leader reaches the worker first. */
+TEST_F(IncarnationTest, ANewLeaderWaitsOutSuchALeaseThatItHasSeen)
+{
+    SubmitUntilStartIsSent();
+    fleet_.Restart(worker_);
+    fleet_.Run(kContactMs);
+    ASSERT_EQ(fleet_.Running(kJob), 1u);
+    fleet_.ChangeLeader(true);
+    fleet_.Run(kContactMs);
+    CutOff();
+    ExpectOneRunAtATime();
+}
+
+/*
+ * Guards against a task that runs twice: an incarnation of which the leader
+ * has not heard answered its start, and was taken for the one before.
+ */
+TEST_F(IncarnationTest, AnAnswerOfAnUnknownIncarnationIsNotThatOfTheLast)
+{
+    SubmitUntilStartIsSent();
+    fleet_.RestartUnheard(worker_);
+    fleet_.Run(kTickMs);
+    ASSERT_EQ(fleet_.Running(kJob), 1u);
+    fleet_.Run(kTickMs); /* its answer arrives */
+    CutOff();
+    ExpectOneRunAtATime();
+}
+
+/*
+ * Guards against a task that runs twice: its start is executed late, by an
+ * incarnation that the leader can't reach, after it was started elsewhere.
+ */
+TEST_F(IncarnationTest, ALateStartMayBeginInAnIncarnationThatIsCutOff)
+{
+    fleet_.faults.late = 100;
+    SubmitUntilStartIsSent();
+    fleet_.faults.late = 0;
+    CutOff();
+    fleet_.RestartUnheard(worker_);
+    ExpectOneRunAtATime();
+}
+
+/* Guards against the same where the leader changes meanwhile. */
+TEST_F(IncarnationTest, ANewLeaderWaitsForLateStartsOfItsPredecessor)
+{
+    fleet_.faults.late = 100;
+    SubmitUntilStartIsSent();
+    fleet_.faults.late = 0;
+    CutOff();
+    fleet_.RestartUnheard(worker_);
+    fleet_.ChangeLeader(true);
+    ExpectOneRunAtATime();
+}
+
+} // namespace
