--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -327,8 +327,6 @@
 /* Excludes orders to its earlier incarnations, and of earlier leaders. */
 uint64_t jr_tracked_worker_fence(const jr_dispatch_t *d,
                                  const jr_tracked_worker_t *w);
-void jr_tracked_worker_restart(jr_dispatch_t *d, jr_tracked_worker_t *w,
-                               int64_t incarnation);
 /* It announced that it shuts down now. */
 void jr_tracked_worker_leave(jr_dispatch_t *d, jr_tracked_worker_t *w);
 void jr_tracked_worker_end(jr_dispatch_t *d, jr_tracked_worker_t *w);
@@ -391,6 +389,10 @@
 /* It was answered, or no answer is awaited any more. */
 void jr_window_remove(jr_sent_t *sent);
 
+/* incarnation.c: workers that restart. */
+void jr_tracked_worker_restart(jr_dispatch_t *d, jr_tracked_worker_t *w,
+                               int64_t incarnation);
+
 /* hold.c: lease renewals, and the lists of runs and ends in the answers. */
 bool jr_renewal_is_due(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
 void jr_renewal_order(jr_dispatch_t *d, jr_tracked_worker_t *w,
