Leases by the clock of an earlier incarnation are waited out

Callers saw a task run twice: its worker crashed, came back under its id and was cut off for longer than the leader's lease.

Cause: the end of a lease is a time on the worker's clock. An order to the earlier incarnation that the new one executes, before it knows a higher fencing token, names a time far ahead of its clock, and the worker shortens the lease only to the longest that it accepts. The leader counted with its own leases, which are shorter where the failover time bounds them, from the first list on.

Now the leases that such orders may have given end, by the leader's account, the longest accepted lease after the first list under the new fencing token, which excludes those orders; for a new leader after its election, or after the last late order, whichever is sooner. So the log says when an incarnation replaced an earlier one.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -303,6 +303,7 @@
     jr_job_task_t *task;
 
     w->inherited_until = d->now + jr_inherited_lease_ms(d);
+    jr_incarnation_inherit(d, w);
     if (worker->info->leaving) {
         jr_tracked_worker_leave(d, w);
     }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -138,10 +138,14 @@
     int64_t expires_max_ms;    /* latest end of its leases, on its clock */
     int64_t inherited_until;   /* leases of earlier leaders end before this */
     int64_t late_orders_until; /* orders to an earlier incarnation may come */
-    uint64_t fence_epoch;      /* rises with each of its incarnations */
-    bool is_synced;            /* has listed its runs to this leader */
-    bool has_restarted;        /* this leader saw its incarnation begin */
-    bool has_ended;            /* its incarnation has ended */
+    /* The log, or this leader, heard of a restart; 0: of none. */
+    int64_t restarted_at;
+    /* Leases by the clock of an earlier incarnation end before this. */
+    int64_t stale_leases_until;
+    uint64_t fence_epoch; /* rises with each of its incarnations */
+    bool is_synced;       /* has listed its runs to this leader */
+    bool has_restarted;   /* this leader saw its incarnation begin */
+    bool has_ended;       /* its incarnation has ended */
     bool is_leaving;
     bool is_draining;   /* its incarnation, as the log said last */
     int64_t left_at;    /* when it said that it leaves, 0: never */
@@ -350,6 +354,11 @@
 int64_t jr_bounded_lease_ms(const jr_dispatch_options_t *options);
 /* Longest lease that this leader or an earlier one may have given. */
 int64_t jr_longest_lease_ms(const jr_dispatch_t *d);
+/*
+ * Time until the end of any lease that a worker accepts now, on a slow clock:
+ * one by the clock of another incarnation may be as long.
+ */
+int64_t jr_accepted_lease_ms(const jr_dispatch_t *d);
 /*
  * How long leases that earlier leaders gave may last after the election of
  * this one.
@@ -389,9 +398,18 @@
 /* It was answered, or no answer is awaited any more. */
 void jr_window_remove(jr_sent_t *sent);
 
-/* incarnation.c: workers that restart. */
+/*
+ * incarnation.c: orders to an earlier incarnation that a later one executes.
+ */
 void jr_tracked_worker_restart(jr_dispatch_t *d, jr_tracked_worker_t *w,
                                int64_t incarnation);
+/* A new leader has read of the worker in the log. */
+void jr_incarnation_inherit(const jr_dispatch_t *d, jr_tracked_worker_t *w);
+/*
+ * The worker has accepted the fencing token of its incarnation, so orders to
+ * earlier ones give no lease any more.
+ */
+void jr_incarnation_on_synced(const jr_dispatch_t *d, jr_tracked_worker_t *w);
 
 /* hold.c: lease renewals, and the lists of runs and ends in the answers. */
 bool jr_renewal_is_due(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -436,6 +436,7 @@
         w->expires_max_ms =
             MAX(w->expires_max_ms, w->clock_ms + jr_longest_lease_ms(d));
     }
+    jr_incarnation_on_synced(d, w);
 }
 
 /*
--- a/src/dispatch/incarnation.c
+++ b/src/dispatch/incarnation.c
@@ -1,9 +1,15 @@
 /*
  * Incarnations of workers. A worker that restarts under its id executes orders
- * to its earlier incarnations until it has received a higher fencing token.
+ * to its earlier incarnations until it has received a higher fencing token:
+ * they give leases there that end by another clock.
  */
 #include "dispatch.h"
 
+enum {
+    /* Clocks of control hosts may differ, or be set, by so much. */
+    WALL_STEP_MS = 5000,
+};
+
 /* No start order of the run can reach a new incarnation of its worker. */
 static bool
 has_ended_with_incarnation(const jr_run_t *run)
@@ -63,6 +69,8 @@
     w->is_synced = false;
     w->inherited_until = 0;
     w->late_orders_until = d->now + JR_LATE_ORDER_MS + jr_longest_lease_ms(d);
+    w->restarted_at = d->now;
+    w->stale_leases_until = 0;
     w->failure_streak = 0;
     w->quarantined_until = 0;
     w->quarantine_ms = 0;
@@ -73,3 +81,40 @@
         restart_run(d, run);
     }
 }
+
+/* Orders to earlier incarnations are executed before @excluded_at. */
+static void
+bound_stale_leases(const jr_dispatch_t *d, jr_tracked_worker_t *w,
+                   int64_t excluded_at)
+{
+    int64_t last_at = MIN(excluded_at, w->restarted_at + JR_LATE_ORDER_MS);
+    int64_t until = last_at + jr_accepted_lease_ms(d);
+
+    if (w->restarted_at != 0) {
+        w->stale_leases_until = w->stale_leases_until == 0
+                                    ? until
+                                    : MIN(w->stale_leases_until, until);
+    }
+}
+
+void
+jr_incarnation_on_synced(const jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    bound_stale_leases(d, w, d->now);
+}
+
+/* When the restart came into the log, or later. */
+static int64_t
+restarted_at(const jr_dispatch_t *d, const Jr__JobWorker *info)
+{
+    int64_t age_ms = d->jobs->now - info->restarted_ms - WALL_STEP_MS;
+
+    return info->restarted_ms == 0 ? 0 : MAX(d->now - MAX(age_ms, 0), 1);
+}
+
+void
+jr_incarnation_inherit(const jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    w->restarted_at = restarted_at(d, w->worker->info);
+    bound_stale_leases(d, w, d->now + d->options.order_age_ms);
+}
--- a/src/dispatch/lease.c
+++ b/src/dispatch/lease.c
@@ -51,6 +51,14 @@
                             : d->lease_ms;
 }
 
+int64_t
+jr_accepted_lease_ms(const jr_dispatch_t *d)
+{
+    int64_t rate = PERMILLE - d->options.drift_permille;
+
+    return (d->options.lease_ms + JR_LAPSE_MARGIN_MS) * PERMILLE / rate;
+}
+
 void
 jr_lease_lead(jr_dispatch_t *d)
 {
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -171,7 +171,8 @@
 static bool
 has_lapsed(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
 {
-    if (d->now < w->inherited_until || d->now < w->late_orders_until) {
+    if (d->now < w->inherited_until || d->now < w->late_orders_until ||
+        d->now < w->stale_leases_until) {
         return false;
     }
     if (w->clock_at == 0) {
--- a/src/gen/job/job.pb-c.c
+++ b/src/gen/job/job.pb-c.c
@@ -1983,7 +1983,7 @@
   (ProtobufCMessageInit) jr__job_config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jr__job_worker__field_descriptors[16] =
+static const ProtobufCFieldDescriptor jr__job_worker__field_descriptors[17] =
 {
   {
     "id",
@@ -2177,6 +2177,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "restarted_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Jr__JobWorker, restarted_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jr__job_worker__field_indices_by_name[] = {
   8,   /* field[8] = accelerators */
@@ -2192,6 +2204,7 @@
   12,   /* field[12] = leaving */
   5,   /* field[5] = machine */
   7,   /* field[7] = memory_mb */
+  16,   /* field[16] = restarted_ms */
   13,   /* field[13] = sequence */
   4,   /* field[4] = service */
   3,   /* field[3] = zone */
@@ -2199,7 +2212,7 @@
 static const ProtobufCIntRange jr__job_worker__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor jr__job_worker__descriptor =
 {
@@ -2209,7 +2222,7 @@
   "Jr__JobWorker",
   "jr",
   sizeof(Jr__JobWorker),
-  16,
+  17,
   jr__job_worker__field_descriptors,
   jr__job_worker__field_indices_by_name,
   1,  jr__job_worker__number_ranges,
--- a/src/gen/job/job.pb-c.h
+++ b/src/gen/job/job.pb-c.h
@@ -272,10 +272,15 @@
    * wall clock; set when the entry is applied
    */
   int64_t cold_until_ms;
+  /*
+   * When this incarnation replaced an earlier one in the log, wall clock; 0:
+   * none was known. Set when the entry is applied.
+   */
+  int64_t restarted_ms;
 };
 #define JR__JOB_WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jr__job_worker__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -601,6 +601,17 @@
     return known->cold_until_ms < jobs->now ? known->cold_until_ms : jobs->now;
 }
 
+/* When the incarnation replaced an earlier one. */
+static int64_t
+restarted_ms(const jr_jobs_t *jobs, const Jr__JobWorker *known,
+             const Jr__JobWorker *info)
+{
+    if (known == NULL) {
+        return 0;
+    }
+    return known->born == info->born ? known->restarted_ms : jobs->now;
+}
+
 /* Updates that a later one of the worker has overtaken are ignored. */
 static jr_result_t
 apply_worker(jr_jobs_t *jobs, Jr__JobCommand *command)
@@ -619,6 +630,8 @@
     }
     info->cold_until_ms =
         cold_until(jobs, known != NULL ? known->info : NULL, info);
+    info->restarted_ms =
+        restarted_ms(jobs, known != NULL ? known->info : NULL, info);
     command->body_case = JR__JOB_COMMAND__BODY__NOT_SET;
     command->worker = NULL;
     notify_worker(jobs, jr_worker_insert(jobs, info));
