A start that an unknown incarnation may have executed keeps its task

Callers saw a task run twice: its start was answered by an incarnation that the leader had not heard of, or had no answer and was executed later by one that the leader could not reach. Either held a lease of its own when the leader took that of the known incarnation for expired.

The end of a lease now releases the runs that the known incarnation is known to have begun: by its list, which names it, or by the clock of its answer, which starts anew with each incarnation. A start without an answer may be executed for as long as late orders arrive, by an incarnation that then holds the longest accepted lease; a run of an earlier leader counts as such a start unless the log says that it is settled. An answer with an earlier clock is of a later incarnation, and its outcome unknown. Lists decide as before, so a worker that answers delays nothing.

This takes the place of late_orders_until, which did the same for all runs of a worker whose restart was seen.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -303,7 +303,6 @@
     jr_job_task_t *task;
 
     w->inherited_until = d->now + jr_inherited_lease_ms(d);
-    jr_incarnation_inherit(d, w);
     if (worker->info->leaving) {
         jr_tracked_worker_leave(d, w);
     }
@@ -315,6 +314,7 @@
         jr_crash_inherit(run);
         run->is_stop_wanted = !jr_job_is_live(task->job) || task->is_done;
     }
+    jr_incarnation_inherit(d, w);
 }
 
 static int
@@ -612,7 +612,12 @@
     }
     HASH_DEL(d->sent, sent);
     jr_window_remove(sent);
-    if (is_answer_outdated(sent, answer)) {
+    if (sent->kind == JR_ORDER_START && sent->run != NULL) {
+        jr_incarnation_on_start_answer(d, sent, answer);
+    }
+    if (is_answer_outdated(sent, answer) ||
+        (sent->kind == JR_ORDER_START &&
+         jr_incarnation_is_later(d, sent, answer))) {
         answer = &unknown;
     }
     count_answer(d->ctx, answer->kind);
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -72,13 +72,20 @@
     struct jr_run_list *due_in; /* list of due orders, NULL: none is due */
     bool is_outcome_unknown;    /* a start order may still be executed */
     bool is_unreached;          /* a later start order was not sent */
-    int64_t withheld_at;        /* its start, for lack of capacity; 0: not */
-    bool is_inherited;          /* granted by an earlier leader */
-    bool is_suspect;            /* a worker crashed under an earlier run */
-    bool is_listed;             /* its incarnation listed it as running */
-    uint64_t listed_in; /* latest renewal whose answer names its task */
-    bool is_settled;    /* said so to the log, see jr_job_task_t */
-    bool is_end_listed; /* its end is on the way to the log */
+    bool is_start_pending;      /* a start order has no answer yet */
+    int64_t late_start_until;   /* one may be executed until then, 0: none */
+    bool is_placed; /* its worker's incarnation is known to have begun it */
+    /*
+     * While it is not placed: an incarnation that is not known may get orders
+     * until then that extend its lease.
+     */
+    int64_t unplaced_until;
+    int64_t withheld_at; /* its start, for lack of capacity; 0: not */
+    bool is_inherited;   /* granted by an earlier leader */
+    bool is_suspect;     /* a worker crashed under an earlier run */
+    uint64_t listed_in;  /* latest renewal whose answer names its task */
+    bool is_settled;     /* said so to the log, see jr_job_task_t */
+    bool is_end_listed;  /* its end is on the way to the log */
     bool is_stop_wanted;
     uint64_t serial;      /* of the pending order, 0 for none */
     int64_t expires_ms;   /* lease of its first start, on the worker's clock */
@@ -135,9 +142,8 @@
 
     int64_t clock_ms; /* lower bound of the worker's clock at clock_at */
     int64_t clock_at;
-    int64_t expires_max_ms;    /* latest end of its leases, on its clock */
-    int64_t inherited_until;   /* leases of earlier leaders end before this */
-    int64_t late_orders_until; /* orders to an earlier incarnation may come */
+    int64_t expires_max_ms;  /* latest end of its leases, on its clock */
+    int64_t inherited_until; /* leases of earlier leaders end before this */
     /* The log, or this leader, heard of a restart; 0: of none. */
     int64_t restarted_at;
     /* Leases by the clock of an earlier incarnation end before this. */
@@ -403,13 +409,25 @@
  */
 void jr_tracked_worker_restart(jr_dispatch_t *d, jr_tracked_worker_t *w,
                                int64_t incarnation);
-/* A new leader has read of the worker in the log. */
-void jr_incarnation_inherit(const jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* A new leader has read of the worker and its runs in the log. */
+void jr_incarnation_inherit(jr_dispatch_t *d, jr_tracked_worker_t *w);
 /*
  * The worker has accepted the fencing token of its incarnation, so orders to
  * earlier ones give no lease any more.
  */
 void jr_incarnation_on_synced(const jr_dispatch_t *d, jr_tracked_worker_t *w);
+/*
+ * May an incarnation of the worker that is not known yet have begun the run,
+ * or begin it, and hold a lease for it?
+ */
+bool jr_run_may_begin_late(const jr_dispatch_t *d, const jr_run_t *run);
+/* The outcome of a start order. */
+void jr_incarnation_on_start_answer(const jr_dispatch_t *d,
+                                    const jr_sent_t *sent,
+                                    const jr_answer_t *answer);
+/* Does its clock show that a later incarnation gave the answer? */
+bool jr_incarnation_is_later(const jr_dispatch_t *d, const jr_sent_t *sent,
+                             const jr_answer_t *answer);
 
 /* hold.c: lease renewals, and the lists of runs and ends in the answers. */
 bool jr_renewal_is_due(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -153,7 +153,7 @@
     if (run->confirmed_at == 0) {
         run->confirmed_at = d->now;
     }
-    run->is_listed = true;
+    run->is_placed = true;
     run->crashed_after_ms = 0;
     jr_worker_quality_on_progress(d, run, row->percent);
     if (row->percent != run->percent) {
@@ -363,23 +363,22 @@
 
 /* The next leader can't know which start orders this one has sent. */
 static bool
-is_newly_settled(const jr_run_t *run)
+is_newly_settled(const jr_dispatch_t *d, const jr_run_t *run)
 {
-    return run->state == JR_RUN_RUNNING && run->is_listed &&
-           !run->is_settled && !run->is_inherited &&
-           !run->is_outcome_unknown && run->serial == 0 &&
+    return run->state == JR_RUN_RUNNING && run->is_placed &&
+           !run->is_settled && !jr_run_may_begin_late(d, run) &&
            jr_task_step(run->task)->service;
 }
 
 /* The names (Jr__JobRun) of the runs that are settled now; NULL for none. */
 static GArray *
-settle_runs(const jr_tracked_worker_t *w)
+settle_runs(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
 {
     GArray *names = NULL;
     jr_run_t *run;
 
     TAILQ_FOREACH (run, &w->runs, link) {
-        if (is_newly_settled(run)) {
+        if (is_newly_settled(d, run)) {
             Jr__JobRun name;
 
             jr_run_name(run, &name);
@@ -403,7 +402,7 @@
 {
     Jr__JobSettled body = JR__JOB_SETTLED__INIT;
     Jr__JobCommand command = JR__JOB_COMMAND__INIT;
-    GArray *names = settle_runs(w);
+    GArray *names = settle_runs(d, w);
 
     if (names == NULL) {
         return;
@@ -512,7 +511,6 @@
     }
     if (!w->is_synced) {
         mark_synced(d, w);
-        w->late_orders_until = 0;
     }
     reconcile(d, w, sent, answer);
     if (answer->incarnation != 0) {
--- a/src/dispatch/incarnation.c
+++ b/src/dispatch/incarnation.c
@@ -1,25 +1,45 @@
 /*
  * Incarnations of workers. A worker that restarts under its id executes orders
  * to its earlier incarnations until it has received a higher fencing token:
- * they give leases there that end by another clock.
+ * they may begin runs there, and give leases that end by another clock.
  */
 #include "dispatch.h"
 
 enum {
     /* Clocks of control hosts may differ, or be set, by so much. */
     WALL_STEP_MS = 5000,
+    PERMILLE = 1000,
 };
 
+/* Until when may an incarnation that is not known get orders for the run? */
+static int64_t
+late_until(const jr_run_t *run)
+{
+    return run->is_placed ? run->late_start_until
+                          : MAX(run->late_start_until, run->unplaced_until);
+}
+
+bool
+jr_run_may_begin_late(const jr_dispatch_t *d, const jr_run_t *run)
+{
+    /* A list since then was of the incarnation that is known. */
+    bool is_excluded = run->worker->answered_at >= late_until(run);
+
+    return run->is_start_pending ||
+           (!is_excluded &&
+            d->now < late_until(run) + jr_accepted_lease_ms(d));
+}
+
 /* No start order of the run can reach a new incarnation of its worker. */
 static bool
-has_ended_with_incarnation(const jr_run_t *run)
+has_ended_with_incarnation(const jr_dispatch_t *d, const jr_run_t *run)
 {
-    int64_t settled_in = run->task->settled_in;
+    int64_t settled_in = run->task->settled_in; /* by an earlier leader */
+    bool was_placed =
+        run->is_placed || (run->is_inherited && settled_in != 0 &&
+                           settled_in < run->worker->incarnation);
 
-    if (run->is_inherited) {
-        return settled_in != 0 && settled_in < run->worker->incarnation;
-    }
-    return run->is_listed && !run->is_outcome_unknown && run->serial == 0;
+    return was_placed && !jr_run_may_begin_late(d, run);
 }
 
 /*
@@ -33,12 +53,13 @@
     if (run->state == JR_RUN_RELEASING || run->state == JR_RUN_PROPOSED) {
         return;
     }
-    if (has_ended_with_incarnation(run)) {
+    if (has_ended_with_incarnation(d, run)) {
         jr_run_release(d, run, "restarted");
         return;
     }
     run->state = JR_RUN_UNCONFIRMED;
-    run->is_listed = false;
+    run->is_placed = false;
+    run->unplaced_until = d->now + JR_LATE_ORDER_MS;
     run->stop_acked_at = 0;
 }
 
@@ -68,7 +89,6 @@
     w->expires_max_ms = 0; /* its clock starts anew */
     w->is_synced = false;
     w->inherited_until = 0;
-    w->late_orders_until = d->now + JR_LATE_ORDER_MS + jr_longest_lease_ms(d);
     w->restarted_at = d->now;
     w->stale_leases_until = 0;
     w->failure_streak = 0;
@@ -112,9 +132,92 @@
     return info->restarted_ms == 0 ? 0 : MAX(d->now - MAX(age_ms, 0), 1);
 }
 
+/* The earlier leader may have sent its start shortly before the election. */
+static void
+inherit_run(jr_dispatch_t *d, jr_run_t *run)
+{
+    run->is_settled = run->task->settled_in == run->worker->incarnation;
+    if (run->task->settled_in == 0) {
+        run->late_start_until =
+            d->now + d->options.order_age_ms + JR_LATE_ORDER_MS;
+    }
+}
+
 void
-jr_incarnation_inherit(const jr_dispatch_t *d, jr_tracked_worker_t *w)
+jr_incarnation_inherit(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
+    jr_run_t *run;
+
     w->restarted_at = restarted_at(d, w->worker->info);
     bound_stale_leases(d, w, d->now + d->options.order_age_ms);
+    TAILQ_FOREACH (run, &w->runs, link) {
+        inherit_run(d, run);
+    }
+}
+
+/* Of the known incarnation: its clock was not earlier at that time. */
+static int64_t
+earliest_clock_ms(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
+                  int64_t at)
+{
+    int64_t passed_ms = at - w->clock_at;
+    int64_t drift_ms = ABS(passed_ms) * d->options.drift_permille / PERMILLE;
+
+    return w->clock_ms + passed_ms - drift_ms;
+}
+
+/* Can the clock of the answer be compared with that of the worker? */
+static bool
+has_clock(const jr_sent_t *sent, const jr_answer_t *answer)
+{
+    const jr_tracked_worker_t *w = sent->worker;
+
+    return answer->clock_ms > 0 && w->clock_at != 0 &&
+           sent->incarnation == w->incarnation;
+}
+
+bool
+jr_incarnation_is_later(const jr_dispatch_t *d, const jr_sent_t *sent,
+                        const jr_answer_t *answer)
+{
+    return has_clock(sent, answer) &&
+           answer->clock_ms <
+               earliest_clock_ms(d, sent->worker, sent->sent_at);
+}
+
+/*
+ * The clock of a later incarnation starts anew, when the known one had
+ * answered for the last time.
+ */
+static bool
+is_known(const jr_dispatch_t *d, const jr_sent_t *sent,
+         const jr_answer_t *answer)
+{
+    return has_clock(sent, answer) &&
+           !jr_incarnation_is_later(d, sent, answer) &&
+           answer->clock_ms > d->now - sent->worker->answered_at;
+}
+
+/*
+ * An order that was executed is not executed again; but only a list names the
+ * incarnation, where the clock does not tell.
+ */
+void
+jr_incarnation_on_start_answer(const jr_dispatch_t *d, const jr_sent_t *sent,
+                               const jr_answer_t *answer)
+{
+    jr_run_t *run = sent->run;
+
+    run->is_start_pending = false;
+    switch (answer->kind) {
+    case JR_ANSWER_UNKNOWN:
+        run->late_start_until = d->now + JR_LATE_ORDER_MS;
+        break;
+    case JR_ANSWER_DONE:
+        run->is_placed |= is_known(d, sent, answer);
+        run->unplaced_until = d->now + JR_LATE_ORDER_MS;
+        break;
+    default:
+        break;
+    }
 }
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -311,13 +311,16 @@
 
 /*
  * The worker may have crashed under the run. The next list tells, before an
- * order is sent again and may crash the next incarnation.
+ * order is sent again and may crash the next incarnation. So it does when the
+ * lease of the worker has lapsed.
  */
 static bool
 must_wait_for_list(const jr_run_t *run)
 {
+    const jr_tracked_worker_t *w = run->worker;
+
     return run->state == JR_RUN_STARTING && run->is_outcome_unknown &&
-           run->is_unreached && run->worker->suspect_at != 0;
+           (!w->is_synced || (run->is_unreached && w->suspect_at != 0));
 }
 
 bool
@@ -353,6 +356,7 @@
             run->expires_ms = jr_tracked_worker_lease_end(d, w);
         }
         order->as.start.expires_ms = run->expires_ms;
+        run->is_start_pending = true;
         break;
     case JR_RUN_STOPPING:
         order->kind = JR_ORDER_STOP;
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -171,8 +171,7 @@
 static bool
 has_lapsed(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
 {
-    if (d->now < w->inherited_until || d->now < w->late_orders_until ||
-        d->now < w->stale_leases_until) {
+    if (d->now < w->inherited_until || d->now < w->stale_leases_until) {
         return false;
     }
     if (w->clock_at == 0) {
@@ -304,7 +303,8 @@
     size_t n = 0;
 
     TAILQ_FOREACH (run, &w->runs, link) {
-        if (run->state != JR_RUN_PROPOSED && run->state != JR_RUN_RELEASING) {
+        if (run->state != JR_RUN_PROPOSED && run->state != JR_RUN_RELEASING &&
+            !jr_run_may_begin_late(d, run)) {
             jr_crash_add_lapsed(d, run);
             jr_run_release(d, run, "lapsed");
             n++;
