A gang is done though a member was released before

Callers saw a job that stays running for good with nothing at work: both workers of a gang were cut off while it ended, the lease of one expired and its run was released, and the other worker then listed the end as done.

--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -302,7 +302,10 @@
     notify_task(jobs, task);
 }
 
-/* When one member of a gang is done, all members of the attempt are done. */
+/*
+ * When one member of a gang is done, all members of the attempt are done, also
+ * those that were released before: none is granted again alone.
+ */
 static void
 finish_gang(jr_jobs_t *jobs, jr_job_task_t *task)
 {
@@ -313,8 +316,9 @@
     for (uint32_t i = 0; i < count; i++) {
         jr_job_task_t *member = &job->tasks[step->first + i];
 
-        if (member->phase == JR_PHASE_GRANTED &&
-            member->attempt == task->attempt && member != task) {
+        if (member != task && member->attempt == task->attempt &&
+            (member->phase == JR_PHASE_GRANTED ||
+             member->phase == JR_PHASE_WAITING)) {
             finish_task(jobs, member);
         }
     }
--- a/src/job/job_test.cc
+++ b/src/job/job_test.cc
@@ -513,6 +513,22 @@
     EXPECT_EQ(jr_jobs_find(jobs_, 1)->state, JR_JOB_DONE);
 }
 
+/*
+ * Guards against a gang that stays running for good: the lease of one member
+ * expired, then another member was listed as done. The first one was not done,
+ * and a gang is started only as a whole.
+ */
+TEST_F(JobTest, AGangIsDoneThoughAMemberWasReleasedBefore)
+{
+    Submit(1, 3, true);
+    for (uint32_t i = 0; i < 3; i++) {
+        Grant(1, i, 1);
+    }
+    Release(1, 0, 1);
+    End(1, 1, 1, JR__JOB_END__HOW__DONE);
+    EXPECT_EQ(jr_jobs_find(jobs_, 1)->state, JR_JOB_DONE);
+}
+
 /* Members of a gang report an attempt each, also of a released one. */
 TEST_F(JobTest, AReleasedAttemptOfAGangFailsOnce)
 {
