A task that is done counts, though its lease may have expired

What is done need not be done again, so such an end counts; ends of runs that were not released counted in any case. A failure still counts only under a lease that was held.

Before: the new test of job_test red; now job_test, snapshot_test, dispatch_test, overload_test and dispatch_history_test green.

--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -414,6 +414,17 @@
     end_job_if_done(jobs, job);
 }
 
+/*
+ * Does the end of a run that was released before count? What is done need not
+ * be done again; a failure under a lease that had expired is no attempt.
+ */
+static bool
+may_count_late(const Jr__JobEnds *ends, const Jr__JobEnd *end)
+{
+    return end->number != 0 &&
+           (ends->lease_held || end->how == JR__JOB_END__HOW__DONE);
+}
+
 /*
  * The end of a run that was released before. The worker forgets it, so it has
  * to count now.
@@ -479,7 +490,7 @@
         /* Two leaders may have proposed the same end. */
         if (end->run != NULL && !(is_numbered && end->number <= seen)) {
             apply_end(jobs, end, ends->worker,
-                      is_numbered && is_same && ends->lease_held);
+                      is_same && may_count_late(ends, end));
         }
     }
     if (is_same) {
--- a/src/job/job_test.cc
+++ b/src/job/job_test.cc
@@ -446,6 +446,20 @@
     EXPECT_EQ(jr_jobs_find(jobs_, 1)->state, JR_JOB_DONE);
 }
 
+/*
+ * Guards against a task that starts again after it was done: its worker was
+ * cut off until the leader took the lease for expired, and listed the end when
+ * it was back.
+ */
+TEST_F(JobTest, ATaskIsDoneThoughItsLeaseMayHaveExpired)
+{
+    Submit(1, 1);
+    Grant(1, 0, 1);
+    Release(1, 0, 1);
+    LateEnd(1, 0, 1, JR__JOB_END__HOW__DONE, 1, 1, false);
+    EXPECT_EQ(jr_jobs_find(jobs_, 1)->state, JR_JOB_DONE);
+}
+
 /*
  * Guards against a job that is given up for crashes that are reported when the
  * task is done already.
