Late orders of a predecessor may give a lease after the election

A new leader took orders of its predecessor for executed by the time they could last be sent. One that is carried out seconds later, by an incarnation that has seen no fencing token, gives it the longest lease; a task that the new leader then starts there may run twice.

The first list under the new leader's token excludes such orders, so the bound counts from then. The earlier bound still holds until that list, for runs that the log says are settled.

--- a/src/dispatch/incarnation.c
+++ b/src/dispatch/incarnation.c
@@ -102,18 +102,15 @@
     }
 }
 
-/* Orders to earlier incarnations are executed before @excluded_at. */
+/* Orders to earlier incarnations give no lease from @excluded_at on. */
 static void
 bound_stale_leases(const jr_dispatch_t *d, jr_tracked_worker_t *w,
                    int64_t excluded_at)
 {
     int64_t last_at = MIN(excluded_at, w->restarted_at + JR_LATE_ORDER_MS);
-    int64_t until = last_at + jr_accepted_lease_ms(d);
 
     if (w->restarted_at != 0) {
-        w->stale_leases_until = w->stale_leases_until == 0
-                                    ? until
-                                    : MIN(w->stale_leases_until, until);
+        w->stale_leases_until = last_at + jr_accepted_lease_ms(d);
     }
 }
 
@@ -149,6 +146,7 @@
     jr_run_t *run;
 
     w->restarted_at = restarted_at(d, w->worker->info);
+    /* Of settled runs: their leader had excluded the orders by its token. */
     bound_stale_leases(d, w, d->now + d->options.order_age_ms);
     TAILQ_FOREACH (run, &w->runs, link) {
         inherit_run(d, run);
--- a/src/dispatch/incarnation_test.cc
+++ b/src/dispatch/incarnation_test.cc
@@ -21,10 +21,11 @@
 constexpr uint64_t kOther = 2; /* occupies the other worker at first */
 constexpr uint32_t kWholeWorker = 4000;
 
-class IncarnationTest : public ::testing::Test {
+/* The parameter is a seed. */
+class IncarnationTest : public ::testing::TestWithParam<uint32_t> {
   protected:
     IncarnationTest()
-        : fleet_(1, 2, {},
+        : fleet_(GetParam(), 2, {},
                  {.lease_ms = kLongestLeaseMs,
                   .failover_ms = kFailoverMs,
                   .order_age_ms = kElectionMs})
@@ -57,6 +58,40 @@
         }
     }
 
+    /* Renewals of the next seconds arrive late. */
+    void
+    DelayOrders(int64_t ms)
+    {
+        fleet_.faults.late = 100;
+        fleet_.Run(ms);
+        fleet_.faults.late = 0;
+    }
+
+    /* The leader reaches the worker once a late order has given it a lease. */
+    void
+    ReachAfterLateLease()
+    {
+        int64_t last_at = fleet_.now + kLongEnoughMs;
+
+        while (fleet_.workers[worker_].expires_ms == 0 &&
+               fleet_.now < last_at) {
+            fleet_.Run(kTickMs);
+        }
+        ASSERT_GT(fleet_.workers[worker_].expires_ms, 0);
+        fleet_.SetPartitioned(worker_, false);
+    }
+
+    /* Then the worker is cut off. */
+    void
+    RunTaskThere()
+    {
+        fleet_.Submit(kJob, {MakeStep(1, kWholeWorker)});
+        while (fleet_.workers[worker_].running.empty()) {
+            fleet_.Run(kTickMs);
+        }
+        CutOff();
+    }
+
     void
     CutOff()
     {
@@ -84,7 +119,7 @@
  * restarted, with a lease that ends by the earlier clock. The worker kept the
  * lease for as long as it accepts, the leader believed in a shorter one.
  */
-TEST_F(IncarnationTest, ALeaseByTheClockOfAnEarlierIncarnationIsWaitedOut)
+TEST_P(IncarnationTest, ALeaseByTheClockOfAnEarlierIncarnationIsWaitedOut)
 {
     SubmitUntilStartIsSent();
     fleet_.Restart(worker_);
@@ -95,7 +130,7 @@
 }
 
 /* Guards against the same where the leader changes between the two. */
-TEST_F(IncarnationTest, ANewLeaderWaitsOutSuchALeaseOfItsPredecessor)
+TEST_P(IncarnationTest, ANewLeaderWaitsOutSuchALeaseOfItsPredecessor)
 {
     SubmitUntilStartIsSent();
     fleet_.Restart(worker_);
@@ -107,7 +142,7 @@
 }
 
 /* Guards against the same where the new leader reaches the worker first. */
-TEST_F(IncarnationTest, ANewLeaderWaitsOutSuchALeaseThatItHasSeen)
+TEST_P(IncarnationTest, ANewLeaderWaitsOutSuchALeaseThatItHasSeen)
 {
     SubmitUntilStartIsSent();
     fleet_.Restart(worker_);
@@ -123,7 +158,7 @@
  * Guards against a task that runs twice: an incarnation of which the leader
  * has not heard answered its start, and was taken for the one before.
  */
-TEST_F(IncarnationTest, AnAnswerOfAnUnknownIncarnationIsNotThatOfTheLast)
+TEST_P(IncarnationTest, AnAnswerOfAnUnknownIncarnationIsNotThatOfTheLast)
 {
     SubmitUntilStartIsSent();
     fleet_.RestartUnheard(worker_);
@@ -138,7 +173,7 @@
  * Guards against a task that runs twice: its start is executed late, by an
  * incarnation that the leader can't reach, after it was started elsewhere.
  */
-TEST_F(IncarnationTest, ALateStartMayBeginInAnIncarnationThatIsCutOff)
+TEST_P(IncarnationTest, ALateStartMayBeginInAnIncarnationThatIsCutOff)
 {
     fleet_.faults.late = 100;
     SubmitUntilStartIsSent();
@@ -149,7 +184,7 @@
 }
 
 /* Guards against the same where the leader changes meanwhile. */
-TEST_F(IncarnationTest, ANewLeaderWaitsForLateStartsOfItsPredecessor)
+TEST_P(IncarnationTest, ANewLeaderWaitsForLateStartsOfItsPredecessor)
 {
     fleet_.faults.late = 100;
     SubmitUntilStartIsSent();
@@ -160,4 +195,23 @@
     ExpectOneRunAtATime();
 }
 
+/*
+ * Guards against a task that runs twice: a new leader took late orders of its
+ * predecessor for executed by the time of the election. One of them gave a
+ * lease seconds later, shortly before the new leader reached the worker.
+ */
+TEST_P(IncarnationTest, ALateOrderOfThePredecessorGivesALeaseAfterTheElection)
+{
+    DelayOrders(2500);
+    fleet_.Restart(worker_);
+    CutOff();
+    fleet_.Run(50); /* the restart is in the log */
+    fleet_.ChangeLeader(true);
+    ReachAfterLateLease();
+    RunTaskThere();
+    ExpectOneRunAtATime();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, IncarnationTest, ::testing::Range(1u, 9u));
+
 } // namespace
