A removed worker that is back may hold a lease of its former life

A worker that leaves is removed at once; when it checks in again under its id, it counted as one that had never restarted. A late order to its former life then gives the longest lease, and a task that is started there may run twice when it is cut off.

A worker that checks in within the time of late orders after a removal counts as restarted. Only the leader that removed it knows.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -168,6 +168,7 @@
     }
     if (w == NULL) {
         w = jr_tracked_worker_new(d, worker);
+        jr_incarnation_on_added(d, w);
     }
     if (worker->info->born > w->incarnation) {
         jr_tracked_worker_restart(d, w, worker->info->born);
@@ -201,6 +202,7 @@
     if (worker->local != NULL) {
         jr_tracked_worker_free(d, worker->local);
         d->fence_epoch++; /* the id may come back */
+        d->removed_at = d->now;
     }
 }
 
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -272,6 +272,7 @@
     bool is_leading;
     uint64_t fence;
     uint64_t fence_epoch; /* of the latest restart or removal of a worker */
+    int64_t removed_at;   /* when a worker was removed last, 0: never */
     int64_t now;
     int64_t wall_ms; /* as of the latest tick; 0: none since the election */
     int64_t ticked_at;
@@ -409,6 +410,8 @@
  */
 void jr_tracked_worker_restart(jr_dispatch_t *d, jr_tracked_worker_t *w,
                                int64_t incarnation);
+/* A worker that may have been removed before checked in. */
+void jr_incarnation_on_added(const jr_dispatch_t *d, jr_tracked_worker_t *w);
 /* A new leader has read of the worker and its runs in the log. */
 void jr_incarnation_inherit(jr_dispatch_t *d, jr_tracked_worker_t *w);
 /*
--- a/src/dispatch/incarnation.c
+++ b/src/dispatch/incarnation.c
@@ -114,6 +114,14 @@
     }
 }
 
+void
+jr_incarnation_on_added(const jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    if (d->removed_at != 0 && d->now < d->removed_at + JR_LATE_ORDER_MS) {
+        w->restarted_at = d->now;
+    }
+}
+
 void
 jr_incarnation_on_synced(const jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
--- a/src/dispatch/incarnation_test.cc
+++ b/src/dispatch/incarnation_test.cc
@@ -212,6 +212,26 @@
     ExpectOneRunAtATime();
 }
 
+/*
+ * Guards against the same where the worker had left, and its record had been
+ * removed, so that nothing was known of an earlier incarnation.
+ */
+TEST_P(IncarnationTest, AWorkerThatIsBackAfterItsRemovalMayHoldAStaleLease)
+{
+    fleet_.Drain(worker_);
+    fleet_.Run(1500);
+    DelayOrders(800);
+    while (jr_jobs_worker(fleet_.jobs, fleet_.workers[worker_].id.c_str()) !=
+           nullptr) {
+        fleet_.Run(kTickMs);
+    }
+    fleet_.Restart(worker_);
+    CutOff();
+    ReachAfterLateLease();
+    RunTaskThere();
+    ExpectOneRunAtATime();
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, IncarnationTest, ::testing::Range(1u, 9u));
 
 } // namespace
