A run that is known to have begun ends with its lease

A service was down for 20 s after its worker was lost, 10 s are allowed: one answer to its start had been lost, so that a copy of the start might still arrive, in an incarnation that is not known yet; the run was held for that, though a list had shown it since.

What a list has shown, or the clock of an answer, ends with the lease.

--- a/src/dispatch/incarnation_test.cc
+++ b/src/dispatch/incarnation_test.cc
@@ -232,6 +232,36 @@
     ExpectOneRunAtATime();
 }
 
+/*
+ * Guards against a service that is down for longer than the failover time, as
+ * one answer to its start was lost: it was listed since, so it ends with the
+ * lease of the incarnation that listed it.
+ */
+TEST_P(IncarnationTest, AListedServiceIsNotHeldForALostAnswer)
+{
+    Jr__JobStep step = MakeStep(1, kWholeWorker);
+    int64_t lost_at;
+
+    step.service = true;
+    fleet_.long_running_job = kJob;
+    fleet_.faults.lost_answer = 100;
+    fleet_.Submit(kJob, {step});
+    RunUntilStartIsSent();
+    fleet_.Run(2 * kTickMs);
+    fleet_.faults.lost_answer = 0;
+    fleet_.Run(6000);
+    ASSERT_EQ(fleet_.Running(kJob), 1u);
+    lost_at = fleet_.now;
+    fleet_.Crash(worker_);
+    CutOff();
+    fleet_.Cancel(kOther);
+    fleet_.Run(1000);
+    while (fleet_.Running(kJob) == 0 && fleet_.now < lost_at + kLongEnoughMs) {
+        fleet_.Run(kTickMs);
+    }
+    EXPECT_LE(fleet_.now - lost_at, kFailoverMs);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, IncarnationTest, ::testing::Range(1u, 9u));
 
 } // namespace
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -296,6 +296,14 @@
     return (d->fence << FENCE_EPOCH_BITS) + w->fence_epoch;
 }
 
+/* A run that is known to have begun ends with the lease. */
+static bool
+lapses(const jr_dispatch_t *d, const jr_run_t *run)
+{
+    return run->state != JR_RUN_PROPOSED && run->state != JR_RUN_RELEASING &&
+           (run->is_placed || !jr_run_may_begin_late(d, run));
+}
+
 static void
 lapse(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
@@ -303,8 +311,7 @@
     size_t n = 0;
 
     TAILQ_FOREACH (run, &w->runs, link) {
-        if (run->state != JR_RUN_PROPOSED && run->state != JR_RUN_RELEASING &&
-            !jr_run_may_begin_late(d, run)) {
+        if (lapses(d, run)) {
             jr_crash_add_lapsed(d, run);
             jr_run_release(d, run, "lapsed");
             n++;
