Starts without an answer are held for no late orders

A worker that is gone is far more frequent than one that restarts behind a cut and executes a start seconds late.

A start without an answer is now held for the longest lease from when it was given up, as it may have been executed when it was sent; so are runs of an earlier leader. A service is not held at all for it. Runs that another incarnation is known to have begun, by its answer or a restart that was seen, are held as before.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -76,8 +76,8 @@
     int64_t late_start_until;   /* one may be executed until then, 0: none */
     bool is_placed; /* its worker's incarnation is known to have begun it */
     /*
-     * While it is not placed: an incarnation that is not known may get orders
-     * until then that extend its lease.
+     * While it is not placed: an incarnation that is not known may have begun
+     * it, and get orders until then that extend its lease; 0: no.
      */
     int64_t unplaced_until;
     int64_t withheld_at; /* its start, for lack of capacity; 0: not */
@@ -420,10 +420,15 @@
  */
 void jr_incarnation_on_synced(const jr_dispatch_t *d, jr_tracked_worker_t *w);
 /*
- * May an incarnation of the worker that is not known yet have begun the run,
- * or begin it, and hold a lease for it?
+ * May an incarnation of the worker that is not known yet begin the run, or
+ * hold a lease for it?
  */
 bool jr_run_may_begin_late(const jr_dispatch_t *d, const jr_run_t *run);
+/*
+ * Was the run begun by an incarnation that may not be the known one, and may
+ * it hold a lease for it?
+ */
+bool jr_run_may_be_elsewhere(const jr_dispatch_t *d, const jr_run_t *run);
 /* The outcome of a start order. */
 void jr_incarnation_on_start_answer(const jr_dispatch_t *d,
                                     const jr_sent_t *sent,
--- a/src/dispatch/incarnation.c
+++ b/src/dispatch/incarnation.c
@@ -11,23 +11,43 @@
     PERMILLE = 1000,
 };
 
-/* Until when may an incarnation that is not known get orders for the run? */
-static int64_t
-late_until(const jr_run_t *run)
+/*
+ * May an incarnation that is not known get orders until that time, and hold a
+ * lease by them? A list since then was of the known one.
+ */
+static bool
+may_hold_lease(const jr_dispatch_t *d, const jr_run_t *run, int64_t until)
+{
+    return run->worker->answered_at < until &&
+           d->now < until + jr_accepted_lease_ms(d);
+}
+
+/*
+ * A start without an answer may have been executed when it was sent. Its
+ * worker may as well be gone for good: a service must run again soon, and is
+ * not held for that.
+ */
+static bool
+may_have_begun_unheard(const jr_dispatch_t *d, const jr_run_t *run)
 {
-    return run->is_placed ? run->late_start_until
-                          : MAX(run->late_start_until, run->unplaced_until);
+    int64_t sent_until = run->late_start_until - JR_LATE_ORDER_MS;
+
+    return !jr_task_step(run->task)->service &&
+           (run->is_start_pending || may_hold_lease(d, run, sent_until));
 }
 
 bool
-jr_run_may_begin_late(const jr_dispatch_t *d, const jr_run_t *run)
+jr_run_may_be_elsewhere(const jr_dispatch_t *d, const jr_run_t *run)
 {
-    /* A list since then was of the incarnation that is known. */
-    bool is_excluded = run->worker->answered_at >= late_until(run);
+    return !run->is_placed && (may_hold_lease(d, run, run->unplaced_until) ||
+                               may_have_begun_unheard(d, run));
+}
 
-    return run->is_start_pending ||
-           (!is_excluded &&
-            d->now < late_until(run) + jr_accepted_lease_ms(d));
+bool
+jr_run_may_begin_late(const jr_dispatch_t *d, const jr_run_t *run)
+{
+    return run->is_start_pending || jr_run_may_be_elsewhere(d, run) ||
+           may_hold_lease(d, run, run->late_start_until);
 }
 
 /* No start order of the run can reach a new incarnation of its worker. */
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -296,12 +296,12 @@
     return (d->fence << FENCE_EPOCH_BITS) + w->fence_epoch;
 }
 
-/* A run that is known to have begun ends with the lease. */
+/* A run ends with the lease, unless another incarnation may have begun it. */
 static bool
 lapses(const jr_dispatch_t *d, const jr_run_t *run)
 {
     return run->state != JR_RUN_PROPOSED && run->state != JR_RUN_RELEASING &&
-           (run->is_placed || !jr_run_may_begin_late(d, run));
+           !jr_run_may_be_elsewhere(d, run);
 }
 
 static void
