--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -311,8 +311,8 @@
 
 /*
  * The worker may have crashed under the run. The next list tells, before an
- * order is sent again and may crash the next incarnation. So it does when the
- * lease of the worker has lapsed.
+ * order is sent again and may crash the next incarnation. The same holds once
+ * the lease of the worker has lapsed.
  */
 static bool
 must_wait_for_list(const jr_run_t *run)
