--- a/src/dispatch/reserve_test.cc
+++ b/src/dispatch/reserve_test.cc
@@ -6,136 +6,12 @@
 #include <gtest/gtest.h>
 
 #include "base/histories_test.h"
-#include "fleet_test.h"
+#include "load_test.h"
 
 namespace {
 
 enum { DEFAULT_HISTORIES = 60 };
 
-constexpr int64_t kTickMs = 10;
-/*
- * Within these times tasks run again: of a worker that is lost (settle_ms and
- * failover_ms of a deployment), and where nothing was lost (failover_ms).
- */
-constexpr int64_t kFailoverMs = 10000;
-constexpr int64_t kNothingLostMs = 7000;
-constexpr int64_t kElectionMs = 700;
-constexpr uint64_t kService = 1;
-constexpr uint64_t kFirstShortJob = 100;
-/* Short tasks of a job, and from one job to the next. */
-constexpr int64_t kShortMs = 2000;
-constexpr int64_t kJobEveryMs = 500;
-
-/* Four workers with 4 processors each. */
-class Load {
-  public:
-    explicit Load(uint32_t seed = 1)
-        : fleet(seed, 4, {},
-                {.lease_ms = 6000,
-                 .failover_ms = kFailoverMs,
-                 .order_age_ms = kElectionMs})
-    {
-        fleet.long_running_job = kService;
-        fleet.reported_percent = 100;
-        fleet.task_ms = kShortMs;
-    }
-
-    /* @n_apart of them on different workers. */
-    void
-    StartServices(uint32_t count, uint32_t n_apart = 0)
-    {
-        Jr__JobStep apart = MakeStep(n_apart);
-        std::vector<Jr__JobStep> steps;
-
-        apart.per_worker = 1;
-        if (n_apart > 0) {
-            steps.push_back(apart);
-        }
-        steps.push_back(MakeStep(count - n_apart));
-        for (Jr__JobStep &service : steps) {
-            service.service = true;
-        }
-        fleet.Submit(kService, steps);
-        Run(8000);
-        ASSERT_EQ(fleet.Running(kService), count);
-    }
-
-    /* In steps; notes how long each service that has run is away. */
-    void
-    Run(int64_t ms)
-    {
-        for (int64_t end = fleet.now + ms; fleet.now < end;) {
-            if (short_tasks > 0 && fleet.now >= next_job_at_) {
-                Jr__JobStep step = MakeStep(short_tasks);
-
-                step.estimate_ms = static_cast<uint32_t>(kShortMs);
-                fleet.Submit(next_job_++, {step});
-                next_job_at_ = fleet.now + kJobEveryMs;
-            }
-            fleet.Run(kTickMs);
-            NoteAway();
-        }
-    }
-
-    /* Loses the worker with the most services. */
-    void
-    LoseWorker()
-    {
-        size_t most = 0;
-        size_t n_most = 0;
-
-        for (size_t i = 0; i < fleet.workers.size(); i++) {
-            size_t n = 0;
-
-            for (const auto &[name, run] : fleet.workers[i].running) {
-                n += name.job == kService;
-            }
-            if (n > n_most) {
-                most = i;
-                n_most = n;
-            }
-        }
-        fleet.Crash(most);
-    }
-
-    size_t
-    ShortRunning() const
-    {
-        size_t n = 0;
-
-        for (const FleetWorker &worker : fleet.workers) {
-            for (const auto &[name, run] : worker.running) {
-                n += name.job >= kFirstShortJob;
-            }
-        }
-        return n;
-    }
-
-    Fleet fleet;
-    uint32_t short_tasks = 0; /* of each job; 0: no jobs come */
-    int64_t longest_away_ms = 0;
-
-  private:
-    void
-    NoteAway()
-    {
-        for (const FleetWorker &worker : fleet.workers) {
-            for (const auto &[name, run] : worker.running) {
-                if (name.job == kService) {
-                    seen_at_[name] = fleet.now;
-                }
-            }
-        }
-        for (const auto &[name, at] : seen_at_) {
-            longest_away_ms = std::max(longest_away_ms, fleet.now - at);
-        }
-    }
-
-    std::map<TaskName, int64_t> seen_at_;
-    uint64_t next_job_ = kFirstShortJob;
-    int64_t next_job_at_ = 0;
-};
-
 } // namespace
 
 /*
@@ -163,7 +39,7 @@
     load.short_tasks = 6;
     for (int i = 0; i < 10; i++) {
         load.Run(3500);
-        load.fleet.ChangeLeader(true);
+        load.ChangeLeader();
     }
     EXPECT_GE(load.fleet.Counter(JR_C_PREEMPTIONS), 3u);
     EXPECT_LE(load.longest_away_ms, kNothingLostMs);
@@ -242,7 +118,7 @@
             load.fleet.task_ms = 200 + (int64_t)(rng() % kShortMs);
             /* Each new leader waits out the lease of a lost worker. */
             if ((i <= 10 || i >= 18) && rng() % 4 == 0) {
-                load.fleet.ChangeLeader(true);
+                load.ChangeLeader();
             }
             if (i == 10) {
                 load.LoseWorker();
