--- a/include/jayrelay/event.h
+++ b/include/jayrelay/event.h
@@ -51,6 +51,7 @@
     X(RUN_ENDED, 513, 6, "run-ended")                                         \
     X(RUN_STALLED, 516, 5, "run-stalled")                                     \
     X(RUN_PREEMPTED, 519, 5, "run-preempted")                                 \
+    X(RUN_GAVE_WAY, 526, 5, "run-gave-way")                                   \
     X(FILLER_STOPPED, 515, 6, "filler-stopped")                               \
     X(FILLER_MOVED, 518, 6, "filler-moved")                                   \
     X(FILLER_PACED, 517, 6, "filler-paced")                                   \
--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -48,6 +48,7 @@
 } jr_phase_t;
 
 struct jr_run;
+struct jr_claim;
 
 /**
  * struct jr_spent_t - where the time of a task or job went, ms
@@ -110,6 +111,7 @@
  * @preempted: how often this leader stopped it for urgent tasks; not
  *             replicated
  * @run: leader-local state of the run; not replicated
+ * @claim: leader-local place of the next run of a service; not replicated
  */
 typedef struct jr_job_task {
     struct jr_job *job;
@@ -134,6 +136,7 @@
     uint32_t preempted;
     TAILQ_ENTRY(jr_job_task) worker_link;
     struct jr_run *run;
+    struct jr_claim *claim;
 } jr_job_task_t;
 
 TAILQ_HEAD(jr_job_task_list, jr_job_task);
--- a/src/dispatch/backlog.c
+++ b/src/dispatch/backlog.c
@@ -21,7 +21,7 @@
     STUCK_FACTOR = 4 * JR_LATE_FACTOR,
 };
 
-static const double SHORT_SHARE = JR_SHORT_SHARE_PERCENT / 100.0;
+static const double SHORT_SHARE = JR_SHORT_SHARE_PERMILLE / 1000.0;
 
 /* Largest capacity of each kind in a pool, maybe of different workers. */
 typedef struct {
--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -1,5 +1,5 @@
 /* Selects the worker on which a task runs best now. */
-#include "dispatch.h"
+#include "claim.h"
 
 #include <string.h>
 
@@ -90,16 +90,21 @@
            !has_label(w->worker->info, step->data_rack);
 }
 
-/* Tasks of the same step and occurrence on this worker. */
-static uint32_t
-count_siblings(const jr_tracked_worker_t *w, const jr_job_task_t *task)
+bool
+jr_task_is_sibling(const jr_job_task_t *a, const jr_job_task_t *b)
+{
+    return a->job == b->job && a->step == b->step &&
+           a->occurrence == b->occurrence;
+}
+
+uint32_t
+jr_worker_siblings(const jr_tracked_worker_t *w, const jr_job_task_t *task)
 {
     const jr_run_t *run;
     uint32_t n = 0;
 
     TAILQ_FOREACH (run, &w->runs, link) {
-        n += run->task->job == task->job && run->task->step == task->step &&
-             run->task->occurrence == task->occurrence;
+        n += jr_task_is_sibling(run->task, task);
     }
     return n;
 }
@@ -114,7 +119,8 @@
         (*step->label != '\0' && !has_label(info, step->label))) {
         return false;
     }
-    return step->per_worker == 0 || count_siblings(w, task) < step->per_worker;
+    return step->per_worker == 0 ||
+           jr_worker_siblings(w, task) < step->per_worker;
 }
 
 static bool
@@ -310,13 +316,12 @@
 
 static int64_t
 worker_cost(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
-            const request_t *request)
+            const jr_job_task_t *task)
 {
-    const jr_job_task_t *task = request->task;
     const Jr__JobWorker *info = w->worker->info;
     int64_t sum = 0;
 
-    if (jr_worker_is_far(w, request->step)) {
+    if (jr_worker_is_far(w, jr_task_step(task))) {
         sum += (d->options.far_permille - PERMILLE) * FAR_WEIGHT;
     }
     if (task->failed_on != NULL && strcmp(task->failed_on, info->id) == 0) {
@@ -328,6 +333,29 @@
     return sum + crash_cost(d, w, task) + jr_worker_quality_cost(d, w, task);
 }
 
+/* As mix_cost(); nothing where several images were on the worker. */
+static int64_t
+least_mix_cost(uint32_t n_targets, bool is_mixed, bool is_same)
+{
+    if (n_targets == 0) {
+        return FIRST_IMAGE_COST;
+    }
+    return is_mixed || is_same ? 0 : MIX_COST;
+}
+
+int64_t
+jr_choose_base_cost(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
+                    const jr_job_task_t *task, jr_image_t image)
+{
+    int64_t sum = worker_cost(d, w, task);
+
+    if (jr_task_step(task)->tail_target_ms > 0) {
+        sum += least_mix_cost(w->n_targets, w->is_mixed,
+                              w->target_image == image);
+    }
+    return sum;
+}
+
 /*
  * Cost of the task on this worker. It is -1 if the task is a best-effort one
  * that has to wait: it would slow services down, or get hardly any processors.
@@ -339,7 +367,7 @@
     double shortfall;
 
     if (!request->step->filler) {
-        return worker_cost(d, w, request) + packing_cost(d, w, request);
+        return worker_cost(d, w, request->task) + packing_cost(d, w, request);
     }
     shortage = best_effort_shortage(jr_choose_left_by_others(w),
                                     w->best_effort_milli, request->step);
@@ -350,7 +378,7 @@
     if (shortfall < 0.0) {
         return -1;
     }
-    return worker_cost(d, w, request) + SHORTAGE_WEIGHT * shortage +
+    return worker_cost(d, w, request->task) + SHORTAGE_WEIGHT * shortage +
            (int64_t)(SHORTFALL_WEIGHT * PERMILLE * shortfall);
 }
 
@@ -418,16 +446,6 @@
                : SHORTAGE_WEIGHT * shortage;
 }
 
-/* As mix_cost(); nothing where several images were on the worker. */
-static int64_t
-least_mix_cost(const jr_place_t *place, jr_image_t image)
-{
-    if (place->n_targets == 0) {
-        return FIRST_IMAGE_COST;
-    }
-    return place->is_mixed || place->target_image == image ? 0 : MIX_COST;
-}
-
 static int64_t
 least_service_cost(const jr_place_t *place, const request_t *request)
 {
@@ -439,7 +457,8 @@
     }
     sum = fullness_cost(left, place->best_effort_milli, place->capacity_milli);
     return request->step->tail_target_ms > 0
-               ? sum + least_mix_cost(place, request->image)
+               ? sum + least_mix_cost(place->n_targets, place->is_mixed,
+                                      place->target_image == request->image)
                : sum;
 }
 
--- /dev/null
+++ b/src/dispatch/claim.c
@@ -0,0 +1,669 @@
+/*
+ * Places of services that lost their run. Each such service claims capacity of
+ * one worker, whoever uses it now: no other task starts there that would delay
+ * it, and short tasks that do not end in time are stopped.
+ *
+ * Where services ask for more than there is beside a part for short tasks,
+ * they take turns: one that has run for long gives its place to one that has
+ * waited for long, so that no wait is without a bound.
+ *
+ * A claim is leader-local. A new leader knows from the log how long each
+ * service has waited, and claims anew.
+ */
+#include "claim.h"
+
+#include <stdlib.h>
+
+enum {
+    /*
+     * Without a run; until then urgent tasks may use the capacity of a service
+     * that gave way to them.
+     */
+    CLAIM_AFTER_MS = 2000,
+    /*
+     * Then short tasks are stopped for it: a stop and a start may take two of
+     * the seven seconds in which a service runs again.
+     */
+    STOP_SHORT_AFTER_MS = 5000,
+    /* Without a place by then, it takes the place of another service. */
+    TURN_AFTER_MS = 4500,
+    TURN_MIN_MS = 6000, /* that has run for so long */
+    TURNS_MAX = 32,     /* in a pass */
+    /* Without one by then, it takes what short tasks keep. */
+    TAKE_ALL_AFTER_MS = 6500,
+    MS_PER_COST = 10, /* of the run of a service that is to give its place */
+    /* Costs, in thousandths of a whole worker; see choose.c. */
+    OCCUPIED_COST = 4000, /* other tasks have to end there first */
+    PERMILLE = 1000,
+};
+
+/* A service that needs a claim. */
+typedef struct {
+    jr_job_task_t *task;
+    int64_t since; /* without a run, wall clock */
+} claimant_t;
+
+/* The worker is about to end, or has: what runs there has to run elsewhere. */
+static bool
+is_ending_soon(const jr_tracked_worker_t *w)
+{
+    return w->is_draining || w->is_leaving || w->has_ended;
+}
+
+static bool
+is_waiting(const jr_job_task_t *task)
+{
+    return task->phase == JR_PHASE_WAITING && task->run == NULL;
+}
+
+static int64_t
+waited_ms(const jr_dispatch_t *d, const jr_job_task_t *task)
+{
+    return d->wall_ms - task->waiting_since;
+}
+
+/* Does the task still need the place? */
+static bool
+is_wanted(const jr_job_task_t *task)
+{
+    return is_waiting(task) ||
+           (task->phase == JR_PHASE_GRANTED && task->run != NULL &&
+            is_ending_soon(task->run->worker));
+}
+
+/* Runs and claims of the step there, its own claim aside. */
+static bool
+is_apart(const jr_tracked_worker_t *w, const jr_job_task_t *task)
+{
+    uint32_t limit = jr_task_step(task)->per_worker;
+    uint32_t n = jr_worker_siblings(w, task);
+    const jr_claim_t *claim;
+
+    if (limit == 0) {
+        return true;
+    }
+    TAILQ_FOREACH (claim, &w->claims, worker_link) {
+        n += claim->task != task && jr_task_is_sibling(claim->task, task);
+    }
+    return n < limit;
+}
+
+/* Beside services that stay and the claims that are counted so far. */
+static bool
+has_capacity(const jr_tracked_worker_t *w, const jr_need_t *need)
+{
+    jr_need_t taken = w->staying;
+
+    jr_need_add(&taken, &w->claimed, 1);
+    return jr_need_fits_beside(need, &taken, w->worker->info);
+}
+
+static bool
+may_claim(const jr_tracked_worker_t *w, const jr_job_task_t *task)
+{
+    return w->is_usable && jr_worker_is_eligible(w, task) && is_apart(w, task);
+}
+
+static void
+drop(jr_dispatch_t *d, jr_claim_t *claim)
+{
+    jr_need_add(&claim->worker->claimed, &claim->need, -1);
+    TAILQ_REMOVE(&d->claims, claim, link);
+    TAILQ_REMOVE(&claim->worker->claims, claim, worker_link);
+    claim->task->claim = NULL;
+    jr_free(d->ctx, claim);
+}
+
+void
+jr_claim_drop(jr_dispatch_t *d, jr_job_task_t *task)
+{
+    if (task->claim != NULL) {
+        drop(d, task->claim);
+    }
+}
+
+void
+jr_claims_drop_worker(jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    jr_claim_t *claim;
+
+    while ((claim = TAILQ_FIRST(&w->claims)) != NULL) {
+        drop(d, claim);
+    }
+}
+
+static void
+add(jr_dispatch_t *d, jr_job_task_t *task, jr_tracked_worker_t *w,
+    const jr_need_t *need)
+{
+    jr_claim_t *claim = jr_alloc(d->ctx, sizeof *claim);
+
+    claim->task = task;
+    claim->worker = w;
+    claim->need = *need;
+    task->claim = claim;
+    TAILQ_INSERT_TAIL(&d->claims, claim, link);
+    TAILQ_INSERT_TAIL(&w->claims, claim, worker_link);
+    jr_need_add(&w->claimed, need, 1);
+}
+
+static void
+count_staying(jr_tracked_worker_t *w)
+{
+    const jr_run_t *run;
+
+    w->staying = w->services;
+    if (w->n_services == 0) {
+        return;
+    }
+    TAILQ_FOREACH (run, &w->runs, link) {
+        if (jr_task_step(run->task)->service && jr_run_is_ending(run)) {
+            jr_need_add(&w->staying, &run->need, -1);
+        }
+    }
+}
+
+/* Claims do not move while they hold, so that what runs there ends. */
+static void
+drop_invalid(jr_dispatch_t *d)
+{
+    jr_tracked_worker_t *w;
+    jr_claim_t *claim, *next;
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        w->claimed = (jr_need_t){0};
+        count_staying(w);
+    }
+    for (claim = TAILQ_FIRST(&d->claims); claim != NULL; claim = next) {
+        bool holds = is_wanted(claim->task) &&
+                     may_claim(claim->worker, claim->task) &&
+                     has_capacity(claim->worker, &claim->need);
+
+        next = TAILQ_NEXT(claim, link);
+        jr_need_add(&claim->worker->claimed, &claim->need, 1);
+        if (!holds) {
+            drop(d, claim);
+        }
+    }
+}
+
+/* Does the service need a place, and has waited for one? */
+static bool
+is_claimant(const jr_dispatch_t *d, const jr_job_task_t *task)
+{
+    return is_waiting(task) && task->claim == NULL && task->attempt > 0 &&
+           waited_ms(d, task) >= CLAIM_AFTER_MS;
+}
+
+bool
+jr_claim_is_refused(const jr_dispatch_t *d, const jr_job_task_t *task)
+{
+    return jr_task_step(task)->service && is_claimant(d, task);
+}
+
+static void
+collect_step(const jr_dispatch_t *d, jr_job_t *job, uint32_t s, GArray *to)
+{
+    for (uint32_t i = 0; i < job->spec->steps[s]->count; i++) {
+        jr_job_task_t *task = &job->tasks[job->steps[s].first + i];
+        claimant_t claimant = {.task = task, .since = task->waiting_since};
+
+        if (is_claimant(d, task)) {
+            g_array_append_val(to, claimant);
+        }
+    }
+}
+
+static void
+collect_waiting(const jr_dispatch_t *d, GArray *to)
+{
+    jr_job_t *job;
+
+    TAILQ_FOREACH (job, &d->jobs->live, link) {
+        if (job->queue->last_config == NULL) {
+            continue;
+        }
+        for (uint32_t s = 0; s < job->spec->n_steps; s++) {
+            if (job->spec->steps[s]->service && job->steps[s].waiting > 0 &&
+                jr_job_is_step_ready(job, 0, s)) {
+                collect_step(d, job, s, to);
+            }
+        }
+    }
+}
+
+/* They still run, but not for long. */
+static void
+collect_leaving(const jr_dispatch_t *d, GArray *to)
+{
+    const jr_tracked_worker_t *w;
+    const jr_run_t *run;
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        if (!is_ending_soon(w) || w->n_services == 0) {
+            continue;
+        }
+        TAILQ_FOREACH (run, &w->runs, link) {
+            claimant_t claimant = {.task = run->task, .since = d->wall_ms};
+
+            if (jr_task_step(run->task)->service && run->task->claim == NULL &&
+                run->task->job->queue->last_config != NULL &&
+                jr_job_is_live(run->task->job) && is_wanted(run->task)) {
+                g_array_append_val(to, claimant);
+            }
+        }
+    }
+}
+
+/* The longest wait first; then by name, so that all leaders agree. */
+static int
+by_wait(const void *a, const void *b)
+{
+    const claimant_t *x = a;
+    const claimant_t *y = b;
+
+    if (x->since != y->since) {
+        return x->since < y->since ? -1 : 1;
+    }
+    if (x->task->job != y->task->job) {
+        return x->task->job->id < y->task->job->id ? -1 : 1;
+    }
+    return (x->task > y->task) - (x->task < y->task);
+}
+
+/* A worker on which nothing has to end, then one that is filled up by it. */
+static int64_t
+cost(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
+     const jr_job_task_t *task, const jr_need_t *need, jr_image_t image)
+{
+    const Jr__JobWorker *info = w->worker->info;
+    jr_need_t taken = w->used;
+    int64_t left = info->cpu_milli - w->staying.cpu_milli -
+                   w->claimed.cpu_milli - need->cpu_milli;
+    int64_t lacking;
+
+    jr_need_add(&taken, &w->claimed, 1);
+    lacking = taken.cpu_milli + need->cpu_milli - info->cpu_milli;
+    return jr_choose_base_cost(d, w, task, image) +
+           (jr_need_fits_beside(need, &taken, info) ? 0 : OCCUPIED_COST) +
+           PERMILLE * (MAX(lacking, (int64_t)0) + left / 2) /
+               MAX(info->cpu_milli, (int64_t)1);
+}
+
+/* Where services find a place; as claims are added, less is left. */
+typedef struct {
+    jr_dispatch_t *d;
+    int64_t left_milli; /* processors that may be claimed beside services */
+    bool has_failed;
+    jr_need_t failed; /* as much, or more, is free on no worker */
+    size_t turns;
+} search_t;
+
+static bool
+is_known_to_fail(const search_t *search, const jr_need_t *need)
+{
+    return search->has_failed && need->cpu_milli >= search->failed.cpu_milli &&
+           need->memory_mb >= search->failed.memory_mb &&
+           need->accelerators >= search->failed.accelerators;
+}
+
+static jr_tracked_worker_t *
+find_worker(search_t *search, const jr_job_task_t *task, const jr_need_t *need)
+{
+    jr_image_t image =
+        jr_tails_image(search->d->tails, jr_task_step(task)->image);
+    jr_tracked_worker_t *best = NULL;
+    int64_t least = 0;
+    bool has_any = false;
+    jr_tracked_worker_t *w;
+
+    if (is_known_to_fail(search, need)) {
+        return NULL;
+    }
+    TAILQ_FOREACH (w, &search->d->workers, link) {
+        int64_t sum;
+
+        if (!w->is_usable || !has_capacity(w, need)) {
+            continue;
+        }
+        has_any = true;
+        if (!may_claim(w, task)) {
+            continue;
+        }
+        sum = cost(search->d, w, task, need, image);
+        if (best == NULL || sum < least) {
+            best = w;
+            least = sum;
+        }
+    }
+    if (!has_any) {
+        search->has_failed = true;
+        search->failed = *need;
+    }
+    return best;
+}
+
+/* Would an empty worker take it? */
+static bool
+is_possible(const jr_dispatch_t *d, const jr_job_task_t *task,
+            const jr_need_t *need)
+{
+    const jr_need_t none = {0};
+    const jr_tracked_worker_t *w;
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        if (jr_need_fits_beside(need, &none, w->worker->info) &&
+            may_claim(w, task)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* May the service give its place to another one? */
+static bool
+may_give_place(const jr_dispatch_t *d, const jr_run_t *run)
+{
+    return run->state == JR_RUN_RUNNING && !run->is_stop_wanted &&
+           !jr_run_is_ending(run) && jr_task_step(run->task)->service &&
+           !jr_task_step(run->task)->gang &&
+           d->now - MAX(run->granted_at, run->confirmed_at) >= TURN_MIN_MS &&
+           jr_step_may_miss_one_more(run->task);
+}
+
+/* Would a task of this need fit there instead of the run? */
+static bool
+fits_instead(const jr_tracked_worker_t *w, const jr_run_t *run,
+             const jr_need_t *need)
+{
+    jr_need_t taken = w->staying;
+
+    jr_need_add(&taken, &w->claimed, 1);
+    jr_need_add(&taken, &run->need, -1);
+    return jr_need_fits_beside(need, &taken, w->worker->info);
+}
+
+/* The service that has run longest, on a worker that suits the task. */
+static jr_run_t *
+find_turn(const jr_dispatch_t *d, const jr_job_task_t *task,
+          const jr_need_t *need)
+{
+    jr_image_t image = jr_tails_image(d->tails, jr_task_step(task)->image);
+    jr_run_t *best = NULL;
+    int64_t most = 0;
+    const jr_tracked_worker_t *w;
+    jr_run_t *run;
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        int64_t base;
+
+        if (w->n_services == 0 || !may_claim(w, task)) {
+            continue;
+        }
+        base = jr_choose_base_cost(d, w, task, image);
+        TAILQ_FOREACH (run, &w->runs, link) {
+            int64_t worth = (d->now - run->granted_at) / MS_PER_COST - base;
+
+            if ((best == NULL || worth > most) && may_give_place(d, run) &&
+                fits_instead(w, run, need)) {
+                best = run;
+                most = worth;
+            }
+        }
+    }
+    return best;
+}
+
+static void
+stop(jr_dispatch_t *d, jr_run_t *run)
+{
+    char text[JR_RUN_TEXT_BYTES];
+
+    jr_count(d->ctx, JR_C_STOPS_FOR_SERVICES);
+    jr_log_job(
+        d->ctx, JR_EV_RUN_GAVE_WAY, run->task->job->id,
+        "task=%s worker=%s service=%d", jr_run_text(run, text, sizeof text),
+        run->worker->worker->info->id, jr_task_step(run->task)->service);
+    jr_run_stop(d, run);
+}
+
+static bool
+take_turn(search_t *search, jr_job_task_t *task, const jr_need_t *need)
+{
+    jr_dispatch_t *d = search->d;
+    jr_run_t *run;
+
+    if (search->turns >= TURNS_MAX) {
+        return false;
+    }
+    run = find_turn(d, task, need);
+    if (run == NULL) {
+        return false;
+    }
+    search->turns++;
+    jr_need_add(&run->worker->staying, &run->need, -1);
+    stop(d, run);
+    add(d, task, run->worker, need);
+    return true;
+}
+
+static bool
+claim_beside_services(search_t *search, jr_job_task_t *task,
+                      const jr_need_t *need)
+{
+    jr_tracked_worker_t *w;
+
+    if (search->left_milli < need->cpu_milli &&
+        waited_ms(search->d, task) < TAKE_ALL_AFTER_MS) {
+        return false;
+    }
+    w = find_worker(search, task, need);
+    if (w == NULL) {
+        return false;
+    }
+    add(search->d, task, w, need);
+    search->left_milli -= need->cpu_milli;
+    return true;
+}
+
+static void
+claim_for(search_t *search, jr_job_task_t *task)
+{
+    jr_dispatch_t *d = search->d;
+    jr_need_t need;
+
+    jr_need_of(jr_task_step(task), &need);
+    if (claim_beside_services(search, task, &need)) {
+        return;
+    }
+    if (is_waiting(task) && waited_ms(d, task) >= TURN_AFTER_MS &&
+        take_turn(search, task, &need)) {
+        return;
+    }
+    if (is_possible(d, task, &need)) {
+        d->n_unclaimed++;
+        d->has_late_service |=
+            is_waiting(task) && waited_ms(d, task) >= TAKE_ALL_AFTER_MS;
+    }
+}
+
+/* Processors that claims may take beside services, and short tasks' share. */
+static int64_t
+left_for_claims(const jr_dispatch_t *d)
+{
+    int64_t left =
+        jr_reserve_left_for_services(d, JR_SHORT_SHARE_IN_TURNS_PERMILLE);
+    const jr_tracked_worker_t *w;
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        if (w->is_usable) {
+            left += w->services.cpu_milli - w->staying.cpu_milli -
+                    w->claimed.cpu_milli;
+        }
+    }
+    return left;
+}
+
+void
+jr_claims_update(jr_dispatch_t *d)
+{
+    GArray *claimants = g_array_new(FALSE, FALSE, sizeof(claimant_t));
+    search_t search = {.d = d};
+
+    drop_invalid(d);
+    d->n_unclaimed = 0;
+    d->has_late_service = false;
+    collect_waiting(d, claimants);
+    collect_leaving(d, claimants);
+    if (claimants->len > 1) {
+        qsort(claimants->data, claimants->len, sizeof(claimant_t), by_wait);
+    }
+    search.left_milli = left_for_claims(d);
+    for (guint i = 0; i < claimants->len; i++) {
+        claim_for(&search, g_array_index(claimants, claimant_t, i).task);
+    }
+    g_array_unref(claimants);
+}
+
+bool
+jr_claims_leave_room(const jr_tracked_worker_t *w, const jr_job_task_t *task,
+                     const jr_need_t *need)
+{
+    jr_need_t taken = w->used;
+
+    jr_need_add(&taken, &w->claimed, 1);
+    if (task->claim != NULL && task->claim->worker == w) {
+        jr_need_add(&taken, &task->claim->need, -1);
+    }
+    return jr_need_fits_beside(need, &taken, w->worker->info);
+}
+
+bool
+jr_claims_are_free(const jr_tracked_worker_t *w)
+{
+    return jr_need_fits_beside(&w->claimed, &w->used, w->worker->info);
+}
+
+/* The members of a gang start together: schedule.c places them. */
+void
+jr_claims_place(jr_dispatch_t *d)
+{
+    jr_claim_t *claim, *next;
+
+    for (claim = TAILQ_FIRST(&d->claims); claim != NULL; claim = next) {
+        jr_job_task_t *task = claim->task;
+        jr_tracked_worker_t *w = claim->worker;
+
+        next = TAILQ_NEXT(claim, link);
+        if (jr_schedule_may_place(d, task) && !jr_task_step(task)->gang &&
+            jr_worker_has_capacity(&claim->need, w)) {
+            drop(d, claim);
+            jr_schedule_place(d, task, w);
+        }
+    }
+}
+
+/* What the services whose claim is due lack there. */
+static jr_need_t
+lacking_on(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
+{
+    const Jr__JobWorker *info = w->worker->info;
+    jr_need_t lacking = w->used;
+    const jr_need_t capacity = {.cpu_milli = info->cpu_milli,
+                                .memory_mb = info->memory_mb,
+                                .accelerators = info->accelerators};
+    const jr_claim_t *claim;
+    const jr_run_t *run;
+    bool is_due = false;
+
+    TAILQ_FOREACH (claim, &w->claims, worker_link) {
+        if (is_waiting(claim->task) &&
+            waited_ms(d, claim->task) >= STOP_SHORT_AFTER_MS) {
+            jr_need_add(&lacking, &claim->need, 1);
+            is_due = true;
+        }
+    }
+    if (!is_due) {
+        return (jr_need_t){0};
+    }
+    TAILQ_FOREACH (run, &w->runs, link) {
+        if (jr_run_is_ending(run)) {
+            jr_need_add(&lacking, &run->need, -1);
+        }
+    }
+    jr_need_add(&lacking, &capacity, -1);
+    return lacking;
+}
+
+static bool
+helps(const jr_run_t *run, const jr_need_t *lacking)
+{
+    return run->state == JR_RUN_RUNNING && !run->is_stop_wanted &&
+           !jr_run_is_ending(run) && !jr_task_step(run->task)->service &&
+           ((lacking->cpu_milli > 0 && run->need.cpu_milli > 0) ||
+            (lacking->memory_mb > 0 && run->need.memory_mb > 0) ||
+            (lacking->accelerators > 0 && run->need.accelerators > 0));
+}
+
+static uint32_t
+priority_of(const jr_run_t *run)
+{
+    const Jr__JobQueue *config = run->task->job->queue->last_config;
+
+    return config != NULL ? config->priority : UINT32_MAX;
+}
+
+/* No member of a gang, then the least urgent, then the one that began last. */
+static bool
+is_better_victim(const jr_run_t *a, const jr_run_t *b)
+{
+    bool is_gang_a = jr_task_step(a->task)->gang;
+    bool is_gang_b = jr_task_step(b->task)->gang;
+
+    if (is_gang_a != is_gang_b) {
+        return is_gang_b;
+    }
+    if (priority_of(a) != priority_of(b)) {
+        return priority_of(a) > priority_of(b);
+    }
+    return a->granted_at > b->granted_at;
+}
+
+static jr_run_t *
+find_victim(const jr_tracked_worker_t *w, const jr_need_t *lacking)
+{
+    jr_run_t *best = NULL;
+    jr_run_t *run;
+
+    TAILQ_FOREACH (run, &w->runs, link) {
+        if (helps(run, lacking) &&
+            (best == NULL || is_better_victim(run, best))) {
+            best = run;
+        }
+    }
+    return best;
+}
+
+static void
+make_room_on(jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    jr_need_t lacking = lacking_on(d, w);
+    jr_run_t *run;
+
+    while ((run = find_victim(w, &lacking)) != NULL) {
+        jr_need_add(&lacking, &run->need, -1);
+        stop(d, run);
+    }
+}
+
+void
+jr_claims_make_room(jr_dispatch_t *d)
+{
+    jr_tracked_worker_t *w;
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        if (!TAILQ_EMPTY(&w->claims)) {
+            make_room_on(d, w);
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/claim.h
@@ -0,0 +1,34 @@
+/* Private to src/dispatch: places of services that lost their run. */
+#ifndef JR_DISPATCH_CLAIM_H
+#define JR_DISPATCH_CLAIM_H
+
+#include "dispatch.h"
+
+/* Capacity of a worker that is held for the next run of a service. */
+typedef struct jr_claim {
+    TAILQ_ENTRY(jr_claim) link;        /* in the claims of the dispatcher */
+    TAILQ_ENTRY(jr_claim) worker_link; /* in those of its worker */
+    jr_job_task_t *task;
+    jr_tracked_worker_t *worker;
+    jr_need_t need;
+} jr_claim_t;
+
+/* At the beginning of a pass: drop claims that do not hold, add new ones. */
+void jr_claims_update(jr_dispatch_t *d);
+/* Then: start the services whose claim is free of other tasks. */
+void jr_claims_place(jr_dispatch_t *d);
+/* After a pass: stop short tasks that keep a service from its claim. */
+void jr_claims_make_room(jr_dispatch_t *d);
+/* Does the service have to wait, as there is no place that it may claim? */
+bool jr_claim_is_refused(const jr_dispatch_t *d, const jr_job_task_t *task);
+/* The task needs no place any more; it may have no claim. */
+void jr_claim_drop(jr_dispatch_t *d, jr_job_task_t *task);
+/* The worker is about to be freed. */
+void jr_claims_drop_worker(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* Would the task fit beside what the services of other claims need there? */
+bool jr_claims_leave_room(const jr_tracked_worker_t *w,
+                          const jr_job_task_t *task, const jr_need_t *need);
+/* Could all claims on the worker be used now? */
+bool jr_claims_are_free(const jr_tracked_worker_t *w);
+
+#endif
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -2,7 +2,7 @@
  * The dispatcher: issues orders, and handles answers and the changes that were
  * applied from the log.
  */
-#include "dispatch.h"
+#include "claim.h"
 
 #include <string.h>
 
@@ -151,6 +151,7 @@
     count_job(d->ctx, job->state);
     jr_spent_report(d, job);
     for (uint32_t i = 0; i < job->n_tasks; i++) {
+        jr_claim_drop(d, &job->tasks[i]);
         if (job->tasks[i].run != NULL) {
             jr_run_stop(d, job->tasks[i].run);
         }
@@ -226,6 +227,7 @@
     d->wanted_lease_ms = jr_bounded_lease_ms(options);
     d->jobs = jobs;
     TAILQ_INIT(&d->workers);
+    TAILQ_INIT(&d->claims);
     TAILQ_INIT(&d->due_stops);
     STAILQ_INIT(&d->commands);
     TAILQ_INIT(&d->windows);
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -132,7 +132,9 @@
     int64_t best_effort_milli; /* processors wanted by best-effort tasks */
     jr_need_t services;        /* the part of used taken by services */
     jr_need_t reserved;        /* for services that wait for capacity */
-    jr_need_t overdue;         /* the part of it for those that are overdue */
+    jr_need_t claimed;         /* the part of it that claims hold */
+    jr_need_t staying; /* as services, without those that are about to end */
+    TAILQ_HEAD(, jr_claim) claims; /* see claim.h */
     uint32_t n_services;
     uint32_t n_targets;      /* services with a target of their tail latency */
     jr_image_t target_image; /* of all of these, unless they are mixed */
@@ -304,7 +306,10 @@
      * their worker had crashed.
      */
     GArray *crashes;
-    GPtrArray *proposed; /* runs whose grant is to be proposed */
+    GPtrArray *proposed;           /* runs whose grant is to be proposed */
+    TAILQ_HEAD(, jr_claim) claims; /* see claim.h */
+    size_t n_unclaimed; /* services without a place that a worker could take */
+    bool has_late_service; /* one of them should run again by now */
     struct jr_backlog *backlog;
     struct jr_places *places; /* of the present pass, else empty */
     struct jr_shapes *shapes; /* the same */
@@ -553,13 +558,27 @@
                    const jr_answer_t *answer);
 void jr_run_name(const jr_run_t *run, Jr__JobRun *to);
 const char *jr_run_state_name(jr_run_state_t state);
+/* Is it about to free its capacity? */
+bool jr_run_is_ending(const jr_run_t *run);
 const char *jr_run_text(const jr_run_t *run, char *buf, size_t size);
 
 /* schedule.c: one scheduling pass over the waiting tasks. */
 void jr_schedule(jr_dispatch_t *d);
+/* May a run of the task be proposed in this pass? */
+bool jr_schedule_may_place(const jr_dispatch_t *d, const jr_job_task_t *task);
+void jr_schedule_place(jr_dispatch_t *d, jr_job_task_t *task,
+                       jr_tracked_worker_t *w);
 /* So late that it is of little use, that long after it was due. */
 bool jr_schedule_is_too_late(int64_t after_ms, int64_t allowed_ms);
 
+/* missing.c: tasks of a step that are not at work. */
+/* Is the task of a service at work, for certain? */
+bool jr_task_is_at_work(const jr_job_task_t *task);
+/* Tasks of the same step and occurrence that are not. */
+uint32_t jr_step_count_missing(const jr_job_task_t *task);
+/* May one more task of its step be missing, when it is stopped? */
+bool jr_step_may_miss_one_more(const jr_job_task_t *task);
+
 /* waits.c: services that wait to run again, in the log. */
 /* After a pass: log them, every few seconds. */
 void jr_waits_report(jr_dispatch_t *d);
@@ -591,17 +610,18 @@
 void jr_backlog_learn(jr_dispatch_t *d, const jr_run_t *run);
 
 /*
- * reserve.c: capacity reserved for short tasks, and for services that have
+ * reserve.c: capacity reserved for short tasks, and for new services that have
  * waited long.
  */
 void jr_reserve_update(jr_dispatch_t *d);
 void jr_reserve_for_services(jr_dispatch_t *d);
 /*
- * Processors, in thousandths, that services may still take from short tasks of
- * this demand; negative when services hold more than their share.
+ * Processors, in thousandths, that services may still take from short tasks
+ * that keep what they ask for, up to these thousandths of all; negative when
+ * services hold more than that leaves.
  */
 int64_t jr_reserve_left_for_services(const jr_dispatch_t *d,
-                                     double short_milli);
+                                     int64_t short_permille);
 /* May a service take this much of the worker, with regard to short tasks? */
 bool jr_reserve_allows_service(const jr_dispatch_t *d,
                                const jr_tracked_worker_t *w,
@@ -715,6 +735,15 @@
 /* Is it in another rack than the data of the step? */
 bool jr_worker_is_far(const jr_tracked_worker_t *w, const Jr__JobStep *step);
 void jr_need_add(jr_need_t *a, const jr_need_t *b, int sign);
+/* Are they of one step and occurrence? */
+bool jr_task_is_sibling(const jr_job_task_t *a, const jr_job_task_t *b);
+/* Tasks of the same step and occurrence that run there. */
+uint32_t jr_worker_siblings(const jr_tracked_worker_t *w,
+                            const jr_job_task_t *task);
+/* Cost of a service there, whatever else is on the worker now. */
+int64_t jr_choose_base_cost(const jr_dispatch_t *d,
+                            const jr_tracked_worker_t *w,
+                            const jr_job_task_t *task, jr_image_t image);
 /* Do the constraints of the step allow the worker, capacity aside? */
 bool jr_worker_is_eligible(const jr_tracked_worker_t *w,
                            const jr_job_task_t *task);
@@ -734,7 +763,8 @@
      * Short tasks come before services up to this part of all processors;
      * beyond it, services that have waited come first.
      */
-    JR_SHORT_SHARE_PERCENT = 25,
+    JR_SHORT_SHARE_PERMILLE = 250,
+    JR_SHORT_SHARE_IN_TURNS_PERMILLE = 125, /* while services take turns */
     /* After this multiple of its allowed time, a job's result is of little
      * use. */
     JR_URGENT_PRIORITY = 0,
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -1,16 +1,17 @@
 /*
- * Capacity reserved for short tasks and for services.
+ * Capacity reserved for short tasks and for new services.
  *
  * Services run for long, so the capacity that they take is not available to
  * later tasks. As much capacity as short tasks needed at their recent peak is
  * withheld from services for a while; best-effort tasks may use it meanwhile.
  *
  * Short tasks are placed before services, and would take all capacity that
- * becomes free. For a service that has waited long, capacity is reserved on
- * one worker; no other task may use it until the service fits. That is bounded
- * by the share of short tasks, but not for services that are overdue.
+ * becomes free. For a new service that has waited long, capacity is reserved
+ * on one worker; no other task may use it until the service fits. That is
+ * bounded by the share of short tasks. Services that ran before have claims
+ * instead, which come first: see claim.c.
  */
-#include "dispatch.h"
+#include "claim.h"
 
 enum {
     RESERVE_AFTER_MS = 4500,   /* then capacity is reserved for a service */
@@ -24,16 +25,13 @@
     SPARE_DELAY_MS = 2000, /* otherwise */
     /*
      * After this wait a service may take any free capacity, also if it was
-     * free for less than SPARE_WINDOW_MS; one that ran before is overdue.
-     * Short tasks, which take seconds to end, go on until it fits.
+     * free for less than SPARE_WINDOW_MS.
      */
     TAKE_ANY_AFTER_MS = 6000,
     SPARE_WINDOW_MS = 500, /* after which unused capacity counts as spare */
+    PERMILLE = 1000,
 };
 
-static const double SHORT_SHARE = JR_SHORT_SHARE_PERCENT / 100.0;
-/* What they keep while services that are overdue lack capacity. */
-static const double SHORT_SHARE_OVERDUE = JR_SHORT_SHARE_PERCENT / 100.0 / 2.0;
 /* Processors kept for short tasks, as a multiple of their peak demand. */
 static const double PEAK_MARGIN = 1.3;
 /* Bounds of these processors, as fractions of all processors. */
@@ -63,8 +61,10 @@
  * up to a share of all.
  */
 static int64_t
-left_beside(const totals_t *totals, double short_milli, double share)
+left_beside(const totals_t *totals, double short_milli, int64_t permille)
 {
+    double share = (double)permille / PERMILLE;
+
     return (int64_t)(totals->all - totals->held -
                      MIN(short_milli, share * totals->all));
 }
@@ -85,11 +85,11 @@
 }
 
 int64_t
-jr_reserve_left_for_services(const jr_dispatch_t *d, double short_milli)
+jr_reserve_left_for_services(const jr_dispatch_t *d, int64_t short_permille)
 {
     totals_t totals = sum_usable(d);
 
-    return left_beside(&totals, short_milli, SHORT_SHARE);
+    return left_beside(&totals, d->short_demand.latest, short_permille);
 }
 
 /* Processors of the worker that nothing used for at least a window. */
@@ -171,7 +171,7 @@
 
     note_demand(d, &totals);
     d->left_for_services =
-        left_beside(&totals, d->short_demand.peak, SHORT_SHARE);
+        left_beside(&totals, d->short_demand.peak, JR_SHORT_SHARE_PERMILLE);
     d->is_mostly_idle = 2.0 * totals.used < totals.all;
     delay_services(d, totals.all);
 }
@@ -194,13 +194,15 @@
         const Jr__JobWorker *info = w->worker->info;
         reservable_t reservable = {
             .w = w,
-            .free_milli = info->cpu_milli - w->used.cpu_milli,
+            .free_milli =
+                info->cpu_milli - w->used.cpu_milli - w->claimed.cpu_milli,
             .capacity = {.cpu_milli = info->cpu_milli,
                          .memory_mb = info->memory_mb,
                          .accelerators = info->accelerators},
         };
 
         jr_need_add(&reservable.capacity, &w->services, -1);
+        jr_need_add(&reservable.capacity, &w->claimed, -1);
         if (w->is_usable) {
             g_array_append_val(list, reservable);
         }
@@ -258,23 +260,6 @@
            (task->attempt > 0 ? RESTARTED_BONUS_MS : 0);
 }
 
-/* A service that ran before, and should run again soon. */
-static bool
-is_overdue(const jr_dispatch_t *d, const jr_job_task_t *task)
-{
-    return task->attempt > 0 && jr_reserve_waited(d, task) >= RESERVE_AFTER_MS;
-}
-
-/* Would it take capacity that is reserved for services that are overdue? */
-static bool
-takes_from_overdue(const jr_tracked_worker_t *w, const jr_need_t *need)
-{
-    jr_need_t used = w->used;
-
-    jr_need_add(&used, &w->overdue, 1);
-    return !jr_need_fits_beside(need, &used, w->worker->info);
-}
-
 bool
 jr_reserve_allows_service(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
                           const jr_job_task_t *task, const jr_need_t *need)
@@ -284,7 +269,7 @@
     if (waited < w->service_delay_ms) {
         return false;
     }
-    if (!is_overdue(d, task) && takes_from_overdue(w, need)) {
+    if (!jr_claims_leave_room(w, task, need)) {
         return false;
     }
     return waited >= TAKE_ANY_AFTER_MS ||
@@ -292,68 +277,23 @@
            spare_milli(w) >= need->cpu_milli;
 }
 
-/* Called with each step of services that wait. */
-typedef void for_step_t(void *user, jr_job_t *job, uint32_t s);
-
-static void
-for_waiting_services(jr_dispatch_t *d, for_step_t *call, void *user)
-{
-    jr_job_t *job;
-
-    TAILQ_FOREACH (job, &d->jobs->live, link) {
-        if (job->queue->last_config == NULL) {
-            continue;
-        }
-        for (uint32_t s = 0; s < job->spec->n_steps; s++) {
-            if (job->spec->steps[s]->service && job->steps[s].waiting > 0 &&
-                jr_job_is_step_ready(job, 0, s)) {
-                call(user, job, s);
-            }
-        }
-    }
-}
-
 /* The reservations of a pass. */
 typedef struct {
     jr_dispatch_t *d;
     GArray *workers; /* of reservable_t */
     size_t n;
-    size_t most;           /* except of services that are overdue */
-    int64_t left;          /* processors that may be reserved */
-    int64_t overdue_milli; /* that services which are overdue need */
-    bool is_for_overdue;   /* is it their turn? */
+    size_t most;
+    int64_t left; /* processors that may be reserved */
 } reservations_t;
 
-static bool
-waits(const reservations_t *reservations, const jr_job_task_t *task)
-{
-    const jr_dispatch_t *d = reservations->d;
-
-    return task->phase == JR_PHASE_WAITING && task->run == NULL &&
-           jr_reserve_waited(d, task) >= RESERVE_AFTER_MS &&
-           is_overdue(d, task) == reservations->is_for_overdue;
-}
-
-static void
-add_overdue(void *user, jr_job_t *job, uint32_t s)
-{
-    reservations_t *reservations = user;
-    const Jr__JobStep *step = job->spec->steps[s];
-
-    for (uint32_t i = 0; i < step->count; i++) {
-        if (waits(reservations, &job->tasks[job->steps[s].first + i])) {
-            reservations->overdue_milli += step->cpu_milli;
-        }
-    }
-}
-
 static bool
 may_reserve(const reservations_t *reservations, const jr_job_task_t *task,
             const jr_need_t *need)
 {
-    return waits(reservations, task) &&
-           (reservations->is_for_overdue ||
-            reservations->n < reservations->most) &&
+    return task->phase == JR_PHASE_WAITING && task->run == NULL &&
+           task->attempt == 0 &&
+           jr_reserve_waited(reservations->d, task) >= RESERVE_AFTER_MS &&
+           reservations->n < reservations->most &&
            reservations->left >= need->cpu_milli;
 }
 
@@ -362,9 +302,6 @@
         const Jr__JobStep *step, const jr_need_t *need)
 {
     jr_need_add(&reservable->w->reserved, need, 1);
-    if (reservations->is_for_overdue) {
-        jr_need_add(&reservable->w->overdue, need, 1);
-    }
     jr_need_add(&reservable->capacity, need, -1);
     reservable->free_milli -= need->cpu_milli;
     reservable->latest = step;
@@ -373,9 +310,8 @@
 }
 
 static void
-reserve_for_step(void *user, jr_job_t *job, uint32_t s)
+reserve_for_step(reservations_t *reservations, jr_job_t *job, uint32_t s)
 {
-    reservations_t *reservations = user;
     const Jr__JobStep *step = job->spec->steps[s];
     jr_need_t need;
 
@@ -396,37 +332,15 @@
     }
 }
 
-/*
- * Services that are overdue take any capacity beside other services if there
- * is twice as much as they all need. Otherwise services ask for more than
- * there is, and short tasks keep a part of their share.
- */
 static void
-reserve_for_overdue(reservations_t *reservations)
+reserve_for_job(reservations_t *reservations, jr_job_t *job)
 {
-    jr_dispatch_t *d = reservations->d;
-    totals_t totals = sum_usable(d);
-
-    reservations->is_for_overdue = true;
-    for_waiting_services(d, add_overdue, reservations);
-    reservations->left = left_beside(&totals, 0.0, 0.0);
-    if (2 * reservations->overdue_milli > reservations->left) {
-        reservations->left =
-            left_beside(&totals, d->short_demand.latest, SHORT_SHARE_OVERDUE);
+    for (uint32_t s = 0; s < job->spec->n_steps; s++) {
+        if (job->spec->steps[s]->service && job->steps[s].waiting > 0 &&
+            jr_job_is_step_ready(job, 0, s)) {
+            reserve_for_step(reservations, job, s);
+        }
     }
-    for_waiting_services(d, reserve_for_step, reservations);
-    reservations->is_for_overdue = false;
-}
-
-static void
-reserve_for_others(reservations_t *reservations, int64_t reserved_milli)
-{
-    jr_dispatch_t *d = reservations->d;
-
-    reservations->left =
-        jr_reserve_left_for_services(d, d->short_demand.latest) -
-        reserved_milli;
-    for_waiting_services(d, reserve_for_step, reservations);
 }
 
 void
@@ -436,18 +350,19 @@
         .d = d,
         .workers = list_reservable(d),
         .most = HASH_COUNT(d->jobs->workers) * RESERVED_PERCENT / 100 + 1,
+        .left = jr_reserve_left_for_services(d, JR_SHORT_SHARE_PERMILLE),
     };
-    int64_t reserved_milli = 0;
     jr_tracked_worker_t *w;
+    jr_job_t *job;
 
     TAILQ_FOREACH (w, &d->workers, link) {
-        w->reserved = (jr_need_t){0};
-        w->overdue = (jr_need_t){0};
+        w->reserved = w->claimed;
+        reservations.left -= w->claimed.cpu_milli;
     }
-    reserve_for_overdue(&reservations);
-    TAILQ_FOREACH (w, &d->workers, link) {
-        reserved_milli += w->overdue.cpu_milli;
+    TAILQ_FOREACH (job, &d->jobs->live, link) {
+        if (job->queue->last_config != NULL) {
+            reserve_for_job(&reservations, job);
+        }
     }
-    reserve_for_others(&reservations, reserved_milli);
     g_array_unref(reservations.workers);
 }
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -88,6 +88,13 @@
     return run;
 }
 
+bool
+jr_run_is_ending(const jr_run_t *run)
+{
+    return run->state == JR_RUN_STOPPING || run->state == JR_RUN_RELEASING ||
+           run->is_end_listed;
+}
+
 static void
 forget_order(jr_dispatch_t *d, jr_run_t *run)
 {
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -2,7 +2,7 @@
  * One scheduling pass: places the waiting tasks by the priority of their
  * queues, then by the objectives of their jobs.
  */
-#include "dispatch.h"
+#include "claim.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -297,6 +297,19 @@
            !jr_task_has_orphan(d, task);
 }
 
+bool
+jr_schedule_may_place(const jr_dispatch_t *d, const jr_job_task_t *task)
+{
+    return is_placeable(d, task) && d->proposed->len < GRANTS_MAX;
+}
+
+void
+jr_schedule_place(jr_dispatch_t *d, jr_job_task_t *task,
+                  jr_tracked_worker_t *w)
+{
+    g_ptr_array_add(d->proposed, propose(d, task, w));
+}
+
 /*
  * Tasks that failed, or under which a worker crashed, avoid some workers, and
  * what services may use depends on their wait: these are chosen for one by
@@ -332,7 +345,7 @@
         jr_shape_t shape;
         jr_tracked_worker_t *w;
 
-        if (!is_placeable(d, task) || d->proposed->len >= GRANTS_MAX) {
+        if (!jr_schedule_may_place(d, task) || jr_claim_is_refused(d, task)) {
             continue;
         }
         shape = jr_shape_of(d, task, &need);
@@ -343,7 +356,8 @@
                 ? NULL
                 : choose(d, task, &need, &ranking);
         if (w != NULL) {
-            g_ptr_array_add(d->proposed, propose(d, task, w));
+            jr_claim_drop(d, task);
+            jr_schedule_place(d, task, w);
             continue;
         }
         jr_shapes_add(d->shapes, step, &shape);
@@ -479,6 +493,8 @@
     for_demand(candidates, UINT32_MAX, add_demand, &d->short_waiting);
     jr_reserve_update(d);
     jr_worker_quality_update(d);
+    jr_claims_update(d);
+    jr_claims_place(d);
     jr_reserve_for_services(d);
     jr_places_refresh(d);
     place_all(d, candidates);
@@ -490,6 +506,7 @@
             (d->best_effort_looks + d->refused_looks / REFUSED_PER_LOOK) /
                 BEST_EFFORT_LOOKS_PER_MS;
     }
+    jr_claims_make_room(d);
     make_room(d, candidates);
     jr_waits_report(d);
     jr_places_clear(d->places);
--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -23,7 +23,6 @@
      */
     LOST_PERMILLE = 100,
     LOST_WINDOW_MS = 10000, /* of that average */
-    COMPLETE_PERCENT = 100,
     PERMILLE = 1000,
 };
 
@@ -36,43 +35,19 @@
     int64_t stopping_milli;
 } candidates_t;
 
-/* Is the task of a service at work, for certain? */
-static bool
-is_at_work(const jr_job_task_t *task)
-{
-    const jr_run_t *run = task->run;
-
-    return run != NULL && run->state == JR_RUN_RUNNING &&
-           !run->is_end_listed && run->percent >= COMPLETE_PERCENT &&
-           run->worker->suspect_at == 0 && !run->worker->has_ended &&
-           !run->worker->is_leaving;
-}
-
-/* Is the run about to free its capacity? */
-static bool
-is_ending(const jr_run_t *run)
-{
-    return run->state == JR_RUN_STOPPING || run->state == JR_RUN_RELEASING ||
-           run->is_end_listed;
-}
-
 /* Tasks of the step that are not at work; counted once for each decision. */
 static uint32_t
 count_missing(const candidates_t *candidates, const jr_job_task_t *task)
 {
     jr_step_progress_t *progress = jr_task_step_progress(task);
-    const jr_job_task_t *tasks = &task->job->tasks[progress->first];
-    uint32_t count = jr_task_step(task)->count;
     gpointer known;
-    uint32_t n = 0;
+    uint32_t n;
 
     if (g_hash_table_lookup_extended(candidates->missing, progress, NULL,
                                      &known)) {
         return GPOINTER_TO_UINT(known);
     }
-    for (uint32_t i = 0; i < count; i++) {
-        n += !is_at_work(&tasks[i]);
-    }
+    n = jr_step_count_missing(task);
     g_hash_table_insert(candidates->missing, progress, GUINT_TO_POINTER(n));
     return n;
 }
@@ -87,7 +62,7 @@
     if (may_miss == 0) {
         return true;
     }
-    n_others = count_missing(candidates, task) - !is_at_work(task);
+    n_others = count_missing(candidates, task) - !jr_task_is_at_work(task);
     return n_others < may_miss;
 }
 
@@ -97,7 +72,7 @@
 {
     uint32_t n;
 
-    if (jr_task_step(task)->may_miss == 0 || !is_at_work(task)) {
+    if (jr_task_step(task)->may_miss == 0 || !jr_task_is_at_work(task)) {
         return;
     }
     n = count_missing(candidates, task);
@@ -110,8 +85,10 @@
 {
     const Jr__JobWorker *info = w->worker->info;
     jr_preempt_worker_t worker = {
-        .free = {.cpu_milli = info->cpu_milli - w->used.cpu_milli,
-                 .memory_mb = info->memory_mb - w->used.memory_mb},
+        .free = {.cpu_milli = info->cpu_milli - w->used.cpu_milli -
+                              w->claimed.cpu_milli,
+                 .memory_mb = info->memory_mb - w->used.memory_mb -
+                              w->claimed.memory_mb},
     };
     jr_run_t *run;
 
@@ -127,7 +104,7 @@
         };
 
         candidates->d->room_looks++;
-        if (is_ending(run)) {
+        if (jr_run_is_ending(run)) {
             candidates->stopping_milli += run->need.cpu_milli;
         }
         else if (run->state == JR_RUN_RUNNING && !run->is_stop_wanted &&
@@ -276,12 +253,17 @@
 void
 jr_urgent_make_room(jr_dispatch_t *d, const GArray *waiting)
 {
-    int64_t excess = -jr_reserve_left_for_services(d, d->short_demand.latest);
+    int64_t share = d->n_unclaimed > 0 ? JR_SHORT_SHARE_IN_TURNS_PERMILLE
+                                       : JR_SHORT_SHARE_PERMILLE;
+    int64_t excess = -jr_reserve_left_for_services(d, share);
     GHashTable *missing;
 
     if (d->now < MAX(d->led_at, d->paused_at) + NO_STOPS_AFTER_PAUSE_MS) {
         return;
     }
+    if (d->has_late_service) {
+        return;
+    }
     missing = g_hash_table_new(g_direct_hash, g_direct_equal);
     for (guint i = 0; i < waiting->len; i++) {
         candidates_t candidates = {
--- a/src/dispatch/waits.c
+++ b/src/dispatch/waits.c
@@ -10,7 +10,8 @@
 /* Services that ran before and do not run now. */
 typedef struct {
     size_t n;
-    size_t n_placed; /* of these: with a run that has not started yet */
+    size_t n_placed;  /* of these: with a run that has not started yet */
+    size_t n_claimed; /* with a claim, see claim.h */
     int64_t cpu_milli;
     int64_t longest_ms;
     const jr_job_task_t *longest;
@@ -22,7 +23,7 @@
     int64_t used;
     int64_t services;
     int64_t reserved;
-    int64_t overdue;
+    int64_t claimed;
 } capacity_t;
 
 static void
@@ -32,6 +33,7 @@
 
     waiting->n++;
     waiting->n_placed += task->run != NULL;
+    waiting->n_claimed += task->claim != NULL;
     waiting->cpu_milli += jr_task_step(task)->cpu_milli;
     if (waiting->longest == NULL || waited_ms > waiting->longest_ms) {
         waiting->longest = task;
@@ -64,7 +66,7 @@
             sum.used += w->used.cpu_milli;
             sum.services += w->services.cpu_milli;
             sum.reserved += w->reserved.cpu_milli;
-            sum.overdue += w->overdue.cpu_milli;
+            sum.claimed += w->claimed.cpu_milli;
         }
     }
     return sum;
@@ -77,16 +79,18 @@
     capacity_t capacity = sum_capacity(d);
 
     jr_log(d->ctx, JR_EV_SERVICES_WAIT,
-           "services=%zu placed=%zu cpu=%lld longest_ms=%lld "
+           "services=%zu placed=%zu claimed=%zu unclaimed=%zu cpu=%lld "
+           "longest_ms=%lld "
            "task=%016llx.%u.%u.%u attempt=%u usable_cpu=%lld used_cpu=%lld "
-           "services_cpu=%lld reserved_cpu=%lld overdue_cpu=%lld "
+           "services_cpu=%lld reserved_cpu=%lld claimed_cpu=%lld "
            "short_cpu=%lld",
-           waiting->n, waiting->n_placed, (long long)waiting->cpu_milli,
-           (long long)waiting->longest_ms, (unsigned long long)task->job->id,
-           task->occurrence, task->step, task->index, task->attempt,
-           (long long)capacity.all, (long long)capacity.used,
-           (long long)capacity.services, (long long)capacity.reserved,
-           (long long)capacity.overdue, (long long)d->short_demand.latest);
+           waiting->n, waiting->n_placed, waiting->n_claimed, d->n_unclaimed,
+           (long long)waiting->cpu_milli, (long long)waiting->longest_ms,
+           (unsigned long long)task->job->id, task->occurrence, task->step,
+           task->index, task->attempt, (long long)capacity.all,
+           (long long)capacity.used, (long long)capacity.services,
+           (long long)capacity.reserved, (long long)capacity.claimed,
+           (long long)d->short_demand.latest);
 }
 
 void
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -1,5 +1,5 @@
 /* Leases, clocks and incarnations of workers. */
-#include "dispatch.h"
+#include "claim.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -70,6 +70,7 @@
     w->listed_orphans = g_array_new(FALSE, FALSE, sizeof(Jr__JobRun));
     w->rank = jr_tracked_worker_rank(worker);
     TAILQ_INIT(&w->runs);
+    TAILQ_INIT(&w->claims);
     insert_by_rank(d, w);
     worker->local = w;
     jr_worker_quality_on_worker(d, w);
@@ -145,6 +146,7 @@
     while ((run = TAILQ_FIRST(&w->runs)) != NULL) {
         jr_run_free(d, run);
     }
+    jr_claims_drop_worker(d, w);
     drop_sent_orders(d, w);
     if (d->next_worker == w) {
         d->next_worker = TAILQ_NEXT(w, link);
