Services take turns under a new leader

A run of an earlier leader counts as one that has run for long: its beginning is not in the log, and under leaders that change every 4 s no service gave its place to another one. For services that may miss few tasks, a new leader displaces none until its lists are known, as for urgent tasks (missing.c). What is stopped for a claim moves to displace.c; claim.c keeps who claims where.

--- a/src/dispatch/claim.c
+++ b/src/dispatch/claim.c
@@ -20,18 +20,11 @@
      * that gave way to them.
      */
     CLAIM_AFTER_MS = 2000,
-    /*
-     * Then short tasks are stopped for it: a stop and a start may take two of
-     * the seven seconds in which a service runs again.
-     */
-    STOP_SHORT_AFTER_MS = 5000,
     /* Without a place by then, it takes the place of another service. */
     TURN_AFTER_MS = 4500,
-    TURN_MIN_MS = 6000, /* that has run for so long */
-    TURNS_MAX = 32,     /* in a pass */
+    TURNS_MAX = 32, /* that are tried in a pass */
     /* Without one by then, it takes what short tasks keep. */
     TAKE_ALL_AFTER_MS = 6500,
-    MS_PER_COST = 10, /* of the run of a service that is to give its place */
     /* Costs, in thousandths of a whole worker; see choose.c. */
     OCCUPIED_COST = 4000, /* other tasks have to end there first */
     PERMILLE = 1000,
@@ -50,14 +43,14 @@
     return w->is_draining || w->is_leaving || w->has_ended;
 }
 
-static bool
-is_waiting(const jr_job_task_t *task)
+bool
+jr_claim_is_waiting(const jr_job_task_t *task)
 {
     return task->phase == JR_PHASE_WAITING && task->run == NULL;
 }
 
-static int64_t
-waited_ms(const jr_dispatch_t *d, const jr_job_task_t *task)
+int64_t
+jr_claim_waited_ms(const jr_dispatch_t *d, const jr_job_task_t *task)
 {
     return d->wall_ms - task->waiting_since;
 }
@@ -66,7 +59,7 @@
 static bool
 is_wanted(const jr_job_task_t *task)
 {
-    return is_waiting(task) ||
+    return jr_claim_is_waiting(task) ||
            (task->phase == JR_PHASE_GRANTED && task->run != NULL &&
             is_ending_soon(task->run->worker));
 }
@@ -98,8 +91,8 @@
     return jr_need_fits_beside(need, &taken, w->worker->info);
 }
 
-static bool
-may_claim(const jr_tracked_worker_t *w, const jr_job_task_t *task)
+bool
+jr_claim_suits(const jr_tracked_worker_t *w, const jr_job_task_t *task)
 {
     return w->is_usable && jr_worker_is_eligible(w, task) && is_apart(w, task);
 }
@@ -176,7 +169,7 @@
     }
     for (claim = TAILQ_FIRST(&d->claims); claim != NULL; claim = next) {
         bool holds = is_wanted(claim->task) &&
-                     may_claim(claim->worker, claim->task) &&
+                     jr_claim_suits(claim->worker, claim->task) &&
                      has_capacity(claim->worker, &claim->need);
 
         next = TAILQ_NEXT(claim, link);
@@ -191,8 +184,8 @@
 static bool
 is_claimant(const jr_dispatch_t *d, const jr_job_task_t *task)
 {
-    return is_waiting(task) && task->claim == NULL && task->attempt > 0 &&
-           waited_ms(d, task) >= CLAIM_AFTER_MS;
+    return jr_claim_is_waiting(task) && task->claim == NULL &&
+           task->attempt > 0 && jr_claim_waited_ms(d, task) >= CLAIM_AFTER_MS;
 }
 
 bool
@@ -327,7 +320,7 @@
             continue;
         }
         has_any = true;
-        if (!may_claim(w, task)) {
+        if (!jr_claim_suits(w, task)) {
             continue;
         }
         sum = cost(search->d, w, task, need, image);
@@ -353,97 +346,28 @@
 
     TAILQ_FOREACH (w, &d->workers, link) {
         if (jr_need_fits_beside(need, &none, w->worker->info) &&
-            may_claim(w, task)) {
+            jr_claim_suits(w, task)) {
             return true;
         }
     }
     return false;
 }
 
-/* May the service give its place to another one? */
-static bool
-may_give_place(const jr_dispatch_t *d, const jr_run_t *run)
-{
-    return run->state == JR_RUN_RUNNING && !run->is_stop_wanted &&
-           !jr_run_is_ending(run) && jr_task_step(run->task)->service &&
-           !jr_task_step(run->task)->gang &&
-           d->now - MAX(run->granted_at, run->confirmed_at) >= TURN_MIN_MS &&
-           jr_step_may_miss_one_more(run->task);
-}
-
-/* Would a task of this need fit there instead of the run? */
-static bool
-fits_instead(const jr_tracked_worker_t *w, const jr_run_t *run,
-             const jr_need_t *need)
-{
-    jr_need_t taken = w->staying;
-
-    jr_need_add(&taken, &w->claimed, 1);
-    jr_need_add(&taken, &run->need, -1);
-    return jr_need_fits_beside(need, &taken, w->worker->info);
-}
-
-/* The service that has run longest, on a worker that suits the task. */
-static jr_run_t *
-find_turn(const jr_dispatch_t *d, const jr_job_task_t *task,
-          const jr_need_t *need)
-{
-    jr_image_t image = jr_tails_image(d->tails, jr_task_step(task)->image);
-    jr_run_t *best = NULL;
-    int64_t most = 0;
-    const jr_tracked_worker_t *w;
-    jr_run_t *run;
-
-    TAILQ_FOREACH (w, &d->workers, link) {
-        int64_t base;
-
-        if (w->n_services == 0 || !may_claim(w, task)) {
-            continue;
-        }
-        base = jr_choose_base_cost(d, w, task, image);
-        TAILQ_FOREACH (run, &w->runs, link) {
-            int64_t worth = (d->now - run->granted_at) / MS_PER_COST - base;
-
-            if ((best == NULL || worth > most) && may_give_place(d, run) &&
-                fits_instead(w, run, need)) {
-                best = run;
-                most = worth;
-            }
-        }
-    }
-    return best;
-}
-
-static void
-stop(jr_dispatch_t *d, jr_run_t *run)
-{
-    char text[JR_RUN_TEXT_BYTES];
-
-    jr_count(d->ctx, JR_C_STOPS_FOR_SERVICES);
-    jr_log_job(
-        d->ctx, JR_EV_RUN_GAVE_WAY, run->task->job->id,
-        "task=%s worker=%s service=%d", jr_run_text(run, text, sizeof text),
-        run->worker->worker->info->id, jr_task_step(run->task)->service);
-    jr_run_stop(d, run);
-}
-
 static bool
 take_turn(search_t *search, jr_job_task_t *task, const jr_need_t *need)
 {
     jr_dispatch_t *d = search->d;
-    jr_run_t *run;
+    jr_tracked_worker_t *w;
 
     if (search->turns >= TURNS_MAX) {
         return false;
     }
-    run = find_turn(d, task, need);
-    if (run == NULL) {
+    search->turns++;
+    w = jr_displace_service(d, task, need);
+    if (w == NULL) {
         return false;
     }
-    search->turns++;
-    jr_need_add(&run->worker->staying, &run->need, -1);
-    stop(d, run);
-    add(d, task, run->worker, need);
+    add(d, task, w, need);
     return true;
 }
 
@@ -454,7 +378,7 @@
     jr_tracked_worker_t *w;
 
     if (search->left_milli < need->cpu_milli &&
-        waited_ms(search->d, task) < TAKE_ALL_AFTER_MS) {
+        jr_claim_waited_ms(search->d, task) < TAKE_ALL_AFTER_MS) {
         return false;
     }
     w = find_worker(search, task, need);
@@ -476,14 +400,16 @@
     if (claim_beside_services(search, task, &need)) {
         return;
     }
-    if (is_waiting(task) && waited_ms(d, task) >= TURN_AFTER_MS &&
+    if (jr_claim_is_waiting(task) &&
+        jr_claim_waited_ms(d, task) >= TURN_AFTER_MS &&
         take_turn(search, task, &need)) {
         return;
     }
     if (is_possible(d, task, &need)) {
         d->n_unclaimed++;
         d->has_late_service |=
-            is_waiting(task) && waited_ms(d, task) >= TAKE_ALL_AFTER_MS;
+            jr_claim_is_waiting(task) &&
+            jr_claim_waited_ms(d, task) >= TAKE_ALL_AFTER_MS;
     }
 }
 
@@ -562,108 +488,3 @@
         }
     }
 }
-
-/* What the services whose claim is due lack there. */
-static jr_need_t
-lacking_on(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
-{
-    const Jr__JobWorker *info = w->worker->info;
-    jr_need_t lacking = w->used;
-    const jr_need_t capacity = {.cpu_milli = info->cpu_milli,
-                                .memory_mb = info->memory_mb,
-                                .accelerators = info->accelerators};
-    const jr_claim_t *claim;
-    const jr_run_t *run;
-    bool is_due = false;
-
-    TAILQ_FOREACH (claim, &w->claims, worker_link) {
-        if (is_waiting(claim->task) &&
-            waited_ms(d, claim->task) >= STOP_SHORT_AFTER_MS) {
-            jr_need_add(&lacking, &claim->need, 1);
-            is_due = true;
-        }
-    }
-    if (!is_due) {
-        return (jr_need_t){0};
-    }
-    TAILQ_FOREACH (run, &w->runs, link) {
-        if (jr_run_is_ending(run)) {
-            jr_need_add(&lacking, &run->need, -1);
-        }
-    }
-    jr_need_add(&lacking, &capacity, -1);
-    return lacking;
-}
-
-static bool
-helps(const jr_run_t *run, const jr_need_t *lacking)
-{
-    return run->state == JR_RUN_RUNNING && !run->is_stop_wanted &&
-           !jr_run_is_ending(run) && !jr_task_step(run->task)->service &&
-           ((lacking->cpu_milli > 0 && run->need.cpu_milli > 0) ||
-            (lacking->memory_mb > 0 && run->need.memory_mb > 0) ||
-            (lacking->accelerators > 0 && run->need.accelerators > 0));
-}
-
-static uint32_t
-priority_of(const jr_run_t *run)
-{
-    const Jr__JobQueue *config = run->task->job->queue->last_config;
-
-    return config != NULL ? config->priority : UINT32_MAX;
-}
-
-/* No member of a gang, then the least urgent, then the one that began last. */
-static bool
-is_better_victim(const jr_run_t *a, const jr_run_t *b)
-{
-    bool is_gang_a = jr_task_step(a->task)->gang;
-    bool is_gang_b = jr_task_step(b->task)->gang;
-
-    if (is_gang_a != is_gang_b) {
-        return is_gang_b;
-    }
-    if (priority_of(a) != priority_of(b)) {
-        return priority_of(a) > priority_of(b);
-    }
-    return a->granted_at > b->granted_at;
-}
-
-static jr_run_t *
-find_victim(const jr_tracked_worker_t *w, const jr_need_t *lacking)
-{
-    jr_run_t *best = NULL;
-    jr_run_t *run;
-
-    TAILQ_FOREACH (run, &w->runs, link) {
-        if (helps(run, lacking) &&
-            (best == NULL || is_better_victim(run, best))) {
-            best = run;
-        }
-    }
-    return best;
-}
-
-static void
-make_room_on(jr_dispatch_t *d, jr_tracked_worker_t *w)
-{
-    jr_need_t lacking = lacking_on(d, w);
-    jr_run_t *run;
-
-    while ((run = find_victim(w, &lacking)) != NULL) {
-        jr_need_add(&lacking, &run->need, -1);
-        stop(d, run);
-    }
-}
-
-void
-jr_claims_make_room(jr_dispatch_t *d)
-{
-    jr_tracked_worker_t *w;
-
-    TAILQ_FOREACH (w, &d->workers, link) {
-        if (!TAILQ_EMPTY(&w->claims)) {
-            make_room_on(d, w);
-        }
-    }
-}
--- a/src/dispatch/claim.h
+++ b/src/dispatch/claim.h
@@ -17,8 +17,6 @@
 void jr_claims_update(jr_dispatch_t *d);
 /* Then: start the services whose claim is free of other tasks. */
 void jr_claims_place(jr_dispatch_t *d);
-/* After a pass: stop short tasks that keep a service from its claim. */
-void jr_claims_make_room(jr_dispatch_t *d);
 /* Does the service have to wait, as there is no place that it may claim? */
 bool jr_claim_is_refused(const jr_dispatch_t *d, const jr_job_task_t *task);
 /* The task needs no place any more; it may have no claim. */
@@ -30,5 +28,22 @@
                           const jr_job_task_t *task, const jr_need_t *need);
 /* Could all claims on the worker be used now? */
 bool jr_claims_are_free(const jr_tracked_worker_t *w);
+/* Has the task no run, so that it could start? */
+bool jr_claim_is_waiting(const jr_job_task_t *task);
+/* Time since its last run ended. */
+int64_t jr_claim_waited_ms(const jr_dispatch_t *d, const jr_job_task_t *task);
+/* May the task claim a place there, capacity aside? */
+bool jr_claim_suits(const jr_tracked_worker_t *w, const jr_job_task_t *task);
+
+/* displace.c: what is stopped for services that lost their run. */
+/*
+ * Stop a service that has run for long, so that the task fits there instead;
+ * returns the worker, or NULL if there is none.
+ */
+jr_tracked_worker_t *jr_displace_service(jr_dispatch_t *d,
+                                         const jr_job_task_t *task,
+                                         const jr_need_t *need);
+/* After a pass: stop short tasks that keep services from their claims. */
+void jr_displace_short(jr_dispatch_t *d);
 
 #endif
--- a/src/dispatch/claim_test.cc
+++ b/src/dispatch/claim_test.cc
@@ -99,3 +99,26 @@
     EXPECT_EQ(load.Away(), 0u);
     EXPECT_LE(load.longest_away_ms, kFailoverMs);
 }
+
+/*
+ * Guards against a new leader under which no service gives its place to one
+ * that waits, as it does not know for how long each has run.
+ */
+TEST(ClaimTest, ServicesTakeTurnsUnderANewLeader)
+{
+    Load load(1, 12);
+
+    load.StartServices(40);
+    load.short_tasks = 18;
+    for (int i = 0; i < 3; i++) {
+        load.LoseWorker();
+    }
+    load.Run(15000);
+    load.longest_away_ms = 0;
+    for (int i = 0; i < 6; i++) {
+        load.ChangeLeader();
+        load.Run(4000);
+    }
+    ExpectNothingBroken(load);
+    EXPECT_LE(load.longest_away_ms, kFailoverMs);
+}
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -572,6 +572,8 @@
 bool jr_schedule_is_too_late(int64_t after_ms, int64_t allowed_ms);
 
 /* missing.c: tasks of a step that are not at work. */
+/* Not for some time after this leader took over, or was paused. */
+bool jr_missing_is_known(const jr_dispatch_t *d);
 /* Is the task of a service at work, for certain? */
 bool jr_task_is_at_work(const jr_job_task_t *task);
 /* Tasks of the same step and occurrence that are not. */
--- /dev/null
+++ b/src/dispatch/displace.c
@@ -0,0 +1,211 @@
+/*
+ * What is stopped for services that lost their run: short tasks on a place
+ * that one claims, and services that take turns with those that wait.
+ */
+#include "claim.h"
+
+enum {
+    /*
+     * Then short tasks are stopped for a service: a stop and a start may take
+     * two of the seven seconds in which it runs again.
+     */
+    STOP_SHORT_AFTER_MS = 5000,
+    /* A service runs for so long before it gives its place to another one. */
+    RUN_MIN_MS = 6000,
+    MS_PER_COST = 10, /* of such a run, against the costs in choose.c */
+};
+
+/* One of an earlier leader began before this one was elected. */
+static bool
+has_run_long(const jr_dispatch_t *d, const jr_run_t *run)
+{
+    return run->is_inherited || d->now - run->granted_at >= RUN_MIN_MS;
+}
+
+/* May the service give its place to another one? */
+static bool
+may_give_place(const jr_dispatch_t *d, const jr_run_t *run)
+{
+    const Jr__JobStep *step = jr_task_step(run->task);
+
+    return run->state == JR_RUN_RUNNING && !run->is_stop_wanted &&
+           !jr_run_is_ending(run) && step->service && !step->gang &&
+           has_run_long(d, run) &&
+           (step->may_miss == 0 ||
+            (jr_missing_is_known(d) && jr_step_may_miss_one_more(run->task)));
+}
+
+/* Would a task of this need fit there instead of the run? */
+static bool
+fits_instead(const jr_tracked_worker_t *w, const jr_run_t *run,
+             const jr_need_t *need)
+{
+    jr_need_t taken = w->staying;
+
+    jr_need_add(&taken, &w->claimed, 1);
+    jr_need_add(&taken, &run->need, -1);
+    return jr_need_fits_beside(need, &taken, w->worker->info);
+}
+
+/* The service that has run longest, on a worker that suits the task. */
+static jr_run_t *
+find_service(const jr_dispatch_t *d, const jr_job_task_t *task,
+             const jr_need_t *need)
+{
+    jr_image_t image = jr_tails_image(d->tails, jr_task_step(task)->image);
+    jr_run_t *best = NULL;
+    int64_t most = 0;
+    const jr_tracked_worker_t *w;
+    jr_run_t *run;
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        int64_t base;
+
+        if (w->n_services == 0 || !jr_claim_suits(w, task)) {
+            continue;
+        }
+        base = jr_choose_base_cost(d, w, task, image);
+        TAILQ_FOREACH (run, &w->runs, link) {
+            int64_t worth = (d->now - run->granted_at) / MS_PER_COST - base;
+
+            if ((best == NULL || worth > most) && may_give_place(d, run) &&
+                fits_instead(w, run, need)) {
+                best = run;
+                most = worth;
+            }
+        }
+    }
+    return best;
+}
+
+static void
+stop(jr_dispatch_t *d, jr_run_t *run)
+{
+    char text[JR_RUN_TEXT_BYTES];
+
+    jr_count(d->ctx, JR_C_STOPS_FOR_SERVICES);
+    jr_log_job(
+        d->ctx, JR_EV_RUN_GAVE_WAY, run->task->job->id,
+        "task=%s worker=%s service=%d", jr_run_text(run, text, sizeof text),
+        run->worker->worker->info->id, jr_task_step(run->task)->service);
+    jr_run_stop(d, run);
+}
+
+jr_tracked_worker_t *
+jr_displace_service(jr_dispatch_t *d, const jr_job_task_t *task,
+                    const jr_need_t *need)
+{
+    jr_run_t *run = find_service(d, task, need);
+
+    if (run == NULL) {
+        return NULL;
+    }
+    jr_need_add(&run->worker->staying, &run->need, -1);
+    stop(d, run);
+    return run->worker;
+}
+
+/* What the services whose claim is due lack there. */
+static jr_need_t
+lacking_on(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
+{
+    const Jr__JobWorker *info = w->worker->info;
+    jr_need_t lacking = w->used;
+    const jr_need_t capacity = {.cpu_milli = info->cpu_milli,
+                                .memory_mb = info->memory_mb,
+                                .accelerators = info->accelerators};
+    const jr_claim_t *claim;
+    const jr_run_t *run;
+    bool is_due = false;
+
+    TAILQ_FOREACH (claim, &w->claims, worker_link) {
+        if (jr_claim_is_waiting(claim->task) &&
+            jr_claim_waited_ms(d, claim->task) >= STOP_SHORT_AFTER_MS) {
+            jr_need_add(&lacking, &claim->need, 1);
+            is_due = true;
+        }
+    }
+    if (!is_due) {
+        return (jr_need_t){0};
+    }
+    TAILQ_FOREACH (run, &w->runs, link) {
+        if (jr_run_is_ending(run)) {
+            jr_need_add(&lacking, &run->need, -1);
+        }
+    }
+    jr_need_add(&lacking, &capacity, -1);
+    return lacking;
+}
+
+static bool
+helps(const jr_run_t *run, const jr_need_t *lacking)
+{
+    return run->state == JR_RUN_RUNNING && !run->is_stop_wanted &&
+           !jr_run_is_ending(run) && !jr_task_step(run->task)->service &&
+           ((lacking->cpu_milli > 0 && run->need.cpu_milli > 0) ||
+            (lacking->memory_mb > 0 && run->need.memory_mb > 0) ||
+            (lacking->accelerators > 0 && run->need.accelerators > 0));
+}
+
+static uint32_t
+priority_of(const jr_run_t *run)
+{
+    const Jr__JobQueue *config = run->task->job->queue->last_config;
+
+    return config != NULL ? config->priority : UINT32_MAX;
+}
+
+/* No member of a gang, then the least urgent, then the one that began last. */
+static bool
+is_better_victim(const jr_run_t *a, const jr_run_t *b)
+{
+    bool is_gang_a = jr_task_step(a->task)->gang;
+    bool is_gang_b = jr_task_step(b->task)->gang;
+
+    if (is_gang_a != is_gang_b) {
+        return is_gang_b;
+    }
+    if (priority_of(a) != priority_of(b)) {
+        return priority_of(a) > priority_of(b);
+    }
+    return a->granted_at > b->granted_at;
+}
+
+static jr_run_t *
+find_victim(const jr_tracked_worker_t *w, const jr_need_t *lacking)
+{
+    jr_run_t *best = NULL;
+    jr_run_t *run;
+
+    TAILQ_FOREACH (run, &w->runs, link) {
+        if (helps(run, lacking) &&
+            (best == NULL || is_better_victim(run, best))) {
+            best = run;
+        }
+    }
+    return best;
+}
+
+static void
+make_room_on(jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    jr_need_t lacking = lacking_on(d, w);
+    jr_run_t *run;
+
+    while ((run = find_victim(w, &lacking)) != NULL) {
+        jr_need_add(&lacking, &run->need, -1);
+        stop(d, run);
+    }
+}
+
+void
+jr_displace_short(jr_dispatch_t *d)
+{
+    jr_tracked_worker_t *w;
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        if (!TAILQ_EMPTY(&w->claims)) {
+            make_room_on(d, w);
+        }
+    }
+}
--- a/src/dispatch/missing.c
+++ b/src/dispatch/missing.c
@@ -1,7 +1,21 @@
 /* How many tasks of a service are not at work, and how many may be. */
 #include "dispatch.h"
 
-enum { COMPLETE_PERCENT = 100 };
+enum {
+    /*
+     * After a leader took over, or was paused: its lists of tasks may be old,
+     * and tasks that an earlier leader has ordered to stop are listed as
+     * running until they have ended.
+     */
+    UNKNOWN_AFTER_PAUSE_MS = 2000,
+    COMPLETE_PERCENT = 100,
+};
+
+bool
+jr_missing_is_known(const jr_dispatch_t *d)
+{
+    return d->now >= MAX(d->led_at, d->paused_at) + UNKNOWN_AFTER_PAUSE_MS;
+}
 
 bool
 jr_task_is_at_work(const jr_job_task_t *task)
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -506,7 +506,7 @@
             (d->best_effort_looks + d->refused_looks / REFUSED_PER_LOOK) /
                 BEST_EFFORT_LOOKS_PER_MS;
     }
-    jr_claims_make_room(d);
+    jr_displace_short(d);
     make_room(d, candidates);
     jr_waits_report(d);
     jr_places_clear(d->places);
--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -9,12 +9,6 @@
 enum {
     /* From the decision until the end of a stopped task is in the log. */
     STOP_MS = 1000,
-    /*
-     * After a leader took over, or was paused: its lists of tasks may be old,
-     * and tasks that an earlier leader has ordered to stop are listed as
-     * running until they have ended.
-     */
-    NO_STOPS_AFTER_PAUSE_MS = 2000,
     /* A service that was stopped starts again after about this time. */
     SERVICE_LOST_MS = 5000,
     /*
@@ -258,10 +252,7 @@
     int64_t excess = -jr_reserve_left_for_services(d, share);
     GHashTable *missing;
 
-    if (d->now < MAX(d->led_at, d->paused_at) + NO_STOPS_AFTER_PAUSE_MS) {
-        return;
-    }
-    if (d->has_late_service) {
+    if (!jr_missing_is_known(d) || d->has_late_service) {
         return;
     }
     missing = g_hash_table_new(g_direct_hash, g_direct_equal);
