A start that is given up does not end the wait of a service

Now the release says how long the task has not run, also where the run is not known to have begun. The field is replicated as before, so replicas of both versions agree.

--- a/src/dispatch/claim_test.cc
+++ b/src/dispatch/claim_test.cc
@@ -122,3 +122,34 @@
     ExpectNothingBroken(load);
     EXPECT_LE(load.longest_away_ms, kFailoverMs);
 }
+
+/*
+ * Guards against a wait that begins anew with each start that is given up: the
+ * worker drains when the grant gets into the log, so the start is not sent.
+ */
+TEST(ClaimTest, AStartThatIsGivenUpDoesNotEndTheWait)
+{
+    Load load(1, 4);
+    Fleet &fleet = load.fleet;
+
+    load.StartServices(1);
+    fleet.log_delay_ms = 400;
+    load.LoseWorker();
+    int64_t lost_at = fleet.now;
+    const jr_job_task_t *task = &jr_jobs_find(fleet.jobs, kService)->tasks[0];
+
+    while (task->phase != JR_PHASE_WAITING) {
+        load.Run(kTickMs);
+    }
+    size_t sound = fleet.workers[0].is_up ? 0 : 1;
+
+    for (size_t i = sound + 1; i < fleet.workers.size(); i++) {
+        fleet.CheckIn(i, true);
+    }
+    while (task->attempt < 3) {
+        load.Run(kTickMs);
+        ASSERT_LE(fleet.now - lost_at, 2 * kFailoverMs);
+    }
+    EXPECT_LE(task->waiting_since, lost_at);
+    EXPECT_TRUE(fleet.violations.empty());
+}
--- a/src/dispatch/command.c
+++ b/src/dispatch/command.c
@@ -22,6 +22,21 @@
     return is_lost ? d->now - MAX(w->answered_at, w->tracked_at) : 0;
 }
 
+/*
+ * For how long the task has not run, as far as is known: a start that was
+ * given up does not end its wait. Of a run of an earlier leader it is not
+ * known whether it began.
+ */
+static int64_t
+without_run_ms(const jr_dispatch_t *d, const jr_run_t *run)
+{
+    int64_t silent = silent_ms(d, run->worker);
+
+    return run->confirmed_at > 0 || run->is_inherited
+               ? silent
+               : MAX(silent, d->wall_ms - run->task->waiting_since);
+}
+
 static void
 fill_release(const jr_dispatch_t *d, const jr_run_t *run, Jr__JobRelease *to)
 {
@@ -32,7 +47,7 @@
     to->crashed_after_ms = run->crashed_after_ms;
     to->lapsed_after_ms =
         run->crashed_after_ms == 0 ? run->lapsed_after_ms : 0;
-    to->silent_ms = silent_ms(d, run->worker);
+    to->silent_ms = without_run_ms(d, run);
     to->checkpoint = run->checkpoint != NULL ? run->checkpoint : none;
 }
 
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -502,7 +502,7 @@
     return JR_OK;
 }
 
-/* The task of a lost worker has not run since the worker fell silent. */
+/* The task has not run for so long: see JobRelease. */
 static void
 credit_wait(jr_job_task_t *task, int64_t silent_ms)
 {
