A claim starts its service like others: short tasks keep their time

A claimed service now starts when reserve.c lets it, as before claims: 3.5 s after its last run, or sooner in capacity that short tasks do not use; at once where it moves from a worker that drains.

--- a/src/dispatch/choose.c
+++ b/src/dispatch/choose.c
@@ -136,7 +136,8 @@
         return false;
     }
     if (step->service &&
-        !jr_reserve_allows_service(d, w, request->task, request->need)) {
+        (!jr_claims_leave_room(w, request->task, request->need) ||
+         !jr_reserve_allows_service(d, w, request->task, request->need))) {
         return false;
     }
     return jr_worker_is_eligible(w, request->task);
--- a/src/dispatch/claim.c
+++ b/src/dispatch/claim.c
@@ -134,6 +134,7 @@
     claim->task = task;
     claim->worker = w;
     claim->need = *need;
+    claim->is_move = task->run != NULL;
     task->claim = claim;
     TAILQ_INSERT_TAIL(&d->claims, claim, link);
     TAILQ_INSERT_TAIL(&w->claims, claim, worker_link);
@@ -471,18 +472,28 @@
 }
 
 /* The members of a gang start together: schedule.c places them. */
+static bool
+may_start(const jr_dispatch_t *d, const jr_claim_t *claim)
+{
+    return jr_schedule_may_place(d, claim->task) &&
+           !jr_task_step(claim->task)->gang &&
+           jr_worker_has_capacity(&claim->need, claim->worker) &&
+           (claim->is_move ||
+            jr_reserve_allows_service(d, claim->worker, claim->task,
+                                      &claim->need));
+}
+
 void
 jr_claims_place(jr_dispatch_t *d)
 {
     jr_claim_t *claim, *next;
 
     for (claim = TAILQ_FIRST(&d->claims); claim != NULL; claim = next) {
-        jr_job_task_t *task = claim->task;
-        jr_tracked_worker_t *w = claim->worker;
-
         next = TAILQ_NEXT(claim, link);
-        if (jr_schedule_may_place(d, task) && !jr_task_step(task)->gang &&
-            jr_worker_has_capacity(&claim->need, w)) {
+        if (may_start(d, claim)) {
+            jr_job_task_t *task = claim->task;
+            jr_tracked_worker_t *w = claim->worker;
+
             drop(d, claim);
             jr_schedule_place(d, task, w);
         }
--- a/src/dispatch/claim.h
+++ b/src/dispatch/claim.h
@@ -11,6 +11,7 @@
     jr_job_task_t *task;
     jr_tracked_worker_t *worker;
     jr_need_t need;
+    bool is_move; /* it was claimed while the service still ran */
 } jr_claim_t;
 
 /* At the beginning of a pass: drop claims that do not hold, add new ones. */
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -269,9 +269,6 @@
     if (waited < w->service_delay_ms) {
         return false;
     }
-    if (!jr_claims_leave_room(w, task, need)) {
-        return false;
-    }
     return waited >= TAKE_ANY_AFTER_MS ||
            d->left_for_services >= need->cpu_milli ||
            spare_milli(w) >= need->cpu_milli;
