A claimed service starts where it suits best

Once its claim is free a service now starts on the worker that choose.c prefers, which may be another one.

--- a/src/dispatch/claim.c
+++ b/src/dispatch/claim.c
@@ -483,6 +483,20 @@
                                       &claim->need));
 }
 
+/* On its place, unless another worker suits it better. */
+static void
+start(jr_dispatch_t *d, jr_claim_t *claim)
+{
+    jr_job_task_t *task = claim->task;
+    jr_tracked_worker_t *w = jr_choose_worker(d, task, &claim->need);
+
+    if (w == NULL) {
+        w = claim->worker;
+    }
+    drop(d, claim);
+    jr_schedule_place(d, task, w);
+}
+
 void
 jr_claims_place(jr_dispatch_t *d)
 {
@@ -491,11 +505,7 @@
     for (claim = TAILQ_FIRST(&d->claims); claim != NULL; claim = next) {
         next = TAILQ_NEXT(claim, link);
         if (may_start(d, claim)) {
-            jr_job_task_t *task = claim->task;
-            jr_tracked_worker_t *w = claim->worker;
-
-            drop(d, claim);
-            jr_schedule_place(d, task, w);
+            start(d, claim);
         }
     }
 }
--- a/src/dispatch/schedule.c
+++ b/src/dispatch/schedule.c
@@ -494,9 +494,9 @@
     jr_reserve_update(d);
     jr_worker_quality_update(d);
     jr_claims_update(d);
-    jr_claims_place(d);
     jr_reserve_for_services(d);
     jr_places_refresh(d);
+    jr_claims_place(d);
     place_all(d, candidates);
     jr_leave_move_services(d);
     if (d->is_best_effort_turn) {
