Soak: a process that drains is not ended a second time

The gate was not at fault: its second life had been sent no SIGTERM. The end of the first fault started the second life; the end of the second fault waited, as for one that is still draining, for this life, which nothing had told to end.

A fault that ends a process waits now while another such fault of the process is open, and a pause while another pause is. Pauses and SIGHUP still meet a process that drains. So each end begins on a life of its own and is over.

--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -221,10 +221,10 @@
         self.done = []  # (fault, time of its begin) in order
 
     def begin(self, fault, now):
-        """Begins the fault; one of a process that took long to end or to
-        start waits."""
+        """Begins the fault; it waits while the process takes long to end or
+        to start."""
         p = self.processes
-        if not p.takes_faults(fault.process):
+        if not p.takes_faults(fault.process) or self.has_open(fault):
             self.due.append((now - self.began_at + 0.1, fault))
             self.due.sort(key=lambda due: due[0])
             return
@@ -240,6 +240,14 @@
         if fault.kind != "reload":
             self.open.append((fault, now + fault.for_s))
 
+    def has_open(self, fault):
+        """Whether the process has a fault that this one must not overlap: one
+        life is ended once, or the second end would wait for the first end of
+        a life that nothing ends; and one pause must not end another."""
+        return any(other.process == fault.process and
+                   (other.kind == "pause") == (fault.kind == "pause")
+                   for other, _ in self.open if fault.kind != "reload")
+
     def end(self, fault):
         """Ends the fault; returns false while that isn't possible."""
         p = self.processes
--- a/tests/soak_test.sh
+++ b/tests/soak_test.sh
@@ -54,6 +54,49 @@
     soak --seed 1 --seed 2 --seconds 12 || fail "a promise was broken"
 }
 
+# Makes a build whose gates are run by a script, in which $child is the gate.
+# The soak signals the script; if it is killed, its gate is killed too.
+script_gates() { # COMMANDS
+    mkdir "$dir/build"
+    ln -s "$(realpath "$build/jayrelay-control")" "$dir/build/"
+    cat > "$dir/build/jayrelay-gate" <<EOF
+#!/usr/bin/env bash
+setpriv --pdeathsig KILL "$(realpath "$build/jayrelay-gate")" "\$@" &
+child=\$!
+trap 'kill -HUP \$child' HUP
+$1
+while kill -0 \$child 2> /dev/null; do
+    wait \$child
+    status=\$?
+done
+exit \$status
+EOF
+    chmod +x "$dir/build/jayrelay-gate"
+    build=$dir/build
+}
+
+play() { # STATUS OPTIONS...: within 120 s; prints to $dir/out
+    local expected=$1 status
+    shift
+    timeout --kill-after=5 120 bench/soak/jayrelay-soak --build "$build" \
+        --out "$dir" "$@" > "$dir/out" 2>&1
+    status=$?
+    cat "$dir/out"
+    [ "$status" -eq "$expected" ] ||
+        fail "soak $* ended with $status, not $expected"
+}
+
+# Seed 2 ends gate-2 at 5.72 s and at 6.81 s. If the gate drains for longer
+# than that, the second end waits until the gate runs again.
+case_ends_that_overlap() {
+    script_gates "trap 'sleep 2; kill \$child' TERM"
+    play 0 --seed 2 --seconds 7
+    [ "$(grep -c 'gate-2 .*term' "$dir/seed-2/report.txt")" -eq 2 ] ||
+        fail "gate-2 was not ended twice: $(cat "$dir/seed-2/report.txt")"
+    [ "$(cat "$dir"/seed-2/gate-2.?.log | grep -c name=draining)" -eq 2 ] ||
+        fail "gate-2 did not drain in each of two lives"
+}
+
 children_of() { # PID: prints the ids of its children, one a line
     tr ' ' '\n' < "/proc/$1/task/$1/children" | grep .
 }
