Soak: no wait without a bound; a process that does not end breaks END

A process that had not ended 6 s after SIGTERM was killed with a mere note.

Now the latter breaks END, with the name and log of the process (the gate promises drain_ms + DRAIN_MAX_MS, here 2.8 s; 3.2 s are a margin; a pause does not count), and the soak goes on. All faults have the time that the plan takes if each end and start takes its longest, and 10 s more; what is left then is given up and named as FAULTS, a promise of the soak's own.

--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -13,8 +13,11 @@
 
 import plan
 
-GRACE_S = 6.0  # from SIGTERM to SIGKILL
+# From SIGTERM to the end of a process: a gate takes drain_ms (0.3 s) and
+# DRAIN_MAX_MS (2.5 s), a control process less; the rest is a margin.
+END_WITHIN_S = 6.0
 STARTING_S = 1.0  # for which a process that was started gets no signal
+MARGIN_S = 10.0  # for all faults to be over
 LOW_PORT = 10000
 TASK_MS = 500  # of a task whose spec names no time
 
@@ -71,7 +74,8 @@
     child: subprocess.Popen
     started_at: float
     killed_at: float = 0.0  # 0: not killed
-    termed_at: float = 0.0  # 0: not told to end
+    termed_at: float = 0.0  # 0: not told to end; later by pauses since
+    paused_at: float = 0.0  # 0: not paused
 
 
 class Processes:
@@ -149,6 +153,18 @@
             life.child.send_signal(number)
         return life
 
+    def pause(self, name):
+        self.signal(name, signal.SIGSTOP).paused_at = time.monotonic()
+
+    def resume(self, name):
+        """Ends a pause, which does not count as time to end in."""
+        life = self.signal(name, signal.SIGCONT)
+        if life is not None and life.paused_at:
+            if life.termed_at:
+                life.termed_at += time.monotonic() - max(life.paused_at,
+                                                         life.termed_at)
+            life.paused_at = 0.0
+
     def kill(self, name):
         life = self.current.get(name)
         if life is not None and life.child.poll() is None:
@@ -176,9 +192,11 @@
         for name, life in list(self.current.items()):
             status = life.child.poll()
             if status is None:
-                if life.termed_at and now - life.termed_at > GRACE_S:
-                    self.note("note", "%s had not ended %.0f s after SIGTERM"
-                              % (name, GRACE_S))
+                if (life.termed_at and not life.paused_at and
+                        now - life.termed_at > END_WITHIN_S):
+                    self.note("END", "%s had not ended %.0f s after SIGTERM, "
+                              "see %s" % (name, END_WITHIN_S,
+                                          os.path.basename(life.log)))
                     life.killed_at = now
                     life.child.kill()
                     life.child.wait()
@@ -229,7 +247,7 @@
             self.due.sort(key=lambda due: due[0])
             return
         if fault.kind == "pause":
-            p.signal(fault.process, signal.SIGSTOP)
+            p.pause(fault.process)
         elif fault.kind in ("kill", "replace"):
             p.kill(fault.process)
         elif fault.kind == "term":
@@ -252,7 +270,7 @@
         """Ends the fault; returns false while that isn't possible."""
         p = self.processes
         if fault.kind == "pause":
-            p.signal(fault.process, signal.SIGCONT)
+            p.resume(fault.process)
             return True
         if p.is_up(fault.process):
             return False  # still draining
@@ -269,5 +287,24 @@
         self.open = [(fault, until) for fault, until in self.open
                      if until > now or not self.end(fault)]
 
+    def longest_s(self):
+        """The time in which all faults are over: those of one process follow
+        each other, each with the longest end and start of the process."""
+        over_s = {}
+        for _, fault in self.due:
+            begins_s = max(fault.at_s, over_s.get(fault.process, 0))
+            over_s[fault.process] = (begins_s + fault.for_s + END_WITHIN_S +
+                                     STARTING_S)
+        return max(over_s.values(), default=0) + MARGIN_S
+
+    def give_up(self):
+        """Leaves the faults that are not over, and says which they are."""
+        left = [fault for _, fault in self.due] + [f for f, _ in self.open]
+        for fault, _ in self.open:
+            if fault.kind == "pause":
+                self.end(fault)
+        self.due, self.open = [], []
+        return left
+
     def is_idle(self):
         return not self.due and not self.open
--- a/tests/soak_test.sh
+++ b/tests/soak_test.sh
@@ -97,6 +97,52 @@
         fail "gate-2 did not drain in each of two lives"
 }
 
+# A process that is paused after SIGTERM has as long to end as one that isn't.
+case_pauses_before_ends() {
+    python3 - "$dir" << 'EOF' || fail "a pause counts as time to end in"
+import sys, time
+sys.dont_write_bytecode = True
+sys.path.insert(0, "bench/soak")
+import processes
+
+PROGRAM = "trap 'exit 0' TERM; echo up; while :; do sleep 0.05; done"
+IGNORING = "trap '' TERM; echo up; while :; do sleep 0.05; done"
+processes.END_WITHIN_S = 2.0
+notes = []
+
+def play(program):
+    p = processes.Processes("build", sys.argv[1], 6, None,
+                            lambda *note: notes.append(note))
+    p.command = lambda name: ["bash", "-c", program]
+    p.start("gate-1")
+    while open(p.current["gate-1"].log).read() != "up\n":
+        time.sleep(0.01)
+    p.pause("gate-1")
+    p.term("gate-1")
+    reap_for(p, 3)
+    assert p.is_up("gate-1") and not notes, notes
+    p.resume("gate-1")
+    reap_for(p, 1)
+    return p
+
+def reap_for(p, seconds):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        p.reap()
+        time.sleep(0.02)
+
+p = play(PROGRAM)
+assert not p.is_up("gate-1") and not notes, notes
+p.stop_all()
+p = play(IGNORING)
+assert p.is_up("gate-1") and not notes, notes
+reap_for(p, 2)
+assert not p.is_up("gate-1"), "it still runs"
+assert [note[0] for note in notes] == ["END"], notes
+p.stop_all()
+EOF
+}
+
 children_of() { # PID: prints the ids of its children, one a line
     tr ' ' '\n' < "/proc/$1/task/$1/children" | grep .
 }
@@ -161,6 +207,29 @@
     finds LOST drop-end
 }
 
+# Gates that ignore SIGTERM are killed and the soak goes on: each of two lives
+# of gate-2 breaks this promise, nothing breaks another one.
+case_finds_ignored_sigterm() {
+    script_gates "trap '' TERM"
+    play 1 --seed 2 --seconds 7
+    [ "$(grep -c 'END: gate-2 had not ended 6 s after SIGTERM, see gate-2.' \
+        "$dir/out")" -eq 2 ] || fail "not said twice of gate-2"
+    grep -q 'BROKEN: 2$' "$dir/out" || fail "another promise was broken"
+    grep -q 'settled: .* s after' "$dir/out" || fail "the soak did not go on"
+}
+
+# Nothing starts a gate that ends by itself, so its faults can't begin.
+case_finds_early_end() {
+    script_gates "case \$* in *gate-2*) (sleep 4; kill \$child) & ;; esac"
+    play 1 --seed 2 --seconds 7
+    grep -q 'END: gate-2 ended by itself' "$dir/out" ||
+        fail "the end of gate-2 is not told"
+    [ "$(grep -c 'FAULTS: gate-2 term at .* s was not over' "$dir/out")" \
+        -eq 2 ] || fail "the faults that are left are not told"
+    grep -q 'BROKEN: 3$' "$dir/out" || fail "another promise was broken"
+    grep -q 'settled: .* s after' "$dir/out" || fail "the soak did not go on"
+}
+
 "case_$2"
 echo "ok: $2"
 rm -rf "$dir"
