Tests: seeded histories of services that lost their run

The histories check the users' rule and the bound of the wait, with late orders the rule and the fleet's checks, and that turns stop no task that may not be missing.

--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -208,6 +208,8 @@
     FleetFaults faults;
     int64_t task_ms = 500;
     uint64_t long_running_job = 0; /* its tasks run until they are stopped */
+    /* When set, gives the run time of each task instead of task_ms. */
+    std::function<int64_t(const TaskName &)> run_ms_of;
     std::set<TaskName> crashing;   /* crash each worker that runs them */
     int64_t crash_after_ms = 10;   /* from their start */
     int64_t crashed_for_ms = 3000; /* then the worker comes back */
@@ -349,6 +351,8 @@
     bool Chance(int percent);
     /* Run time of a task that begins there now. */
     int64_t RunTime(const FleetWorker &worker) const;
+    /* When a run that begins there now will end. */
+    int64_t EndsAt(const FleetWorker &worker, const TaskName &task) const;
     int64_t SlowClock();
     int64_t WorkerClock(const FleetWorker &worker) const;
     FleetWorker *FindWorker(const std::string &id);
--- a/src/dispatch/fleet_worker_test.cpp
+++ b/src/dispatch/fleet_worker_test.cpp
@@ -21,6 +21,15 @@
                     warm_ms + cold_ms - cold_ms / COLD_FACTOR);
 }
 
+int64_t
+Fleet::EndsAt(const FleetWorker &worker, const TaskName &task) const
+{
+    if (task.job == long_running_job) {
+        return NEVER_MS;
+    }
+    return now + (run_ms_of ? run_ms_of(task) : RunTime(worker));
+}
+
 size_t
 Fleet::StartsOn(size_t worker) const
 {
@@ -94,14 +103,13 @@
     starts_[task]++;
     starts_on_[worker.id]++;
     Trace("starts", worker.id, task, sent.run.attempt);
-    worker.running[task] = {
-        sent.run.attempt,
-        task.job == long_running_job ? NEVER_MS : now + RunTime(worker),
-        0,
-        Chance(std::max(faults.task_fails, worker.fails)),
-        cpu,
-        now,
-        sent.sent_at < worker.incarnation};
+    worker.running[task] = {sent.run.attempt,
+                            EndsAt(worker, task),
+                            0,
+                            Chance(std::max(faults.task_fails, worker.fails)),
+                            cpu,
+                            now,
+                            sent.sent_at < worker.incarnation};
     return JR_ANSWER_DONE;
 }
 
--- a/src/dispatch/load_test.h
+++ b/src/dispatch/load_test.h
@@ -32,18 +32,44 @@
 constexpr int64_t kRuleSpanMs = 3000;
 constexpr int64_t kRuleCalmMs = 7000;
 
+/* A step of services, and what is known of its tasks. */
+struct LoadStep {
+    int64_t cpu;
+    uint32_t per_worker; /* 0: no limit */
+};
+
+/* A service that has run. */
+struct LoadService {
+    int64_t seen_at;      /* last */
+    int64_t broken_since; /* the rule; see CheckRule() */
+    bool is_late;         /* its wait was reported */
+};
+
+/* Tasks of a job, and for how long each of them runs. */
+struct LoadShort {
+    Jr__JobStep step;
+    int64_t run_ms;
+};
+
 /* Workers with 4 processors each. */
 class Load {
   public:
-    explicit Load(uint32_t seed = 1, size_t n_workers = 4)
-        : fleet(seed, n_workers, {},
+    explicit Load(uint32_t seed = 1, size_t n_workers = 4,
+                  FleetFaults faults = {})
+        : fleet(seed, n_workers, faults,
                 {.lease_ms = 6000,
                  .failover_ms = kFailoverMs,
                  .order_age_ms = kElectionMs})
     {
-        fleet.long_running_job = kService;
         fleet.reported_percent = 100;
         fleet.task_ms = kShortMs;
+        fleet.run_ms_of = [this](const TaskName &task) {
+            auto found = run_ms_.find(task.job);
+
+            return IsService(task)          ? kForeverMs
+                   : found != run_ms_.end() ? found->second
+                                            : fleet.task_ms;
+        };
     }
 
     /* @n_apart of them on different workers. */
@@ -60,27 +86,35 @@
         }
         steps.push_back(
             MakeStep(count - n_apart, static_cast<uint32_t>(service_cpu)));
-        for (Jr__JobStep &service : steps) {
-            service.service = true;
-        }
-        fleet.Submit(kService, steps);
+        SubmitServices(kService, steps);
         Run(8000);
         ASSERT_EQ(fleet.Running(kService), count);
     }
 
+    /* A job whose number is less than kFirstShortJob. */
+    void
+    SubmitServices(uint64_t job, std::vector<Jr__JobStep> steps)
+    {
+        for (Jr__JobStep &step : steps) {
+            step.service = true;
+            steps_[job].push_back({step.cpu_milli, step.per_worker});
+        }
+        fleet.Submit(job, steps);
+    }
+
     /* In steps; notes how long each service that has run is away. */
     void
     Run(int64_t ms)
     {
         for (int64_t end = fleet.now + ms; fleet.now < end;) {
-            if (short_tasks > 0 && fleet.now >= next_job_at_) {
-                Jr__JobStep step = MakeStep(short_tasks);
-
-                step.estimate_ms = static_cast<uint32_t>(kShortMs);
-                fleet.Submit(next_job_++, {step});
+            if (fleet.now >= next_job_at_ && (next_short || short_tasks > 0)) {
+                SubmitShort();
                 next_job_at_ = fleet.now + kJobEveryMs;
             }
+            size_t n_up = CountUp();
+
             fleet.Run(kTickMs);
+            gone_at = CountUp() < n_up ? fleet.now : gone_at;
             NoteAway();
             CheckRule();
         }
@@ -97,21 +131,29 @@
             size_t n = 0;
 
             for (const auto &[name, run] : fleet.workers[i].running) {
-                n += name.job == kService;
+                n += IsService(name);
             }
             if (n > n_most) {
                 most = i;
                 n_most = n;
             }
         }
-        fleet.Crash(most);
+        LoseWorker(most);
+    }
+
+    void
+    LoseWorker(size_t i)
+    {
+        fleet.Crash(i);
         failed_at_ = fleet.now;
+        lost_at = fleet.now;
+        gone_at = fleet.now;
     }
 
     void
-    ChangeLeader()
+    ChangeLeader(bool keeps_proposals = true)
     {
-        fleet.ChangeLeader(true);
+        fleet.ChangeLeader(keeps_proposals);
         failed_at_ = fleet.now;
     }
 
@@ -119,7 +161,12 @@
     size_t
     Away() const
     {
-        return seen_at_.size() - fleet.Running(kService);
+        size_t n = 0;
+
+        for (const auto &[name, service] : services_) {
+            n += service.seen_at != fleet.now;
+        }
+        return n;
     }
 
     size_t
@@ -129,7 +176,7 @@
 
         for (const FleetWorker &worker : fleet.workers) {
             for (const auto &[name, run] : worker.running) {
-                n += name.job >= kFirstShortJob;
+                n += !IsService(name);
             }
         }
         return n;
@@ -137,68 +184,168 @@
 
     Fleet fleet;
     uint32_t short_tasks = 0; /* of each job; 0: no jobs come */
+    /* When set, gives each job of short tasks instead; of no task: none. */
+    std::function<LoadShort()> next_short;
+    size_t short_jobs_max = SIZE_MAX; /* beyond it the oldest is cancelled */
     int64_t service_cpu = 1000;
     int64_t longest_away_ms = 0;
+    int64_t lost_at = 0;             /* a worker without notice, last */
+    int64_t gone_at = 0;             /* a worker, last */
     std::vector<std::string> broken; /* the rule, and what broke it */
+    std::vector<std::string> late;   /* waits beyond the bound */
+    std::vector<int64_t> waits;      /* that are over */
 
   private:
+    static constexpr int64_t kForeverMs = INT64_MAX / 4;
+
+    static bool
+    IsService(const TaskName &task)
+    {
+        return task.job < kFirstShortJob;
+    }
+
+    size_t
+    CountUp() const
+    {
+        size_t n = 0;
+
+        for (const FleetWorker &worker : fleet.workers) {
+            n += worker.is_up;
+        }
+        return n;
+    }
+
+    void
+    SubmitShort()
+    {
+        LoadShort next = {MakeStep(short_tasks), 0};
+
+        next.step.estimate_ms = static_cast<uint32_t>(kShortMs);
+        if (next_short) {
+            next = next_short();
+            run_ms_[next_job_] = next.run_ms;
+        }
+        if (next.step.count == 0) {
+            return;
+        }
+        fleet.Submit(next_job_, {next.step});
+        next_job_++;
+        if (next_job_ - kFirstShortJob > short_jobs_max) {
+            fleet.Cancel(next_job_ - 1 - short_jobs_max);
+        }
+    }
+
+    bool
+    IsLive(uint64_t id) const
+    {
+        const jr_job_t *job = jr_jobs_find(fleet.jobs, id);
+
+        return job != nullptr && jr_job_is_live(job);
+    }
+
+    void
+    NoteRunning(const TaskName &name)
+    {
+        auto [found, is_new] = services_.try_emplace(
+            name, LoadService{fleet.now, fleet.now, false});
+        LoadService &service = found->second;
+
+        if (fleet.now - service.seen_at > kTickMs) {
+            waits.push_back(fleet.now - service.seen_at);
+        }
+        service = {fleet.now, fleet.now, false};
+    }
+
+    /* With no failure in the wait, nor for a while before. */
+    int64_t
+    BoundOf(const LoadService &service) const
+    {
+        return failed_at_ + kRuleCalmMs - kRuleSpanMs >= service.seen_at
+                   ? kFailoverMs
+                   : kNothingLostMs;
+    }
+
     void
     NoteAway()
     {
         for (const FleetWorker &worker : fleet.workers) {
             for (const auto &[name, run] : worker.running) {
-                if (name.job == kService) {
-                    seen_at_[name] = fleet.now;
+                if (IsService(name)) {
+                    NoteRunning(name);
                 }
             }
         }
-        for (const auto &[name, at] : seen_at_) {
-            longest_away_ms = std::max(longest_away_ms, fleet.now - at);
+        for (auto it = services_.begin(); it != services_.end();) {
+            LoadService &service = it->second;
+            int64_t away_ms = fleet.now - service.seen_at;
+
+            if (away_ms > 0 && !IsLive(it->first.job)) {
+                it = services_.erase(it);
+                continue;
+            }
+            longest_away_ms = std::max(longest_away_ms, away_ms);
+            if (away_ms > BoundOf(service) && !service.is_late) {
+                late.push_back(std::to_string(fleet.now) + ": " +
+                               TextOf(it->first) + " does not run for " +
+                               std::to_string(away_ms) + " ms");
+                service.is_late = true;
+            }
+            ++it;
         }
     }
 
-    /* Services that fit on workers that get tasks, beside the others. */
-    int64_t
-    Capacity() const
+    /* Tasks of the step that fit on the worker, beside services. */
+    static int64_t
+    CapacityOn(const FleetWorker &worker, const TaskName &task,
+               const LoadStep &step)
+    {
+        int64_t left = worker.cpu;
+        int64_t apart = step.per_worker > 0 ? step.per_worker : INT64_MAX;
+
+        if (!worker.is_up || worker.is_draining) {
+            return 0;
+        }
+        for (const auto &[name, run] : worker.running) {
+            left -= IsService(name) ? run.cpu : 0;
+            apart -= name.job == task.job && name.step == task.step;
+        }
+        return std::max<int64_t>(std::min(left / step.cpu, apart), 0);
+    }
+
+    bool
+    HasCapacityForTwo(const TaskName &task) const
     {
+        const LoadStep &step = steps_.at(task.job)[task.step];
         int64_t n = 0;
 
         for (const FleetWorker &worker : fleet.workers) {
-            int64_t left = worker.cpu;
-
-            for (const auto &[name, run] : worker.running) {
-                left -= name.job == kService ? run.cpu : 0;
-            }
-            if (worker.is_up && !worker.is_draining) {
-                n += left / service_cpu;
-            }
+            n += CapacityOn(worker, task, step);
         }
-        return n;
+        return n >= 2;
     }
 
     void
     CheckRule()
     {
-        bool has_capacity = Capacity() >= 2;
-
-        for (const auto &[name, at] : seen_at_) {
-            int64_t &since = broken_since_[name];
-
-            if (!has_capacity || fleet.now - at < kRuleWaitMs) {
-                since = fleet.now;
+        for (auto &[name, service] : services_) {
+            if (fleet.now - service.seen_at < kRuleWaitMs ||
+                !HasCapacityForTwo(name)) {
+                service.broken_since = fleet.now;
             }
-            if (fleet.now - since >= kRuleSpanMs &&
+            if (fleet.now - service.broken_since >= kRuleSpanMs &&
                 fleet.now - failed_at_ >= kRuleCalmMs) {
-                broken.push_back(TextOf(name) + " does not run for " +
-                                 std::to_string(fleet.now - at) +
+                broken.push_back(std::to_string(fleet.now) + ": " +
+                                 TextOf(name) + " does not run for " +
+                                 std::to_string(fleet.now - service.seen_at) +
                                  " ms, with capacity for it");
-                since = fleet.now;
+                service.broken_since = fleet.now;
             }
         }
     }
 
-    std::map<TaskName, int64_t> seen_at_;
-    std::map<TaskName, int64_t> broken_since_;
+    std::map<uint64_t, std::vector<LoadStep>> steps_; /* of services */
+    std::map<uint64_t, int64_t> run_ms_; /* of tasks of these short jobs */
+    std::map<TaskName, LoadService> services_;
     int64_t failed_at_ = 0; /* a worker or the leader, last */
     uint64_t next_job_ = kFirstShortJob;
     int64_t next_job_at_ = 0;
