A start that comes to nothing does not begin a service's wait anew

The release of a run set the wait of its task to 0, also where the run never began: its start was refused, its worker was lost or drained meanwhile, or a new leader found it absent. The service then claimed a place 2 s later, and stopped short tasks 5 s later, again. The release now credits the whole wait.

--- a/src/dispatch/claim_test.cc
+++ b/src/dispatch/claim_test.cc
@@ -462,3 +462,29 @@
 {
     ExpectNoViolations({.may_miss = MAY_MISS, .has_drains = false});
 }
+
+/*
+ * Guards against a wait that begins anew with each start that comes to
+ * nothing: workers refuse all starts for 1.5 s.
+ */
+TEST(ClaimTest, RefusedStartsDoNotBeginTheWaitAnew)
+{
+    Load load(1, 4);
+
+    load.StartServices(10);
+    load.fleet.task_ms = kShortMaxMs;
+    load.short_tasks = 6;
+    load.Run(3000);
+    load.LoseWorker();
+    load.Run(6000);
+    for (FleetWorker &worker : load.fleet.workers) {
+        worker.refuses = 100;
+    }
+    load.Run(1500);
+    for (FleetWorker &worker : load.fleet.workers) {
+        worker.refuses = 0;
+    }
+    load.Run(15000);
+    ExpectNothingBroken(load);
+    EXPECT_LE(load.longest_away_ms, kFailoverMs);
+}
--- a/src/dispatch/command.c
+++ b/src/dispatch/command.c
@@ -22,6 +22,21 @@
     return is_lost ? d->now - MAX(w->answered_at, w->tracked_at) : 0;
 }
 
+/*
+ * How long a service has waited when its run ends that never began, as far as
+ * is known: the wait does not begin anew.
+ */
+static int64_t
+waited_ms(const jr_dispatch_t *d, const jr_run_t *run)
+{
+    bool has_begun =
+        run->confirmed_at > 0 || (run->is_inherited && !run->is_absent);
+
+    return jr_task_step(run->task)->service && !has_begun
+               ? d->wall_ms - run->task->waiting_since
+               : 0;
+}
+
 static void
 fill_release(const jr_dispatch_t *d, const jr_run_t *run, Jr__JobRelease *to)
 {
@@ -32,7 +47,7 @@
     to->crashed_after_ms = run->crashed_after_ms;
     to->lapsed_after_ms =
         run->crashed_after_ms == 0 ? run->lapsed_after_ms : 0;
-    to->silent_ms = silent_ms(d, run->worker);
+    to->silent_ms = MAX(silent_ms(d, run->worker), waited_ms(d, run));
     to->checkpoint = run->checkpoint != NULL ? run->checkpoint : none;
 }
 
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -82,6 +82,7 @@
     int64_t unplaced_until;
     int64_t withheld_at; /* its start, for lack of capacity; 0: not */
     bool is_inherited;   /* granted by an earlier leader */
+    bool is_absent;      /* from the worker's list; its end is not there */
     bool is_suspect;     /* a worker crashed under an earlier run */
     uint64_t listed_in;  /* latest renewal whose answer names its task */
     bool is_settled;     /* said so to the log, see jr_job_task_t */
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -190,6 +190,7 @@
          * incarnations, and of earlier leaders.
          */
         if (run->confirmed_at < sent_at) {
+            run->is_absent = true;
             jr_run_release(d, run, "not-there");
         }
         break;
