--- a/src/dispatch/claim.h
+++ b/src/dispatch/claim.h
@@ -37,8 +37,9 @@
 
 /* displace.c: what is stopped for services that lost their run. */
 /*
- * Stop a service that has run for long, so that the task fits there instead;
- * returns the worker, or NULL if there is none.
+ * Stop a service that has run for long, or several where one is not enough, so
+ * that the task fits there instead; returns the worker, or NULL if there is
+ * none.
  */
 jr_tracked_worker_t *jr_displace_service(jr_dispatch_t *d,
                                          const jr_job_task_t *task,
--- a/src/dispatch/claim_test.cc
+++ b/src/dispatch/claim_test.cc
@@ -488,3 +488,27 @@
     ExpectNothingBroken(load);
     EXPECT_LE(load.longest_away_ms, kFailoverMs);
 }
+
+/*
+ * Guards against a service that waits without a bound as it is larger than
+ * each of those that could give it their place.
+ */
+TEST(ClaimTest, LargeServicesTakeTurnsWithSeveralSmallOnes)
+{
+    Load load(1, 4);
+
+    load.SubmitServices(kService, {MakeStep(1, 3000)});
+    load.Run(2000);
+    load.SubmitServices(kService + 1, {MakeStep(24, 500)});
+    load.Run(8000);
+    ASSERT_EQ(load.fleet.Running(kService), 1u);
+    ASSERT_EQ(load.fleet.Running(kService + 1), 24u);
+    for (size_t i = 0; i < load.fleet.workers.size(); i++) {
+        if (load.fleet.workers[i].running.count({kService, 0, 0, 0}) > 0) {
+            load.LoseWorker(i);
+        }
+    }
+    load.Run(60000);
+    ExpectNothingBroken(load);
+    EXPECT_LE(load.longest_away_ms, kFailoverMs);
+}
--- a/src/dispatch/displace.c
+++ b/src/dispatch/displace.c
@@ -91,18 +91,84 @@
     jr_run_stop(d, run);
 }
 
+/*
+ * One of several that give their places to a larger task; of those of which
+ * few may be missing none, as that is not counted for several at a time.
+ */
+static bool
+may_give_among_several(const jr_dispatch_t *d, const jr_run_t *run)
+{
+    return jr_task_step(run->task)->may_miss == 0 && may_give_place(d, run);
+}
+
+/*
+ * Services there, in the order of the worker's list, that have to give their
+ * places until the task fits; 0: it does not. They are stopped if wanted.
+ */
+static size_t
+displace_several(jr_dispatch_t *d, jr_tracked_worker_t *w,
+                 const jr_need_t *need, bool is_wanted)
+{
+    jr_need_t taken = w->staying;
+    size_t n = 0;
+    jr_run_t *run;
+
+    jr_need_add(&taken, &w->claimed, 1);
+    TAILQ_FOREACH (run, &w->runs, link) {
+        if (jr_need_fits_beside(need, &taken, w->worker->info)) {
+            break;
+        }
+        if (may_give_among_several(d, run)) {
+            jr_need_add(&taken, &run->need, -1);
+            n++;
+            if (is_wanted) {
+                jr_need_add(&w->staying, &run->need, -1);
+                stop(d, run);
+            }
+        }
+    }
+    return jr_need_fits_beside(need, &taken, w->worker->info) ? n : 0;
+}
+
+/* Where the fewest services give their places to the task, which is larger. */
+static jr_tracked_worker_t *
+find_several(jr_dispatch_t *d, const jr_job_task_t *task,
+             const jr_need_t *need)
+{
+    jr_tracked_worker_t *best = NULL;
+    size_t fewest = 0;
+    jr_tracked_worker_t *w;
+
+    TAILQ_FOREACH (w, &d->workers, link) {
+        size_t n = w->n_services > 1 && jr_claim_suits(w, task)
+                       ? displace_several(d, w, need, false)
+                       : 0;
+
+        if (n > 0 && (best == NULL || n < fewest)) {
+            best = w;
+            fewest = n;
+        }
+    }
+    return best;
+}
+
 jr_tracked_worker_t *
 jr_displace_service(jr_dispatch_t *d, const jr_job_task_t *task,
                     const jr_need_t *need)
 {
     jr_run_t *run = find_service(d, task, need);
+    jr_tracked_worker_t *w;
 
-    if (run == NULL) {
-        return NULL;
+    if (run != NULL) {
+        jr_need_add(&run->worker->staying, &run->need, -1);
+        stop(d, run);
+        return run->worker;
+    }
+    w = find_several(d, task, need);
+    if (w != NULL) {
+        displace_several(d, w, need, true);
     }
-    jr_need_add(&run->worker->staying, &run->need, -1);
-    stop(d, run);
-    return run->worker;
+    return w;
 }
 
 /* What the services whose claim is due lack there. */
