Tests: histories of services ask for more, and find what they should

Services ask for 100 % of what is left and more more often; waits that are not over count; negative histories show that stops of tasks that may not be missing, the users' rule and the bound of the wait are checked.

--- a/src/dispatch/claim_test.cc
+++ b/src/dispatch/claim_test.cc
@@ -12,6 +12,7 @@
 
 enum {
     DEFAULT_HISTORIES = 60,
+    NEGATIVE_HISTORIES = 500, /* until a violation is found */
     ROUNDS = 24,
     WORKERS_MIN = 6,
     WORKERS_MAX = 14,
@@ -45,9 +46,11 @@
 /* How histories differ. */
 struct Kind {
     FleetFaults faults = {};
-    uint32_t may_miss = 0; /* of a step whose stops are checked; 0: none */
+    bool checks_stops = false; /* of a step of which MAY_MISS may be missing */
+    uint32_t may_miss = MAY_MISS; /* as the step says */
     bool checks_waits = false;
     bool has_drains = true; /* they stop services, whatever may be missing */
+    bool refuses = false;   /* workers refuse all starts after a loss */
 };
 
 /*
@@ -71,11 +74,9 @@
     void
     Run()
     {
-        int64_t fill =
-            FILL_MIN_PERCENT + Below(FILL_MAX_PERCENT - FILL_MIN_PERCENT + 1);
-        int64_t milli = Left() * CPU_MILLI * fill / 100;
+        int64_t milli = Left() * CPU_MILLI * AnyFill() / 100;
 
-        if (kind_.may_miss > 0) {
+        if (kind_.checks_stops) {
             milli -= StartChecked();
         }
         for (int i = 0; i < SERVICE_JOBS; i++) {
@@ -83,6 +84,9 @@
         }
         load.Run(8000);
         LoseWorkers(gone_max_ - Gone());
+        for (FleetWorker &worker : load.fleet.workers) {
+            worker.refuses = kind_.refuses ? 100 : 0;
+        }
         for (int i = 0; i < ROUNDS; i++) {
             short_tasks_ = Below(2) * Below(12);
             Act();
@@ -112,6 +116,16 @@
         return static_cast<int64_t>(rng_() % static_cast<uint32_t>(n));
     }
 
+    /* More is more frequent. */
+    int64_t
+    AnyFill()
+    {
+        int64_t n = FILL_MAX_PERCENT - FILL_MIN_PERCENT + 1;
+        int64_t a = Below(n);
+
+        return FILL_MAX_PERCENT - std::min(a, Below(n));
+    }
+
     /* Workers that stay, whatever happens. */
     int64_t
     Left() const
@@ -307,6 +321,24 @@
     }
 }
 
+/* Some history must have a violation that says so. */
+void
+ExpectViolation(const std::string &what, const Kind &kind)
+{
+    for (uint32_t seed = 1; seed <= NEGATIVE_HISTORIES; seed++) {
+        History history(seed, kind);
+
+        history.Run();
+        for (const std::string &violation : history.Violations()) {
+            if (violation.find(what) != std::string::npos) {
+                printf("seed %u: %s\n", seed, violation.c_str());
+                return;
+            }
+        }
+    }
+    ADD_FAILURE() << "no violation in " << NEGATIVE_HISTORIES << " histories";
+}
+
 violations_t
 RunKind(const Kind &kind)
 {
@@ -317,8 +349,9 @@
 
         history.Run();
         std::lock_guard<std::mutex> lock(mutex);
-        waits.insert(waits.end(), history.load.waits.begin(),
-                     history.load.waits.end());
+        for (int64_t ms : history.load.Waits()) {
+            waits.push_back(ms);
+        }
         return history.Violations();
     });
 
@@ -460,7 +493,21 @@
 /* Guards against turns that stop more tasks of a step than may be missing. */
 TEST(ClaimTest, TurnsStopNoTaskThatMayNotBeMissing)
 {
-    ExpectNoViolations({.may_miss = MAY_MISS, .has_drains = false});
+    ExpectNoViolations({.checks_stops = true, .has_drains = false});
+}
+
+TEST(ClaimTest, FindsViolationsWhenAStepMayMissAnyNumber)
+{
+    ExpectViolation(
+        "AVAIL", {.checks_stops = true, .may_miss = 0, .has_drains = false});
+}
+
+TEST(ClaimTest, FindsViolationsWhenWorkersRefuseServices)
+{
+    Kind kind = {.checks_waits = true, .refuses = true};
+
+    ExpectViolation("with capacity for it", kind);
+    ExpectViolation("does not run for 10010 ms", kind);
 }
 
 /*
--- a/src/dispatch/load_test.h
+++ b/src/dispatch/load_test.h
@@ -182,6 +182,20 @@
         return n;
     }
 
+    /* Of services that ran again, then of those that are away now. */
+    std::vector<int64_t>
+    Waits() const
+    {
+        std::vector<int64_t> all = waits_;
+
+        for (const auto &[name, service] : services_) {
+            if (service.seen_at != fleet.now) {
+                all.push_back(fleet.now - service.seen_at);
+            }
+        }
+        return all;
+    }
+
     Fleet fleet;
     uint32_t short_tasks = 0; /* of each job; 0: no jobs come */
     /* When set, gives each job of short tasks instead; of no task: none. */
@@ -193,7 +207,6 @@
     int64_t gone_at = 0;             /* a worker, last */
     std::vector<std::string> broken; /* the rule, and what broke it */
     std::vector<std::string> late;   /* waits beyond the bound */
-    std::vector<int64_t> waits;      /* that are over */
 
   private:
     static constexpr int64_t kForeverMs = INT64_MAX / 4;
@@ -251,7 +264,7 @@
         LoadService &service = found->second;
 
         if (fleet.now - service.seen_at > kTickMs) {
-            waits.push_back(fleet.now - service.seen_at);
+            waits_.push_back(fleet.now - service.seen_at);
         }
         service = {fleet.now, fleet.now, false};
     }
@@ -346,7 +359,8 @@
     std::map<uint64_t, std::vector<LoadStep>> steps_; /* of services */
     std::map<uint64_t, int64_t> run_ms_; /* of tasks of these short jobs */
     std::map<TaskName, LoadService> services_;
-    int64_t failed_at_ = 0; /* a worker or the leader, last */
+    std::vector<int64_t> waits_; /* that are over */
+    int64_t failed_at_ = 0;      /* a worker or the leader, last */
     uint64_t next_job_ = kFirstShortJob;
     int64_t next_job_at_ = 0;
 };
