--- a/src/dispatch/command.c
+++ b/src/dispatch/command.c
@@ -23,18 +23,18 @@
 }
 
 /*
- * For how long the task has not run, as far as is known: a start that was
- * given up does not end its wait. Of a run of an earlier leader it is not
- * known whether it began.
+ * How long a service has waited when its run ends that never began, as far as
+ * is known: a start that comes to nothing does not end its wait.
  */
 static int64_t
-without_run_ms(const jr_dispatch_t *d, const jr_run_t *run)
+waited_ms(const jr_dispatch_t *d, const jr_run_t *run)
 {
-    int64_t silent = silent_ms(d, run->worker);
+    bool has_begun =
+        run->confirmed_at > 0 || (run->is_inherited && !run->is_absent);
 
-    return run->confirmed_at > 0 || run->is_inherited
-               ? silent
-               : MAX(silent, d->wall_ms - run->task->waiting_since);
+    return jr_task_step(run->task)->service && !has_begun
+               ? d->wall_ms - run->task->waiting_since
+               : 0;
 }
 
 static void
@@ -47,7 +47,11 @@
     to->crashed_after_ms = run->crashed_after_ms;
     to->lapsed_after_ms =
         run->crashed_after_ms == 0 ? run->lapsed_after_ms : 0;
-    to->silent_ms = without_run_ms(d, run);
+<<<<<<< HEAD
+    to->silent_ms = MAX(silent_ms(d, run->worker), waited_ms(d, run));
+=======
+    to->silent_ms = MAX(silent_ms(d, run->worker), waited_ms(d, run));
+>>>>>>> 6985249070062d7b550a6bc0900d1f58c7f0c67c
     to->checkpoint = run->checkpoint != NULL ? run->checkpoint : none;
 }
 
