Claims keep tasks of a step apart when they start

A claimed service may start on another worker that suits it better, where a sibling has a claim; the sibling then started there as well, in the same pass. The limit per worker is looked at again when a claim is used, with the claims of siblings. Also mends conflict markers in command.c, which a merge left.

--- a/src/dispatch/claim.c
+++ b/src/dispatch/claim.c
@@ -477,6 +477,7 @@
 {
     return jr_schedule_may_place(d, claim->task) &&
            !jr_task_step(claim->task)->gang &&
+           jr_claim_suits(claim->worker, claim->task) &&
            jr_worker_has_capacity(&claim->need, claim->worker) &&
            (claim->is_move ||
             jr_reserve_allows_service(d, claim->worker, claim->task,
@@ -490,7 +491,7 @@
     jr_job_task_t *task = claim->task;
     jr_tracked_worker_t *w = jr_choose_worker(d, task, &claim->need);
 
-    if (w == NULL) {
+    if (w == NULL || !is_apart(w, task)) {
         w = claim->worker;
     }
     drop(d, claim);
--- a/src/dispatch/command.c
+++ b/src/dispatch/command.c
@@ -47,11 +47,7 @@
     to->crashed_after_ms = run->crashed_after_ms;
     to->lapsed_after_ms =
         run->crashed_after_ms == 0 ? run->lapsed_after_ms : 0;
-<<<<<<< HEAD
     to->silent_ms = MAX(silent_ms(d, run->worker), waited_ms(d, run));
-=======
-    to->silent_ms = MAX(silent_ms(d, run->worker), waited_ms(d, run));
->>>>>>> 6985249070062d7b550a6bc0900d1f58c7f0c67c
     to->checkpoint = run->checkpoint != NULL ? run->checkpoint : none;
 }
 
--- a/src/dispatch/load_test.h
+++ b/src/dispatch/load_test.h
@@ -116,6 +116,7 @@
             fleet.Run(kTickMs);
             gone_at = CountUp() < n_up ? fleet.now : gone_at;
             NoteAway();
+            CheckApart();
             CheckRule();
         }
     }
@@ -307,6 +308,29 @@
         }
     }
 
+    /* No worker runs more tasks of a step than may run on one. */
+    void
+    CheckApart()
+    {
+        for (const FleetWorker &worker : fleet.workers) {
+            std::map<std::pair<uint64_t, uint32_t>, uint32_t> n;
+
+            for (const auto &[name, run] : worker.running) {
+                auto found = steps_.find(name.job);
+                uint32_t limit = found == steps_.end()
+                                     ? 0
+                                     : found->second[name.step].per_worker;
+
+                if (limit > 0 && ++n[{name.job, name.step}] > limit) {
+                    fleet.violations.push_back(
+                        std::to_string(fleet.now) +
+                        ": ROUTE: " + TextOf(name) +
+                        " beside others of its step on " + worker.id);
+                }
+            }
+        }
+    }
+
     /* Tasks of the step that fit on the worker, beside services. */
     static int64_t
     CapacityOn(const FleetWorker &worker, const TaskName &task,
