--- a/src/dispatch/claim.c
+++ b/src/dispatch/claim.c
@@ -23,8 +23,11 @@
     /* Without a place by then, it takes the place of another service. */
     TURN_AFTER_MS = 4500,
     TURNS_MAX = 32, /* that are tried in a pass */
-    /* Without one by then, it takes what short tasks keep. */
-    TAKE_ALL_AFTER_MS = 6500,
+    /*
+     * Then it is late: it takes what short tasks keep, and the place of a
+     * service that runs for less time.
+     */
+    LATE_AFTER_MS = 6500,
     /* Costs, in thousandths of a whole worker; see choose.c. */
     OCCUPIED_COST = 4000, /* other tasks have to end there first */
     PERMILLE = 1000,
@@ -55,6 +58,13 @@
     return d->wall_ms - task->waiting_since;
 }
 
+bool
+jr_claim_is_late(const jr_dispatch_t *d, const jr_job_task_t *task)
+{
+    return jr_claim_is_waiting(task) &&
+           jr_claim_waited_ms(d, task) >= LATE_AFTER_MS;
+}
+
 /* Does the task still need the place? */
 static bool
 is_wanted(const jr_job_task_t *task)
@@ -379,7 +389,7 @@
     jr_tracked_worker_t *w;
 
     if (search->left_milli < need->cpu_milli &&
-        jr_claim_waited_ms(search->d, task) < TAKE_ALL_AFTER_MS) {
+        !jr_claim_is_late(search->d, task)) {
         return false;
     }
     w = find_worker(search, task, need);
@@ -408,9 +418,7 @@
     }
     if (is_possible(d, task, &need)) {
         d->n_unclaimed++;
-        d->has_late_service |=
-            jr_claim_is_waiting(task) &&
-            jr_claim_waited_ms(d, task) >= TAKE_ALL_AFTER_MS;
+        d->has_late_service |= jr_claim_is_late(d, task);
     }
 }
 
--- a/src/dispatch/claim.h
+++ b/src/dispatch/claim.h
@@ -33,6 +33,8 @@
 bool jr_claim_is_waiting(const jr_job_task_t *task);
 /* Time since its last run ended. */
 int64_t jr_claim_waited_ms(const jr_dispatch_t *d, const jr_job_task_t *task);
+/* Has it waited for so long that it should run again by now? */
+bool jr_claim_is_late(const jr_dispatch_t *d, const jr_job_task_t *task);
 /* May the task claim a place there, capacity aside? */
 bool jr_claim_suits(const jr_tracked_worker_t *w, const jr_job_task_t *task);
 
--- a/src/dispatch/displace.c
+++ b/src/dispatch/displace.c
@@ -12,25 +12,26 @@
     STOP_SHORT_AFTER_MS = 5000,
     /* A service runs for so long before it gives its place to another one. */
     RUN_MIN_MS = 6000,
+    RUN_MIN_FOR_LATE_MS = 2000, /* to one that should run again by now */
     MS_PER_COST = 10, /* of such a run, against the costs in choose.c */
 };
 
 /* One of an earlier leader began before this one was elected. */
 static bool
-has_run_long(const jr_dispatch_t *d, const jr_run_t *run)
+has_run_for(const jr_dispatch_t *d, const jr_run_t *run, int64_t min_ms)
 {
-    return run->is_inherited || d->now - run->granted_at >= RUN_MIN_MS;
+    return run->is_inherited || d->now - run->granted_at >= min_ms;
 }
 
 /* May the service give its place to another one? */
 static bool
-may_give_place(const jr_dispatch_t *d, const jr_run_t *run)
+may_give_place(const jr_dispatch_t *d, const jr_run_t *run, int64_t min_ms)
 {
     const Jr__JobStep *step = jr_task_step(run->task);
 
     return run->state == JR_RUN_RUNNING && !run->is_stop_wanted &&
            !jr_run_is_ending(run) && step->service && !step->gang &&
-           has_run_long(d, run) &&
+           has_run_for(d, run, min_ms) &&
            (step->may_miss == 0 ||
             (jr_missing_is_known(d) && jr_step_may_miss_one_more(run->task)));
 }
@@ -50,7 +51,7 @@
 /* The service that has run longest, on a worker that suits the task. */
 static jr_run_t *
 find_service(const jr_dispatch_t *d, const jr_job_task_t *task,
-             const jr_need_t *need)
+             const jr_need_t *need, int64_t min_ms)
 {
     jr_image_t image = jr_tails_image(d->tails, jr_task_step(task)->image);
     jr_run_t *best = NULL;
@@ -68,8 +69,8 @@
         TAILQ_FOREACH (run, &w->runs, link) {
             int64_t worth = (d->now - run->granted_at) / MS_PER_COST - base;
 
-            if ((best == NULL || worth > most) && may_give_place(d, run) &&
-                fits_instead(w, run, need)) {
+            if ((best == NULL || worth > most) &&
+                may_give_place(d, run, min_ms) && fits_instead(w, run, need)) {
                 best = run;
                 most = worth;
             }
@@ -96,9 +97,11 @@
  * few may be missing none, as that is not counted for several at a time.
  */
 static bool
-may_give_among_several(const jr_dispatch_t *d, const jr_run_t *run)
+may_give_among_several(const jr_dispatch_t *d, const jr_run_t *run,
+                       int64_t min_ms)
 {
-    return jr_task_step(run->task)->may_miss == 0 && may_give_place(d, run);
+    return jr_task_step(run->task)->may_miss == 0 &&
+           may_give_place(d, run, min_ms);
 }
 
 /*
@@ -107,7 +110,7 @@
  */
 static size_t
 displace_several(jr_dispatch_t *d, jr_tracked_worker_t *w,
-                 const jr_need_t *need, bool is_wanted)
+                 const jr_need_t *need, int64_t min_ms, bool is_wanted)
 {
     jr_need_t taken = w->staying;
     size_t n = 0;
@@ -118,7 +121,7 @@
         if (jr_need_fits_beside(need, &taken, w->worker->info)) {
             break;
         }
-        if (may_give_among_several(d, run)) {
+        if (may_give_among_several(d, run, min_ms)) {
             jr_need_add(&taken, &run->need, -1);
             n++;
             if (is_wanted) {
@@ -133,7 +136,7 @@
 /* Where the fewest services give their places to the task, which is larger. */
 static jr_tracked_worker_t *
 find_several(jr_dispatch_t *d, const jr_job_task_t *task,
-             const jr_need_t *need)
+             const jr_need_t *need, int64_t min_ms)
 {
     jr_tracked_worker_t *best = NULL;
     size_t fewest = 0;
@@ -141,7 +144,7 @@
 
     TAILQ_FOREACH (w, &d->workers, link) {
         size_t n = w->n_services > 1 && jr_claim_suits(w, task)
-                       ? displace_several(d, w, need, false)
+                       ? displace_several(d, w, need, min_ms, false)
                        : 0;
 
         if (n > 0 && (best == NULL || n < fewest)) {
@@ -156,7 +159,9 @@
 jr_displace_service(jr_dispatch_t *d, const jr_job_task_t *task,
                     const jr_need_t *need)
 {
-    jr_run_t *run = find_service(d, task, need);
+    int64_t min_ms =
+        jr_claim_is_late(d, task) ? RUN_MIN_FOR_LATE_MS : RUN_MIN_MS;
+    jr_run_t *run = find_service(d, task, need, min_ms);
     jr_tracked_worker_t *w;
 
     if (run != NULL) {
@@ -164,9 +169,9 @@
         stop(d, run);
         return run->worker;
     }
-    w = find_several(d, task, need);
+    w = find_several(d, task, need, min_ms);
     if (w != NULL) {
-        displace_several(d, w, need, true);
+        displace_several(d, w, need, min_ms, true);
     }
     return w;
 }
