A service of a worker that restarted has waited since it fell silent

Where a start order could still reach the new life of a worker, its list decides whether the run is there. By then the worker is in contact again, and the wait of the service began anew: it was lost at 9.7 s and had waited since 15.7 s. The run now keeps since when its worker had been silent.

--- a/src/dispatch/command.c
+++ b/src/dispatch/command.c
@@ -13,13 +13,15 @@
     STAILQ_INSERT_TAIL(&d->commands, queued, link);
 }
 
-/* 0 while the worker is in contact. */
+/* 0 while the worker is in contact, and was since the run was listed. */
 static int64_t
-silent_ms(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
+silent_ms(const jr_dispatch_t *d, const jr_run_t *run)
 {
-    bool is_lost = w->has_ended || w->suspect_at != 0;
+    int64_t since = run->silent_since != 0
+                        ? run->silent_since
+                        : jr_tracked_worker_silent_since(run->worker);
 
-    return is_lost ? d->now - MAX(w->answered_at, w->tracked_at) : 0;
+    return since != 0 ? d->now - since : 0;
 }
 
 /*
@@ -47,7 +49,7 @@
     to->crashed_after_ms = run->crashed_after_ms;
     to->lapsed_after_ms =
         run->crashed_after_ms == 0 ? run->lapsed_after_ms : 0;
-    to->silent_ms = MAX(silent_ms(d, run->worker), waited_ms(d, run));
+    to->silent_ms = MAX(silent_ms(d, run), waited_ms(d, run));
     to->checkpoint = run->checkpoint != NULL ? run->checkpoint : none;
 }
 
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -83,10 +83,12 @@
     int64_t withheld_at; /* its start, for lack of capacity; 0: not */
     bool is_inherited;   /* granted by an earlier leader */
     bool is_absent;      /* from the worker's list; its end is not there */
-    bool is_suspect;     /* a worker crashed under an earlier run */
-    uint64_t listed_in;  /* latest renewal whose answer names its task */
-    bool is_settled;     /* said so to the log, see jr_job_task_t */
-    bool is_end_listed;  /* its end is on the way to the log */
+    /* Its worker fell silent before it restarted; 0: not, or listed since. */
+    int64_t silent_since;
+    bool is_suspect;    /* a worker crashed under an earlier run */
+    uint64_t listed_in; /* latest renewal whose answer names its task */
+    bool is_settled;    /* said so to the log, see jr_job_task_t */
+    bool is_end_listed; /* its end is on the way to the log */
     bool is_stop_wanted;
     uint64_t serial;      /* of the pending order, 0 for none */
     int64_t expires_ms;   /* lease of its first start, on the worker's clock */
@@ -331,6 +333,8 @@
                                            jr_job_worker_t *worker);
 void jr_tracked_worker_free(jr_dispatch_t *d, jr_tracked_worker_t *w);
 /* Has it answered recently, and may it get new tasks? */
+/* Since when the worker has been lost, by the leader's clock; 0: it is not. */
+int64_t jr_tracked_worker_silent_since(const jr_tracked_worker_t *w);
 bool jr_tracked_worker_is_usable(const jr_dispatch_t *d,
                                  const jr_tracked_worker_t *w);
 /* Stop a run that no grant in the log names. */
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -154,6 +154,7 @@
         run->confirmed_at = d->now;
     }
     run->is_placed = true;
+    run->silent_since = 0;
     run->crashed_after_ms = 0;
     jr_worker_quality_on_progress(d, run, row->percent);
     if (row->percent != run->percent) {
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -204,6 +204,14 @@
     return w->has_ended || (w->renewal_backoff_ms != 0 && !is_late);
 }
 
+int64_t
+jr_tracked_worker_silent_since(const jr_tracked_worker_t *w)
+{
+    bool is_lost = w->has_ended || w->suspect_at != 0;
+
+    return is_lost ? MAX(w->answered_at, w->tracked_at) : 0;
+}
+
 bool
 jr_tracked_worker_is_usable(const jr_dispatch_t *d,
                             const jr_tracked_worker_t *w)
