A service that is late takes its turn from one that has run for 3 s

A service may suit one worker only, apart from its siblings, where others have just begun, for instance while the lease of its lost worker ran out. It waited until they had run for 6 s. After 6.5 s without a place it now takes that of one that has run for 3 s.

--- a/src/dispatch/claim_test.cc
+++ b/src/dispatch/claim_test.cc
@@ -559,3 +559,25 @@
     ExpectNothingBroken(load);
     EXPECT_LE(load.longest_away_ms, kFailoverMs);
 }
+
+/*
+ * Guards against a service that waits until those that have just begun on the
+ * only worker for it have run for long.
+ */
+TEST(ClaimTest, ServicesThatHaveJustBegunGiveWayToOneThatIsLate)
+{
+    Load load(1, 4);
+    Jr__JobStep apart = MakeStep(3, 4000);
+
+    apart.per_worker = 1;
+    load.SubmitServices(kService, {apart});
+    load.Run(8000);
+    load.LoseWorker();
+    load.Run(3000);
+    load.SubmitServices(kService + 1, {MakeStep(1, 2000)});
+    load.Run(3000);
+    ASSERT_EQ(load.fleet.Running(kService + 1), 1u);
+    load.Run(8000);
+    ExpectNothingBroken(load);
+    EXPECT_LE(load.longest_away_ms, kFailoverMs);
+}
--- a/src/dispatch/displace.c
+++ b/src/dispatch/displace.c
@@ -12,25 +12,34 @@
     STOP_SHORT_AFTER_MS = 5000,
     /* A service runs for so long before it gives its place to another one. */
     RUN_MIN_MS = 6000,
+    /* Then it gives it sooner to one that found no other place: */
+    LATE_AFTER_MS = 6500,
+    RUN_MIN_FOR_LATE_MS = 3000,
     MS_PER_COST = 10, /* of such a run, against the costs in choose.c */
 };
 
 /* One of an earlier leader began before this one was elected. */
 static bool
-has_run_long(const jr_dispatch_t *d, const jr_run_t *run)
+has_run_long(const jr_dispatch_t *d, const jr_run_t *run,
+             const jr_job_task_t *task)
 {
-    return run->is_inherited || d->now - run->granted_at >= RUN_MIN_MS;
+    int64_t run_min_ms = jr_claim_waited_ms(d, task) >= LATE_AFTER_MS
+                             ? RUN_MIN_FOR_LATE_MS
+                             : RUN_MIN_MS;
+
+    return run->is_inherited || d->now - run->granted_at >= run_min_ms;
 }
 
-/* May the service give its place to another one? */
+/* May the service give its place to the task, another one? */
 static bool
-may_give_place(const jr_dispatch_t *d, const jr_run_t *run)
+may_give_place(const jr_dispatch_t *d, const jr_run_t *run,
+               const jr_job_task_t *task)
 {
     const Jr__JobStep *step = jr_task_step(run->task);
 
     return run->state == JR_RUN_RUNNING && !run->is_stop_wanted &&
            !jr_run_is_ending(run) && step->service && !step->gang &&
-           has_run_long(d, run) &&
+           has_run_long(d, run, task) &&
            (step->may_miss == 0 ||
             (jr_missing_is_known(d) && jr_step_may_miss_one_more(run->task)));
 }
@@ -68,8 +77,8 @@
         TAILQ_FOREACH (run, &w->runs, link) {
             int64_t worth = (d->now - run->granted_at) / MS_PER_COST - base;
 
-            if ((best == NULL || worth > most) && may_give_place(d, run) &&
-                fits_instead(w, run, need)) {
+            if ((best == NULL || worth > most) &&
+                may_give_place(d, run, task) && fits_instead(w, run, need)) {
                 best = run;
                 most = worth;
             }
@@ -96,9 +105,11 @@
  * few may be missing none, as that is not counted for several at a time.
  */
 static bool
-may_give_among_several(const jr_dispatch_t *d, const jr_run_t *run)
+may_give_among_several(const jr_dispatch_t *d, const jr_run_t *run,
+                       const jr_job_task_t *task)
 {
-    return jr_task_step(run->task)->may_miss == 0 && may_give_place(d, run);
+    return jr_task_step(run->task)->may_miss == 0 &&
+           may_give_place(d, run, task);
 }
 
 /*
@@ -107,7 +118,8 @@
  */
 static size_t
 displace_several(jr_dispatch_t *d, jr_tracked_worker_t *w,
-                 const jr_need_t *need, bool is_wanted)
+                 const jr_job_task_t *task, const jr_need_t *need,
+                 bool is_wanted)
 {
     jr_need_t taken = w->staying;
     size_t n = 0;
@@ -118,7 +130,7 @@
         if (jr_need_fits_beside(need, &taken, w->worker->info)) {
             break;
         }
-        if (may_give_among_several(d, run)) {
+        if (may_give_among_several(d, run, task)) {
             jr_need_add(&taken, &run->need, -1);
             n++;
             if (is_wanted) {
@@ -141,7 +153,7 @@
 
     TAILQ_FOREACH (w, &d->workers, link) {
         size_t n = w->n_services > 1 && jr_claim_suits(w, task)
-                       ? displace_several(d, w, need, false)
+                       ? displace_several(d, w, task, need, false)
                        : 0;
 
         if (n > 0 && (best == NULL || n < fewest)) {
@@ -166,7 +178,7 @@
     }
     w = find_several(d, task, need);
     if (w != NULL) {
-        displace_several(d, w, need, true);
+        displace_several(d, w, task, need, true);
     }
     return w;
 }
