--- a/src/dispatch/displace.c
+++ b/src/dispatch/displace.c
@@ -12,7 +12,7 @@
     STOP_SHORT_AFTER_MS = 5000,
     /* A service runs for so long before it gives its place to another one. */
     RUN_MIN_MS = 6000,
-    RUN_MIN_FOR_LATE_MS = 2000, /* to one that should run again by now */
+    RUN_MIN_FOR_LATE_MS = 3000, /* to one that should run again by now */
     MS_PER_COST = 10, /* of such a run, against the costs in choose.c */
 };
 
