Starts extend no lease of a worker that owes an answer

A worker that is lost without a sign (dark) becomes suspect only when its renewal, or a start, has timed out, up to 2.1 s after the loss. Each first start that was sent to it until then extended the lease that is waited out, so all that had run there waited for as much longer; so did starts that were granted before and sent to a worker that was suspect already.

A start now carries the end of the lease that the worker has, and extends it only when less than half is left and the worker is neither suspect nor leaves (a leader that had no time for renewals). Leases only become shorter, and what is waited out is still the latest end that was sent.

worker_test: AStartExtendsNoLeaseOfAWorkerThatOwesAnAnswer fails before.

--- a/src/dispatch/commands_test.h
+++ b/src/dispatch/commands_test.h
@@ -66,9 +66,9 @@
     return PackCommand(&command, at_ms);
 }
 
-/* Job 1, a single task of a minute. */
+/* A job with a single task of a minute. */
 inline Bytes
-PackSubmit(uint32_t cpu_milli, int64_t at_ms)
+PackSubmit(uint32_t cpu_milli, int64_t at_ms, uint64_t id = 1)
 {
     Jr__JobStep step = JR__JOB_STEP__INIT;
     Jr__JobStep *steps[] = {&step};
@@ -79,7 +79,7 @@
     step.count = 1;
     step.cpu_milli = cpu_milli;
     step.estimate_ms = 60000;
-    spec.id = 1;
+    spec.id = id;
     spec.host = const_cast<char *>("h");
     spec.prefix = const_cast<char *>("/q/");
     spec.n_steps = 1;
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -358,6 +358,11 @@
                                    const jr_tracked_worker_t *w);
 /* End of a lease that starts now, on the worker's clock; 0: unknown. */
 int64_t jr_tracked_worker_lease_end(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* The same in a start: of the lease that the worker has, while it lasts. */
+int64_t jr_tracked_worker_start_lease_end(jr_dispatch_t *d,
+                                          jr_tracked_worker_t *w);
+/* May orders extend the lease of the worker? */
+bool jr_tracked_worker_may_extend_lease(const jr_tracked_worker_t *w);
 /*
  * lease.c: the length of leases. What any leader may have given is limited by
  * the log, as settings and versions of leaders may differ.
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -62,16 +62,6 @@
     return wait_ms;
 }
 
-/*
- * A suspect worker may never get the order: if each attempt extended the
- * lease, it would never expire. A worker that leaves needs no more.
- */
-static bool
-extends_lease(const jr_tracked_worker_t *w)
-{
-    return w->suspect_at == 0 && !w->is_leaving;
-}
-
 void
 jr_renewal_order(jr_dispatch_t *d, jr_tracked_worker_t *w, jr_order_t *order)
 {
@@ -81,7 +71,7 @@
     *order = (jr_order_t){
         .kind = JR_ORDER_RENEW,
         .timeout_ms = JR_ANSWER_TIMEOUT_MS + wait_ms,
-        .as.renew = {.expires_ms = extends_lease(w)
+        .as.renew = {.expires_ms = jr_tracked_worker_may_extend_lease(w)
                                        ? jr_tracked_worker_lease_end(d, w)
                                        : 0,
                      .ends_seen = is_logged_incarnation
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -360,7 +360,7 @@
         order->as.start.checkpoint =
             task->checkpoint != NULL ? task->checkpoint : "";
         if (run->expires_ms == 0) {
-            run->expires_ms = jr_tracked_worker_lease_end(d, w);
+            run->expires_ms = jr_tracked_worker_start_lease_end(d, w);
         }
         order->as.start.expires_ms = run->expires_ms;
         run->is_start_pending = true;
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -257,6 +257,37 @@
     return end;
 }
 
+/*
+ * A suspect worker may never get the order: if each attempt extended the
+ * lease, it would never expire. A worker that leaves needs no more.
+ */
+bool
+jr_tracked_worker_may_extend_lease(const jr_tracked_worker_t *w)
+{
+    return w->suspect_at == 0 && !w->is_leaving;
+}
+
+/*
+ * A worker that is lost without a sign becomes suspect only when its renewal
+ * has timed out: if the starts until then extended the lease, its tasks would
+ * wait for longer by as much. A leader that had no time for renewals gives a
+ * new lease, as the task would be rejected, or end at once.
+ */
+int64_t
+jr_tracked_worker_start_lease_end(jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    int64_t lease_ms = jr_tracked_worker_lease_ms(d, w);
+    int64_t clock_ms = min_clock(d, w);
+
+    if (w->clock_at == 0 || w->expires_max_ms == 0 ||
+        (jr_tracked_worker_may_extend_lease(w) &&
+         w->expires_max_ms - clock_ms < lease_ms / 2)) {
+        return jr_tracked_worker_lease_end(d, w);
+    }
+    /* Leaders of before may have given longer ones. */
+    return MIN(w->expires_max_ms, clock_ms + lease_ms);
+}
+
 void
 jr_tracked_worker_leave(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
--- a/src/dispatch/worker_test.cc
+++ b/src/dispatch/worker_test.cc
@@ -657,6 +657,62 @@
     EXPECT_LE(order.as.start.expires_ms, Worker::Clock(now_) + kLeaseMs);
 }
 
+/*
+ * Guards against a lease that starts extend while a lost worker owes an answer
+ * to its renewal: all that ran there waited for as much longer.
+ */
+TEST_F(WorkerTest, AStartExtendsNoLeaseOfAWorkerThatOwesAnAnswer)
+{
+    int64_t longest_ms = kLeaseMs * 1000 / (1000 - kDriftPermille);
+    jr_order_t renewal, start;
+    int64_t lost_at;
+
+    StartTask();
+    renewal = TakeOrder(JR_ORDER_RENEW); /* the worker waits for an end */
+    Execute(first_, renewal);
+    renewal = TakeOrder(JR_ORDER_RENEW);
+    lost_at = now_;
+    while (now_ < lost_at + kWaitMs / 2) {
+        Tick(first_);
+    }
+    Apply(PackSubmit(1000, now_, 2));
+    start = TakeOrder(JR_ORDER_START);
+    EXPECT_LE(start.as.start.expires_ms, renewal.as.renew.expires_ms);
+    while (now_ < lost_at + kWaitMs) {
+        Tick(first_);
+    }
+    Answer(start, JR_ANSWER_UNREACHED);
+    Answer(renewal, JR_ANSWER_UNKNOWN);
+    while (IsGranted()) {
+        LoseConnections(first_, kTickMs);
+        ASSERT_LT(now_, lost_at + 10 * kLeaseMs);
+    }
+    EXPECT_LE(now_, lost_at + longest_ms + kSlackMs);
+    EXPECT_GE(Worker::Clock(now_), renewal.as.renew.expires_ms);
+}
+
+/* Guards against a start that is rejected, or a task that ends at once. */
+TEST_F(WorkerTest, AStartGivesALeaseWhereALeaderHadNoTimeForRenewals)
+{
+    jr_order_t order = {};
+
+    Tick(first_);
+    ExecuteOrders(first_);
+    order = TakeOrder(JR_ORDER_RENEW);
+    Execute(first_, order);
+    now_ += kPauseMs;
+    Tick(first_);
+    Submit();
+    do {
+        Tick(first_);
+        while (jr_dispatch_take_order(first_.dispatch, &order) &&
+               order.kind != JR_ORDER_START) {
+        }
+        ASSERT_LT(now_, 3 * kLeaseMs);
+    } while (order.kind != JR_ORDER_START);
+    EXPECT_GE(order.as.start.expires_ms, Worker::Clock(now_) + kLeaseMs / 2);
+}
+
 /*
  * Guards against ends that count as those of a held lease, although the lease
  * of the previous leader ran out before the first renewal of this one arrived.
