Claims: later occurrences, gangs, labels, and capacity that nothing uses

What is found out for a step now holds for all its tasks in the pass, and only turns that were taken count; - two gangs each held places that the other needed: gangs claim nothing, as capacity is reserved for them as before claims; - services took turns beside free capacity that short tasks ask for and can't use (their label): a claim may take what nothing used for half a second; - one service that nothing can make room for ended all room for urgent tasks, of all queues: the flag is gone, a late service takes what urgent tasks free. Who needs a place moves to claimant.c; workers that are looked at count against the pass.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -179,7 +179,7 @@
     X(PREEMPTIONS, "preemptions_total",                                       \
       "tasks stopped for urgent tasks that waited")                           \
     X(STOPS_FOR_SERVICES, "stops_for_services_total",                         \
-      "short tasks stopped for services that lost their run")                 \
+      "tasks stopped for services that lost their run")                       \
     X(RUNS_STRAY, "runs_stray_total", "runs that nobody granted, stopped")    \
     X(RUNS_DOUBLED, "runs_doubled_total",                                     \
       "runs that nobody granted, of tasks that ran elsewhere")                \
--- a/src/dispatch/claim.c
+++ b/src/dispatch/claim.c
@@ -12,17 +12,10 @@
  */
 #include "claim.h"
 
-#include <stdlib.h>
-
 enum {
-    /*
-     * Without a run; until then urgent tasks may use the capacity of a service
-     * that gave way to them.
-     */
-    CLAIM_AFTER_MS = 2000,
     /* Without a place by then, it takes the place of another service. */
     TURN_AFTER_MS = 4500,
-    TURNS_MAX = 32, /* that are tried in a pass */
+    TURNS_MAX = 32, /* in a pass */
     /*
      * Then it is late: it takes what short tasks keep, and the place of a
      * service that runs for less time.
@@ -33,19 +26,6 @@
     PERMILLE = 1000,
 };
 
-/* A service that needs a claim. */
-typedef struct {
-    jr_job_task_t *task;
-    int64_t since; /* without a run, wall clock */
-} claimant_t;
-
-/* The worker is about to end, or has: what runs there has to run elsewhere. */
-static bool
-is_ending_soon(const jr_tracked_worker_t *w)
-{
-    return w->is_draining || w->is_leaving || w->has_ended;
-}
-
 bool
 jr_claim_is_waiting(const jr_job_task_t *task)
 {
@@ -65,15 +45,6 @@
            jr_claim_waited_ms(d, task) >= LATE_AFTER_MS;
 }
 
-/* Does the task still need the place? */
-static bool
-is_wanted(const jr_job_task_t *task)
-{
-    return jr_claim_is_waiting(task) ||
-           (task->phase == JR_PHASE_GRANTED && task->run != NULL &&
-            is_ending_soon(task->run->worker));
-}
-
 /* Runs and claims of the step there, its own claim aside. */
 static bool
 is_apart(const jr_tracked_worker_t *w, const jr_job_task_t *task)
@@ -179,7 +150,7 @@
         count_staying(w);
     }
     for (claim = TAILQ_FIRST(&d->claims); claim != NULL; claim = next) {
-        bool holds = is_wanted(claim->task) &&
+        bool holds = jr_claim_is_wanted(claim->task) &&
                      jr_claim_suits(claim->worker, claim->task) &&
                      has_capacity(claim->worker, &claim->need);
 
@@ -191,90 +162,6 @@
     }
 }
 
-/* Does the service need a place, and has waited for one? */
-static bool
-is_claimant(const jr_dispatch_t *d, const jr_job_task_t *task)
-{
-    return jr_claim_is_waiting(task) && task->claim == NULL &&
-           task->attempt > 0 && jr_claim_waited_ms(d, task) >= CLAIM_AFTER_MS;
-}
-
-bool
-jr_claim_is_refused(const jr_dispatch_t *d, const jr_job_task_t *task)
-{
-    return jr_task_step(task)->service && is_claimant(d, task);
-}
-
-static void
-collect_step(const jr_dispatch_t *d, jr_job_t *job, uint32_t s, GArray *to)
-{
-    for (uint32_t i = 0; i < job->spec->steps[s]->count; i++) {
-        jr_job_task_t *task = &job->tasks[job->steps[s].first + i];
-        claimant_t claimant = {.task = task, .since = task->waiting_since};
-
-        if (is_claimant(d, task)) {
-            g_array_append_val(to, claimant);
-        }
-    }
-}
-
-static void
-collect_waiting(const jr_dispatch_t *d, GArray *to)
-{
-    jr_job_t *job;
-
-    TAILQ_FOREACH (job, &d->jobs->live, link) {
-        if (job->queue->last_config == NULL) {
-            continue;
-        }
-        for (uint32_t s = 0; s < job->spec->n_steps; s++) {
-            if (job->spec->steps[s]->service && job->steps[s].waiting > 0 &&
-                jr_job_is_step_ready(job, 0, s)) {
-                collect_step(d, job, s, to);
-            }
-        }
-    }
-}
-
-/* They still run, but not for long. */
-static void
-collect_leaving(const jr_dispatch_t *d, GArray *to)
-{
-    const jr_tracked_worker_t *w;
-    const jr_run_t *run;
-
-    TAILQ_FOREACH (w, &d->workers, link) {
-        if (!is_ending_soon(w) || w->n_services == 0) {
-            continue;
-        }
-        TAILQ_FOREACH (run, &w->runs, link) {
-            claimant_t claimant = {.task = run->task, .since = d->wall_ms};
-
-            if (jr_task_step(run->task)->service && run->task->claim == NULL &&
-                run->task->job->queue->last_config != NULL &&
-                jr_job_is_live(run->task->job) && is_wanted(run->task)) {
-                g_array_append_val(to, claimant);
-            }
-        }
-    }
-}
-
-/* The longest wait first; then by name, so that all leaders agree. */
-static int
-by_wait(const void *a, const void *b)
-{
-    const claimant_t *x = a;
-    const claimant_t *y = b;
-
-    if (x->since != y->since) {
-        return x->since < y->since ? -1 : 1;
-    }
-    if (x->task->job != y->task->job) {
-        return x->task->job->id < y->task->job->id ? -1 : 1;
-    }
-    return (x->task > y->task) - (x->task < y->task);
-}
-
 /* A worker on which nothing has to end, then one that is filled up by it. */
 static int64_t
 cost(const jr_dispatch_t *d, const jr_tracked_worker_t *w,
@@ -294,15 +181,43 @@
                MAX(info->cpu_milli, (int64_t)1);
 }
 
+/* What was found out in a pass about the tasks of a step. */
+enum {
+    NO_PLACE = 1, /* beside services */
+    NO_SPARE = 2, /* in capacity that nothing uses */
+    NO_TURN = 4,
+    IMPOSSIBLE = 8, /* even on an empty worker */
+    POSSIBLE = 16,
+};
+
 /* Where services find a place; as claims are added, less is left. */
 typedef struct {
     jr_dispatch_t *d;
     int64_t left_milli; /* processors that may be claimed beside services */
     bool has_failed;
-    jr_need_t failed; /* as much, or more, is free on no worker */
+    jr_need_t failed;  /* as much, or more, is free on no worker */
+    GHashTable *steps; /* step progress -> what was found out */
     size_t turns;
 } search_t;
 
+static bool
+knows(const search_t *search, const jr_job_task_t *task, guint what)
+{
+    gpointer known =
+        g_hash_table_lookup(search->steps, jr_task_step_progress(task));
+
+    return (GPOINTER_TO_UINT(known) & what) != 0;
+}
+
+static void
+learn(search_t *search, const jr_job_task_t *task, guint what)
+{
+    jr_step_progress_t *step = jr_task_step_progress(task);
+    guint known = GPOINTER_TO_UINT(g_hash_table_lookup(search->steps, step));
+
+    g_hash_table_insert(search->steps, step, GUINT_TO_POINTER(known | what));
+}
+
 static bool
 is_known_to_fail(const search_t *search, const jr_need_t *need)
 {
@@ -311,11 +226,24 @@
            need->accelerators >= search->failed.accelerators;
 }
 
+/* Has nothing used so much of the worker for some time? */
+static bool
+has_spare(const jr_tracked_worker_t *w, const jr_need_t *need)
+{
+    jr_need_t taken = w->used;
+
+    jr_need_add(&taken, &w->claimed, 1);
+    return jr_reserve_spare_milli(w) >=
+               w->claimed.cpu_milli + need->cpu_milli &&
+           jr_need_fits_beside(need, &taken, w->worker->info);
+}
+
 static jr_tracked_worker_t *
-find_worker(search_t *search, const jr_job_task_t *task, const jr_need_t *need)
+find_worker(search_t *search, const jr_job_task_t *task, const jr_need_t *need,
+            bool is_spare_only)
 {
-    jr_image_t image =
-        jr_tails_image(search->d->tails, jr_task_step(task)->image);
+    jr_dispatch_t *d = search->d;
+    jr_image_t image = jr_tails_image(d->tails, jr_task_step(task)->image);
     jr_tracked_worker_t *best = NULL;
     int64_t least = 0;
     bool has_any = false;
@@ -324,17 +252,19 @@
     if (is_known_to_fail(search, need)) {
         return NULL;
     }
-    TAILQ_FOREACH (w, &search->d->workers, link) {
+    TAILQ_FOREACH (w, &d->workers, link) {
         int64_t sum;
 
         if (!w->is_usable || !has_capacity(w, need)) {
             continue;
         }
         has_any = true;
-        if (!jr_claim_suits(w, task)) {
+        if ((is_spare_only && !has_spare(w, need)) ||
+            !jr_claim_suits(w, task)) {
             continue;
         }
-        sum = cost(search->d, w, task, need, image);
+        d->pass_looks++;
+        sum = cost(d, w, task, need, image);
         if (best == NULL || sum < least) {
             best = w;
             least = sum;
@@ -349,51 +279,59 @@
 
 /* Would an empty worker take it? */
 static bool
-is_possible(const jr_dispatch_t *d, const jr_job_task_t *task,
-            const jr_need_t *need)
+is_possible(search_t *search, const jr_job_task_t *task, const jr_need_t *need)
 {
     const jr_need_t none = {0};
     const jr_tracked_worker_t *w;
 
-    TAILQ_FOREACH (w, &d->workers, link) {
+    if (knows(search, task, IMPOSSIBLE | POSSIBLE)) {
+        return knows(search, task, POSSIBLE);
+    }
+    TAILQ_FOREACH (w, &search->d->workers, link) {
         if (jr_need_fits_beside(need, &none, w->worker->info) &&
             jr_claim_suits(w, task)) {
+            learn(search, task, POSSIBLE);
             return true;
         }
     }
+    learn(search, task, IMPOSSIBLE);
     return false;
 }
 
 static bool
 take_turn(search_t *search, jr_job_task_t *task, const jr_need_t *need)
 {
-    jr_dispatch_t *d = search->d;
     jr_tracked_worker_t *w;
 
-    if (search->turns >= TURNS_MAX) {
+    if (search->turns >= TURNS_MAX || knows(search, task, NO_TURN)) {
         return false;
     }
-    search->turns++;
-    w = jr_displace_service(d, task, need);
+    w = jr_displace_service(search->d, task, need);
     if (w == NULL) {
+        learn(search, task, NO_TURN);
         return false;
     }
-    add(d, task, w, need);
+    search->turns++;
+    add(search->d, task, w, need);
     return true;
 }
 
+/* Beyond their share, short tasks keep only what they use. */
 static bool
 claim_beside_services(search_t *search, jr_job_task_t *task,
                       const jr_need_t *need)
 {
+    bool is_spare_only = search->left_milli < need->cpu_milli &&
+                         !jr_claim_is_late(search->d, task);
+    guint failure = is_spare_only ? NO_SPARE : NO_PLACE;
     jr_tracked_worker_t *w;
 
-    if (search->left_milli < need->cpu_milli &&
-        !jr_claim_is_late(search->d, task)) {
+    if (knows(search, task, failure)) {
         return false;
     }
-    w = find_worker(search, task, need);
+    w = find_worker(search, task, need, is_spare_only);
     if (w == NULL) {
+        learn(search, task, failure);
         return false;
     }
     add(search->d, task, w, need);
@@ -416,10 +354,7 @@
         take_turn(search, task, &need)) {
         return;
     }
-    if (is_possible(d, task, &need)) {
-        d->n_unclaimed++;
-        d->has_late_service |= jr_claim_is_late(d, task);
-    }
+    d->n_unclaimed += is_possible(search, task, &need);
 }
 
 /* Processors that claims may take beside services, and short tasks' share. */
@@ -442,22 +377,19 @@
 void
 jr_claims_update(jr_dispatch_t *d)
 {
-    GArray *claimants = g_array_new(FALSE, FALSE, sizeof(claimant_t));
     search_t search = {.d = d};
+    GPtrArray *tasks;
 
     drop_invalid(d);
     d->n_unclaimed = 0;
-    d->has_late_service = false;
-    collect_waiting(d, claimants);
-    collect_leaving(d, claimants);
-    if (claimants->len > 1) {
-        qsort(claimants->data, claimants->len, sizeof(claimant_t), by_wait);
-    }
+    tasks = jr_claimants(d);
     search.left_milli = left_for_claims(d);
-    for (guint i = 0; i < claimants->len; i++) {
-        claim_for(&search, g_array_index(claimants, claimant_t, i).task);
+    search.steps = g_hash_table_new(g_direct_hash, g_direct_equal);
+    for (guint i = 0; i < tasks->len; i++) {
+        claim_for(&search, g_ptr_array_index(tasks, i));
     }
-    g_array_unref(claimants);
+    g_hash_table_unref(search.steps);
+    g_ptr_array_unref(tasks);
 }
 
 bool
@@ -479,12 +411,10 @@
     return jr_need_fits_beside(&w->claimed, &w->used, w->worker->info);
 }
 
-/* The members of a gang start together: schedule.c places them. */
 static bool
 may_start(const jr_dispatch_t *d, const jr_claim_t *claim)
 {
     return jr_schedule_may_place(d, claim->task) &&
-           !jr_task_step(claim->task)->gang &&
            jr_claim_suits(claim->worker, claim->task) &&
            jr_worker_has_capacity(&claim->need, claim->worker) &&
            (claim->is_move ||
--- a/src/dispatch/claim.h
+++ b/src/dispatch/claim.h
@@ -16,7 +16,10 @@
 
 /* At the beginning of a pass: drop claims that do not hold, add new ones. */
 void jr_claims_update(jr_dispatch_t *d);
-/* Then: start the services whose claim is free of other tasks. */
+/*
+ * Then: start the services whose claim is free of other tasks, there or on a
+ * worker that suits them better.
+ */
 void jr_claims_place(jr_dispatch_t *d);
 /* Does the service have to wait, as there is no place that it may claim? */
 bool jr_claim_is_refused(const jr_dispatch_t *d, const jr_job_task_t *task);
@@ -31,13 +34,19 @@
 bool jr_claims_are_free(const jr_tracked_worker_t *w);
 /* Has the task no run, so that it could start? */
 bool jr_claim_is_waiting(const jr_job_task_t *task);
-/* Time since its last run ended. */
+/* Time since its last run ended, of a task that waits. */
 int64_t jr_claim_waited_ms(const jr_dispatch_t *d, const jr_job_task_t *task);
 /* Has it waited for so long that it should run again by now? */
 bool jr_claim_is_late(const jr_dispatch_t *d, const jr_job_task_t *task);
 /* May the task claim a place there, capacity aside? */
 bool jr_claim_suits(const jr_tracked_worker_t *w, const jr_job_task_t *task);
 
+/* claimant.c: services that need a place for their next run. */
+/* Tasks without a claim that need one, in the order in which they get it. */
+GPtrArray *jr_claimants(const jr_dispatch_t *d);
+/* Does the task need its claim, now or soon? */
+bool jr_claim_is_wanted(const jr_job_task_t *task);
+
 /* displace.c: what is stopped for services that lost their run. */
 /*
  * Stop a service that has run for long, or several where one is not enough, so
--- a/src/dispatch/claim_test.cc
+++ b/src/dispatch/claim_test.cc
@@ -612,3 +612,136 @@
     ExpectNothingBroken(load);
     EXPECT_LE(load.longest_away_ms, kFailoverMs);
 }
+
+/* Guards against services of a later occurrence that never run again. */
+TEST(ClaimTest, ServicesOfALaterOccurrenceAreBackInTime)
+{
+    Load load(1, 4);
+
+    load.SubmitServices(kService, {MakeStep(2)}, 2);
+    load.Run(8000);
+    ASSERT_EQ(load.fleet.Running(kService), 4u);
+    load.LoseWorker();
+    load.Run(20000);
+    EXPECT_EQ(load.Away(), 0u);
+    EXPECT_LE(load.longest_away_ms, kFailoverMs);
+}
+
+/*
+ * Guards against urgent tasks that get nothing from services for as long as
+ * one service waits that no service can make room for.
+ */
+TEST(ClaimTest, UrgentTasksGetTheirPartWhileAServiceWaits)
+{
+    constexpr int kSamples = 300;
+    Load load(1, 12);
+    size_t sum = 0;
+
+    load.SubmitServices(kService, {MakeStep(1, 4000)});
+    load.Run(8000);
+    load.SubmitServices(kService + 1, {MakeStep(44)});
+    load.Run(12000);
+    for (size_t i = 0; i < load.fleet.workers.size(); i++) {
+        if (load.fleet.workers[i].running.count({kService, 0, 0, 0}) > 0) {
+            load.LoseWorker(i);
+        }
+    }
+    load.Run(20000);
+    load.short_tasks = 3;
+    for (int i = 0; i < kSamples; i++) {
+        load.Run(100);
+        sum += load.ShortRunning();
+    }
+    /* Half of their eighth of 44 processors. */
+    EXPECT_GE(sum, kSamples * 44u / 8 / 2);
+}
+
+/*
+ * Guards against services that take turns for ever beside capacity that short
+ * tasks ask for and can't use: no worker has their label.
+ */
+TEST(ClaimTest, ServicesDoNotTakeTurnsBesideFreeCapacity)
+{
+    Load load(1, 10);
+    uint64_t before;
+
+    load.StartServices(37);
+    load.next_short = [] {
+        LoadShort next = {MakeStep(3), 2000};
+
+        next.step.label = const_cast<char *>("none");
+        return next;
+    };
+    load.Run(3000);
+    load.LoseWorker();
+    load.fleet.Replace(load.lost_worker);
+    load.Run(15000);
+    before = load.fleet.Counter(JR_C_STOPS_FOR_SERVICES);
+    load.Run(40000);
+    EXPECT_EQ(load.fleet.Counter(JR_C_STOPS_FOR_SERVICES), before);
+    EXPECT_EQ(load.Away(), 0u);
+}
+
+/*
+ * Guards against services that wait behind others which can take no turn: no
+ * worker that is left has their label.
+ */
+TEST(ClaimTest, ServicesThatNoWorkerTakesDoNotKeepOthersFromTheirTurns)
+{
+    Load load(1, 14);
+    Jr__JobStep labelled = MakeStep(38, 400);
+
+    for (size_t i = 0; i < 4; i++) {
+        load.fleet.workers[i].label = "a";
+        load.fleet.CheckIn(i);
+    }
+    labelled.label = const_cast<char *>("a");
+    load.SubmitServices(kService, {labelled});
+    load.SubmitServices(kService + 1, {MakeStep(38)});
+    load.Run(12000);
+    for (size_t i = 0; i < 4; i++) {
+        load.LoseWorker(i);
+    }
+    load.Run(12000);
+    load.LoseWorker(4);
+    load.Run(10000);
+    load.ForgetWaits();
+    load.Run(40000);
+    EXPECT_LE(load.LongestWait(kService + 1), kFailoverMs);
+}
+
+/*
+ * Guards against two gangs of services, each of which holds places that the
+ * other one needs.
+ */
+TEST(ClaimTest, OneOfTwoGangsRunsWhereBothDoNotFit)
+{
+    Load load(1, 6);
+    Jr__JobStep gang = MakeStep(3, 4000);
+    std::vector<size_t> first, second;
+
+    gang.gang = true;
+    load.SubmitServices(kService, {gang});
+    load.Run(3000);
+    load.SubmitServices(kService + 1, {gang});
+    load.Run(6000);
+    for (size_t i = 0; i < load.fleet.workers.size(); i++) {
+        for (const auto &[name, run] : load.fleet.workers[i].running) {
+            (name.job == kService ? first : second).push_back(i);
+        }
+    }
+    ASSERT_EQ(first.size(), 3u);
+    ASSERT_EQ(second.size(), 3u);
+    for (size_t i :
+         {first[0], first[1], second[0], second[1], second[2], first[2]}) {
+        load.LoseWorker(i);
+        load.Run(300);
+    }
+    load.Run(12000);
+    for (size_t i : {first[0], first[1], second[0]}) {
+        load.fleet.Replace(i);
+    }
+    load.Run(20000);
+    EXPECT_EQ(load.fleet.Running(kService) + load.fleet.Running(kService + 1),
+              3u);
+}
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -312,7 +312,6 @@
     GPtrArray *proposed;           /* runs whose grant is to be proposed */
     TAILQ_HEAD(, jr_claim) claims; /* see claim.h */
     size_t n_unclaimed; /* services without a place that a worker could take */
-    bool has_late_service; /* one of them should run again by now */
     struct jr_backlog *backlog;
     struct jr_places *places; /* of the present pass, else empty */
     struct jr_shapes *shapes; /* the same */
@@ -627,6 +626,8 @@
  */
 void jr_reserve_update(jr_dispatch_t *d);
 void jr_reserve_for_services(jr_dispatch_t *d);
+/* Processors of the worker that nothing has used for some time. */
+int64_t jr_reserve_spare_milli(const jr_tracked_worker_t *w);
 /*
  * Processors, in thousandths, that services may still take from short tasks
  * that keep what they ask for, up to these thousandths of all; negative when
--- a/src/dispatch/displace.c
+++ b/src/dispatch/displace.c
@@ -69,8 +69,8 @@
         TAILQ_FOREACH (run, &w->runs, link) {
             int64_t worth = (d->now - run->granted_at) / MS_PER_COST - base;
 
-            if ((best == NULL || worth > most) &&
-                may_give_place(d, run, min_ms) && fits_instead(w, run, need)) {
+            if ((best == NULL || worth > most) && fits_instead(w, run, need) &&
+                may_give_place(d, run, min_ms)) {
                 best = run;
                 most = worth;
             }
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -151,6 +151,7 @@
 Fleet::PackCheckIn(size_t i)
 {
     FleetWorker &worker = workers[i];
+    char *labels[] = {const_cast<char *>(worker.label.c_str())};
     Jr__JobWorker info = JR__JOB_WORKER__INIT;
     std::vector<uint8_t> bytes;
 
@@ -162,6 +163,8 @@
     info.machine = const_cast<char *>("m");
     info.cpu_milli = static_cast<uint32_t>(worker.cpu);
     info.memory_mb = 1000;
+    info.n_labels = worker.label.empty() ? 0 : 1;
+    info.labels = labels;
     info.draining = worker.is_draining;
     info.sequence = ++worker.sequence;
     if (worker.cold_until > now && !worker.hides_cold) {
@@ -244,7 +247,8 @@
 }
 
 void
-Fleet::Submit(uint64_t id, const std::vector<Jr__JobStep> &steps)
+Fleet::Submit(uint64_t id, const std::vector<Jr__JobStep> &steps,
+              uint32_t repeats, int64_t interval_ms)
 {
     Jr__JobCommand command = JR__JOB_COMMAND__INIT;
     Jr__JobSubmit submit = JR__JOB_SUBMIT__INIT;
@@ -260,6 +264,8 @@
     spec.prefix = const_cast<char *>("/q/");
     spec.n_steps = pointers.size();
     spec.steps = pointers.data();
+    spec.repeats = repeats;
+    spec.interval_ms = interval_ms;
     submit.spec = &spec;
     command.body_case = JR__JOB_COMMAND__BODY_SUBMIT;
     command.submit = &submit;
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -74,6 +74,7 @@
 struct FleetWorker {
     std::string id;
     std::string zone = "z";
+    std::string label;           /* "": none */
     int64_t incarnation = 1;     /* its start time */
     int64_t cpu = 4000;          /* thousandths of a processor */
     int64_t run_permille = 1000; /* run times there, of those elsewhere */
@@ -150,7 +151,8 @@
           FleetTimes times = {});
     ~Fleet();
 
-    void Submit(uint64_t id, const std::vector<Jr__JobStep> &steps);
+    void Submit(uint64_t id, const std::vector<Jr__JobStep> &steps,
+                uint32_t repeats = 0, int64_t interval_ms = 0);
     void Cancel(uint64_t id);
     /* Drains a zone, or takes it back. */
     void DrainZone(const char *zone, bool drains = true);
--- a/src/dispatch/load_test.h
+++ b/src/dispatch/load_test.h
@@ -93,13 +93,14 @@
 
     /* A job whose number is less than kFirstShortJob. */
     void
-    SubmitServices(uint64_t job, std::vector<Jr__JobStep> steps)
+    SubmitServices(uint64_t job, std::vector<Jr__JobStep> steps,
+                   uint32_t repeats = 0)
     {
         for (Jr__JobStep &step : steps) {
             step.service = true;
             steps_[job].push_back({step.cpu_milli, step.per_worker});
         }
-        fleet.Submit(job, steps);
+        fleet.Submit(job, steps, repeats, 1);
     }
 
     /* In steps; notes how long each service that has run is away. */
@@ -146,6 +147,7 @@
     LoseWorker(size_t i)
     {
         fleet.Crash(i);
+        lost_worker = i;
         failed_at_ = fleet.now;
         lost_at = fleet.now;
         gone_at = fleet.now;
@@ -183,6 +185,22 @@
         return n;
     }
 
+    /* Only later ones count in LongestWait(). */
+    void
+    ForgetWaits()
+    {
+        longest_waits_.clear();
+    }
+
+    /* Of the services of a job. */
+    int64_t
+    LongestWait(uint64_t job) const
+    {
+        auto found = longest_waits_.find(job);
+
+        return found != longest_waits_.end() ? found->second : 0;
+    }
+
     /* Of services that ran again, then of those that are away now. */
     std::vector<int64_t>
     Waits() const
@@ -204,7 +222,8 @@
     size_t short_jobs_max = SIZE_MAX; /* beyond it the oldest is cancelled */
     int64_t service_cpu = 1000;
     int64_t longest_away_ms = 0;
-    int64_t lost_at = 0;             /* a worker without notice, last */
+    int64_t lost_at = 0; /* a worker without notice, last */
+    size_t lost_worker = 0;
     int64_t gone_at = 0;             /* a worker, last */
     std::vector<std::string> broken; /* the rule, and what broke it */
     std::vector<std::string> late;   /* waits beyond the bound */
@@ -212,6 +231,8 @@
   private:
     static constexpr int64_t kForeverMs = INT64_MAX / 4;
 
+    std::map<uint64_t, int64_t> longest_waits_; /* by job */
+
     static bool
     IsService(const TaskName &task)
     {
@@ -298,6 +319,9 @@
                 continue;
             }
             longest_away_ms = std::max(longest_away_ms, away_ms);
+            int64_t &longest = longest_waits_[it->first.job];
+
+            longest = std::max(longest, away_ms);
             if (away_ms > BoundOf(service) && !service.is_late) {
                 late.push_back(std::to_string(fleet.now) + ": " +
                                TextOf(it->first) + " does not run for " +
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -92,9 +92,8 @@
     return left_beside(&totals, d->short_demand.latest, short_permille);
 }
 
-/* Processors of the worker that nothing used for at least a window. */
-static int64_t
-spare_milli(const jr_tracked_worker_t *w)
+int64_t
+jr_reserve_spare_milli(const jr_tracked_worker_t *w)
 {
     return MIN(w->spare_milli[0], w->spare_milli[1]);
 }
@@ -271,7 +270,7 @@
     }
     return waited >= TAKE_ANY_AFTER_MS ||
            d->left_for_services >= need->cpu_milli ||
-           spare_milli(w) >= need->cpu_milli;
+           jr_reserve_spare_milli(w) >= need->cpu_milli;
 }
 
 /* The reservations of a pass. */
@@ -288,7 +287,7 @@
             const jr_need_t *need)
 {
     return task->phase == JR_PHASE_WAITING && task->run == NULL &&
-           task->attempt == 0 &&
+           (task->attempt == 0 || jr_task_step(task)->gang) &&
            jr_reserve_waited(reservations->d, task) >= RESERVE_AFTER_MS &&
            reservations->n < reservations->most &&
            reservations->left >= need->cpu_milli;
--- a/src/dispatch/urgent.c
+++ b/src/dispatch/urgent.c
@@ -252,7 +252,7 @@
     int64_t excess = -jr_reserve_left_for_services(d, share);
     GHashTable *missing;
 
-    if (!jr_missing_is_known(d) || d->has_late_service) {
+    if (!jr_missing_is_known(d)) {
         return;
     }
     missing = g_hash_table_new(g_direct_hash, g_direct_equal);
