--- a/src/dispatch/claim_test.cc
+++ b/src/dispatch/claim_test.cc
@@ -20,6 +20,7 @@
     /* Processors that services ask for, of those left after losses. */
     FILL_MIN_PERCENT = 60,
     FILL_MAX_PERCENT = 110,
+    CROWDED_PERCENT = 140, /* 1.6 times what is left beside an eighth */
     SERVICE_JOBS = 3,
     SHORT_JOBS_MAX = 24,
     /*
@@ -49,8 +50,9 @@
     bool checks_stops = false; /* of a step of which MAY_MISS may be missing */
     uint32_t may_miss = MAY_MISS; /* as the step says */
     bool checks_waits = false;
-    bool has_drains = true; /* they stop services, whatever may be missing */
-    bool refuses = false;   /* workers refuse all starts after a loss */
+    bool has_drains = true;  /* they stop services, whatever may be missing */
+    bool is_crowded = false; /* services ask for up to CROWDED_PERCENT */
+    bool refuses = false;    /* workers refuse all starts after a loss */
 };
 
 /*
@@ -66,7 +68,8 @@
           rng_(seed * 7919 + 1), kind_(kind)
     {
         n_workers_ = load.fleet.workers.size();
-        gone_max_ = 1 + Below(n_workers_ / 3);
+        gone_max_ =
+            kind.is_crowded ? n_workers_ * 2 / 5 : 1 + Below(n_workers_ / 3);
         load.short_jobs_max = SHORT_JOBS_MAX;
         load.next_short = [this] { return NextShort(); };
     }
@@ -120,10 +123,11 @@
     int64_t
     AnyFill()
     {
-        int64_t n = FILL_MAX_PERCENT - FILL_MIN_PERCENT + 1;
-        int64_t a = Below(n);
+        int64_t least = kind_.is_crowded ? FILL_MAX_PERCENT : FILL_MIN_PERCENT;
+        int64_t most = kind_.is_crowded ? CROWDED_PERCENT : FILL_MAX_PERCENT;
+        int64_t a = Below(most - least + 1);
 
-        return FILL_MAX_PERCENT - std::min(a, Below(n));
+        return most - std::min(a, Below(most - least + 1));
     }
 
     /* Workers that stay, whatever happens. */
@@ -480,6 +484,12 @@
     ExpectNoViolations({.checks_waits = true});
 }
 
+/* Guards against the same where services take turns all the time. */
+TEST(ClaimTest, NoServiceWaitsTooLongWhereMoreAreWantedThanFit)
+{
+    ExpectNoViolations({.checks_waits = true, .is_crowded = true});
+}
+
 /* Guards against claims that start a task twice, or break the rule. */
 TEST(ClaimTest, TasksAreNotDuplicatedWhenAnswersAreLostAndOrdersLate)
 {
