Services of a silent worker claim their places before its lease ends

A new leader waits out the lease of a lost worker anew; only then a service claimed a place, and short tasks there had to end first. Now it claims once its worker has been silent for 3 s, and short tasks on the place are stopped after 5.8 s.

--- a/src/dispatch/claim.c
+++ b/src/dispatch/claim.c
@@ -150,7 +150,7 @@
         count_staying(w);
     }
     for (claim = TAILQ_FIRST(&d->claims); claim != NULL; claim = next) {
-        bool holds = jr_claim_is_wanted(claim->task) &&
+        bool holds = jr_claim_is_wanted(d, claim->task) &&
                      jr_claim_suits(claim->worker, claim->task) &&
                      has_capacity(claim->worker, &claim->need);
 
--- a/src/dispatch/claim.h
+++ b/src/dispatch/claim.h
@@ -45,7 +45,7 @@
 /* Tasks without a claim that need one, in the order in which they get it. */
 GPtrArray *jr_claimants(const jr_dispatch_t *d);
 /* Does the task need its claim, now or soon? */
-bool jr_claim_is_wanted(const jr_job_task_t *task);
+bool jr_claim_is_wanted(const jr_dispatch_t *d, const jr_job_task_t *task);
 
 /* displace.c: what is stopped for services that lost their run. */
 /*
--- a/src/dispatch/claimant.c
+++ b/src/dispatch/claimant.c
@@ -9,6 +9,8 @@
      * that gave way to them.
      */
     CLAIM_AFTER_MS = 2000,
+    /* Of the silence of its worker, so that its place is free in time. */
+    CLAIM_SILENT_AFTER_MS = 3000,
 };
 
 typedef struct {
@@ -18,18 +20,19 @@
 
 /* The worker is about to end, or has: what runs there has to run elsewhere. */
 static bool
-is_ending_soon(const jr_tracked_worker_t *w)
+is_ending_soon(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
 {
-    return w->is_draining || w->is_leaving || w->has_ended;
+    return w->is_draining || w->is_leaving || w->has_ended ||
+           (w->suspect_at != 0 &&
+            d->now - w->suspect_at >= CLAIM_SILENT_AFTER_MS);
 }
 
-/* Does the task still need the place? */
 bool
-jr_claim_is_wanted(const jr_job_task_t *task)
+jr_claim_is_wanted(const jr_dispatch_t *d, const jr_job_task_t *task)
 {
     return jr_claim_is_waiting(task) ||
            (task->phase == JR_PHASE_GRANTED && task->run != NULL &&
-            is_ending_soon(task->run->worker));
+            is_ending_soon(d, task->run->worker));
 }
 
 /* The members of a gang start together: claims of some would keep others out.
@@ -108,7 +111,7 @@
     const jr_run_t *run;
 
     TAILQ_FOREACH (w, &d->workers, link) {
-        if (!is_ending_soon(w) || w->n_services == 0) {
+        if (!is_ending_soon(d, w) || w->n_services == 0) {
             continue;
         }
         TAILQ_FOREACH (run, &w->runs, link) {
@@ -117,7 +120,7 @@
             if (may_claim(run->task) && run->task->claim == NULL &&
                 run->task->job->queue->last_config != NULL &&
                 jr_job_is_live(run->task->job) &&
-                jr_claim_is_wanted(run->task)) {
+                jr_claim_is_wanted(d, run->task)) {
                 g_array_append_val(to, claimant);
             }
         }
--- a/src/dispatch/displace.c
+++ b/src/dispatch/displace.c
@@ -10,6 +10,8 @@
      * two of the seven seconds in which it runs again.
      */
     STOP_SHORT_AFTER_MS = 5000,
+    /* The same while its worker is silent, and its lease is about to end. */
+    STOP_SHORT_SILENT_AFTER_MS = 5800,
     /* A service runs for so long before it gives its place to another one. */
     RUN_MIN_MS = 6000,
     RUN_MIN_FOR_LATE_MS = 3000, /* to one that should run again by now */
@@ -176,6 +178,19 @@
     return w;
 }
 
+/* Should the place of the task be free by now? */
+static bool
+is_due(const jr_dispatch_t *d, const jr_job_task_t *task)
+{
+    int64_t suspect_at = task->run != NULL ? task->run->worker->suspect_at : 0;
+
+    if (jr_claim_is_waiting(task)) {
+        return jr_claim_waited_ms(d, task) >= STOP_SHORT_AFTER_MS;
+    }
+    return suspect_at != 0 &&
+           d->now - suspect_at >= STOP_SHORT_SILENT_AFTER_MS;
+}
+
 /* What the services whose claim is due lack there. */
 static jr_need_t
 lacking_on(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
@@ -187,16 +202,15 @@
                                 .accelerators = info->accelerators};
     const jr_claim_t *claim;
     const jr_run_t *run;
-    bool is_due = false;
+    bool has_due = false;
 
     TAILQ_FOREACH (claim, &w->claims, worker_link) {
-        if (jr_claim_is_waiting(claim->task) &&
-            jr_claim_waited_ms(d, claim->task) >= STOP_SHORT_AFTER_MS) {
+        if (is_due(d, claim->task)) {
             jr_need_add(&lacking, &claim->need, 1);
-            is_due = true;
+            has_due = true;
         }
     }
-    if (!is_due) {
+    if (!has_due) {
         return (jr_need_t){0};
     }
     TAILQ_FOREACH (run, &w->runs, link) {
