--- a/include/jayrelay/job.h
+++ b/include/jayrelay/job.h
@@ -95,8 +95,8 @@
  * @lapse: latest run whose lease lapsed, while it is not known whether its
  *         worker had crashed; owned, or NULL. Counted if @crash_attempt is
  *         not lower
- * @waiting_since: when the job was accepted, the latest run ended, or its lost
- *                 worker was last in contact
+ * @waiting_since: when the job was accepted, the latest run that is known to
+ *                 have begun ended, or its lost worker was last in contact
  * @worker: worker that the task is granted to, else NULL
  * @incarnation: start time of the worker's incarnation when the task was
  *               granted to it, else 0
--- a/src/dispatch/command.c
+++ b/src/dispatch/command.c
@@ -49,7 +49,7 @@
     to->crashed_after_ms = run->crashed_after_ms;
     to->lapsed_after_ms =
         run->crashed_after_ms == 0 ? run->lapsed_after_ms : 0;
-    to->silent_ms = MAX(silent_ms(d, run), waited_ms(d, run));
+    to->waited_ms = MAX(silent_ms(d, run), waited_ms(d, run));
     to->checkpoint = run->checkpoint != NULL ? run->checkpoint : none;
 }
 
--- a/src/gen/job/job.pb-c.c
+++ b/src/gen/job/job.pb-c.c
@@ -2739,12 +2739,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "silent_ms",
+    "waited_ms",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Jr__JobRelease, silent_ms),
+    offsetof(Jr__JobRelease, waited_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -2794,7 +2794,7 @@
   5,   /* field[5] = lapsed_after_ms */
   6,   /* field[6] = not_crashed */
   0,   /* field[0] = run */
-  3,   /* field[3] = silent_ms */
+  3,   /* field[3] = waited_ms */
 };
 static const ProtobufCIntRange jr__job_release__number_ranges[1 + 1] =
 {
--- a/src/gen/job/job.pb-c.h
+++ b/src/gen/job/job.pb-c.h
@@ -392,9 +392,10 @@
   char *checkpoint;
   protobuf_c_boolean began;
   /*
-   * How long the lost worker had been silent: the task has waited since then.
+   * How long the task has not run when the release is proposed, as its worker
+   * was silent or the run did not begin: it has waited since then.
    */
-  int64_t silent_ms;
+  int64_t waited_ms;
   /*
    * The worker crashed under the run, so long after its start; 0: it did not.
    */
--- a/src/job/apply.c
+++ b/src/job/apply.c
@@ -504,11 +504,11 @@
 
 /* The task has not run for so long: see JobRelease. */
 static void
-credit_wait(jr_job_task_t *task, int64_t silent_ms)
+credit_wait(jr_job_task_t *task, int64_t waited_ms)
 {
-    int64_t since = task->waiting_since - silent_ms;
+    int64_t since = task->waiting_since - waited_ms;
 
-    if (silent_ms > 0) {
+    if (waited_ms > 0) {
         task->waiting_since =
             since > task->job->accepted_ms ? since : task->job->accepted_ms;
     }
@@ -574,7 +574,7 @@
         task->attempt == release->run->attempt) {
         note_lapse(jobs, task, release);
         end_run(jobs, task, release->checkpoint, release->began);
-        credit_wait(task, release->silent_ms);
+        credit_wait(task, release->waited_ms);
         notify_task(jobs, task);
     }
     apply_crash(jobs, task, release);
--- a/src/job/snapshot_test.cc
+++ b/src/job/snapshot_test.cc
@@ -476,7 +476,7 @@
         release.crashed_after_ms = Chance(20) ? Below(40000) : 0;
         release.lapsed_after_ms = Chance(30) ? Below(40000) : 0;
         release.not_crashed = Chance(10);
-        release.silent_ms = Chance(50) ? Below(20000) : 0;
+        release.waited_ms = Chance(50) ? Below(20000) : 0;
         releases.n_releases = 1;
         releases.releases = rows;
         command.releases = &releases;
