--- a/src/dispatch/claim.c
+++ b/src/dispatch/claim.c
@@ -380,6 +380,7 @@
     search_t search = {.d = d};
     GPtrArray *tasks;
 
+    jr_displace_begin(d);
     drop_invalid(d);
     d->n_unclaimed = 0;
     tasks = jr_claimants(d);
--- a/src/dispatch/claim.h
+++ b/src/dispatch/claim.h
@@ -48,6 +48,8 @@
 bool jr_claim_is_wanted(const jr_dispatch_t *d, const jr_job_task_t *task);
 
 /* displace.c: what is stopped for services that lost their run. */
+/* A pass begins. */
+void jr_displace_begin(jr_dispatch_t *d);
 /*
  * Stop a service that has run for long, or several where one is not enough, so
  * that the task fits there instead; returns the worker, or NULL if there is
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -236,6 +236,7 @@
     d->releases = g_ptr_array_new();
     d->crashes = g_array_new(FALSE, FALSE, sizeof(jr_crashed_run_t));
     d->proposed = g_ptr_array_new();
+    d->givers = g_ptr_array_new();
     d->backlog = jr_new_backlog(ctx);
     d->places = jr_new_places(ctx);
     d->shapes = jr_new_shapes(ctx);
@@ -294,6 +295,7 @@
     g_ptr_array_unref(d->releases);
     g_array_unref(d->crashes);
     g_ptr_array_unref(d->proposed);
+    g_ptr_array_unref(d->givers);
     jr_drop_backlog(d->ctx, d->backlog);
     jr_drop_places(d->ctx, d->places);
     jr_drop_shapes(d->ctx, d->shapes);
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -312,6 +312,8 @@
     GPtrArray *proposed;           /* runs whose grant is to be proposed */
     TAILQ_HEAD(, jr_claim) claims; /* see claim.h */
     size_t n_unclaimed; /* services without a place that a worker could take */
+    GPtrArray *givers;  /* of a pass: services that may give their place */
+    bool has_givers;    /* are they listed yet? */
     struct jr_backlog *backlog;
     struct jr_places *places; /* of the present pass, else empty */
     struct jr_shapes *shapes; /* the same */
--- a/src/dispatch/displace.c
+++ b/src/dispatch/displace.c
@@ -50,32 +50,60 @@
     return jr_need_fits_beside(need, &taken, w->worker->info);
 }
 
+void
+jr_displace_begin(jr_dispatch_t *d)
+{
+    g_ptr_array_set_size(d->givers, 0);
+    d->has_givers = false;
+}
+
+/* Once in a pass, as most runs need not be looked at for each task. */
+static const GPtrArray *
+list_givers(jr_dispatch_t *d)
+{
+    jr_tracked_worker_t *w;
+    jr_run_t *run;
+
+    if (d->has_givers) {
+        return d->givers;
+    }
+    d->has_givers = true;
+    TAILQ_FOREACH (w, &d->workers, link) {
+        if (!w->is_usable || w->n_services == 0) {
+            continue;
+        }
+        TAILQ_FOREACH (run, &w->runs, link) {
+            if (may_give_place(d, run, RUN_MIN_FOR_LATE_MS)) {
+                g_ptr_array_add(d->givers, run);
+            }
+        }
+    }
+    return d->givers;
+}
+
 /* The service that has run longest, on a worker that suits the task. */
 static jr_run_t *
-find_service(const jr_dispatch_t *d, const jr_job_task_t *task,
+find_service(jr_dispatch_t *d, const jr_job_task_t *task,
              const jr_need_t *need, int64_t min_ms)
 {
+    const GPtrArray *givers = list_givers(d);
     jr_image_t image = jr_tails_image(d->tails, jr_task_step(task)->image);
     jr_run_t *best = NULL;
     int64_t most = 0;
-    const jr_tracked_worker_t *w;
-    jr_run_t *run;
 
-    TAILQ_FOREACH (w, &d->workers, link) {
-        int64_t base;
+    for (guint i = 0; i < givers->len; i++) {
+        jr_run_t *run = g_ptr_array_index(givers, i);
+        const jr_tracked_worker_t *w = run->worker;
+        int64_t worth;
 
-        if (w->n_services == 0 || !jr_claim_suits(w, task)) {
+        if (!fits_instead(w, run, need) || !jr_claim_suits(w, task)) {
             continue;
         }
-        base = jr_choose_base_cost(d, w, task, image);
-        TAILQ_FOREACH (run, &w->runs, link) {
-            int64_t worth = (d->now - run->granted_at) / MS_PER_COST - base;
-
-            if ((best == NULL || worth > most) && fits_instead(w, run, need) &&
-                may_give_place(d, run, min_ms)) {
-                best = run;
-                most = worth;
-            }
+        worth = (d->now - run->granted_at) / MS_PER_COST -
+                jr_choose_base_cost(d, w, task, image);
+        if ((best == NULL || worth > most) && may_give_place(d, run, min_ms)) {
+            best = run;
+            most = worth;
         }
     }
     return best;
@@ -171,7 +199,7 @@
         stop(d, run);
         return run->worker;
     }
-    w = find_several(d, task, need, min_ms);
+    w = list_givers(d)->len > 1 ? find_several(d, task, need, min_ms) : NULL;
     if (w != NULL) {
         displace_several(d, w, need, min_ms, true);
     }
--- a/src/dispatch/leave.c
+++ b/src/dispatch/leave.c
@@ -12,14 +12,6 @@
            w->suspect_at == 0 && w->n_services > 0;
 }
 
-static bool
-is_service(const jr_run_t *run)
-{
-    const Jr__JobStep *step = jr_task_step(run->task);
-
-    return step->service && !step->gang;
-}
-
 /* Its next place is free of other tasks. */
 static void
 move(jr_dispatch_t *d, jr_run_t *run)
@@ -27,8 +19,7 @@
     const jr_claim_t *claim = run->task->claim;
     char text[JR_RUN_TEXT_BYTES];
 
-    if (run->state != JR_RUN_RUNNING || run->is_end_listed ||
-        !is_service(run) || claim == NULL ||
+    if (run->state != JR_RUN_RUNNING || run->is_end_listed || claim == NULL ||
         !jr_claims_are_free(claim->worker)) {
         return;
     }
