--- a/src/dispatch/load_test.h
+++ b/src/dispatch/load_test.h
@@ -22,6 +22,8 @@
 /* Short tasks of a job, and from one job to the next. */
 constexpr int64_t kShortMs = 2000;
 constexpr int64_t kJobEveryMs = 500;
+/* Of short tasks that take longer than services may be away. */
+constexpr int64_t kShortMaxMs = 60000;
 
 /*
  * The users' rule: a service runs within 6 s of its last run, wherever there
