--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -122,6 +122,8 @@
       "refused: no configuration yet")                                        \
     X(REFUSED_WORKER, "refused_worker_total",                                 \
       "check-ins and leave requests of workers that are not valid")           \
+    X(REFUSED_ANSWER, "refused_answer_total",                                 \
+      "answers of workers to orders that are not valid")                      \
     X(REFUSED_ZONE, "refused_zone_total",                                     \
       "requests to drain or take back a zone that is not in the settings")    \
     X(REFUSED_OVERTAKEN, "refused_overtaken_total",                           \
--- a/tests/jobs_test.sh
+++ b/tests/jobs_test.sh
@@ -420,8 +420,8 @@
           "version": '"v1"', "slots": "8", "state": '"ready"',
           "cold_remaining_ms": "0",
           "capacity": '{"cpu":4000,"mem_mb":1000,"gpus":0}',
-          "labels": '["a"]', "born": "1700000000000", "machine": '"m"',
-          "seq": "1"}
+          "labels": '["a"]', "clock_ms": "1", "born": "1700000000000",
+          "machine": '"m"', "seq": "1"}
 fields.update(zip(sys.argv[1::2], sys.argv[2::2]))
 print("{%s}" % ",".join('"%s":%s' % field for field in fields.items()))
 PY
@@ -470,7 +470,9 @@
     expect_check_in 400 odd seq 1e400
     expect_check_in 400 odd born 9223372036854775808
     expect_check_in 400 odd capacity '{"cpu":123456789012345678901234567890}'
+    expect_check_in 400 odd capacity '{}'
     expect_check_in 400 odd state '"asleep"'
+    expect_check_in 400 odd state '"draining"' # without the time that is left
     for text in 127.0.0.41:0 127.0.0.41:65536 127.0.0.41:99999999999 \
         127.0.0.41:-1 localhost:9 worker.example:9 a@127.0.0.41:9 '[::1]:9'; do
         expect_check_in 400 odd address "\"$text\""
@@ -493,7 +495,7 @@
             capacity '{"cpu":2147483647,"mem_mb":2147483647,"gpus":2147483647}'
     done
     expect_check_in 200 odd-6 service '"nobody"'
-    expect_check_in 200 odd-7 capacity '{}'
+    expect_check_in 200 odd-7 capacity '{"cpu":0,"mem_mb":0,"gpus":0}'
     expect_check_in 200 odd-8 seq 9223372036854775807
     expect_check_in 200 odd-9 cold_remaining_ms 2147483647
 }
