A worker is asked before a check-in of a later incarnation counts

Cause: the start time in a check-in was believed by itself, although the worker can be asked at any time: its lists name its incarnation.

Change (src/dispatch/restart.c): the leader keeps such a check-in and asks by a renewal that carries neither a lease nor ends seen, as it may reach another incarnation. A list with the later start time, another id (421), a list without a start time, or no answer within 0.3 s make the check-in count; it goes into the log then. A list of the known incarnation makes it void: restarts_denied_total, and a line worker-refused. The executor's check-in is acknowledged at once; one that drains gets no start while it is asked.

The check-in of GroupTest.ACheckInForAnUnknownServiceRestartsNoWorker that moves a worker is logged once the worker answers as that incarnation: the test answers so, and checks that nothing is logged before.

The question goes out while the entry would be on its way to the log. Only where the worker can't be reached at all after its restart it waits for the 0.3 s.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -122,6 +122,8 @@
       "refused: no configuration yet")                                        \
     X(REFUSED_WORKER, "refused_worker_total",                                 \
       "check-ins and leave requests of workers that are not valid")           \
+    X(RESTARTS_DENIED, "restarts_denied_total",                               \
+      "check-ins of a later incarnation that the worker itself denied")       \
     X(REFUSED_ANSWER, "refused_answer_total",                                 \
       "answers of workers to orders that are not valid")                      \
     X(REFUSED_ZONE, "refused_zone_total",                                     \
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -173,6 +173,7 @@
     }
     if (worker->info->born > w->incarnation) {
         jr_tracked_worker_restart(d, w, worker->info->born);
+        jr_restart_on_restarted(d, w);
     }
     if (worker->info->born == w->incarnation) {
         w->is_draining = worker->info->draining;
@@ -662,9 +663,12 @@
     jr_job_worker_t *known = jr_jobs_worker(d->jobs, info->id);
 
     d->now = MAX(d->now, now);
-    if (known == NULL || known->info->born < info->born) {
+    if (known == NULL) {
         return true;
     }
+    if (known->info->born < info->born) {
+        return known->local == NULL || !jr_restart_ask(d, known->local, info);
+    }
     if (known->info->born > info->born || jr_worker_is_outdated(known, info)) {
         return false;
     }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -157,6 +157,11 @@
     bool is_synced;       /* has listed its runs to this leader */
     bool has_restarted;   /* this leader saw its incarnation begin */
     bool has_ended;       /* its incarnation has ended */
+    /*
+     * The check-in of a later incarnation, which the worker is asked about;
+     * owned, NULL: none.
+     */
+    Jr__JobWorker *restart_info;
     bool is_leaving;
     bool is_draining;   /* its incarnation, as the log said last */
     int64_t left_at;    /* when it said that it leaves, 0: never */
@@ -453,6 +458,22 @@
 bool jr_incarnation_is_later(const jr_dispatch_t *d, const jr_sent_t *sent,
                              const jr_answer_t *answer);
 
+/* restart.c: check-ins of a later incarnation. */
+/*
+ * Ask the worker by a renewal whether it has restarted. Returns false when
+ * there is nothing to ask: the check-in counts.
+ */
+bool jr_restart_ask(jr_dispatch_t *d, jr_tracked_worker_t *w,
+                    const Jr__JobWorker *info);
+bool jr_restart_is_asked(const jr_tracked_worker_t *w);
+/* The answer does not say, or there is none: the check-in counts. */
+void jr_restart_accept(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* The known incarnation has answered. */
+void jr_restart_deny(jr_dispatch_t *d, jr_tracked_worker_t *w);
+/* The worker has restarted, by its own word or that of the log. */
+void jr_restart_on_restarted(jr_dispatch_t *d, jr_tracked_worker_t *w);
+void jr_restart_forget(jr_tracked_worker_t *w);
+
 /* hold.c: lease renewals, and the lists of runs and ends in the answers. */
 bool jr_renewal_is_due(const jr_dispatch_t *d, const jr_tracked_worker_t *w);
 void jr_renewal_order(jr_dispatch_t *d, jr_tracked_worker_t *w,
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -9,7 +9,6 @@
     TICK_MS = 10,
     LATE_ORDER_MIN_MS = 2000,
     LATE_ORDER_MAX_MS = 12000,
-    ANSWER_TIMEOUT_MS = 600,
     CONNECT_TIMEOUT_MS = 500,
     CHECK_IN_MS = 1000,
     CLOCK_SLOW_PERMILLE = 20,
@@ -208,6 +207,19 @@
     ReceiveCheckIn(PackCheckIn(i));
 }
 
+void
+Fleet::ForgeCheckIn(size_t i, int64_t incarnation, bool draining)
+{
+    FleetWorker was = workers[i];
+
+    workers[i].incarnation = incarnation;
+    workers[i].sequence = 0;
+    workers[i].is_draining = draining;
+    Trace("forged", workers[i].id, {}, static_cast<uint32_t>(incarnation));
+    ReceiveCheckIn(PackCheckIn(i));
+    workers[i] = was;
+}
+
 void
 Fleet::DelayCheckIn(size_t i, int64_t ms)
 {
@@ -473,11 +485,11 @@
                    static_cast<int64_t>(
                        rng_() % (LATE_ORDER_MAX_MS - LATE_ORDER_MIN_MS));
         sent.is_answered = false;
-        sent.give_up_at = now + ANSWER_TIMEOUT_MS;
+        sent.give_up_at = now + sent.timeout_ms;
     }
     else if (Chance(faults.lost_answer) || way == FleetWay::kNoAnswers) {
         sent.is_answered = false;
-        sent.give_up_at = now + ANSWER_TIMEOUT_MS;
+        sent.give_up_at = now + sent.timeout_ms;
     }
     else if (Chance(faults.unreached) || way == FleetWay::kNoOrders) {
         sent.is_processed = true;
@@ -506,6 +518,9 @@
     sent.fence = order.fence;
     sent.run = order.run;
     sent.sent_at = given_at;
+    /* The worker waits no longer than it is told, and then answers. */
+    sent.timeout_ms =
+        order.timeout_ms - (is_renewal ? order.as.renew.wait_ms : 0);
     sent.expires_ms = is_renewal ? order.as.renew.expires_ms
                       : order.kind == JR_ORDER_START
                           ? order.as.start.expires_ms
@@ -594,10 +609,11 @@
 
 /* The order is lost; its sender times out, or could not send it. */
 static int64_t
-LostAnswerAt(int64_t now, jr_answer_kind_t kind)
+LostAnswerAt(int64_t now, jr_answer_kind_t kind, int64_t timeout_ms)
 {
-    return now + (kind == JR_ANSWER_UNREACHED ? CONNECT_TIMEOUT_MS
-                                              : ANSWER_TIMEOUT_MS);
+    int64_t unreached_ms = CONNECT_TIMEOUT_MS;
+
+    return now + (kind == JR_ANSWER_UNREACHED ? unreached_ms : timeout_ms);
 }
 
 /* An order arrives. */
@@ -618,7 +634,7 @@
     }
     else if (is_cut_off) {
         sent.answer = Chance(50) ? JR_ANSWER_UNREACHED : JR_ANSWER_UNKNOWN;
-        sent.answer_at = LostAnswerAt(now, sent.answer);
+        sent.answer_at = LostAnswerAt(now, sent.answer, sent.timeout_ms);
     }
     else if (!worker.is_up) {
         sent.answer = worker.is_replaced ? JR_ANSWER_OTHER_INCARNATION
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -177,6 +177,9 @@
     void SetCapacity(size_t worker, int64_t cpu);
     /* It runs slowly for @ms, and says so in its check-ins. */
     void MakeCold(size_t worker, int64_t ms);
+    /* Another writer sends a whole check-in under the id of the worker. */
+    void ForgeCheckIn(size_t worker, int64_t incarnation,
+                      bool draining = false);
     /* A check-in as it is now, which arrives later. */
     void DelayCheckIn(size_t worker, int64_t ms);
 
@@ -263,6 +266,7 @@
     struct SentOrder {
         int64_t due;        /* arrival at the worker */
         int64_t give_up_at; /* without an answer: the outcome is unknown */
+        int64_t timeout_ms; /* the sender waits for an answer */
         bool is_answered;   /* the leader will receive the answer */
         jr_order_kind_t kind;
         int sender; /* FLEET_LEADER, or a number of the relay */
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -10,6 +10,8 @@
     BACKOFF_MIN_MS = 250, /* first delay after a failed renewal; doubles */
     BACKOFF_MAX_MS = 2000,
     RENEWAL_LATE_MS = 100, /* many turns of a leader that has time */
+    /* Of a worker that may have restarted: its tasks wait for the answer. */
+    RESTART_ANSWER_MS = JR_ANSWER_TIMEOUT_MS / 2,
 };
 
 /* No clock of a worker is later; one that is said to be is not known. */
@@ -32,7 +34,8 @@
 jr_renewal_is_due(const jr_dispatch_t *d, const jr_tracked_worker_t *w)
 {
     return w->renewal_serial == 0 && !w->has_ended &&
-           d->now >= w->renewal_at && !awaits_log(d, w);
+           d->now >= w->renewal_at &&
+           (!awaits_log(d, w) || jr_restart_is_asked(w));
 }
 
 bool
@@ -47,7 +50,7 @@
 {
     int64_t wait_ms = d->options.hold_wait_ms;
 
-    if (!w->is_synced || w->suspect_at != 0) {
+    if (!w->is_synced || w->suspect_at != 0 || jr_restart_is_asked(w)) {
         return 0;
     }
     if (jr_guard_is_needed(w)) {
@@ -62,21 +65,23 @@
     return wait_ms;
 }
 
+/* What is known of one incarnation is not sent to what may be another. */
 void
 jr_renewal_order(jr_dispatch_t *d, jr_tracked_worker_t *w, jr_order_t *order)
 {
     int64_t wait_ms = renewal_wait_ms(d, w);
-    bool is_logged_incarnation = w->worker->info->born == w->incarnation;
+    bool extends_lease =
+        jr_tracked_worker_may_extend_lease(w) && !jr_restart_is_asked(w);
+    bool knows_ends =
+        w->worker->info->born == w->incarnation && !jr_restart_is_asked(w);
 
     *order = (jr_order_t){
         .kind = JR_ORDER_RENEW,
-        .timeout_ms = JR_ANSWER_TIMEOUT_MS + wait_ms,
-        .as.renew = {.expires_ms = jr_tracked_worker_may_extend_lease(w)
-                                       ? jr_tracked_worker_lease_end(d, w)
-                                       : 0,
-                     .ends_seen = is_logged_incarnation
-                                      ? w->worker->info->ends_seen
-                                      : 0,
+        .timeout_ms = jr_restart_is_asked(w) ? RESTART_ANSWER_MS
+                                             : JR_ANSWER_TIMEOUT_MS + wait_ms,
+        .as.renew = {.expires_ms =
+                         extends_lease ? jr_tracked_worker_lease_end(d, w) : 0,
+                     .ends_seen = knows_ends ? w->worker->info->ends_seen : 0,
                      .wait_ms = wait_ms},
     };
     w->renewal_expires_ms = order->as.renew.expires_ms;
@@ -489,8 +494,14 @@
     if (answer->incarnation > w->incarnation) {
         /* The order does not exclude late ones to the earlier incarnation. */
         jr_tracked_worker_restart(d, w, answer->incarnation);
+        jr_restart_on_restarted(d, w);
         return;
     }
+    if (answer->incarnation == 0 && jr_restart_is_asked(w)) {
+        jr_restart_accept(d, w);
+        return;
+    }
+    jr_restart_deny(d, w);
     jr_crash_forget_lapsed(d, w); /* it was cut off */
     note_lease(d, w, clock_ms);
     jr_tracked_worker_set_clock(w, clock_ms, d->now);
@@ -536,7 +547,7 @@
     jr_tracked_worker_t *w = sent->worker;
 
     if (w->renewal_serial != sent->serial) {
-        return; /* sent to an earlier incarnation */
+        return; /* sent before a later incarnation was heard of */
     }
     w->renewal_serial = 0;
     switch (kind_of(d, w, answer)) {
@@ -545,6 +556,7 @@
         break;
     case JR_ANSWER_OTHER_INCARNATION:
         jr_tracked_worker_end(d, w);
+        jr_restart_accept(d, w);
         break;
     case JR_ANSWER_FENCED:
         jr_log(d->ctx, JR_EV_FENCED, "worker=%s fence=%llu",
@@ -555,6 +567,7 @@
     default:
         jr_tracked_worker_suspect(d, w);
         back_off(d, w);
+        jr_restart_accept(d, w);
         break;
     }
     if (w->renewal_backoff_ms != 0) {
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -147,6 +147,7 @@
         jr_run_free(d, run);
     }
     jr_claims_drop_worker(d, w);
+    jr_restart_forget(w);
     drop_sent_orders(d, w);
     if (d->next_worker == w) {
         d->next_worker = TAILQ_NEXT(w, link);
@@ -217,7 +218,8 @@
                             const jr_tracked_worker_t *w)
 {
     return w->is_synced && !w->has_ended && !w->is_leaving &&
-           w->suspect_at == 0 && !jr_drain_forbids_starts(d, w) &&
+           w->suspect_at == 0 && !jr_restart_is_asked(w) &&
+           !jr_drain_forbids_starts(d, w) &&
            w->worker->info->born == w->incarnation &&
            d->now - w->answered_at <=
                ANSWER_AGE_MAX_MS + d->options.hold_wait_ms &&
--- a/src/group/group_test.cc
+++ b/src/group/group_test.cc
@@ -100,6 +100,21 @@
         jr_group_pump(group_, now_);
     }
 
+    /* The worker answers the order that is due, as that incarnation. */
+    void
+    AnswerOrder(int64_t born)
+    {
+        jr_answer_t answer = {};
+        jr_order_t order;
+
+        answer.kind = JR_ANSWER_DONE;
+        answer.clock_ms = 1;
+        answer.incarnation = born;
+        ASSERT_TRUE(jr_group_take_order(group_, now_, &order));
+        jr_group_answer(group_, order.serial, &answer, now_);
+        jr_group_pump(group_, now_);
+    }
+
     /* With one service. */
     void
     Configure(const char *service)
@@ -288,6 +303,8 @@
     CheckIn(true, 1, "s");
     CheckIn(false, 3, "t"); /* it was moved */
     EXPECT_EQ(codes_, (std::vector<uint32_t>{JR_OK, JR_OK}));
+    EXPECT_EQ(worker->info->born, 1);
+    AnswerOrder(3);
     EXPECT_EQ(worker->info->born, 3);
 }
 
