A leave request of a later incarnation ends no lease

A leave request with a later born, under the id of a sound executor, ended the extension of its leases: all its tasks lapsed, though the executor went on to answer.

Cause: a start time later than the known one was taken for the worker's word.

Change: only the known incarnation leaves by a request that names one. A later one is known by its check-in, after it was asked, long before it leaves.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -686,14 +686,18 @@
     return !jr_worker_is_unchanged(d->jobs, known, info);
 }
 
-/* A leave request may be delayed until a later incarnation has started. */
+/*
+ * A leave request may be delayed until a later incarnation has started. One
+ * that names a later incarnation ends nothing before the worker has said that
+ * it is that one.
+ */
 static bool
 is_leave_current(const jr_tracked_worker_t *w, int64_t incarnation)
 {
     const Jr__JobWorker *info = w->worker->info;
 
     if (incarnation != 0) {
-        return incarnation >= w->incarnation;
+        return incarnation == w->incarnation;
     }
     /* A worker announces that it drains before it leaves. */
     return info->draining && info->born == w->incarnation;
@@ -712,7 +716,7 @@
     }
     jr_log(d->ctx, JR_EV_WORKER_LIFE, "worker=%s born=%lld known=%lld left=1",
            worker, (long long)incarnation, (long long)w->incarnation);
-    if (incarnation == 0 || incarnation >= w->incarnation) {
+    if (incarnation == 0 || incarnation == w->incarnation) {
         w->left_at = d->now;
     }
     if (!is_leave_current(w, incarnation)) {
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -220,6 +220,12 @@
     workers[i] = was;
 }
 
+void
+Fleet::ForgeLeave(size_t i, int64_t incarnation)
+{
+    jr_dispatch_left(dispatch, workers[i].id.c_str(), incarnation, now);
+}
+
 void
 Fleet::DelayCheckIn(size_t i, int64_t ms)
 {
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -180,6 +180,8 @@
     /* Another writer sends a whole check-in under the id of the worker. */
     void ForgeCheckIn(size_t worker, int64_t incarnation,
                       bool draining = false);
+    /* The same for a leave request. */
+    void ForgeLeave(size_t worker, int64_t incarnation);
     /* A check-in as it is now, which arrives later. */
     void DelayCheckIn(size_t worker, int64_t ms);
 
--- a/src/dispatch/restart_test.cc
+++ b/src/dispatch/restart_test.cc
@@ -118,6 +118,16 @@
     ExpectNothingEnded();
 }
 
+/*
+ * Guards against tasks that lapse: a leave request that another writer sent
+ * under the id of their worker, with a later start, ended its leases.
+ */
+TEST_P(RestartTest, ALeaveRequestOfALaterIncarnationEndsNothing)
+{
+    fleet_.ForgeLeave(worker_, Later());
+    ExpectNothingEnded();
+}
+
 /* Guards against a restart that waits for more than the worker's answer. */
 TEST_P(RestartTest, TheTasksOfAWorkerThatRestartedRunAgainAtOnce)
 {
