A check-in without the start that its worker names is refused

What callers saw: a check-in of another writer without born, under the id of a sound executor, was answered 200.

Cause: born may be left out, as the examples of the platform show, so the decoder can't tell; the leader can, as it knows what the worker says.

Change: under the id of a worker that has named its start time, a check-in without it is answered 400, counted and logged as other odd ones.

Evidence: GroupTest.ACheckInWithoutTheStartThatItsWorkerNamesIsRefused, red before (the answer was 200).

--- a/src/group/group_test.cc
+++ b/src/group/group_test.cc
@@ -308,6 +308,18 @@
     EXPECT_EQ(worker->info->born, 3);
 }
 
+/* Guards against a check-in of another writer that is answered as sound. */
+TEST_F(GroupTest, ACheckInWithoutTheStartThatItsWorkerNamesIsRefused)
+{
+    CheckIn(false, 0); /* names none yet */
+    CheckIn(false, 1);
+    AnswerOrder(1);
+    CheckIn(true, 0);
+    EXPECT_EQ(codes_, (std::vector<uint32_t>{JR_OK, JR_OK, JR_BAD_REQUEST}));
+    EXPECT_FALSE(
+        jr_jobs_worker(jr_group_jobs(group_), "w0")->info->draining);
+}
+
 /* Guards against a leader whose clock is years behind and refuses workers. */
 TEST_F(GroupTest, TheLeadersClockRefusesNoWorker)
 {
--- a/src/group/job_request.c
+++ b/src/group/job_request.c
@@ -339,6 +339,27 @@
     return false;
 }
 
+/*
+ * A worker that names its start does so in all that it says of itself. Says
+ * so, if the check-in does not.
+ */
+static bool
+names_start(jr_group_t *group, const jr_reply_address_t *reply_to,
+            const Jr__JobWorker *info)
+{
+    const jr_job_worker_t *known =
+        jr_jobs_worker(group->as.jobs.jobs, info->id);
+
+    if (info->born != 0 || known == NULL || known->info->born == 0) {
+        return true;
+    }
+    jr_fail(group->ctx, JR_BAD_REQUEST,
+            "worker: 'born' is missing; the worker of that id has named it");
+    jr_group_reply_code(group, reply_to, JR_BAD_REQUEST,
+                        group->ctx->error.text);
+    return false;
+}
+
 static bool
 has_service(const Jr__JobConfig *config, const char *service)
 {
@@ -383,6 +404,7 @@
 
     jr_count(group->ctx, JR_C_HEARTBEATS);
     if (!is_born(group, reply_to, info->born) ||
+        !names_start(group, reply_to, info) ||
         !has_valid_service(group, reply_to, info)) {
         return;
     }
