A worker that has ended while it was asked has restarted

Cause: found when reading the change again. Where an order other than the question is answered by another id (421), the known incarnation ends and no renewal is sent any more, so the check-in that is kept waited for the next one of the worker, a heartbeat later.

Change: the end of the known incarnation makes the kept check-in count, whichever order finds it.

--- a/include/jayrelay/dispatch.h
+++ b/include/jayrelay/dispatch.h
@@ -202,6 +202,9 @@
 /**
  * jr_dispatch_checked_in - a worker announced itself
  *
+ * One of a later incarnation than the known one is kept until the worker has
+ * been asked; then it becomes a command, see jr_dispatch_take_command().
+ *
  * Return: true when @info must be written to the log first.
  */
 bool jr_dispatch_checked_in(jr_dispatch_t *d, const Jr__JobWorker *info,
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -557,7 +557,6 @@
         break;
     case JR_ANSWER_OTHER_INCARNATION:
         jr_tracked_worker_end(d, w);
-        jr_restart_accept(d, w);
         break;
     case JR_ANSWER_FENCED:
         jr_log(d->ctx, JR_EV_FENCED, "worker=%s fence=%llu",
--- a/src/dispatch/restart_test.cc
+++ b/src/dispatch/restart_test.cc
@@ -4,6 +4,8 @@
  */
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "fleet_test.h"
 
 namespace {
@@ -157,6 +159,29 @@
     EXPECT_TRUE(fleet_.violations.empty());
 }
 
+/* Guards against the same while other workers, or this one, restart. */
+TEST_P(RestartTest, NoTaskRunsTwiceBesideTrueRestarts)
+{
+    std::mt19937 rng(GetParam());
+
+    fleet_.Submit(kJob + 1, {MakeStep(2 * kWorkers, kWholeWorker / 3)});
+    for (int i = 0; i < 200; i++) {
+        size_t w = rng() % kWorkers;
+
+        if (rng() % 8 == 0) {
+            fleet_.Restart(w);
+        }
+        else {
+            fleet_.ForgeCheckIn(w, fleet_.now +
+                                       static_cast<int64_t>(rng() % kLaterMs));
+        }
+        fleet_.Run(static_cast<int64_t>(rng() % kContactMs));
+    }
+    for (const std::string &violation : fleet_.violations) {
+        ADD_FAILURE() << violation;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, RestartTest, ::testing::Range(1u, 9u));
 
 } // namespace
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -331,6 +331,7 @@
     TAILQ_FOREACH (run, &w->runs, link) {
         jr_run_release(d, run, "life-over");
     }
+    jr_restart_accept(d, w);
 }
 
 uint64_t
