--- a/src/group/group_test.cc
+++ b/src/group/group_test.cc
@@ -316,8 +316,7 @@
     AnswerOrder(1);
     CheckIn(true, 0);
     EXPECT_EQ(codes_, (std::vector<uint32_t>{JR_OK, JR_OK, JR_BAD_REQUEST}));
-    EXPECT_FALSE(
-        jr_jobs_worker(jr_group_jobs(group_), "w0")->info->draining);
+    EXPECT_FALSE(jr_jobs_worker(jr_group_jobs(group_), "w0")->info->draining);
 }
 
 /* Guards against a leader whose clock is years behind and refuses workers. */
