loop-load says how long urgent starts wait in the leader, and orders with a carrier

Whether urgent work waits behind the leader's turns or in a carrier's queue could not be told from logs or metrics. Two histograms split the time from the grant of a short task of priority 0 to the worker's word, a third one is the wait of orders with a carrier; loop-load has their sums. Bounded: three histograms, one line in 5 s as before.

Test: OverloadTest.TheWaitForAnUrgentOrderAndForItsAnswerAreToldApart (the sums did not exist before).

--- a/include/jayrelay/histogram.h
+++ b/include/jayrelay/histogram.h
@@ -19,6 +19,12 @@
     X(WAIT_OTHER, "wait_other_ms",                                            \
       "tasks of other priorities: from their turn to a grant")                \
     X(START, "start_ms", "from a grant to the worker's word that it runs")    \
+    X(ORDERED_URGENT, "ordered_urgent_ms",                                    \
+      "tasks of priority 0: from a grant to the first start order")           \
+    X(STARTED_URGENT, "started_urgent_ms",                                    \
+      "tasks of priority 0: from that order to the worker's word")            \
+    X(CARRY_QUEUED, "carry_queued_ms",                                        \
+      "orders of the leader: from their arrival here until they are sent")    \
     X(LOG_SYNC, "log_sync_ms", "writing and syncing the log")                 \
     X(LOOP, "loop_ms", "one turn of the loop")                                \
     X(LOOP_EVENTS, "loop_events_ms",                                          \
--- a/src/control/carry.c
+++ b/src/control/carry.c
@@ -413,6 +413,8 @@
         verdict = JR_CARRY_STALE;
     }
     if (verdict == JR_CARRY_SEND) {
+        jr_observe(carry->control->ctx, JR_H_CARRY_QUEUED,
+                   now - queued->queued_at);
         jr_count(carry->control->ctx, JR_C_ORDERS_CARRIED);
         jr_control_send_order(carry->control, &queued->order, session);
     }
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -38,6 +38,11 @@
     uint64_t paces;
     uint64_t passes;
     uint64_t examined;
+    uint64_t urgent_starts;     /* of which the workers' word came */
+    uint64_t urgent_ordered_ms; /* from grants to orders, of urgent starts */
+    uint64_t urgent_started_ms; /* from these to the workers' word */
+    uint64_t carried;           /* orders of the leader */
+    uint64_t carry_queued_ms;
 } jr_loop_totals_t;
 
 /**
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -256,6 +256,8 @@
 void jr_run_set_pace(jr_dispatch_t *d, jr_run_t *run, uint32_t percent);
 /* The run has ended, without an end that the worker listed. */
 void jr_run_release(jr_dispatch_t *d, jr_run_t *run, const char *reason);
+/* Is it a short task of the most urgent queues? */
+bool jr_task_is_urgent(const jr_job_task_t *task);
 bool jr_run_order(jr_dispatch_t *d, jr_run_t *run, jr_order_t *order);
 void jr_run_answer(jr_dispatch_t *d, jr_run_t *run, jr_order_kind_t kind,
                    const jr_answer_t *answer);
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -819,6 +819,12 @@
     return ctx_->counters[counter];
 }
 
+const jr_histogram_data_t *
+Fleet::Histogram(jr_histogram_t histogram) const
+{
+    return &ctx_->histograms[histogram];
+}
+
 size_t
 Fleet::StartsOf(const TaskName &task) const
 {
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -195,6 +195,7 @@
     size_t StartsOn(size_t worker) const;
     size_t StartsOf(const TaskName &task) const;
     uint64_t Counter(jr_counter_t counter) const;
+    const jr_histogram_data_t *Histogram(jr_histogram_t histogram) const;
     bool IsStalled() const;
     /* Sends an order, which the dispatcher gave at @given_at, to its worker.
      */
--- a/src/dispatch/overload_test.cc
+++ b/src/dispatch/overload_test.cc
@@ -137,6 +137,28 @@
     EXPECT_TRUE(fleet.violations.empty()) << fleet.violations[0];
 }
 
+/*
+ * Guards against a log from which a slow leader and slow carriers can't be
+ * told apart: the wait for the order, and for the worker, have their own sums.
+ */
+TEST(OverloadTest, TheWaitForAnUrgentOrderAndForItsAnswerAreToldApart)
+{
+    constexpr int64_t kLogMs = 200;
+    Fleet fleet(7, kFewWorkers);
+    const jr_histogram_data_t *ordered, *started;
+
+    fleet.Run(1000);
+    fleet.log_delay_ms = kLogMs;
+    fleet.Submit(1, {MakeStep(kFewWorkers)});
+    fleet.Run(2000);
+    ordered = fleet.Histogram(JR_H_ORDERED_URGENT);
+    started = fleet.Histogram(JR_H_STARTED_URGENT);
+    EXPECT_EQ(ordered->n, kFewWorkers);
+    EXPECT_EQ(started->n, kFewWorkers);
+    EXPECT_GE(ordered->sum_ms, kFewWorkers * kLogMs);
+    EXPECT_LT(started->sum_ms, kFewWorkers * kLogMs);
+}
+
 /* Guards against leases that lapse while ends are on their way to the log. */
 TEST(OverloadTest, LeasesOutlastASlowLog)
 {
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -330,6 +330,27 @@
            (!w->is_synced || (run->is_unreached && w->suspect_at != 0));
 }
 
+bool
+jr_task_is_urgent(const jr_job_task_t *task)
+{
+    const Jr__JobQueue *config = task->job->queue->last_config;
+
+    return config != NULL && config->priority == JR_URGENT_PRIORITY &&
+           !jr_task_step(task)->service;
+}
+
+static void
+note_ordered(const jr_dispatch_t *d, jr_run_t *run)
+{
+    if (run->ordered_at != 0) {
+        return;
+    }
+    run->ordered_at = d->now;
+    if (jr_task_is_urgent(run->task)) {
+        jr_observe(d->ctx, JR_H_ORDERED_URGENT, d->now - run->granted_at);
+    }
+}
+
 bool
 jr_run_order(jr_dispatch_t *d, jr_run_t *run, jr_order_t *order)
 {
@@ -364,6 +385,7 @@
         }
         order->as.start.expires_ms = run->expires_ms;
         run->is_start_pending = true;
+        note_ordered(d, run);
         break;
     case JR_RUN_STOPPING:
         order->kind = JR_ORDER_STOP;
@@ -414,6 +436,9 @@
     char text[JR_RUN_TEXT_BYTES];
 
     jr_observe(d->ctx, JR_H_START, d->now - run->granted_at);
+    if (jr_task_is_urgent(run->task)) {
+        jr_observe(d->ctx, JR_H_STARTED_URGENT, d->now - run->ordered_at);
+    }
     jr_log_job(d->ctx, JR_EV_RUN_CONFIRMED, run->task->job->id,
                "task=%s worker=%s granted_ms_ago=%lld",
                jr_run_text(run, text, sizeof text),
--- a/src/dispatch/state.h
+++ b/src/dispatch/state.h
@@ -140,6 +140,7 @@
     int64_t pace_unknown_until; /* an earlier pace order may still arrive */
     int64_t slowed_ms;          /* time lost by running below full pace */
     int64_t granted_at;
+    int64_t ordered_at;       /* when its first start was sent, 0: not yet */
     int64_t crashed_after_ms; /* age when its worker crashed, 0: it did not */
     int64_t lapsed_after_ms;  /* the same when its lease lapsed */
     char *checkpoint;         /* the latest that the worker listed */
