Orders that are due, and ones to give up, are looked for when something happened

Callers saw urgent work late where the leader's processor is full. Now workers are looked through once after a tick, an answer or a message, and open orders when the earliest deadline has passed or a carrier with open orders is silent. Behaviour as before but for orders that become due by time alone: they wait for the next tick, 10 ms at most.

--- a/src/carrier/book.c
+++ b/src/carrier/book.c
@@ -1,4 +1,5 @@
 /* The book of a leader: orders that its carriers have not answered. */
+#include <glib.h>
 #include <string.h>
 #include <sys/queue.h>
 #include <uthash.h>
@@ -28,6 +29,8 @@
     jr_arena_t *arena;             /* of the answer that is being read */
     TAILQ_HEAD(, open_order) open; /* oldest first */
     open_order_t *by_serial;
+    size_t n_open[JR_CARRIERS_MAX]; /* by carrier */
+    int64_t next_deadline;          /* none of the open ones is earlier */
 };
 
 jr_carry_book_t *
@@ -42,6 +45,7 @@
     book->handler = handler;
     book->user = user;
     book->arena = jr_new_arena(ctx);
+    book->next_deadline = INT64_MAX;
     TAILQ_INIT(&book->open);
     return book;
 }
@@ -51,6 +55,7 @@
 {
     TAILQ_REMOVE(&book->open, order, link);
     HASH_DEL(book->by_serial, order);
+    book->n_open[order->carrier]--;
     jr_free(book->ctx, order);
 }
 
@@ -83,6 +88,8 @@
                      order->timeout_ms + CROSSING_MS;
     TAILQ_INSERT_TAIL(&book->open, open, link);
     HASH_ADD(hh, book->by_serial, serial, sizeof open->serial, open);
+    book->n_open[carrier]++;
+    book->next_deadline = MIN(book->next_deadline, open->deadline);
 }
 
 static void
@@ -97,18 +104,38 @@
     book->handler(book->user, serial, &unknown, now);
 }
 
+static bool
+has_silent_carrier(const jr_carry_book_t *book, int64_t now)
+{
+    for (int i = 0; i < JR_CARRIERS_MAX; i++) {
+        if (book->n_open[i] > 0 &&
+            !jr_carriers_is_answering(book->carriers, i, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Most calls find nothing: the open orders are not looked through for that. */
 void
 jr_carry_book_expire(jr_carry_book_t *book, int64_t now)
 {
     int64_t listened_ms = jr_carriers_listened(book->carriers, now);
     open_order_t *order, *next;
 
+    if (listened_ms < book->next_deadline && !has_silent_carrier(book, now)) {
+        return;
+    }
+    book->next_deadline = INT64_MAX;
     for (order = TAILQ_FIRST(&book->open); order != NULL; order = next) {
         next = TAILQ_NEXT(order, link);
         if (listened_ms >= order->deadline ||
             !jr_carriers_is_answering(book->carriers, order->carrier, now)) {
             give_up(book, order, now);
         }
+        else {
+            book->next_deadline = MIN(book->next_deadline, order->deadline);
+        }
     }
 }
 
--- a/src/dispatch/claimant.c
+++ b/src/dispatch/claimant.c
@@ -47,9 +47,9 @@
 static bool
 is_claimant(const jr_dispatch_t *d, const jr_job_task_t *task)
 {
-    return may_claim(task) && jr_claim_is_waiting(task) &&
-           task->claim == NULL && task->attempt > 0 &&
-           jr_claim_waited_ms(d, task) >= CLAIM_AFTER_MS;
+    return jr_claim_is_waiting(task) && task->claim == NULL &&
+           task->attempt > 0 &&
+           jr_claim_waited_ms(d, task) >= CLAIM_AFTER_MS && may_claim(task);
 }
 
 bool
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -167,6 +167,7 @@
     if (!d->is_leading) {
         return;
     }
+    d->may_have_worker_orders = true;
     if (w == NULL) {
         w = jr_tracked_worker_new(d, worker);
         jr_incarnation_on_added(d, w);
@@ -357,7 +358,7 @@
     g_ptr_array_unref(workers);
     jr_crash_take_over(d);
     d->next_worker = TAILQ_FIRST(&d->workers);
-    d->scanned_at = INT64_MIN;
+    d->may_have_worker_orders = true;
 }
 
 static void
@@ -376,6 +377,7 @@
 
     d->now = MAX(d->now, now);
     d->wall_ms = wall_ms;
+    d->may_have_worker_orders = true;
     note_pause(d);
     if (!d->is_leading) {
         return;
@@ -522,7 +524,7 @@
 
 /*
  * Continues with the worker of the last call. Once none of them has an order,
- * they are looked at again when time has passed.
+ * they are looked at again after the next tick, answer or message.
  */
 static bool
 take_worker_order(jr_dispatch_t *d, jr_order_t *order)
@@ -531,7 +533,7 @@
         d->next_worker != NULL ? d->next_worker : next_in_circle(d, NULL);
     jr_tracked_worker_t *w = first;
 
-    if (w == NULL || d->scanned_at == d->now) {
+    if (w == NULL || !d->may_have_worker_orders) {
         return false;
     }
     do {
@@ -541,7 +543,7 @@
         }
         w = next_in_circle(d, w);
     } while (w != first);
-    d->scanned_at = d->now;
+    d->may_have_worker_orders = false;
     return false;
 }
 
@@ -616,6 +618,7 @@
     jr_sent_t *sent;
 
     d->now = MAX(d->now, now);
+    d->may_have_worker_orders = true;
     HASH_FIND(hh, d->sent, &serial, sizeof serial, sent);
     if (sent == NULL) {
         return; /* sent during an earlier leadership */
@@ -666,6 +669,7 @@
     jr_job_worker_t *known = jr_jobs_worker(d->jobs, info->id);
 
     d->now = MAX(d->now, now);
+    d->may_have_worker_orders = true;
     if (known == NULL) {
         return true;
     }
@@ -714,6 +718,7 @@
     jr_tracked_worker_t *w = known != NULL ? known->local : NULL;
 
     d->now = MAX(d->now, now);
+    d->may_have_worker_orders = true;
     if (w == NULL) {
         return false;
     }
--- a/src/dispatch/state.h
+++ b/src/dispatch/state.h
@@ -332,7 +332,7 @@
     bool is_mostly_idle;  /* more than half of the processors are free */
     struct jr_tracked_worker_list workers; /* by rank */
     jr_tracked_worker_t *next_worker; /* next to scan for orders, or NULL */
-    int64_t scanned_at;               /* when no worker had an order, last */
+    bool may_have_worker_orders; /* since none of them had an order */
     uint64_t n_orders;                /* that were asked for */
     struct jr_run_list due_stops;
     size_t n_listed_orphans; /* of all workers */
