A pass looks at runs that are ending, not at all, and sorts keys instead of places

Now runs that end are counted as their state changes, small keys are sorted, and both lists are made when they are wanted.

All 36 test programs of dispatch and histories are green.

--- a/src/dispatch/claim.c
+++ b/src/dispatch/claim.c
@@ -128,7 +128,7 @@
     const jr_run_t *run;
 
     w->staying = w->services;
-    if (w->n_services == 0) {
+    if (w->n_services == 0 || w->n_ending == 0) {
         return;
     }
     TAILQ_FOREACH (run, &w->runs, link) {
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -47,7 +47,7 @@
 on_granted(jr_dispatch_t *d, jr_run_t *run)
 {
     if (run->state == JR_RUN_PROPOSED) {
-        run->state = JR_RUN_STARTING;
+        jr_run_set_state(run, JR_RUN_STARTING);
         jr_run_set_due(d, run);
         observe_wait(d, run->task);
         jr_spent_granted(d, run);
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -250,6 +250,9 @@
 jr_run_t *jr_run_new(jr_dispatch_t *d, jr_job_task_t *task,
                      jr_tracked_worker_t *w, jr_run_state_t state);
 void jr_run_free(jr_dispatch_t *d, jr_run_t *run);
+void jr_run_set_state(jr_run_t *run, jr_run_state_t state);
+/* Its worker lists its end. */
+void jr_run_note_end(jr_run_t *run);
 void jr_run_set_due(jr_dispatch_t *d, jr_run_t *run);
 void jr_run_stop(jr_dispatch_t *d, jr_run_t *run);
 /* Run a best-effort task at this percentage of its full pace. */
--- a/src/dispatch/hold.c
+++ b/src/dispatch/hold.c
@@ -142,7 +142,7 @@
 note_running(jr_dispatch_t *d, jr_run_t *run, const jr_running_t *row)
 {
     if (run->state == JR_RUN_UNCONFIRMED || run->state == JR_RUN_STARTING) {
-        run->state = JR_RUN_RUNNING;
+        jr_run_set_state(run, JR_RUN_RUNNING);
         run->percent_at = d->now;
     }
     if (run->confirmed_at == 0) {
@@ -296,7 +296,7 @@
     }
     jr_health_end(d, w, run, end);
     if (run != NULL) {
-        run->is_end_listed = true;
+        jr_run_note_end(run);
         if (end->how == JR__JOB_END__HOW__DONE) {
             jr_backlog_learn(d, run);
         }
--- a/src/dispatch/incarnation.c
+++ b/src/dispatch/incarnation.c
@@ -80,7 +80,7 @@
     if (run->silent_since == 0) {
         run->silent_since = jr_tracked_worker_silent_since(run->worker);
     }
-    run->state = JR_RUN_UNCONFIRMED;
+    jr_run_set_state(run, JR_RUN_UNCONFIRMED);
     run->is_placed = false;
     run->unplaced_until = d->now + JR_LATE_ORDER_MS;
     run->stop_acked_at = 0;
--- a/src/dispatch/places.c
+++ b/src/dispatch/places.c
@@ -8,9 +8,16 @@
 
 #include <stdlib.h>
 
+/* A place that is to be sorted, small as it is moved often for that. */
+typedef struct {
+    int64_t room_milli;
+    jr_tracked_worker_t *w;
+} sort_key_t;
+
 struct jr_places {
     GArray *by_free;        /* of jr_place_t */
     GArray *by_best_effort; /* the same, by room for a best-effort task */
+    GArray *keys;           /* of those that are being sorted */
 };
 
 jr_places_t *
@@ -20,6 +27,7 @@
 
     places->by_free = g_array_new(FALSE, FALSE, sizeof(jr_place_t));
     places->by_best_effort = g_array_new(FALSE, FALSE, sizeof(jr_place_t));
+    places->keys = g_array_new(FALSE, FALSE, sizeof(sort_key_t));
     return places;
 }
 
@@ -31,6 +39,7 @@
     }
     g_array_unref(places->by_free);
     g_array_unref(places->by_best_effort);
+    g_array_unref(places->keys);
     jr_free(ctx, places);
 }
 
@@ -45,13 +54,13 @@
 static int
 by_room(const void *a, const void *b)
 {
-    const jr_place_t *x = a;
-    const jr_place_t *y = b;
+    const sort_key_t *x = a;
+    const sort_key_t *y = b;
 
     if (x->room_milli != y->room_milli) {
         return x->room_milli > y->room_milli ? -1 : 1;
     }
-    return (x->rank > y->rank) - (x->rank < y->rank);
+    return (x->w->rank > y->w->rank) - (x->w->rank < y->w->rank);
 }
 
 /* Copies what changes as tasks are placed there. */
@@ -84,44 +93,74 @@
     return place;
 }
 
-/* Sorts, and tells the workers where their places are. */
+/* Sorts the keys, and tells the workers where their places are. */
 static void
-sort_places(GArray *places, bool is_best_effort)
+fill_sorted(GArray *places, GArray *keys, bool is_best_effort)
 {
-    if (places->len > 1) {
-        qsort(places->data, places->len, sizeof(jr_place_t), by_room);
+    if (keys->len > 1) {
+        qsort(keys->data, keys->len, sizeof(sort_key_t), by_room);
     }
-    for (guint i = 0; i < places->len; i++) {
-        jr_tracked_worker_t *w = g_array_index(places, jr_place_t, i).w;
-
-        w->place[is_best_effort] = i;
+    g_array_set_size(places, keys->len);
+    for (guint i = 0; i < keys->len; i++) {
+        const sort_key_t *key = &g_array_index(keys, sort_key_t, i);
+        jr_place_t *place = &g_array_index(places, jr_place_t, i);
+
+        *place = make_place(key->w);
+        place->room_milli = key->room_milli;
+        key->w->place[is_best_effort] = i;
     }
 }
 
-void
-jr_places_refresh(jr_dispatch_t *d)
+static void
+add_key(GArray *keys, jr_tracked_worker_t *w, int64_t room_milli)
+{
+    sort_key_t key = {.room_milli = room_milli, .w = w};
+
+    g_array_append_val(keys, key);
+}
+
+static void
+refresh_by_free(jr_dispatch_t *d)
 {
     jr_places_t *places = d->places;
     jr_tracked_worker_t *w;
 
-    jr_places_clear(places);
+    g_array_set_size(places->keys, 0);
     TAILQ_FOREACH (w, &d->workers, link) {
-        jr_place_t place;
-
-        w->place[false] = w->place[true] = G_MAXUINT;
-        if (!w->is_usable) {
-            continue;
+        w->place[false] = G_MAXUINT;
+        if (w->is_usable) {
+            add_key(places->keys, w,
+                    w->worker->info->cpu_milli - w->used.cpu_milli);
         }
-        place = make_place(w);
-        place.room_milli = place.free_milli;
-        g_array_append_val(places->by_free, place);
-        place.room_milli = jr_choose_best_effort_room(w);
-        if (jr_guard_allows(d, w)) {
-            g_array_append_val(places->by_best_effort, place);
+    }
+    fill_sorted(places->by_free, places->keys, false);
+}
+
+static void
+refresh_by_best_effort(jr_dispatch_t *d)
+{
+    jr_places_t *places = d->places;
+    jr_tracked_worker_t *w;
+
+    g_array_set_size(places->keys, 0);
+    TAILQ_FOREACH (w, &d->workers, link) {
+        w->place[true] = G_MAXUINT;
+        if (w->is_usable && jr_guard_allows(d, w)) {
+            add_key(places->keys, w, jr_choose_best_effort_room(w));
         }
     }
-    sort_places(places->by_free, false);
-    sort_places(places->by_best_effort, true);
+    fill_sorted(places->by_best_effort, places->keys, true);
+}
+
+/* Best-effort tasks are not placed in each pass. */
+void
+jr_places_refresh(jr_dispatch_t *d)
+{
+    jr_places_clear(d->places);
+    refresh_by_free(d);
+    if (d->is_best_effort_turn) {
+        refresh_by_best_effort(d);
+    }
 }
 
 void
--- a/src/dispatch/reserve.c
+++ b/src/dispatch/reserve.c
@@ -276,7 +276,7 @@
 /* The reservations of a pass. */
 typedef struct {
     jr_dispatch_t *d;
-    GArray *workers; /* of reservable_t */
+    GArray *workers; /* of reservable_t; NULL until one is wanted */
     size_t n;
     size_t most;
     int64_t left; /* processors that may be reserved */
@@ -319,6 +319,9 @@
         if (!may_reserve(reservations, task, &need)) {
             continue;
         }
+        if (reservations->workers == NULL) {
+            reservations->workers = list_reservable(reservations->d);
+        }
         reservable =
             find_worker_to_reserve(reservations->workers, task, &need);
         if (reservable == NULL) {
@@ -344,7 +347,6 @@
 {
     reservations_t reservations = {
         .d = d,
-        .workers = list_reservable(d),
         .most = HASH_COUNT(d->jobs->workers) * RESERVED_PERCENT / 100 + 1,
         .left = jr_reserve_left_for_services(d, JR_SHORT_SHARE_PERMILLE),
     };
@@ -360,5 +362,7 @@
             reserve_for_job(&reservations, job);
         }
     }
-    g_array_unref(reservations.workers);
+    if (reservations.workers != NULL) {
+        g_array_unref(reservations.workers);
+    }
 }
--- a/src/dispatch/run.c
+++ b/src/dispatch/run.c
@@ -63,6 +63,30 @@
     jr_places_note(d->places, w);
 }
 
+bool
+jr_run_is_ending(const jr_run_t *run)
+{
+    return run->state == JR_RUN_STOPPING || run->state == JR_RUN_RELEASING ||
+           run->is_end_listed;
+}
+
+void
+jr_run_set_state(jr_run_t *run, jr_run_state_t state)
+{
+    bool was_ending = jr_run_is_ending(run);
+
+    run->state = state;
+    run->worker->n_ending += jr_run_is_ending(run);
+    run->worker->n_ending -= was_ending;
+}
+
+void
+jr_run_note_end(jr_run_t *run)
+{
+    run->worker->n_ending += !jr_run_is_ending(run);
+    run->is_end_listed = true;
+}
+
 jr_run_t *
 jr_run_new(jr_dispatch_t *d, jr_job_task_t *task, jr_tracked_worker_t *w,
            jr_run_state_t state)
@@ -88,13 +112,6 @@
     return run;
 }
 
-bool
-jr_run_is_ending(const jr_run_t *run)
-{
-    return run->state == JR_RUN_STOPPING || run->state == JR_RUN_RELEASING ||
-           run->is_end_listed;
-}
-
 static void
 forget_order(jr_dispatch_t *d, jr_run_t *run)
 {
@@ -114,6 +131,7 @@
 {
     forget_order(d, run);
     account(d, run, -1);
+    run->worker->n_ending -= jr_run_is_ending(run);
     if (run->due_in != NULL) {
         TAILQ_REMOVE(run->due_in, run, due_link);
     }
@@ -201,7 +219,7 @@
 {
     run->is_stop_wanted = true;
     if (run->state == JR_RUN_STARTING || run->state == JR_RUN_RUNNING) {
-        run->state = JR_RUN_STOPPING;
+        jr_run_set_state(run, JR_RUN_STOPPING);
         run->try_at = d->now;
         jr_run_set_due(d, run);
     }
@@ -241,7 +259,7 @@
                jr_run_state_name(run->state), run->is_outcome_unknown,
                run->tries, (long long)(d->now - run->worker->answered_at),
                (long long)run->crashed_after_ms);
-    run->state = JR_RUN_RELEASING;
+    jr_run_set_state(run, JR_RUN_RELEASING);
     g_ptr_array_add(d->releases, run);
 }
 
@@ -254,7 +272,7 @@
         return;
     }
     run->is_stop_wanted = true;
-    run->state = JR_RUN_STOPPING;
+    jr_run_set_state(run, JR_RUN_STOPPING);
 }
 
 static void
@@ -451,7 +469,7 @@
 {
     switch (answer->kind) {
     case JR_ANSWER_DONE:
-        run->state = JR_RUN_RUNNING;
+        jr_run_set_state(run, JR_RUN_RUNNING);
         run->confirmed_at = d->now;
         run->percent_at = d->now;
         jr_worker_quality_on_started(d, run);
--- a/src/dispatch/state.h
+++ b/src/dispatch/state.h
@@ -170,6 +170,7 @@
     jr_need_t staying; /* as services, without those that are about to end */
     TAILQ_HEAD(, jr_claim) claims; /* see claim.h */
     uint32_t n_services;
+    uint32_t n_ending;       /* runs of which jr_run_is_ending() */
     uint32_t n_targets;      /* services with a target of their tail latency */
     jr_image_t target_image; /* of all of these, unless they are mixed */
     bool is_mixed;           /* of more than one image since there was none */
@@ -332,7 +333,7 @@
     bool is_mostly_idle;  /* more than half of the processors are free */
     struct jr_tracked_worker_list workers; /* by rank */
     jr_tracked_worker_t *next_worker; /* next to scan for orders, or NULL */
-    bool may_have_worker_orders; /* since none of them had an order */
+    bool may_have_worker_orders;      /* since none of them had an order */
     uint64_t n_orders;                /* that were asked for */
     struct jr_run_list due_stops;
     size_t n_listed_orphans; /* of all workers */
