--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -378,7 +378,6 @@
     d->now = MAX(d->now, now);
     d->wall_ms = wall_ms;
     d->may_have_worker_orders = true;
-    jr_turn_note(d);
     note_pause(d);
     if (!d->is_leading) {
         return;
@@ -743,5 +742,5 @@
                      d->pass_looks / LOOKS_PER_MS;
 
     return d->is_dirty && d->wall_ms != 0 &&
-           d->now - d->scheduled_at >= MAX(gap_ms, jr_turn_pass_gap_ms(d));
+           d->now - d->scheduled_at >= gap_ms;
 }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -80,12 +80,6 @@
 /* A run ended on the worker. */
 void jr_drain_on_run_ended(jr_dispatch_t *d, const jr_tracked_worker_t *w);
 
-/* turn.c: how long turns of the loop take. */
-/* A tick: the turn since the one before has ended. */
-void jr_turn_note(jr_dispatch_t *d);
-/* Minimum gap between two passes while turns are long, else 0. */
-int64_t jr_turn_pass_gap_ms(const jr_dispatch_t *d);
-
 /* leave.c: services of workers that drain. */
 /* In a pass: stop some of those for which others have capacity. */
 void jr_leave_move_services(jr_dispatch_t *d);
--- a/src/dispatch/state.h
+++ b/src/dispatch/state.h
@@ -318,7 +318,6 @@
     int64_t now;
     int64_t wall_ms; /* as of the latest tick; 0: none since the election */
     int64_t ticked_at;
-    double turn_ms;    /* mean time between two ticks */
     int64_t paused_at; /* when it was found to have been paused; 0: never */
     uint64_t next_serial;
     bool is_dirty; /* a scheduling pass may place tasks */
