Workers with an order due are in a list, and what a turn looks at is counted

Now a worker is looked at when its renewal falls due, when an answer or a log entry concerns it, or when it is to be asked whether it restarted.

New counters workers_looked_at_total and runs_looked_at_total. QuietTest holds by them, with 50, 100 and 200 workers, that passes look at no runs where none is ending and that workers are looked at for events only.

--- a/include/jayrelay/counter.h
+++ b/include/jayrelay/counter.h
@@ -180,6 +180,10 @@
     X(PASSES, "passes_total", "scheduling passes over the waiting tasks")     \
     X(WORKERS_EXAMINED, "workers_examined_total",                             \
       "workers examined as a place for a task")                               \
+    X(WORKERS_LOOKED_AT, "workers_looked_at_total",                           \
+      "workers looked at for an order that is due")                           \
+    X(RUNS_LOOKED_AT, "runs_looked_at_total",                                 \
+      "runs looked at in passes, for what services keep")                     \
     X(PREEMPTIONS, "preemptions_total",                                       \
       "tasks stopped for urgent tasks that waited")                           \
     X(STOPS_FOR_SERVICES, "stops_for_services_total",                         \
--- a/src/dispatch/claim.c
+++ b/src/dispatch/claim.c
@@ -123,7 +123,7 @@
 }
 
 static void
-count_staying(jr_tracked_worker_t *w)
+count_staying(const jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
     const jr_run_t *run;
 
@@ -132,6 +132,7 @@
         return;
     }
     TAILQ_FOREACH (run, &w->runs, link) {
+        jr_count(d->ctx, JR_C_RUNS_LOOKED_AT);
         if (jr_task_step(run->task)->service && jr_run_is_ending(run)) {
             jr_need_add(&w->staying, &run->need, -1);
         }
@@ -147,7 +148,7 @@
 
     TAILQ_FOREACH (w, &d->workers, link) {
         w->claimed = (jr_need_t){0};
-        count_staying(w);
+        count_staying(d, w);
     }
     for (claim = TAILQ_FIRST(&d->claims); claim != NULL; claim = next) {
         bool holds = jr_claim_is_wanted(d, claim->task) &&
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -167,7 +167,6 @@
     if (!d->is_leading) {
         return;
     }
-    d->may_have_worker_orders = true;
     if (w == NULL) {
         w = jr_tracked_worker_new(d, worker);
         jr_incarnation_on_added(d, w);
@@ -184,6 +183,7 @@
     }
     jr_worker_quality_on_worker(d, w);
     w->is_end_pending = false;
+    jr_dispatch_look_at(d, w);
     d->is_dirty = true;
 }
 
@@ -229,6 +229,7 @@
     d->wanted_lease_ms = jr_bounded_lease_ms(options);
     d->jobs = jobs;
     TAILQ_INIT(&d->workers);
+    TAILQ_INIT(&d->to_look_at);
     TAILQ_INIT(&d->claims);
     TAILQ_INIT(&d->due_stops);
     STAILQ_INIT(&d->commands);
@@ -357,8 +358,6 @@
     }
     g_ptr_array_unref(workers);
     jr_crash_take_over(d);
-    d->next_worker = TAILQ_FIRST(&d->workers);
-    d->may_have_worker_orders = true;
 }
 
 static void
@@ -377,7 +376,6 @@
 
     d->now = MAX(d->now, now);
     d->wall_ms = wall_ms;
-    d->may_have_worker_orders = true;
     note_pause(d);
     if (!d->is_leading) {
         return;
@@ -385,6 +383,9 @@
     for (w = TAILQ_FIRST(&d->workers); w != NULL; w = next) {
         next = TAILQ_NEXT(w, link);
         jr_tracked_worker_tick(d, w);
+        if (jr_renewal_is_due(d, w)) {
+            jr_dispatch_look_at(d, w);
+        }
     }
     jr_lease_tick(d);
     /* As time passes, backoffs end and occurrences become due. */
@@ -514,36 +515,36 @@
     return false;
 }
 
-static jr_tracked_worker_t *
-next_in_circle(jr_dispatch_t *d, jr_tracked_worker_t *w)
+void
+jr_dispatch_look_at(jr_dispatch_t *d, jr_tracked_worker_t *w)
 {
-    jr_tracked_worker_t *next = w != NULL ? TAILQ_NEXT(w, link) : NULL;
+    if (!w->is_to_look_at) {
+        w->is_to_look_at = true;
+        TAILQ_INSERT_TAIL(&d->to_look_at, w, look_link);
+    }
+}
 
-    return next != NULL ? next : TAILQ_FIRST(&d->workers);
+void
+jr_dispatch_look_away(jr_dispatch_t *d, jr_tracked_worker_t *w)
+{
+    if (w->is_to_look_at) {
+        w->is_to_look_at = false;
+        TAILQ_REMOVE(&d->to_look_at, w, look_link);
+    }
 }
 
-/*
- * Continues with the worker of the last call. Once none of them has an order,
- * they are looked at again after the next tick, answer or message.
- */
 static bool
 take_worker_order(jr_dispatch_t *d, jr_order_t *order)
 {
-    jr_tracked_worker_t *first =
-        d->next_worker != NULL ? d->next_worker : next_in_circle(d, NULL);
-    jr_tracked_worker_t *w = first;
+    jr_tracked_worker_t *w;
 
-    if (w == NULL || !d->may_have_worker_orders) {
-        return false;
-    }
-    do {
+    while ((w = TAILQ_FIRST(&d->to_look_at)) != NULL) {
+        jr_count(d->ctx, JR_C_WORKERS_LOOKED_AT);
         if (order_for_worker(d, w, order)) {
-            d->next_worker = w;
-            return true;
+            return true; /* it may have another one */
         }
-        w = next_in_circle(d, w);
-    } while (w != first);
-    d->may_have_worker_orders = false;
+        jr_dispatch_look_away(d, w);
+    }
     return false;
 }
 
@@ -618,7 +619,6 @@
     jr_sent_t *sent;
 
     d->now = MAX(d->now, now);
-    d->may_have_worker_orders = true;
     HASH_FIND(hh, d->sent, &serial, sizeof serial, sent);
     if (sent == NULL) {
         return; /* sent during an earlier leadership */
@@ -640,6 +640,7 @@
     else if (sent->run != NULL) {
         jr_run_answer(d, sent->run, sent->kind, answer);
     }
+    jr_dispatch_look_at(d, sent->worker);
     jr_free(d->ctx, sent);
 }
 
@@ -669,7 +670,6 @@
     jr_job_worker_t *known = jr_jobs_worker(d->jobs, info->id);
 
     d->now = MAX(d->now, now);
-    d->may_have_worker_orders = true;
     if (known == NULL) {
         return true;
     }
@@ -718,7 +718,6 @@
     jr_tracked_worker_t *w = known != NULL ? known->local : NULL;
 
     d->now = MAX(d->now, now);
-    d->may_have_worker_orders = true;
     if (w == NULL) {
         return false;
     }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -4,6 +4,11 @@
 
 #include "state.h"
 
+/* dispatch.c: orders that concern a worker, not a run. */
+/* Something happened: it may have such an order due. */
+void jr_dispatch_look_at(jr_dispatch_t *d, jr_tracked_worker_t *w);
+void jr_dispatch_look_away(jr_dispatch_t *d, jr_tracked_worker_t *w);
+
 /* worker.c: leases, clocks and incarnations of workers. */
 uint32_t jr_tracked_worker_rank(const jr_job_worker_t *worker);
 jr_tracked_worker_t *jr_tracked_worker_new(jr_dispatch_t *d,
--- a/src/dispatch/fleet_test.cpp
+++ b/src/dispatch/fleet_test.cpp
@@ -19,6 +19,22 @@
     LATE_CHECK_IN_MAX_MS = 8000,
     EPOCH_SHIFT = 40,         /* in serials */
     DEFAULT_MAX_FAILURES = 3, /* of a queue that sets no limit */
+    OTHER_PRIORITY = 2,
+};
+
+/* What the leader's work costs, in microseconds of a whole processor. */
+enum {
+    ORDER_WORK = 5,
+    ANSWER_WORK = 6,
+    ROW_WORK = 1,   /* of the lists in an answer */
+    PLACE_WORK = 1, /* of a pass, for each worker */
+};
+
+/* How many things it looks at in a microsecond. */
+enum {
+    EXAMINED_PER_WORK = 4,
+    RUNS_PER_WORK = 8,
+    WORKERS_PER_WORK = 8, /* for an order that is due */
 };
 
 Jr__JobStep
@@ -54,19 +70,23 @@
     Jr__JobCommand command = JR__JOB_COMMAND__INIT;
     Jr__JobConfig config = JR__JOB_CONFIG__INIT;
     Jr__JobQueue queue = JR__JOB_QUEUE__INIT;
-    Jr__JobQueue *queues[] = {&queue};
+    Jr__JobQueue other;
+    Jr__JobQueue *queues[] = {&queue, &other};
 
     ctx_ =
         jr_new_ctx("fleet", getenv("JR_TRACE") != nullptr ? stderr : nullptr);
     jobs = jr_new_jobs(ctx_);
     dispatch = NewDispatch(ctx_, times_, jobs);
     queue.host = const_cast<char *>("h");
-    queue.prefix = const_cast<char *>("/q/");
+    queue.prefix = const_cast<char *>(FLEET_URGENT_QUEUE);
     queue.service = const_cast<char *>("s");
     queue.max_failures = static_cast<uint32_t>(faults.max_failures);
     queue.stretch_permille = 2000;
+    other = queue;
+    other.prefix = const_cast<char *>(FLEET_OTHER_QUEUE);
+    other.priority = OTHER_PRIORITY;
     config.version = 1;
-    config.n_queues = 1;
+    config.n_queues = 2;
     config.queues = queues;
     command.body_case = JR__JOB_COMMAND__BODY_CONFIG;
     command.config = &config;
@@ -266,7 +286,7 @@
 
 void
 Fleet::Submit(uint64_t id, const std::vector<Jr__JobStep> &steps,
-              uint32_t repeats, int64_t interval_ms)
+              uint32_t repeats, int64_t interval_ms, const char *prefix)
 {
     Jr__JobCommand command = JR__JOB_COMMAND__INIT;
     Jr__JobSubmit submit = JR__JOB_SUBMIT__INIT;
@@ -279,7 +299,7 @@
     }
     spec.id = id;
     spec.host = const_cast<char *>("h");
-    spec.prefix = const_cast<char *>("/q/");
+    spec.prefix = const_cast<char *>(prefix);
     spec.n_steps = pointers.size();
     spec.steps = pointers.data();
     spec.repeats = repeats;
@@ -538,14 +558,22 @@
     sent_orders_.push_back(sent);
 }
 
+/* After @n orders of the turn; a control process spends up to 10 ms on them.
+ */
+bool
+Fleet::MayTakeOrder(size_t n) const
+{
+    return (orders_per_step == 0 || n < orders_per_step) &&
+           (work_per_ms == 0 || n * ORDER_WORK < TICK_MS * work_per_ms);
+}
+
 void
 Fleet::TakeOrders()
 {
     jr_order_t order;
 
-    for (size_t n = 0; (orders_per_step == 0 || n < orders_per_step) &&
-                       jr_dispatch_take_order(dispatch, &order);
-         n++) {
+    for (size_t n = 0;
+         MayTakeOrder(n) && jr_dispatch_take_order(dispatch, &order); n++) {
         if (order.kind == JR_ORDER_START && checks_sent_starts) {
             CheckCapacityAtSend(order);
         }
@@ -553,6 +581,7 @@
             order.run.step == 0) {
             CheckAvailability(order);
         }
+        work_ += ORDER_WORK;
         order.serial |= epoch_ << EPOCH_SHIFT;
         if (relay != nullptr) {
             relay->Take(order);
@@ -606,6 +635,8 @@
         answer.n_ended = sent.ended.size();
     }
     if (sent.sender == FLEET_LEADER) {
+        work_ +=
+            ANSWER_WORK + ROW_WORK * (sent.running.size() + sent.ended.size());
         Report(sent.serial, answer);
     }
     else {
@@ -727,6 +758,37 @@
     }
 }
 
+void
+Fleet::CountWork()
+{
+    FleetLooks looks = {Counter(JR_C_PASSES), Counter(JR_C_WORKERS_EXAMINED),
+                        Counter(JR_C_RUNS_LOOKED_AT),
+                        Counter(JR_C_WORKERS_LOOKED_AT)};
+
+    work_ += (looks.passes - looks_.passes) * workers.size() * PLACE_WORK +
+             (looks.examined - looks_.examined) / EXAMINED_PER_WORK +
+             (looks.runs - looks_.runs) / RUNS_PER_WORK +
+             (looks.workers - looks_.workers) / WORKERS_PER_WORK;
+    looks_ = looks;
+}
+
+void
+Fleet::SpendTurn()
+{
+    int64_t ms;
+
+    CountWork();
+    if (work_per_ms == 0) {
+        work_ = 0;
+        return;
+    }
+    ms = static_cast<int64_t>(work_ / work_per_ms);
+    work_ %= work_per_ms;
+    if (ms > TICK_MS) {
+        Stall(ms);
+    }
+}
+
 void
 Fleet::StepLeader()
 {
@@ -736,6 +798,7 @@
     if (!IsStalled()) {
         TakeOrders();
     }
+    SpendTurn();
 }
 
 void
--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -17,6 +17,9 @@
 }
 
 constexpr int64_t FLEET_LEASE_MS = 3000;
+/* Prefixes of the queues; the second one has priority 2. */
+constexpr const char *FLEET_URGENT_QUEUE = "/q/";
+constexpr const char *FLEET_OTHER_QUEUE = "/other/";
 
 /* Identifies a task, whatever its attempt. */
 struct TaskName {
@@ -59,6 +62,14 @@
     std::vector<int64_t> done;
 };
 
+/* What the leader has looked at. */
+struct FleetLooks {
+    uint64_t passes;
+    uint64_t examined; /* workers, as a place for a task */
+    uint64_t runs;
+    uint64_t workers; /* for an order that is due */
+};
+
 /* A stop order for a run of a service. */
 struct FleetStop {
     uint32_t attempt;
@@ -152,7 +163,8 @@
     ~Fleet();
 
     void Submit(uint64_t id, const std::vector<Jr__JobStep> &steps,
-                uint32_t repeats = 0, int64_t interval_ms = 0);
+                uint32_t repeats = 0, int64_t interval_ms = 0,
+                const char *prefix = FLEET_URGENT_QUEUE);
     void Cancel(uint64_t id);
     /* Drains a zone, or takes it back. */
     void DrainZone(const char *zone, bool drains = true);
@@ -257,6 +269,11 @@
      */
     uint64_t examined_per_ms = 0;
     int64_t examining_ms = 0;
+    /*
+     * The leader gets so much done in a millisecond, by what orders, answers
+     * and passes cost (see fleet_test.cpp); 0: all at once.
+     */
+    uint64_t work_per_ms = 0;
     FleetRelay *relay = nullptr; /* none: orders go to the workers directly */
     bool has_churn = false;      /* for the histories: workers come and go */
     bool has_stalls = false; /* for the histories: the leader stands still */
@@ -313,9 +330,14 @@
     void TakeCommands();
     /* As TakeCommands(), which takes the leader time. */
     void SpendOnCommands();
+    /* Adds what the leader looked at in the present turn. */
+    void CountWork();
+    /* The turn of the leader took as long as its work. */
+    void SpendTurn();
     void ApplyDue();
     /* A command that is in the log since @at. */
     void ApplyCommand(const std::vector<uint8_t> &bytes, int64_t at);
+    bool MayTakeOrder(size_t n) const;
     void TakeOrders();
     void DeliverOrders();
     void AdvanceWorkers();
@@ -374,6 +396,8 @@
     uint64_t epoch_ = 0; /* number of leader changes, part of serials */
     int64_t stalled_until_ = 0;
     size_t answers_in_step_ = 0;
+    FleetLooks looks_ = {}; /* counted so far */
+    uint64_t work_ = 0; /* of the present turn, and less than 1 ms before */
     std::deque<Proposal> proposals_;
     std::vector<DelayedCheckIn> check_ins_;
     std::vector<SentOrder> sent_orders_;
--- a/src/dispatch/pass_test.cc
+++ b/src/dispatch/pass_test.cc
@@ -137,4 +137,56 @@
     }
 }
 
+/* A fleet with services and nothing else, by its size. */
+class QuietTest : public testing::TestWithParam<size_t> {
+  protected:
+    QuietTest() : fleet(1, GetParam())
+    {
+        uint32_t n = static_cast<uint32_t>(GetParam());
+        Jr__JobStep service = MakeStep(4 * n, 900);
+
+        service.service = 1;
+        fleet.long_running_job = kService;
+        fleet.reported_percent = 100;
+        fleet.Submit(kService, {service});
+        fleet.Run(12000);
+    }
+
+    uint64_t
+    CountIn(jr_counter_t counter, int64_t ms)
+    {
+        uint64_t before = fleet.Counter(counter);
+
+        fleet.Run(ms);
+        return fleet.Counter(counter) - before;
+    }
+
+    Fleet fleet;
+};
+
+/*
+ * Guards against a leader without time for urgent tasks: each pass looked at
+ * all runs of all workers, whatever had happened.
+ */
+TEST_P(QuietTest, PassesLookAtNoRunsWhereNoneIsEnding)
+{
+    ASSERT_EQ(fleet.Running(kService), 4 * GetParam());
+    EXPECT_EQ(CountIn(JR_C_RUNS_LOOKED_AT, 2000), 0u);
+}
+
+/* The same in each turn, for orders that are due: at all workers. */
+TEST_P(QuietTest, WorkersAreLookedAtForOrdersWhenSomethingHappened)
+{
+    constexpr int64_t kSpanMs = 2000;
+    uint64_t renewals = fleet.Counter(JR_C_RENEWALS_SENT);
+    uint64_t looks = CountIn(JR_C_WORKERS_LOOKED_AT, kSpanMs);
+
+    renewals = fleet.Counter(JR_C_RENEWALS_SENT) - renewals;
+    EXPECT_GT(renewals, GetParam());
+    /* When one is due, after it was taken, and once its answer is there. */
+    EXPECT_LE(looks, 3 * renewals + GetParam());
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, QuietTest, testing::Values(50u, 100u, 200u));
+
 } // namespace
--- a/src/dispatch/restart.c
+++ b/src/dispatch/restart.c
@@ -58,6 +58,7 @@
     if (!is_asked) {
         w->renewal_serial = 0; /* that one may have been answered before */
         w->renewal_at = d->now;
+        jr_dispatch_look_at(d, w);
     }
     return true;
 }
--- a/src/dispatch/state.h
+++ b/src/dispatch/state.h
@@ -159,6 +159,8 @@
 /* A worker; leader-local state, not replicated. */
 struct jr_tracked_worker {
     TAILQ_ENTRY(jr_tracked_worker) link;
+    TAILQ_ENTRY(jr_tracked_worker) look_link;
+    bool is_to_look_at; /* in the list of those that may have an order */
     jr_job_worker_t *worker;
     struct jr_window *window;
     int64_t incarnation; /* that the fields below refer to */
@@ -332,9 +334,9 @@
     bool has_short_tasks; /* running, or waiting */
     bool is_mostly_idle;  /* more than half of the processors are free */
     struct jr_tracked_worker_list workers; /* by rank */
-    jr_tracked_worker_t *next_worker; /* next to scan for orders, or NULL */
-    bool may_have_worker_orders;      /* since none of them had an order */
-    uint64_t n_orders;                /* that were asked for */
+    /* Those that may have an order due since they were looked at. */
+    TAILQ_HEAD(, jr_tracked_worker) to_look_at;
+    uint64_t n_orders; /* that were asked for */
     struct jr_run_list due_stops;
     size_t n_listed_orphans; /* of all workers */
     jr_sent_t *sent;
--- a/src/dispatch/worker.c
+++ b/src/dispatch/worker.c
@@ -62,6 +62,7 @@
     w->incarnation = worker->info->born;
     w->fence_epoch = d->fence_epoch;
     w->renewal_at = d->now;
+    jr_dispatch_look_at(d, w);
     w->is_draining = worker->info->draining;
     w->tracked_at = d->now;
     w->checked_in_at = d->now;
@@ -149,9 +150,7 @@
     jr_claims_drop_worker(d, w);
     jr_restart_forget(w);
     drop_sent_orders(d, w);
-    if (d->next_worker == w) {
-        d->next_worker = TAILQ_NEXT(w, link);
-    }
+    jr_dispatch_look_away(d, w);
     TAILQ_REMOVE(&d->workers, w, link);
     w->worker->local = NULL;
     jr_tracked_worker_forget_orphans(d, w);
