--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -4,7 +4,7 @@
 
 #include "state.h"
 
-/* dispatch.c: orders that concern a worker, not a run. */
+/* orders.c: orders that concern a worker, not a run. */
 /* Something happened: it may have such an order due. */
 void jr_dispatch_look_at(jr_dispatch_t *d, jr_tracked_worker_t *w);
 void jr_dispatch_look_away(jr_dispatch_t *d, jr_tracked_worker_t *w);
