--- a/src/dispatch/fleet_test.h
+++ b/src/dispatch/fleet_test.h
@@ -271,7 +271,7 @@
     int64_t examining_ms = 0;
     /*
      * The leader gets so much done in a millisecond, by what orders, answers
-     * and passes cost (see fleet_test.cpp); 0: all at once.
+     * and passes cost (see fleet_leader_test.cpp); 0: all at once.
      */
     uint64_t work_per_ms = 0;
     FleetRelay *relay = nullptr; /* none: orders go to the workers directly */
